--- a/Makefile
+++ b/Makefile
@@ -39,10 +39,11 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-# Code from rpcgen doesn't meet our warning level.
+# Code from rpcgen doesn't meet our warning level. xdr_bounded.h bounds what it allocates.
 $(BUILD)/src/proto/gen/%.o: src/proto/gen/%.c
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -Wno-unused-variable -Wno-shadow -c $< -o $@
+	$(CC) $(ALL_CFLAGS) -Wno-unused-variable -Wno-shadow -DAZ_XDR_REPLACE \
+	  -include src/proto/xdr_bounded.h -c $< -o $@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
