--- /dev/null
+++ b/src/net/address.h
@@ -0,0 +1,15 @@
+#ifndef AZUREROCK_NET_ADDRESS_H
+#define AZUREROCK_NET_ADDRESS_H
+
+#include <stdbool.h>
+#include <sys/socket.h>
+
+/** az_address_parse - reads "ip:port" or "[ip6]:port"; numeric only */
+bool
+az_address_parse (const char *text, struct sockaddr_storage *address);
+
+/** az_address_print - the same form; free with g_free() */
+char *
+az_address_print (const struct sockaddr_storage *address);
+
+#endif
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,342 @@
+#include "azurerock/http_client.h"
+#include "azurerock/table.h"
+#include "net/address.h"
+#include "net/broken_pipe.h"
+#include "net/http_connection.h"
+
+struct az_http_client
+{
+  uv_loop_t *loop;
+  char *host;
+  struct sockaddr_storage target;
+  bool target_valid;
+  unsigned max_connections;
+  unsigned n_connecting;
+  GPtrArray *connections;
+  GPtrArray *idle;                 /* most recently used last */
+  GQueue waiting;                  /* exchanges that are on no connection */
+  GQueue cancelled;                /* ended; @done is called by @soon */
+  struct az_table_rows *exchanges; /* rows are struct az_http_exchange * */
+  uv_timer_t soon;
+  uv_timer_t deadline;
+  unsigned open_handles;
+  bool destroyed;
+};
+
+static void
+pump (struct az_http_client *client);
+
+static void
+handle_closed (void *context)
+{
+  struct az_http_client *client = context;
+
+  if (--client->open_handles > 0 || !client->destroyed)
+    return;
+  g_ptr_array_unref (client->connections);
+  g_ptr_array_unref (client->idle);
+  az_table_rows_destroy (client->exchanges);
+  g_free (client->host);
+  g_free (client);
+}
+
+static void
+timer_closed (uv_handle_t *handle)
+{
+  handle_closed (handle->data);
+}
+
+static struct az_http_exchange *
+get_exchange (const struct az_http_client *client, uint32_t handle)
+{
+  struct az_http_exchange **row = az_table_rows_get (client->exchanges, handle);
+
+  return row ? *row : NULL;
+}
+
+/* Tells the caller and frees the exchange. */
+static void
+finish (struct az_http_client *client,
+        struct az_http_exchange *exchange,
+        const struct az_http_response *response)
+{
+  az_table_rows_remove (client->exchanges, exchange->handle);
+  exchange->done (exchange->context, response);
+  az_http_exchange_destroy (exchange);
+}
+
+static void
+fail (struct az_http_client *client,
+      struct az_http_exchange *exchange,
+      enum az_http_result result,
+      const char *error)
+{
+  const struct az_http_response response = { .result = result, .body = "", .error = error };
+
+  finish (client, exchange, &response);
+}
+
+static void
+connection_answered (void *context,
+                     struct az_http_exchange *exchange,
+                     const struct az_http_reader *reader)
+{
+  const struct az_http_response response = {
+    .result = AZ_HTTP_ANSWERED,
+    .status = reader->status,
+    .body = (const char *)reader->data->data + reader->head_length,
+    .body_length = reader->body_length,
+    .index = reader->index[0] ? reader->index : NULL,
+  };
+
+  finish (context, exchange, &response);
+}
+
+static void
+connection_idle (void *context, struct az_http_connection *connection, bool first)
+{
+  struct az_http_client *client = context;
+
+  if (client->destroyed)
+    return;
+  if (first)
+    client->n_connecting--;
+  g_ptr_array_add (client->idle, connection);
+  pump (client);
+}
+
+static void
+remove_connection (struct az_http_client *client, struct az_http_connection *connection)
+{
+  if (!az_http_connection_is_open (connection))
+    client->n_connecting--;
+  g_ptr_array_remove_fast (client->connections, connection);
+  g_ptr_array_remove (client->idle, connection);
+}
+
+static void
+connection_closed (void *context,
+                   struct az_http_connection *connection,
+                   struct az_http_exchange *exchange,
+                   const char *reason)
+{
+  struct az_http_client *client = context;
+  bool failed = !az_http_connection_is_open (connection);
+
+  if (client->destroyed)
+    return;
+  remove_connection (client, connection);
+  if (exchange)
+    fail (client, exchange, AZ_HTTP_LOST, reason);
+  /* The last attempt to reach the server has failed: those who wait are told so. */
+  for (guint n = g_queue_get_length (&client->waiting);
+       failed && n > 0 && client->connections->len == 0 && !client->destroyed; n--)
+    fail (client, g_queue_pop_head (&client->waiting), AZ_HTTP_NOT_SENT, reason);
+  if (!client->destroyed)
+    pump (client);
+}
+
+static void
+open_connection (struct az_http_client *client)
+{
+  const struct az_http_connection_owner owner = {
+    .loop = client->loop,
+    .target = (const struct sockaddr *)&client->target,
+    .idle = connection_idle,
+    .answered = connection_answered,
+    .closed = connection_closed,
+    .freed = handle_closed,
+    .context = client,
+  };
+
+  client->open_handles++;
+  client->n_connecting++;
+  g_ptr_array_add (client->connections, az_http_connection_create (&owner));
+}
+
+/* Sends what waits on idle connections and opens further ones as allowed. */
+static void
+pump (struct az_http_client *client)
+{
+  while (!g_queue_is_empty (&client->waiting) && client->idle->len > 0)
+    {
+      struct az_http_connection *connection
+          = g_ptr_array_steal_index (client->idle, client->idle->len - 1);
+
+      if (az_http_connection_send (connection, g_queue_peek_head (&client->waiting)))
+        {
+          g_queue_pop_head (&client->waiting);
+          continue;
+        }
+      remove_connection (client, connection);
+      az_http_connection_drop (connection);
+    }
+  while (client->n_connecting < g_queue_get_length (&client->waiting)
+         && client->connections->len < client->max_connections)
+    open_connection (client);
+}
+
+/* Takes an exchange off its connection, which is of no further use, or out of the queue. */
+static enum az_http_result
+detach (struct az_http_client *client, struct az_http_exchange *exchange)
+{
+  if (!exchange->connection)
+    {
+      g_queue_remove (&client->waiting, exchange);
+      return AZ_HTTP_NOT_SENT;
+    }
+  remove_connection (client, exchange->connection);
+  az_http_connection_drop (exchange->connection);
+  return AZ_HTTP_LOST;
+}
+
+static void
+soon_fired (uv_timer_t *timer)
+{
+  struct az_http_client *client = timer->data;
+  struct az_http_exchange *exchange;
+
+  while (!client->destroyed && (exchange = g_queue_pop_head (&client->cancelled)))
+    fail (client, exchange, exchange->result, exchange->error);
+  if (!client->destroyed)
+    pump (client);
+}
+
+static void
+end_soon (struct az_http_client *client,
+          struct az_http_exchange *exchange,
+          enum az_http_result result,
+          const char *error)
+{
+  exchange->ended = true;
+  exchange->result = result;
+  exchange->error = error;
+  g_queue_push_tail (&client->cancelled, exchange);
+  uv_timer_start (&client->soon, soon_fired, 0, 0);
+}
+
+static void
+deadline_fired (uv_timer_t *timer);
+
+static void
+arm_deadline (struct az_http_client *client, uint64_t deadline_ms)
+{
+  uint64_t now_ms = uv_now (client->loop);
+  uint64_t wait_ms = deadline_ms > now_ms ? deadline_ms - now_ms : 0;
+
+  if (!uv_is_active ((uv_handle_t *)&client->deadline)
+      || uv_timer_get_due_in (&client->deadline) > wait_ms)
+    uv_timer_start (&client->deadline, deadline_fired, wait_ms, 0);
+}
+
+/* Ends what is due and waits for the next; ended exchanges are told by @soon. */
+static void
+deadline_fired (uv_timer_t *timer)
+{
+  struct az_http_client *client = timer->data;
+  uint64_t now_ms = uv_now (client->loop);
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (client->exchanges, handle)))
+    {
+      struct az_http_exchange *exchange = get_exchange (client, handle);
+
+      if (exchange->ended)
+        continue;
+      if (exchange->deadline_ms <= now_ms)
+        end_soon (client, exchange, detach (client, exchange), "timed out");
+      else
+        arm_deadline (client, exchange->deadline_ms);
+    }
+}
+
+struct az_http_client *
+az_http_client_create (uv_loop_t *loop, const char *address, unsigned connections)
+{
+  struct az_http_client *client = g_new0 (struct az_http_client, 1);
+
+  client->loop = loop;
+  az_broken_pipe_ignore ();
+  client->host = g_strdup (address);
+  client->target_valid = az_address_parse (address, &client->target);
+  client->max_connections = MAX (connections, 1);
+  client->connections = g_ptr_array_new ();
+  client->idle = g_ptr_array_new ();
+  g_queue_init (&client->waiting);
+  g_queue_init (&client->cancelled);
+  client->exchanges = az_table_rows_create (sizeof (struct az_http_exchange *));
+  uv_timer_init (loop, &client->soon);
+  uv_timer_init (loop, &client->deadline);
+  client->soon.data = client->deadline.data = client;
+  client->open_handles = 2;
+  return client;
+}
+
+void
+az_http_client_destroy (struct az_http_client *client)
+{
+  uint32_t handle;
+
+  if (!client)
+    return;
+  client->destroyed = true;
+  while ((handle = az_table_rows_next (client->exchanges, 0)))
+    {
+      struct az_http_exchange *exchange = get_exchange (client, handle);
+
+      if (!exchange->ended)
+        exchange->result = exchange->connection ? AZ_HTTP_LOST : AZ_HTTP_NOT_SENT;
+      fail (client, exchange, exchange->result, "client stopped");
+    }
+  g_queue_clear (&client->waiting);
+  g_queue_clear (&client->cancelled);
+  for (guint i = 0; i < client->connections->len; i++)
+    az_http_connection_drop (client->connections->pdata[i]);
+  uv_close ((uv_handle_t *)&client->soon, timer_closed);
+  uv_close ((uv_handle_t *)&client->deadline, timer_closed);
+}
+
+uint32_t
+az_http_client_request (struct az_http_client *client,
+                        const char *method,
+                        const char *path,
+                        const struct az_http_header *headers,
+                        size_t n_headers,
+                        const void *body,
+                        size_t body_length,
+                        int64_t timeout_ms,
+                        void (*done) (void *context, const struct az_http_response *response),
+                        void *context)
+{
+  struct az_http_exchange *exchange;
+  struct az_http_exchange **row;
+
+  if (client->destroyed)
+    return 0;
+  exchange
+      = az_http_exchange_create (client->host, method, path, headers, n_headers, body, body_length);
+  exchange->handle = az_table_rows_add (client->exchanges, (void **)&row);
+  *row = exchange;
+  exchange->done = done;
+  exchange->context = context;
+  exchange->deadline_ms = uv_now (client->loop) + (uint64_t)MAX (timeout_ms, 1);
+  if (!client->target_valid)
+    {
+      end_soon (client, exchange, AZ_HTTP_NOT_SENT, "not a numeric address and port");
+      return exchange->handle;
+    }
+  arm_deadline (client, exchange->deadline_ms);
+  g_queue_push_tail (&client->waiting, exchange);
+  pump (client);
+  return exchange->handle;
+}
+
+void
+az_http_client_cancel (struct az_http_client *client, uint32_t request)
+{
+  struct az_http_exchange *exchange = get_exchange (client, request);
+
+  if (!exchange || exchange->ended || client->destroyed)
+    return;
+  end_soon (client, exchange, detach (client, exchange), "cancelled");
+}
--- /dev/null
+++ b/src/net/http_connection.c
@@ -0,0 +1,195 @@
+#include "net/http_connection.h"
+
+#define READ_BYTES 65536
+
+struct az_http_connection
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  uv_write_t write;
+  struct az_http_connection_owner owner;
+  struct az_http_exchange *exchange; /* NULL while idle */
+  GByteArray *writing;               /* request that libuv still writes, or NULL */
+  struct az_http_reader reader;
+  bool open;
+  bool closing;
+};
+
+static void
+free_connection (uv_handle_t *handle)
+{
+  struct az_http_connection *connection = handle->data;
+  struct az_http_connection_owner owner = connection->owner;
+
+  if (connection->writing)
+    g_byte_array_unref (connection->writing);
+  if (connection->reader.data)
+    g_byte_array_unref (connection->reader.data);
+  g_free (connection);
+  owner.freed (owner.context);
+}
+
+void
+az_http_connection_drop (struct az_http_connection *connection)
+{
+  if (connection->closing)
+    return;
+  connection->closing = true;
+  uv_close ((uv_handle_t *)&connection->tcp, free_connection);
+}
+
+bool
+az_http_connection_is_open (const struct az_http_connection *connection)
+{
+  return connection->open;
+}
+
+static void
+close_connection (struct az_http_connection *connection, const char *reason)
+{
+  const struct az_http_connection_owner *owner = &connection->owner;
+  struct az_http_exchange *exchange = connection->exchange;
+
+  if (connection->closing)
+    return;
+  connection->exchange = NULL;
+  az_http_connection_drop (connection);
+  owner->closed (owner->context, connection, exchange, reason);
+}
+
+static void
+allocate (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  /* The loop is single-threaded and read_done() follows at once, so all share one buffer. */
+  static char scratch[READ_BYTES];
+
+  (void)handle;
+  (void)suggested;
+  *buffer = uv_buf_init (scratch, sizeof scratch);
+}
+
+static void
+finish_response (struct az_http_connection *connection, bool reusable)
+{
+  const struct az_http_connection_owner *owner = &connection->owner;
+  struct az_http_exchange *exchange = connection->exchange;
+
+  connection->exchange = NULL;
+  /* A response that overtakes its request leaves the rest of the request on the connection. */
+  reusable = reusable && !connection->writing;
+  if (!reusable)
+    az_http_connection_drop (connection);
+  owner->answered (owner->context, exchange, &connection->reader);
+  if (reusable && !connection->closing)
+    owner->idle (owner->context, connection, false);
+  else if (!reusable)
+    owner->closed (owner->context, connection, NULL, "not kept alive");
+}
+
+static void
+read_done (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+  struct az_http_connection *connection = stream->data;
+  enum az_http_progress progress;
+
+  if (connection->closing || length == 0)
+    return;
+  if (!connection->exchange)
+    {
+      close_connection (connection, length < 0 ? uv_strerror ((int)length) : "unexpected bytes");
+      return;
+    }
+  if (length < 0)
+    progress = length == UV_EOF ? az_http_reader_end (&connection->reader) : AZ_HTTP_MALFORMED;
+  else
+    progress = az_http_reader_append (&connection->reader, buffer->base, (size_t)length);
+  if (progress == AZ_HTTP_COMPLETE)
+    finish_response (connection, connection->reader.keep_alive && length > 0);
+  else if (progress == AZ_HTTP_MALFORMED)
+    close_connection (connection,
+                      length < 0 ? "connection closed before the response" : "malformed response");
+}
+
+static void
+connected (uv_connect_t *connect, int status)
+{
+  struct az_http_connection *connection = connect->data;
+
+  if (connection->closing)
+    return;
+  if (status < 0)
+    {
+      close_connection (connection, uv_strerror (status));
+      return;
+    }
+  connection->open = true;
+  uv_tcp_nodelay (&connection->tcp, 1);
+  uv_read_start ((uv_stream_t *)&connection->tcp, allocate, read_done);
+  connection->owner.idle (connection->owner.context, connection, true);
+}
+
+/* Runs when the handle of a connection that couldn't even be started is closed. */
+static void
+report_failed_start (uv_handle_t *handle)
+{
+  struct az_http_connection *connection = handle->data;
+
+  connection->owner.closed (connection->owner.context, connection, NULL, "cannot connect");
+  free_connection (handle);
+}
+
+struct az_http_connection *
+az_http_connection_create (const struct az_http_connection_owner *owner)
+{
+  struct az_http_connection *connection = g_new0 (struct az_http_connection, 1);
+  int status;
+
+  connection->owner = *owner;
+  connection->tcp.data = connection;
+  connection->connect.data = connection;
+  connection->write.data = connection;
+  uv_tcp_init (owner->loop, &connection->tcp);
+  connection->tcp.data = connection;
+  status = uv_tcp_connect (&connection->connect, &connection->tcp, owner->target, connected);
+  if (status < 0)
+    {
+      connection->closing = true;
+      uv_close ((uv_handle_t *)&connection->tcp, report_failed_start);
+    }
+  return connection;
+}
+
+static void
+write_done (uv_write_t *write, int status)
+{
+  struct az_http_connection *connection = write->data;
+
+  if (connection->closing)
+    return;
+  g_clear_pointer (&connection->writing, g_byte_array_unref);
+  if (status < 0)
+    close_connection (connection, uv_strerror (status));
+}
+
+bool
+az_http_connection_send (struct az_http_connection *connection, struct az_http_exchange *exchange)
+{
+  GByteArray *request = exchange->request;
+  uv_buf_t all = uv_buf_init ((char *)request->data, request->len);
+  int written = uv_try_write ((uv_stream_t *)&connection->tcp, &all, 1);
+  uv_buf_t rest;
+
+  if (written < 0)
+    return false;
+  connection->exchange = exchange;
+  exchange->connection = connection;
+  az_http_reader_reset (&connection->reader, exchange->is_head);
+  if (written == (int)request->len)
+    return true;
+  connection->writing = g_byte_array_ref (request);
+  rest = uv_buf_init (all.base + written, (unsigned)(request->len - (size_t)written));
+  /* After a failure the rest never leaves and the deadline of the request ends it as lost. */
+  if (uv_write (&connection->write, (uv_stream_t *)&connection->tcp, &rest, 1, write_done) < 0)
+    g_clear_pointer (&connection->writing, g_byte_array_unref);
+  return true;
+}
--- /dev/null
+++ b/src/net/http_exchange.h
@@ -0,0 +1,40 @@
+#ifndef AZUREROCK_NET_HTTP_EXCHANGE_H
+#define AZUREROCK_NET_HTTP_EXCHANGE_H
+
+#include "azurerock/http_client.h"
+#include <glib.h>
+
+struct az_http_connection;
+
+/**
+ * struct az_http_exchange - one request and its fate
+ * @connection: the connection that it was written to; NULL while no byte was written
+ * @ended: the fate is decided, @done is still to be called
+ */
+struct az_http_exchange
+{
+  uint32_t handle;
+  GByteArray *request;
+  bool is_head;
+  uint64_t deadline_ms;
+  struct az_http_connection *connection;
+  bool ended;
+  enum az_http_result result;
+  const char *error; /* string constant */
+  void (*done) (void *context, const struct az_http_response *response);
+  void *context;
+};
+
+/** az_http_exchange_create - formats a request to @host */
+struct az_http_exchange *
+az_http_exchange_create (const char *host,
+                         const char *method,
+                         const char *path,
+                         const struct az_http_header *headers,
+                         size_t n_headers,
+                         const void *body,
+                         size_t body_length);
+void
+az_http_exchange_destroy (struct az_http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/net/http_response.h
@@ -0,0 +1,45 @@
+#ifndef AZUREROCK_NET_HTTP_RESPONSE_H
+#define AZUREROCK_NET_HTTP_RESPONSE_H
+
+#include "net/picohttpparser.h"
+#include <glib.h>
+#include <stdbool.h>
+
+/** Longest response body that the client accepts. */
+#define AZ_HTTP_RESPONSE_MAX (64u * 1024 * 1024)
+
+enum az_http_progress
+{
+  AZ_HTTP_INCOMPLETE,
+  AZ_HTTP_COMPLETE,
+  AZ_HTTP_MALFORMED,
+};
+
+/** struct az_http_reader - reads one response from a stream; zeroed by az_http_reader_reset() */
+struct az_http_reader
+{
+  GByteArray *data;
+  size_t head_length; /* 0 until the head is complete */
+  size_t scanned;
+  int status;
+  bool no_body;    /* answers a HEAD request */
+  bool keep_alive; /* after this response */
+  bool chunked;
+  bool until_close; /* the body ends with the connection */
+  size_t body_length;
+  struct phr_chunked_decoder decoder;
+  char index[32]; /* value of x-consul-index, or "" */
+};
+
+void
+az_http_reader_reset (struct az_http_reader *reader, bool no_body);
+
+/** az_http_reader_append - takes bytes from the connection */
+enum az_http_progress
+az_http_reader_append (struct az_http_reader *reader, const char *data, size_t length);
+
+/** az_http_reader_end - the server closed the connection */
+enum az_http_progress
+az_http_reader_end (struct az_http_reader *reader);
+
+#endif
--- /dev/null
+++ b/src/net/http_server.c
@@ -0,0 +1,346 @@
+#include "azurerock/http_server.h"
+#include "azurerock/table.h"
+#include "net/address.h"
+#include "net/broken_pipe.h"
+#include "net/http_caller.h"
+#include <string.h>
+
+#define BACKLOG 1024
+
+/* Kept-alive connections of callers and balancers rest this long between requests. */
+#define IDLE_TIMEOUT_MS 60000
+
+/* Not registered with IANA; used in the field for a caller that closed before the answer. */
+#define STATUS_CALLER_GONE 499
+
+GQuark
+az_http_error_quark (void)
+{
+  return g_quark_from_static_string ("az-http-error-quark");
+}
+
+struct az_http_server
+{
+  uv_tcp_t listener;
+  uv_timer_t last_handle;
+  h2o_globalconf_t configuration;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  struct az_http_handlers handlers;
+  struct az_table_rows *requests; /* rows are struct pending */
+  GHashTable *callers;
+  char *local_address;
+  bool stopped; /* the listener is closed or closing */
+  bool listener_closed;
+  bool destroyed;
+};
+
+struct handler
+{
+  h2o_handler_t h2o;
+  struct az_http_server *server;
+};
+
+struct pending
+{
+  h2o_req_t *request;
+  struct az_http_caller *caller;
+};
+
+/* Memory in the pool of a request, told when libh2o frees the request. */
+struct tracker
+{
+  struct az_http_server *server;
+  uint32_t handle;
+};
+
+static void
+last_handle_closed (uv_handle_t *handle)
+{
+  struct az_http_server *server = handle->data;
+
+  h2o_config_dispose (&server->configuration);
+  az_table_rows_destroy (server->requests);
+  g_hash_table_unref (server->callers);
+  g_free (server->local_address);
+  g_free (server);
+}
+
+/* The handles that libh2o closes lie in the context, so it is freed one loop iteration later. */
+static void
+context_disposed (uv_timer_t *timer)
+{
+  uv_close ((uv_handle_t *)timer, last_handle_closed);
+}
+
+static void
+dispose_if_unused (struct az_http_server *server)
+{
+  if (!server->destroyed || !server->listener_closed || g_hash_table_size (server->callers) > 0)
+    return;
+  server->listener_closed = false;
+  h2o_context_dispose (&server->context);
+  uv_timer_start (&server->last_handle, context_disposed, 0, 0);
+}
+
+static void
+caller_freed (void *context, struct az_http_caller *caller)
+{
+  struct az_http_server *server = context;
+
+  g_hash_table_remove (server->callers, caller);
+  dispose_if_unused (server);
+}
+
+static void
+send_response (struct az_http_server *server,
+               uint32_t handle,
+               int status,
+               const char *content_type,
+               const void *body,
+               size_t length)
+{
+  struct pending *pending = az_table_rows_get (server->requests, handle);
+  h2o_req_t *request = pending->request;
+
+  az_http_caller_set_request (pending->caller, 0);
+  az_table_rows_remove (server->requests, handle);
+  if (server->stopped)
+    request->http1_is_persistent = 0;
+  request->res.status = status;
+  request->res.reason = status < 300 ? "OK" : "Error";
+  h2o_add_header (&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, content_type,
+                  strlen (content_type));
+  h2o_send_inline (request, body, length);
+}
+
+static void
+tell_gone (struct az_http_server *server, uint32_t handle)
+{
+  if (!server->destroyed)
+    server->handlers.gone (server->handlers.context, handle);
+}
+
+static void
+caller_gone (void *context, uint32_t handle)
+{
+  struct az_http_server *server = context;
+  struct pending *pending = az_table_rows_get (server->requests, handle);
+
+  if (!pending)
+    return;
+  /* libh2o waits for a response before it closes the connection. */
+  pending->request->http1_is_persistent = 0;
+  send_response (server, handle, STATUS_CALLER_GONE, "text/plain", "", 0);
+  tell_gone (server, handle);
+}
+
+static void
+request_freed (void *memory)
+{
+  struct tracker *tracker = memory;
+  struct az_http_server *server = tracker->server;
+  struct pending *pending = az_table_rows_get (server->requests, tracker->handle);
+
+  if (!pending)
+    return;
+  az_http_caller_set_request (pending->caller, 0);
+  az_table_rows_remove (server->requests, tracker->handle);
+  tell_gone (server, tracker->handle);
+}
+
+static char *
+copy_text (h2o_req_t *request, const char *text, size_t length)
+{
+  return h2o_strdup (&request->pool, text, length).base;
+}
+
+static uint32_t
+track (struct az_http_server *server, h2o_req_t *request)
+{
+  struct tracker *tracker = h2o_mem_alloc_shared (&request->pool, sizeof *tracker, request_freed);
+  struct pending *pending;
+
+  tracker->server = server;
+  tracker->handle = az_table_rows_add (server->requests, (void **)&pending);
+  pending->request = request;
+  pending->caller = az_http_caller_of (request);
+  az_http_caller_set_request (pending->caller, tracker->handle);
+  return tracker->handle;
+}
+
+static int
+handle_request (h2o_handler_t *handler, h2o_req_t *request)
+{
+  struct az_http_server *server = ((struct handler *)handler)->server;
+  size_t path_length = request->query_at == SIZE_MAX ? request->path.len : request->query_at;
+  struct az_http_request told = {
+    .method = copy_text (request, request->method.base, request->method.len),
+    .path = copy_text (request, request->path.base, path_length),
+    .query = "",
+    .body = request->entity.base ? request->entity.base : "",
+    .body_length = request->entity.len,
+  };
+
+  if (path_length < request->path.len)
+    told.query = copy_text (request, request->path.base + path_length + 1,
+                            request->path.len - path_length - 1);
+  told.handle = track (server, request);
+  server->handlers.request (server->handlers.context, &told);
+  return 0;
+}
+
+static void
+accept_caller (uv_stream_t *listener, int status)
+{
+  struct az_http_server *server = listener->data;
+  const struct az_http_caller_owner owner = { caller_gone, caller_freed, server };
+  struct az_http_caller *caller;
+
+  if (status < 0)
+    return;
+  caller = az_http_caller_accept (listener, &server->accept, &owner);
+  if (caller)
+    g_hash_table_add (server->callers, caller);
+}
+
+static void
+configure (struct az_http_server *server, size_t max_body)
+{
+  h2o_globalconf_t *configuration = &server->configuration;
+  h2o_hostconf_t *host;
+  h2o_pathconf_t *path;
+  struct handler *handler;
+
+  h2o_config_init (configuration);
+  configuration->server_name = h2o_iovec_init (H2O_STRLIT ("azurerock"));
+  configuration->max_request_entity_size = max_body;
+  configuration->http1.req_timeout = IDLE_TIMEOUT_MS;
+  configuration->http1.upgrade_to_http2 = 0;
+  host = h2o_config_register_host (configuration, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  path = h2o_config_register_path (host, "/", 0);
+  handler = (struct handler *)h2o_create_handler (path, sizeof *handler);
+  handler->h2o.on_req = handle_request;
+  handler->server = server;
+  server->accept.ctx = &server->context;
+  server->accept.hosts = configuration->hosts;
+}
+
+static void
+listener_closed (uv_handle_t *handle)
+{
+  struct az_http_server *server = handle->data;
+
+  server->listener_closed = true;
+  dispose_if_unused (server);
+}
+
+static int
+start_listening (struct az_http_server *server, struct sockaddr_storage *bound)
+{
+  int length = sizeof *bound;
+  int status = uv_tcp_bind (&server->listener, (struct sockaddr *)bound, 0);
+
+  if (status == 0)
+    status = uv_listen ((uv_stream_t *)&server->listener, BACKLOG, accept_caller);
+  if (status == 0)
+    status = uv_tcp_getsockname (&server->listener, (struct sockaddr *)bound, &length);
+  return status;
+}
+
+struct az_http_server *
+az_http_server_create (uv_loop_t *loop,
+                       const char *address,
+                       size_t max_body,
+                       const struct az_http_handlers *handlers,
+                       GError **error)
+{
+  struct az_http_server *server;
+  struct sockaddr_storage bound;
+  int status;
+
+  if (!az_address_parse (address, &bound))
+    {
+      g_set_error (error, AZ_HTTP_ERROR, 0, "%s: not a numeric address and port", address);
+      return NULL;
+    }
+  server = g_new0 (struct az_http_server, 1);
+  az_broken_pipe_ignore ();
+  server->handlers = *handlers;
+  server->requests = az_table_rows_create (sizeof (struct pending));
+  server->callers = g_hash_table_new (NULL, NULL);
+  configure (server, max_body);
+  h2o_context_init (&server->context, loop, &server->configuration);
+  uv_tcp_init (loop, &server->listener);
+  uv_timer_init (loop, &server->last_handle);
+  server->listener.data = server->last_handle.data = server;
+  status = start_listening (server, &bound);
+  if (status < 0)
+    {
+      g_set_error (error, AZ_HTTP_ERROR, 0, "%s: %s", address, uv_strerror (status));
+      az_http_server_destroy (server);
+      return NULL;
+    }
+  server->local_address = az_address_print (&bound);
+  return server;
+}
+
+const char *
+az_http_server_local_address (const struct az_http_server *server)
+{
+  return server->local_address;
+}
+
+void
+az_http_server_respond (struct az_http_server *server,
+                        uint32_t handle,
+                        int status,
+                        const char *content_type,
+                        const void *body,
+                        size_t length)
+{
+  if (az_table_rows_get (server->requests, handle))
+    send_response (server, handle, status, content_type, body, length);
+}
+
+static void
+close_listener (struct az_http_server *server)
+{
+  if (server->stopped)
+    return;
+  server->stopped = true;
+  uv_close ((uv_handle_t *)&server->listener, listener_closed);
+}
+
+static void
+for_each_caller (struct az_http_server *server, void (*call) (struct az_http_caller *caller))
+{
+  GHashTableIter iterator;
+  gpointer caller;
+
+  g_hash_table_iter_init (&iterator, server->callers);
+  while (g_hash_table_iter_next (&iterator, &caller, NULL))
+    call (caller);
+}
+
+void
+az_http_server_stop_accepting (struct az_http_server *server)
+{
+  close_listener (server);
+  for_each_caller (server, az_http_caller_finish);
+}
+
+void
+az_http_server_destroy (struct az_http_server *server)
+{
+  uint32_t handle;
+
+  if (!server)
+    return;
+  server->destroyed = true;
+  close_listener (server);
+  while ((handle = az_table_rows_next (server->requests, 0)))
+    send_response (server, handle, 503, "text/plain", "", 0);
+  for_each_caller (server, az_http_caller_break);
+  dispose_if_unused (server);
+}
--- /dev/null
+++ b/src/net/rpc_connection.c
@@ -0,0 +1,247 @@
+#include "net/rpc_connection.h"
+#include "azurerock/log.h"
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define QUEUE_MAX (32u * 1024 * 1024)
+
+/* A path that silently drops packets must not hold results for as long as the system retries. */
+#define UNACKNOWLEDGED_MAX_MS 10000
+#define KEEPALIVE_S 5
+
+/* Buffers that grew beyond this are given back once they are empty. */
+#define IDLE_BUFFER_MAX 65536
+
+struct az_rpc_connection *
+az_rpc_connection_create (struct az_rpc *rpc, const char *address, bool outgoing)
+{
+  struct az_rpc_connection *connection = g_new0 (struct az_rpc_connection, 1);
+  struct az_rpc_connection **row;
+
+  connection->rpc = rpc;
+  connection->outgoing = outgoing;
+  connection->announced = outgoing;
+  connection->address = g_strdup (address);
+  connection->in = g_byte_array_new ();
+  connection->out = g_byte_array_new ();
+  connection->connect_started_ms = uv_now (rpc->loop);
+  connection->handle = az_table_rows_add (rpc->connections, (void **)&row);
+  *row = connection;
+  uv_tcp_init (rpc->loop, &connection->tcp);
+  connection->tcp.data = connection;
+  rpc->open_handles++;
+  return connection;
+}
+
+static void
+free_connection (uv_handle_t *handle)
+{
+  struct az_rpc_connection *connection = handle->data;
+  struct az_rpc *rpc = connection->rpc;
+
+  if (connection->state == AZ_RPC_CLOSED && connection->writing)
+    g_byte_array_unref (connection->writing);
+  g_byte_array_unref (connection->in);
+  g_byte_array_unref (connection->out);
+  g_free (connection->address);
+  g_free (connection);
+  az_rpc_handle_closed (rpc);
+}
+
+void
+az_rpc_connection_close (struct az_rpc_connection *connection, const char *reason)
+{
+  struct az_rpc *rpc = connection->rpc;
+  bool was_open = connection->state == AZ_RPC_OPEN;
+
+  if (connection->state == AZ_RPC_CLOSED)
+    return;
+  connection->state = AZ_RPC_CLOSED;
+  az_table_rows_remove (rpc->connections, connection->handle);
+  g_ptr_array_remove_fast (rpc->dirty, connection);
+  uv_close ((uv_handle_t *)&connection->tcp, free_connection);
+  if (rpc->destroyed || !connection->announced)
+    return;
+  if (was_open)
+    rpc->handlers.closed (rpc->handlers.context, connection->handle, reason);
+  else
+    rpc->handlers.refused (rpc->handlers.context, connection->address, reason);
+}
+
+static void
+empty_buffer (GByteArray **buffer)
+{
+  if ((*buffer)->len <= IDLE_BUFFER_MAX)
+    {
+      g_byte_array_set_size (*buffer, 0);
+      return;
+    }
+  g_byte_array_unref (*buffer);
+  *buffer = g_byte_array_new ();
+}
+
+/* Delivers the whole records in @data; the owner may close the connection meanwhile. Returns the
+ * number of bytes used. */
+static size_t
+deliver (struct az_rpc_connection *connection, const uint8_t *data, size_t length)
+{
+  struct az_rpc *rpc = connection->rpc;
+  size_t offset = 0;
+  GError *error = NULL;
+  struct az_message message;
+
+  while (connection->state == AZ_RPC_OPEN)
+    {
+      gssize record = az_message_record_length (data + offset, length - offset, &error);
+
+      if (record <= 0 || !az_message_decode (data + offset, (size_t)record, &message, &error))
+        break;
+      rpc->handlers.received (rpc->handlers.context, connection->handle, &message);
+      az_message_clear (&message);
+      offset += (size_t)record;
+    }
+  if (error)
+    az_rpc_connection_close (connection, error->message);
+  g_clear_error (&error);
+  return offset;
+}
+
+static void
+allocate (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  struct az_rpc_connection *connection = handle->data;
+
+  (void)suggested;
+  *buffer = uv_buf_init (connection->rpc->scratch, AZ_RPC_READ_BYTES);
+}
+
+static void
+read_data (struct az_rpc_connection *connection, const uint8_t *data, size_t length)
+{
+  size_t used;
+
+  if (connection->in->len == 0)
+    {
+      used = deliver (connection, data, length);
+      g_byte_array_append (connection->in, data + used, (guint)(length - used));
+      return;
+    }
+  g_byte_array_append (connection->in, data, (guint)length);
+  used = deliver (connection, connection->in->data, connection->in->len);
+  if (used == connection->in->len)
+    empty_buffer (&connection->in);
+  else if (used > 0)
+    g_byte_array_remove_range (connection->in, 0, (guint)used);
+}
+
+static void
+read_done (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+  struct az_rpc_connection *connection = stream->data;
+
+  if (length < 0)
+    az_rpc_connection_close (connection, uv_strerror ((int)length));
+  else
+    read_data (connection, (const uint8_t *)buffer->base, (size_t)length);
+}
+
+static void
+set_options (struct az_rpc_connection *connection)
+{
+  unsigned timeout_ms = UNACKNOWLEDGED_MAX_MS;
+  uv_os_fd_t file;
+
+  uv_tcp_nodelay (&connection->tcp, 1);
+  uv_tcp_keepalive (&connection->tcp, 1, KEEPALIVE_S);
+  if (uv_fileno ((uv_handle_t *)&connection->tcp, &file) == 0)
+    setsockopt (file, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
+void
+az_rpc_connection_start (struct az_rpc_connection *connection)
+{
+  struct az_rpc *rpc = connection->rpc;
+
+  set_options (connection);
+  connection->state = AZ_RPC_OPEN;
+  connection->announced = true;
+  uv_read_start ((uv_stream_t *)&connection->tcp, allocate, read_done);
+  rpc->handlers.opened (rpc->handlers.context, connection->handle, connection->outgoing,
+                        connection->address);
+}
+
+static void
+write_done (uv_write_t *write, int status)
+{
+  struct az_rpc_connection *connection = write->data;
+
+  if (connection->state == AZ_RPC_CLOSED)
+    return;
+  g_byte_array_unref (connection->writing);
+  connection->writing = NULL;
+  if (status < 0)
+    az_rpc_connection_close (connection, uv_strerror (status));
+  else
+    az_rpc_connection_flush (connection);
+}
+
+static void
+write_rest (struct az_rpc_connection *connection, size_t offset)
+{
+  uv_buf_t rest;
+  int status;
+
+  connection->writing = connection->out;
+  connection->out = g_byte_array_new ();
+  rest = uv_buf_init ((char *)connection->writing->data + offset,
+                      (unsigned)(connection->writing->len - offset));
+  connection->write.data = connection;
+  status = uv_write (&connection->write, (uv_stream_t *)&connection->tcp, &rest, 1, write_done);
+  if (status < 0)
+    az_rpc_connection_close (connection, uv_strerror (status));
+}
+
+void
+az_rpc_connection_flush (struct az_rpc_connection *connection)
+{
+  uv_buf_t all;
+  int written;
+
+  if (connection->state != AZ_RPC_OPEN || connection->out->len == 0)
+    return;
+  if (connection->out->len + (connection->writing ? connection->writing->len : 0) > QUEUE_MAX)
+    {
+      az_rpc_connection_close (connection, "peer doesn't read");
+      return;
+    }
+  if (connection->writing)
+    return;
+  all = uv_buf_init ((char *)connection->out->data, connection->out->len);
+  written = uv_try_write ((uv_stream_t *)&connection->tcp, &all, 1);
+  if (written == (int)connection->out->len)
+    empty_buffer (&connection->out);
+  else if (written >= 0 || written == UV_EAGAIN)
+    write_rest (connection, written > 0 ? (size_t)written : 0);
+  else
+    az_rpc_connection_close (connection, uv_strerror (written));
+}
+
+void
+az_rpc_connection_queue (struct az_rpc_connection *connection, const struct az_message *message)
+{
+  GError *error = NULL;
+
+  if (connection->state != AZ_RPC_OPEN)
+    return;
+  if (!az_message_encode (message, connection->next_xid++, connection->out, &error))
+    {
+      az_log (LOG_ERR, "message to %s dropped: %s", connection->address, error->message);
+      g_error_free (error);
+      return;
+    }
+  if (connection->dirty)
+    return;
+  connection->dirty = true;
+  g_ptr_array_add (connection->rpc->dirty, connection);
+}
--- a/src/proto/message.c
+++ b/src/proto/message.c
@@ -14,7 +14,11 @@
 /* Most messages fit; longer ones are measured first. */
 #define FIRST_TRY_BYTES 512
 
-G_DEFINE_QUARK (az - message - error - quark, az_message_error)
+GQuark
+az_message_error_quark (void)
+{
+  return g_quark_from_static_string ("az-message-error-quark");
+}
 
 struct procedure
 {
--- /dev/null
+++ b/tests/net_testing.c
@@ -0,0 +1,154 @@
+#include "net_testing.h"
+#include "testing.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LIMIT_MS 5000
+
+static uint64_t
+now_ms (void)
+{
+  return uv_hrtime () / 1000000;
+}
+
+void
+net_run_until (uv_loop_t *loop, const int *done, int least)
+{
+  uint64_t end = now_ms () + LIMIT_MS;
+
+  while (*done < least)
+    {
+      assert_true (now_ms () < end);
+      uv_run (loop, UV_RUN_NOWAIT);
+    }
+}
+
+void
+net_run_for (uv_loop_t *loop, unsigned ms)
+{
+  uint64_t end = now_ms () + ms;
+
+  while (now_ms () < end)
+    uv_run (loop, UV_RUN_NOWAIT);
+}
+
+void
+net_run_out (uv_loop_t *loop)
+{
+  uint64_t end = now_ms () + LIMIT_MS;
+
+  while (uv_run (loop, UV_RUN_NOWAIT))
+    assert_true (now_ms () < end);
+  assert_int_equal (uv_loop_close (loop), 0);
+}
+
+static struct sockaddr_in
+loopback (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_port = htons ((uint16_t)port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  return address;
+}
+
+int
+net_listen (char address[32])
+{
+  struct sockaddr_in bound = loopback (0);
+  socklen_t length = sizeof bound;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+
+  assert_int_equal (bind (listener, (struct sockaddr *)&bound, length), 0);
+  assert_int_equal (listen (listener, 16), 0);
+  getsockname (listener, (struct sockaddr *)&bound, &length);
+  snprintf (address, 32, "127.0.0.1:%d", ntohs (bound.sin_port));
+  return listener;
+}
+
+static bool
+is_readable (int socket)
+{
+  struct pollfd wait = { socket, POLLIN, 0 };
+
+  return poll (&wait, 1, 0) == 1;
+}
+
+static void
+wait_readable (uv_loop_t *loop, int socket)
+{
+  uint64_t end = now_ms () + LIMIT_MS;
+
+  while (!is_readable (socket))
+    {
+      assert_true (now_ms () < end);
+      uv_run (loop, UV_RUN_NOWAIT);
+    }
+}
+
+int
+net_accept (uv_loop_t *loop, int listener)
+{
+  wait_readable (loop, listener);
+  return accept (listener, NULL, NULL);
+}
+
+int
+net_connect (const char *address)
+{
+  struct sockaddr_in target = loopback (atoi (strchr (address, ':') + 1));
+  int result = socket (AF_INET, SOCK_STREAM, 0);
+
+  if (connect (result, (struct sockaddr *)&target, sizeof target) < 0)
+    {
+      close (result);
+      return -1;
+    }
+  return result;
+}
+
+void
+net_write (int socket, const char *text)
+{
+  assert_int_equal (send (socket, text, strlen (text), MSG_NOSIGNAL), strlen (text));
+}
+
+const char *
+net_read_until (uv_loop_t *loop, int socket, const char *text)
+{
+  static char data[65536];
+  size_t length = 0;
+
+  data[0] = '\0';
+  while (!strstr (data, text))
+    {
+      ssize_t got;
+
+      wait_readable (loop, socket);
+      got = read (socket, data + length, sizeof data - 1 - length);
+      assert_true (got > 0);
+      length += (size_t)got;
+      data[length] = '\0';
+    }
+  return data;
+}
+
+bool
+net_is_closed (uv_loop_t *loop, int socket)
+{
+  char data[4096];
+  ssize_t got;
+
+  do
+    {
+      wait_readable (loop, socket);
+      got = read (socket, data, sizeof data);
+    }
+  while (got > 0);
+  return got == 0 || errno == ECONNRESET;
+}
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,319 @@
+#include "azurerock/http_client.h"
+#include "net_testing.h"
+#include "testing.h"
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TIMEOUT_MS 4000
+
+struct fixture
+{
+  uv_loop_t loop;
+  struct az_http_client *client;
+  int listener;
+  char address[32];
+  int done;
+  enum az_http_result result;
+  int status;
+  char body[64];
+  char index[32];
+};
+
+static void
+on_done (void *context, const struct az_http_response *response)
+{
+  struct fixture *fixture = context;
+
+  fixture->done++;
+  fixture->result = response->result;
+  fixture->status = response->status;
+  g_snprintf (fixture->body, sizeof fixture->body, "%.*s", (int)response->body_length,
+              response->body);
+  g_strlcpy (fixture->index, response->index ? response->index : "", sizeof fixture->index);
+  assert_true (response->result == AZ_HTTP_ANSWERED || response->error);
+}
+
+static int
+setup (void **state)
+{
+  struct fixture *fixture = g_new0 (struct fixture, 1);
+
+  uv_loop_init (&fixture->loop);
+  fixture->listener = net_listen (fixture->address);
+  fixture->client = az_http_client_create (&fixture->loop, fixture->address, 2);
+  *state = fixture;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  struct fixture *fixture = *state;
+
+  az_http_client_destroy (fixture->client);
+  net_run_out (&fixture->loop);
+  close (fixture->listener);
+  g_free (fixture);
+  return 0;
+}
+
+static uint32_t
+request (struct fixture *fixture, const char *body, int64_t timeout_ms)
+{
+  const struct az_http_header header = { "azurerock-job", "j1" };
+  int before = fixture->done;
+  uint32_t handle = az_http_client_request (fixture->client, "POST", "/v1/tasks?x=1", &header, 1,
+                                            body, strlen (body), timeout_ms, on_done, fixture);
+
+  assert_int_equal (fixture->done, before);
+  return handle;
+}
+
+static void
+expect (struct fixture *fixture, int done, enum az_http_result result)
+{
+  net_run_until (&fixture->loop, &fixture->done, done);
+  assert_int_equal (fixture->done, done);
+  assert_int_equal (fixture->result, result);
+}
+
+static const char *
+accept_request (struct fixture *fixture, const char *body, int *server)
+{
+  *server = net_accept (&fixture->loop, fixture->listener);
+  return net_read_until (&fixture->loop, *server, body);
+}
+
+/* Guards against a wrong request on the wire, and against a new connection for each request. */
+static void
+test_request_on_the_wire (void **state)
+{
+  struct fixture *fixture = *state;
+  char *expected = g_strdup_printf ("POST /v1/tasks?x=1 HTTP/1.1\r\nhost: %s\r\n"
+                                    "content-length: 3\r\nazurerock-job: j1\r\n\r\none",
+                                    fixture->address);
+  int server;
+
+  request (fixture, "one", TIMEOUT_MS);
+  assert_string_equal (accept_request (fixture, "one", &server), expected);
+  net_write (server, "HTTP/1.1 201 Created\r\nContent-Length: 2\r\nX-Consul-Index: 77\r\n\r\nab");
+  expect (fixture, 1, AZ_HTTP_ANSWERED);
+  assert_int_equal (fixture->status, 201);
+  assert_string_equal (fixture->body, "ab");
+  assert_string_equal (fixture->index, "77");
+  request (fixture, "two", TIMEOUT_MS);
+  net_read_until (&fixture->loop, server, "two");
+  net_write (server, "HTTP/1.1 204 No Content\r\n\r\n");
+  expect (fixture, 2, AZ_HTTP_ANSWERED);
+  assert_string_equal (fixture->body, "");
+  g_free (expected);
+  close (server);
+}
+
+/* Guards against a refusal that is taken for a lost request: the server has not seen it. */
+static void
+test_refused_connection_is_not_sent (void **state)
+{
+  struct fixture *fixture = *state;
+
+  close (fixture->listener);
+  fixture->listener = -1;
+  request (fixture, "one", TIMEOUT_MS);
+  request (fixture, "two", TIMEOUT_MS);
+  request (fixture, "three", TIMEOUT_MS);
+  expect (fixture, 3, AZ_HTTP_NOT_SENT);
+}
+
+/* Guards against calling a request "not sent" once the server may have read it. */
+static void
+test_cut_connections_are_lost (void **state)
+{
+  static const char *const parts[]
+      = { "", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhalf",
+          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhalf" };
+  struct fixture *fixture = *state;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    {
+      int server;
+
+      request (fixture, "one", TIMEOUT_MS);
+      accept_request (fixture, "one", &server);
+      if (parts[i][0])
+        net_write (server, parts[i]);
+      close (server);
+      expect (fixture, (int)i + 1, AZ_HTTP_LOST);
+    }
+}
+
+/* Guards against calling a request "not sent" that was written to a connection which the server
+ * had closed without our notice. */
+static void
+test_idle_connection_closed_by_the_server (void **state)
+{
+  struct fixture *fixture = *state;
+  int server;
+
+  request (fixture, "one", TIMEOUT_MS);
+  accept_request (fixture, "one", &server);
+  net_write (server, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+  expect (fixture, 1, AZ_HTTP_ANSWERED);
+  close (server);
+  request (fixture, "two", TIMEOUT_MS);
+  expect (fixture, 2, AZ_HTTP_LOST);
+  request (fixture, "three", TIMEOUT_MS);
+  accept_request (fixture, "three", &server);
+  net_write (server, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+  expect (fixture, 3, AZ_HTTP_ANSWERED);
+  close (server);
+  net_run_for (&fixture->loop, 20);
+  request (fixture, "four", TIMEOUT_MS);
+  accept_request (fixture, "four", &server);
+  net_write (server, "HTTP/1.0 200 OK\r\n\r\nto the end");
+  close (server);
+  expect (fixture, 4, AZ_HTTP_ANSWERED);
+  assert_string_equal (fixture->body, "to the end");
+}
+
+/* Guards against more connections than allowed, and against a wrong proof for a request that
+ * waited for one. */
+static void
+test_bound_on_connections (void **state)
+{
+  struct fixture *fixture = *state;
+  uint32_t third;
+  int first_server;
+  int second_server;
+
+  uint32_t first = request (fixture, "one", TIMEOUT_MS);
+  request (fixture, "two", TIMEOUT_MS);
+  third = request (fixture, "three", TIMEOUT_MS);
+  accept_request (fixture, "\r\n\r\n", &first_server);
+  accept_request (fixture, "\r\n\r\n", &second_server);
+  az_http_client_cancel (fixture->client, third);
+  assert_int_equal (fixture->done, 0);
+  expect (fixture, 1, AZ_HTTP_NOT_SENT);
+  az_http_client_cancel (fixture->client, first);
+  expect (fixture, 2, AZ_HTTP_LOST);
+  az_http_client_cancel (fixture->client, first);
+  request (fixture, "four", 100);
+  net_run_for (&fixture->loop, 20);
+  assert_int_equal (fixture->done, 2);
+  close (first_server);
+  close (second_server);
+  expect (fixture, 4, AZ_HTTP_LOST);
+}
+
+/* Guards against a task that is called "not sent" after its time ran out in flight, and against
+ * one that is never ended while it waits. */
+static void
+test_timeouts (void **state)
+{
+  struct fixture *fixture = *state;
+  int server;
+
+  request (fixture, "one", 60);
+  request (fixture, "two", 60);
+  accept_request (fixture, "\r\n\r\n", &server);
+  request (fixture, "three", 30);
+  expect (fixture, 1, AZ_HTTP_NOT_SENT);
+  expect (fixture, 3, AZ_HTTP_LOST);
+  close (server);
+}
+
+/* Guards against responses that arrive in pieces or in chunks being read wrongly. */
+static void
+test_chunked_response_in_pieces (void **state)
+{
+  static const char text[] = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                             "transfer-encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\na\r\n0123456789\r\n0\r\nx-trailer: 1\r\n\r\n";
+  struct fixture *fixture = *state;
+  int server;
+
+  request (fixture, "one", TIMEOUT_MS);
+  accept_request (fixture, "one", &server);
+  for (size_t i = 0; i < sizeof text - 1; i++)
+    {
+      char piece[2] = { text[i], '\0' };
+
+      net_write (server, piece);
+      net_run_for (&fixture->loop, 1);
+    }
+  expect (fixture, 1, AZ_HTTP_ANSWERED);
+  assert_string_equal (fixture->body, "abc0123456789");
+  request (fixture, "two", TIMEOUT_MS);
+  net_read_until (&fixture->loop, server, "two");
+  net_write (server, "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx");
+  expect (fixture, 2, AZ_HTTP_ANSWERED);
+  close (server);
+}
+
+/* Guards against an answer that belongs to another request: two readings of its length, or bytes
+ * after it that the next request would take for its own. */
+static void
+test_ambiguous_responses (void **state)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+    "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+    "nonsense\r\n\r\n",
+  };
+  struct fixture *fixture = *state;
+  int server;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      request (fixture, "one", TIMEOUT_MS);
+      accept_request (fixture, "one", &server);
+      net_write (server, texts[i]);
+      expect (fixture, (int)i + 1, AZ_HTTP_LOST);
+      close (server);
+    }
+  request (fixture, "one", TIMEOUT_MS);
+  accept_request (fixture, "one", &server);
+  net_write (server, "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n"
+                     "content-length: 1\r\n\r\nb");
+  expect (fixture, (int)G_N_ELEMENTS (texts) + 1, AZ_HTTP_ANSWERED);
+  assert_string_equal (fixture->body, "a");
+  assert_true (net_is_closed (&fixture->loop, server));
+  close (server);
+}
+
+/* Guards against requests that are forgotten when the client is destroyed, and against a call
+ * back into it. */
+static void
+test_destroy_ends_requests (void **state)
+{
+  struct fixture *fixture = *state;
+  int server;
+
+  request (fixture, "one", TIMEOUT_MS);
+  accept_request (fixture, "one", &server);
+  az_http_client_destroy (fixture->client);
+  assert_int_equal (fixture->done, 1);
+  assert_int_equal (fixture->result, AZ_HTTP_LOST);
+  fixture->client = az_http_client_create (&fixture->loop, "localhost:80", 1);
+  request (fixture, "two", TIMEOUT_MS);
+  expect (fixture, 2, AZ_HTTP_NOT_SENT);
+  close (server);
+}
+
+int
+main (void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (test_request_on_the_wire),        TEST (test_refused_connection_is_not_sent),
+    TEST (test_cut_connections_are_lost),   TEST (test_idle_connection_closed_by_the_server),
+    TEST (test_bound_on_connections),       TEST (test_timeouts),
+    TEST (test_chunked_response_in_pieces), TEST (test_ambiguous_responses),
+    TEST (test_destroy_ends_requests),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_http_server.c
@@ -0,0 +1,246 @@
+#include "azurerock/http_server.h"
+#include "net_testing.h"
+#include "testing.h"
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MAX_BODY 1000
+
+struct fixture
+{
+  uv_loop_t loop;
+  struct az_http_server *server;
+  int requests;
+  int gone;
+  uint32_t handle;
+  bool answer; /* at once, with "METHOD path query body" */
+};
+
+static void
+on_request (void *context, const struct az_http_request *request)
+{
+  struct fixture *fixture = context;
+  char *text;
+
+  fixture->requests++;
+  fixture->handle = request->handle;
+  if (!fixture->answer)
+    return;
+  text = g_strdup_printf ("%s %s %s %.*s\n", request->method, request->path, request->query,
+                          (int)request->body_length, request->body);
+  az_http_server_respond (fixture->server, request->handle, 200, "text/plain", text, strlen (text));
+  g_free (text);
+}
+
+static void
+on_gone (void *context, uint32_t handle)
+{
+  struct fixture *fixture = context;
+
+  assert_int_equal (handle, fixture->handle);
+  fixture->gone++;
+}
+
+static int
+setup (void **state)
+{
+  struct fixture *fixture = g_new0 (struct fixture, 1);
+  struct az_http_handlers handlers = { on_request, on_gone, fixture };
+
+  uv_loop_init (&fixture->loop);
+  fixture->answer = true;
+  fixture->server
+      = az_http_server_create (&fixture->loop, "127.0.0.1:0", MAX_BODY, &handlers, NULL);
+  assert_non_null (fixture->server);
+  *state = fixture;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  struct fixture *fixture = *state;
+
+  az_http_server_destroy (fixture->server);
+  net_run_out (&fixture->loop);
+  g_free (fixture);
+  return 0;
+}
+
+static int
+dial (struct fixture *fixture)
+{
+  return net_connect (az_http_server_local_address (fixture->server));
+}
+
+/* Guards against a lost part of a request, and against a connection that serves only one. */
+static void
+test_requests_on_one_connection (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = dial (fixture);
+
+  net_write (caller, "POST /a/b?x=1&y HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody");
+  assert_non_null (
+      strstr (net_read_until (&fixture->loop, caller, "body\n"), "POST /a/b x=1&y body\n"));
+  net_write (caller, "GET /c HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_read_until (&fixture->loop, caller, "GET /c  \n");
+  assert_int_equal (fixture->requests, 2);
+  assert_int_equal (fixture->gone, 0);
+  close (caller);
+}
+
+/* Guards against answers in another order than the requests of one connection. */
+static void
+test_pipelined_requests (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = dial (fixture);
+  const char *answers;
+
+  net_write (caller, "GET /1 HTTP/1.1\r\nhost: h\r\n\r\nGET /2 HTTP/1.1\r\nhost: h\r\n\r\n"
+                     "POST /3 HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab");
+  answers = net_read_until (&fixture->loop, caller, "POST /3  ab\n");
+  assert_true (strstr (answers, "GET /1") < strstr (answers, "GET /2"));
+  assert_int_equal (fixture->requests, 3);
+  close (caller);
+}
+
+static void
+expect_413 (struct fixture *fixture, const char *request)
+{
+  int caller = dial (fixture);
+
+  net_write (caller, request);
+  net_read_until (&fixture->loop, caller, "413");
+  assert_int_equal (fixture->requests, 0);
+  close (caller);
+}
+
+/* Guards against bodies that would fill the memory of the process, with either framing. */
+static void
+test_oversized_bodies (void **state)
+{
+  struct fixture *fixture = *state;
+  char chunk[MAX_BODY + 200] = "";
+  char body[MAX_BODY + 2];
+
+  expect_413 (fixture, "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1001\r\n\r\n");
+  expect_413 (fixture, "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 99999999999\r\n\r\n");
+  memset (body, 'x', sizeof body);
+  body[MAX_BODY + 1] = '\0';
+  g_snprintf (
+      chunk, sizeof chunk,
+      "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n%s\r\n0\r\n\r\n",
+      body);
+  expect_413 (fixture, chunk);
+}
+
+/* Guards against answers to callers that have gone, and against keeping their requests. */
+static void
+test_caller_disconnects (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = dial (fixture);
+
+  fixture->answer = false;
+  net_write (caller, "GET /slow HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_run_until (&fixture->loop, &fixture->requests, 1);
+  close (caller);
+  net_run_until (&fixture->loop, &fixture->gone, 1);
+  az_http_server_respond (fixture->server, fixture->handle, 200, "text/plain", "late", 4);
+  net_run_for (&fixture->loop, 20);
+  assert_int_equal (fixture->gone, 1);
+}
+
+/* Guards against a handler call for a request that is only half there. */
+static void
+test_request_cut_in_the_middle (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = dial (fixture);
+
+  net_write (caller, "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nhalf");
+  net_run_for (&fixture->loop, 20);
+  close (caller);
+  net_run_for (&fixture->loop, 20);
+  assert_int_equal (fixture->requests, 0);
+  assert_int_equal (fixture->gone, 0);
+}
+
+/* Guards against a caller that closes while its answer is written. */
+static void
+test_caller_resets_before_the_answer (void **state)
+{
+  struct fixture *fixture = *state;
+  struct linger reset = { 1, 0 };
+  int caller = dial (fixture);
+
+  fixture->answer = false;
+  net_write (caller, "GET /slow HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_run_until (&fixture->loop, &fixture->requests, 1);
+  setsockopt (caller, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (caller);
+  az_http_server_respond (fixture->server, fixture->handle, 200, "text/plain", "late", 4);
+  net_run_for (&fixture->loop, 20);
+  assert_int_equal (fixture->gone, 0);
+}
+
+/* Guards against a stop that cuts a request in progress or leaves idle connections open. */
+static void
+test_graceful_stop (void **state)
+{
+  struct fixture *fixture = *state;
+  int idle = dial (fixture);
+  int busy = dial (fixture);
+
+  net_write (idle, "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_read_until (&fixture->loop, idle, "GET /1");
+  fixture->answer = false;
+  net_write (busy, "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_run_until (&fixture->loop, &fixture->requests, 2);
+  az_http_server_stop_accepting (fixture->server);
+  assert_true (net_is_closed (&fixture->loop, idle));
+  assert_int_equal (dial (fixture), -1);
+  az_http_server_respond (fixture->server, fixture->handle, 200, "text/plain", "done\n", 5);
+  net_read_until (&fixture->loop, busy, "done\n");
+  assert_true (net_is_closed (&fixture->loop, busy));
+  assert_int_equal (fixture->gone, 0);
+  close (idle);
+  close (busy);
+}
+
+/* Guards against start-up errors without the address in them. */
+static void
+test_address_in_use (void **state)
+{
+  struct fixture *fixture = *state;
+  const char *address = az_http_server_local_address (fixture->server);
+  struct az_http_handlers handlers = { on_request, on_gone, fixture };
+  GError *error = NULL;
+
+  assert_null (az_http_server_create (&fixture->loop, address, MAX_BODY, &handlers, &error));
+  assert_non_null (strstr (error->message, address));
+  g_clear_error (&error);
+  assert_null (az_http_server_create (&fixture->loop, "host:80", MAX_BODY, &handlers, &error));
+  g_clear_error (&error);
+}
+
+int
+main (void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (test_requests_on_one_connection),
+    TEST (test_pipelined_requests),
+    TEST (test_oversized_bodies),
+    TEST (test_caller_disconnects),
+    TEST (test_request_cut_in_the_middle),
+    TEST (test_caller_resets_before_the_answer),
+    TEST (test_graceful_stop),
+    TEST (test_address_in_use),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
