--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 LIB = $(BUILD)/libazurerock.a
 TEST_SOURCES = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SOURCES:tests/%.c=$(BUILD)/tests/%)
+# Process-level tests: executable, bounded in time, use the programs in BUILD.
+SCRIPT_TESTS = $(wildcard tests/test_*.py tests/test_*.sh)
 HELPER_SOURCES = $(filter-out $(TEST_SOURCES) $(wildcard tests/fuzz_*.c),$(wildcard tests/*.c))
 HELPER_OBJECTS = $(HELPER_SOURCES:%.c=$(BUILD)/%.o)
 BENCH_SOURCES = $(wildcard bench/*.c)
@@ -68,7 +70,7 @@
 
 .PHONY: unit
 unit: all $(TESTS)
-	BUILD=$(BUILD) tests/run_tests.sh $(TESTS)
+	BUILD=$(BUILD) tests/run_tests.sh $(TESTS) $(SCRIPT_TESTS)
 
 .PHONY: check
 check: unit
--- a/include/azurerock/http_server.h
+++ b/include/azurerock/http_server.h
@@ -55,6 +55,19 @@
                         const void *body,
                         size_t length);
 
+/** az_http_server_set_header - adds a header, lower case, to the answer that follows; both strings
+ * are copied */
+void
+az_http_server_set_header (struct az_http_server *server,
+                           uint32_t handle,
+                           const char *name,
+                           const char *value);
+
+/** az_http_server_abort - closes the caller's connection without an answer; stand-ins use it to
+ * lose answers */
+void
+az_http_server_abort (struct az_http_server *server, uint32_t handle);
+
 /** az_http_server_stop_accepting - closes the listener; open connections are answered and then
  * closed */
 void
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -303,6 +303,36 @@
     send_response (server, handle, status, content_type, body, length);
 }
 
+void
+az_http_server_set_header (struct az_http_server *server,
+                           uint32_t handle,
+                           const char *name,
+                           const char *value)
+{
+  struct pending *pending = az_table_rows_get (server->requests, handle);
+  h2o_req_t *request;
+
+  if (!pending)
+    return;
+  request = pending->request;
+  h2o_add_header_by_str (&request->pool, &request->res.headers,
+                         copy_text (request, name, strlen (name)), strlen (name), 1, NULL,
+                         copy_text (request, value, strlen (value)), strlen (value));
+}
+
+void
+az_http_server_abort (struct az_http_server *server, uint32_t handle)
+{
+  struct pending *pending = az_table_rows_get (server->requests, handle);
+
+  if (!pending)
+    return;
+  az_http_caller_break (pending->caller);
+  /* libh2o waits for a response before it closes the connection; nobody receives it. */
+  pending->request->http1_is_persistent = 0;
+  send_response (server, handle, STATUS_CALLER_GONE, "text/plain", "", 0);
+}
+
 static void
 close_listener (struct az_http_server *server)
 {
--- /dev/null
+++ b/tests/process_testing.py
@@ -0,0 +1,118 @@
+"""Starts the programs under test and talks to them over loopback."""
+import json
+import os
+import queue
+import re
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.path.join(ROOT, os.environ.get("BUILD", "build"))
+START_TIMEOUT_S = 10
+STOP_TIMEOUT_S = 10
+TEST_TIMEOUT_S = 60
+
+
+def program_path(name):
+    return os.path.join(BUILD, name)
+
+
+class Program:
+    """A server that logs "listening on IP:PORT"."""
+
+    def __init__(self, name, settings):
+        self.settings = tempfile.NamedTemporaryFile("w", suffix=".json")
+        json.dump(settings, self.settings)
+        self.settings.flush()
+        self.process = subprocess.Popen(
+            [program_path(name), "--config", self.settings.name],
+            stderr=subprocess.PIPE, text=True)
+        self.lines = []
+        self.addresses = queue.Queue()
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+        self.address = self.addresses.get(timeout=START_TIMEOUT_S)
+
+    def _read(self):
+        for line in self.process.stderr:
+            self.lines.append(line)
+            found = re.search(r"listening on (\S+)", line)
+            if found:
+                self.addresses.put(found.group(1))
+
+    def stop(self):
+        """Stops the program and returns its exit code."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            code = self.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            code = self.process.wait()
+        self.reader.join(STOP_TIMEOUT_S)
+        self.process.stderr.close()
+        self.settings.close()
+        return code
+
+
+class Answer:
+    def __init__(self, status, body, headers):
+        self.status = status
+        self.body = body
+        self.index = headers.get("X-Consul-Index") if headers else None
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def call(address, method, path, body=None, timeout=5):
+    """Sends one request; raises OSError if there is no answer."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return Answer(response.status, response.read(), response.headers)
+    except urllib.error.HTTPError as error:
+        with error:
+            return Answer(error.code, error.read(), error.headers)
+
+
+class StoreTestCase(unittest.TestCase):
+    """A test with a stand-in store of its own."""
+
+    def setUp(self):
+        signal.signal(signal.SIGALRM, self.on_timeout)
+        signal.alarm(TEST_TIMEOUT_S)
+        self.addCleanup(signal.alarm, 0)
+        self.store = Program("azurerock-standin-store", {"listen": "127.0.0.1:0"})
+        self.addCleanup(self.stop_store)
+
+    @staticmethod
+    def on_timeout(_number, _frame):
+        raise TimeoutError(f"the test took longer than {TEST_TIMEOUT_S} s")
+
+    def stop_store(self):
+        code = self.store.stop()
+        self.assertEqual(code, 0, "".join(self.store.lines))
+
+    def call(self, method, path, body=None, timeout=5):
+        return call(self.store.address, method, path, body, timeout)
+
+    def set_faults(self, **faults):
+        answer = self.call("PUT", "/standin/faults", json.dumps(faults))
+        self.assertEqual(answer.status, 200)
+
+    def stats(self):
+        return self.call("GET", "/standin/stats").json()
+
+    def wait_until(self, condition, timeout_s=10):
+        end = time.monotonic() + timeout_s
+        while not condition():
+            self.assertLess(time.monotonic(), end, "condition not met in time")
+            time.sleep(0.02)
