Add azurerock-ctl

Operators control the system only by publishing a checked object set.

The owner table is read before and after the entries are asked; a round counts only if the version is the same, since otherwise other members may count. SIGTERM ends the wait and the result is reported as after the deadline.

--- /dev/null
+++ b/src/ctl/await.c
@@ -0,0 +1,86 @@
+#include "ctl/ctl.h"
+
+#define POLL_INTERVAL_MS 100
+
+/* An entry that takes longer than the maximum is asked again in the next round; the minimum lets
+ * the last round succeed. */
+#define STATUS_TIMEOUT_MIN_MS 100
+#define STATUS_TIMEOUT_MAX_MS 1000
+
+/*
+ * One round. The table is read again after the entries have answered: if it changed meanwhile,
+ * the members that were asked may no longer be the ones that count.
+ */
+static bool
+poll_once (struct az_ctl *ctl,
+           uint64_t revision,
+           struct az_ctl_acceptance *acceptance,
+           GError **error)
+{
+  struct az_table table, after;
+  struct az_ctl_member *members;
+  int64_t timeout_ms;
+  bool same;
+
+  if (!az_ctl_read_table (ctl, &table, error))
+    return false;
+  timeout_ms = CLAMP (az_ctl_remaining_ms (ctl), STATUS_TIMEOUT_MIN_MS, STATUS_TIMEOUT_MAX_MS);
+  members = az_ctl_poll_members (ctl, &table, timeout_ms);
+  az_ctl_count_acceptance (&table, members, revision, acceptance);
+  g_free (members);
+  same = az_ctl_read_table (ctl, &after, error) && after.table_version == table.table_version;
+  az_owner_table_clear (&table);
+  az_owner_table_clear (&after);
+  return same && az_ctl_is_accepted (acceptance);
+}
+
+static void
+write_accepted (struct az_ctl *ctl, const struct az_configuration *configuration)
+{
+  g_autofree char *revision = g_strdup_printf ("%" G_GUINT64_FORMAT, configuration->revision);
+  g_autofree char *withdrawn = az_ctl_withdrawn_domains (configuration->objects);
+
+  az_event_log_write (ctl->events, "accepted", "revision", revision, "publish_id",
+                      configuration->publish_id, "withdrawn_domains", withdrawn, NULL);
+}
+
+int64_t
+az_ctl_remaining_ms (const struct az_ctl *ctl)
+{
+  int64_t remaining_ms = az_time_diff_ms (ctl->deadline, az_clock_now (az_clock_system ()));
+
+  return ctl->stopping ? 0 : MAX (remaining_ms, 0);
+}
+
+static bool
+poll_until_accepted (struct az_ctl *ctl, uint64_t revision, struct az_ctl_acceptance *acceptance)
+{
+  g_autoptr (GError) error = NULL;
+
+  for (;;)
+    {
+      g_clear_error (&error);
+      if (poll_once (ctl, revision, acceptance, &error))
+        return true;
+      if (az_ctl_remaining_ms (ctl) == 0)
+        break;
+      az_ctl_sleep (ctl, POLL_INTERVAL_MS);
+    }
+  if (error)
+    g_printerr ("%s\n", error->message);
+  return false;
+}
+
+int
+az_ctl_await_acceptance (struct az_ctl *ctl, const struct az_configuration *configuration)
+{
+  struct az_ctl_acceptance acceptance = { 0 };
+  bool accepted = poll_until_accepted (ctl, configuration->revision, &acceptance);
+
+  if (accepted)
+    write_accepted (ctl, configuration);
+  g_print ("%u of %u entries have revision %" G_GUINT64_FORMAT " in force\n", acceptance.confirmed,
+           acceptance.members, configuration->revision);
+  g_print (accepted ? "accepted\n" : "published, not yet accepted\n");
+  return accepted ? AZ_EXIT_SUCCESS : AZ_EXIT_NOT_ACCEPTED;
+}
