--- a/include/azurerock/store_client.h
+++ b/include/azurerock/store_client.h
@@ -27,7 +27,8 @@
   uint64_t modify_index;
 };
 
-/** struct az_store_answer - values are those of a read; index is X-Consul-Index */
+/** struct az_store_answer - values are those of a read; index is X-Consul-Index, or the index of
+ * the written keys after az_store_client_write() */
 struct az_store_answer
 {
   enum az_store_result result;
@@ -65,7 +66,8 @@
                        void (*done) (void *context, const struct az_store_answer *answer),
                        void *context);
 
-/** struct az_store_write - one compare-and-swap; index 0 means that the key must not exist */
+/** struct az_store_write - one compare-and-swap; index 0 means that the key must not exist. With
+ * value NULL the key is only compared. */
 struct az_store_write
 {
   const char *key;
@@ -88,6 +90,9 @@
                                 int64_t ttl_ms,
                                 void (*done) (void *context, const struct az_store_answer *answer),
                                 void *context);
+
+/** az_store_client_renew_session - restarts the TTL; %AZ_STORE_CONFLICT if the session has lapsed
+ */
 void
 az_store_client_renew_session (struct az_store_client *client,
                                const char *session,
@@ -99,7 +104,8 @@
                                  void (*done) (void *context, const struct az_store_answer *answer),
                                  void *context);
 
-/** az_store_client_acquire - writes @key held by @session */
+/** az_store_client_acquire - writes @key held by @session; %AZ_STORE_CONFLICT if another session
+ * holds it or @session has lapsed */
 void
 az_store_client_acquire (struct az_store_client *client,
                          const char *key,
--- a/src/standin/store_kv.c
+++ b/src/standin/store_kv.c
@@ -150,7 +150,8 @@
       }
   kv->index++;
   for (size_t i = 0; i < n_writes; i++)
-    set_entry (kv, &writes[i]);
+    if (writes[i].verb != AZ_STANDIN_CHECK)
+      set_entry (kv, &writes[i]);
   kv->changed (kv->context);
   return true;
 }
--- a/src/standin/store_kv.h
+++ b/src/standin/store_kv.h
@@ -23,9 +23,10 @@
 {
   AZ_STANDIN_SET,
   AZ_STANDIN_CAS,
+  AZ_STANDIN_CHECK, /* compares and writes nothing */
 };
 
-/** struct az_standin_write - one operation; @index counts for a compare-and-swap only */
+/** struct az_standin_write - one operation; @index counts unless it is a plain set */
 struct az_standin_write
 {
   enum az_standin_verb verb;
--- a/src/standin/store_txn.c
+++ b/src/standin/store_txn.c
@@ -14,24 +14,45 @@
   g_free (write->value);
 }
 
+static bool
+read_verb (const char *name, enum az_standin_verb *verb)
+{
+  static const struct
+  {
+    const char *name;
+    enum az_standin_verb verb;
+  } verbs[] = {
+    { "set", AZ_STANDIN_SET },
+    { "cas", AZ_STANDIN_CAS },
+    { "check-index", AZ_STANDIN_CHECK },
+    { "check-not-exists", AZ_STANDIN_CHECK },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
+    if (!strcmp (verbs[i].name, name))
+      {
+        *verb = verbs[i].verb;
+        return true;
+      }
+  return false;
+}
+
 static const char *
 read_operation (json_t *json, struct az_standin_write *write)
 {
-  const char *verb, *key, *value;
+  const char *verb, *key;
+  const char *value = "";
   json_int_t index = 0;
-  guchar *bytes;
 
-  if (json_unpack (json, "{s:{s:s, s:s, s:s, s?I}}", "KV", "Verb", &verb, "Key", &key, "Value",
+  if (json_unpack (json, "{s:{s:s, s:s, s?s, s?I}}", "KV", "Verb", &verb, "Key", &key, "Value",
                    &value, "Index", &index)
           < 0
       || index < 0)
-    return "an operation needs KV with Verb, Key, Value and Index";
-  if (strcmp (verb, "set") != 0 && strcmp (verb, "cas") != 0)
-    return "only the verbs set and cas are supported";
-  bytes = g_base64_decode (value, &write->length);
-  write->value = (char *)bytes;
+    return "an operation needs KV with Verb and Key";
+  if (!read_verb (verb, &write->verb))
+    return "only the verbs set, cas, check-index and check-not-exists are supported";
+  write->value = (char *)g_base64_decode (value, &write->length);
   write->key = g_strdup (key);
-  write->verb = *verb == 's' ? AZ_STANDIN_SET : AZ_STANDIN_CAS;
   write->index = (uint64_t)index;
   return write->length > VALUE_BYTES_MAX ? "the value is too large" : NULL;
 }
@@ -63,9 +84,11 @@
   for (guint i = 0; i < writes->len; i++)
     {
       const char *key = g_array_index (writes, struct az_standin_write, i).key;
-      json_t *entry = az_standin_entry_print (az_standin_kv_get (store->kv, key), false);
+      const struct az_standin_entry *entry = az_standin_kv_get (store->kv, key);
 
-      json_array_append_new (results, json_pack ("{s:o}", "KV", entry));
+      if (entry)
+        json_array_append_new (results,
+                               json_pack ("{s:o}", "KV", az_standin_entry_print (entry, false)));
     }
   az_standin_store_answer (store, handle, 200,
                            json_pack ("{s:o, s:n}", "Results", results, "Errors"));
--- a/src/store/store_answer.c
+++ b/src/store/store_answer.c
@@ -61,6 +61,22 @@
   return json_is_array (json);
 }
 
+/* All keys that a transaction writes get one index, which is above that of the compared ones. */
+static bool
+read_written_index (const json_t *json, struct az_store_answer *answer)
+{
+  const json_t *results = json_object_get (json, "Results");
+
+  for (size_t i = 0; i < json_array_size (results); i++)
+    {
+      const json_t *entry = json_object_get (json_array_get (results, i), "KV");
+      json_int_t index = json_integer_value (json_object_get (entry, "ModifyIndex"));
+
+      answer->index = MAX (answer->index, (uint64_t)MAX (index, 0));
+    }
+  return json_is_array (results);
+}
+
 /* Whether the body of a successful answer is as the protocol has it. */
 static bool
 read_body (enum az_store_call_kind kind, const json_t *json, struct az_store_answer *answer)
@@ -78,6 +94,7 @@
         fail (answer, AZ_STORE_CONFLICT, "the key is held by another session");
       return json_is_boolean (json);
     case AZ_STORE_CALL_TXN:
+      return read_written_index (json, answer);
     case AZ_STORE_CALL_RENEW:
     case AZ_STORE_CALL_DESTROY:
       break;
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -104,6 +104,15 @@
   send_call (client, &call, "GET", path, NULL, wait_ms + CALL_TIMEOUT_MS);
 }
 
+static json_t *
+print_check (const struct az_store_write *write)
+{
+  if (write->expected_index == 0)
+    return json_pack ("{s:{s:s, s:s}}", "KV", "Verb", "check-not-exists", "Key", write->key);
+  return json_pack ("{s:{s:s, s:s, s:I}}", "KV", "Verb", "check-index", "Key", write->key, "Index",
+                    (json_int_t)write->expected_index);
+}
+
 static json_t *
 print_write (const struct az_store_write *write)
 {
@@ -125,7 +134,8 @@
   char *body;
 
   for (size_t i = 0; i < n_writes; i++)
-    json_array_append_new (operations, print_write (&writes[i]));
+    json_array_append_new (operations,
+                           writes[i].value ? print_write (&writes[i]) : print_check (&writes[i]));
   body = json_dumps (operations, JSON_COMPACT);
   send_call (client, &call, "PUT", "/v1/txn", body, CALL_TIMEOUT_MS);
   free (body);
