--- a/include/azurerock/http_server.h
+++ b/include/azurerock/http_server.h
@@ -55,6 +55,19 @@
                         const void *body,
                         size_t length);
 
+/**
+ * az_http_server_header - value of a header of an open request
+ * @name: lower case
+ *
+ * Return: a copy that is valid until the answer, or NULL.
+ */
+const char *
+az_http_server_header (struct az_http_server *server, uint32_t handle, const char *name);
+
+/** az_http_server_abort - closes the connection of a request without an answer */
+void
+az_http_server_abort (struct az_http_server *server, uint32_t handle);
+
 /** az_http_server_stop_accepting - closes the listener; open connections are answered and then
  * closed */
 void
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -303,6 +303,35 @@
     send_response (server, handle, status, content_type, body, length);
 }
 
+const char *
+az_http_server_header (struct az_http_server *server, uint32_t handle, const char *name)
+{
+  struct pending *pending = az_table_rows_get (server->requests, handle);
+  const h2o_headers_t *headers;
+  ssize_t found;
+
+  if (!pending)
+    return NULL;
+  headers = &pending->request->headers;
+  found = h2o_find_header_by_str (headers, name, strlen (name), SIZE_MAX);
+  if (found == -1)
+    return NULL;
+  return copy_text (pending->request, headers->entries[found].value.base,
+                    headers->entries[found].value.len);
+}
+
+void
+az_http_server_abort (struct az_http_server *server, uint32_t handle)
+{
+  struct pending *pending = az_table_rows_get (server->requests, handle);
+
+  if (!pending)
+    return;
+  az_http_caller_break (pending->caller);
+  pending->request->http1_is_persistent = 0;
+  send_response (server, handle, 503, "text/plain", "", 0);
+}
+
 static void
 close_listener (struct az_http_server *server)
 {
