Add agent core: grants, start decision, results, fences and freshness

State is in one blackboard; each controller is one file.

Weighed: a copy of an accepted START is dropped or answered with its result instead of REFUSED, because REFUSED says "not started". A record of an entry that is gone is dropped only when the entry has left the roster or memory is needed, and then QUERY of that incarnation is answered "unknown", since an entry may resume after a freeze of any length. Grants are dropped when their connection closes, so the entry must not use them on a new one. Slots move between entries without demand only from a difference of two idle grants, because each move costs a message.

struct az_agent_io gains close (optional): without it the core can't close the old connection before a new one to the same entry, nor a connection that is silent.

--- a/include/azurerock/agent_core.h
+++ b/include/azurerock/agent_core.h
@@ -51,6 +51,8 @@
  * struct az_agent_io - effects of the core
  * @send: queues a message on a connection
  * @connect: asks for a connection to an entry of the roster that has none
+ * @close: closes a connection that doesn't answer or was replaced; the core treats it as closed
+ *         from then on, and az_agent_core_closed() for it has no effect. May be NULL
  * @start: writes the request to the upstream now; ends in az_agent_core_finished(), never
  *         from within this call
  * @cancel: cancels a started task at the upstream
@@ -59,6 +61,7 @@
 {
   void (*send) (void *context, uint32_t connection, const struct az_message *message);
   void (*connect) (void *context, const char *rpc_address);
+  void (*close) (void *context, uint32_t connection);
   void (*start) (void *context, const struct az_agent_task *task);
   void (*cancel) (void *context, uint32_t task_handle);
   void *context;
--- /dev/null
+++ b/src/agent/fences.c
@@ -0,0 +1,111 @@
+#include "agent/board.h"
+#include <string.h>
+
+/* Longer than the life of any grant. */
+#define FENCE_LIFE_MS 30000
+
+/* Number of task and attempt in the fence of a whole job. */
+#define ALL_TASKS UINT32_MAX
+
+static guint
+hash_fence (gconstpointer key)
+{
+  const struct az_agent_fence *fence = key;
+
+  return (g_str_hash (fence->id.job) * 31 + fence->id.task) * 31 + fence->id.attempt;
+}
+
+static gboolean
+equal_fences (gconstpointer a, gconstpointer b)
+{
+  const struct az_agent_fence *first = a;
+  const struct az_agent_fence *second = b;
+
+  return first->id.task == second->id.task && first->id.attempt == second->id.attempt
+         && !strcmp (first->id.job, second->id.job);
+}
+
+static void
+free_fence (void *data)
+{
+  struct az_agent_fence *fence = data;
+
+  g_free (fence->id.job);
+  g_free (fence);
+}
+
+void
+az_agent_fences_create (struct az_agent_board *board)
+{
+  board->fences = g_hash_table_new_full (hash_fence, equal_fences, free_fence, NULL);
+  g_queue_init (&board->fence_order);
+}
+
+void
+az_agent_fences_destroy (struct az_agent_board *board)
+{
+  g_hash_table_destroy (board->fences);
+}
+
+static struct az_agent_fence *
+find_fence (const struct az_agent_board *board, const char *job, uint32_t task, uint32_t attempt)
+{
+  struct az_agent_fence key = { .id = { (char *)job, task, attempt } };
+
+  return g_hash_table_lookup (board->fences, &key);
+}
+
+static struct az_agent_fence *
+add_fence (struct az_agent_board *board, const struct az_attempt *id)
+{
+  struct az_agent_fence *fence = g_new0 (struct az_agent_fence, 1);
+
+  fence->id = *id;
+  fence->id.job = g_strdup (id->job);
+  fence->link.data = fence;
+  g_hash_table_add (board->fences, fence);
+  return fence;
+}
+
+/* All fences live equally long, so the queue stays in order of expiry. */
+void
+az_agent_fence_attempt (struct az_agent_board *board, const struct az_attempt *id)
+{
+  struct az_agent_fence *fence = find_fence (board, id->job, id->task, id->attempt);
+
+  if (fence)
+    g_queue_unlink (&board->fence_order, &fence->link);
+  else
+    fence = add_fence (board, id);
+  fence->until = az_time_add_ms (az_agent_now (board), FENCE_LIFE_MS);
+  g_queue_push_tail_link (&board->fence_order, &fence->link);
+}
+
+void
+az_agent_fence_job (struct az_agent_board *board, const char *job)
+{
+  struct az_attempt id = { (char *)job, ALL_TASKS, ALL_TASKS };
+
+  az_agent_fence_attempt (board, &id);
+}
+
+bool
+az_agent_is_fenced (const struct az_agent_board *board, const struct az_attempt *id)
+{
+  return find_fence (board, id->job, id->task, id->attempt)
+         || find_fence (board, id->job, ALL_TASKS, ALL_TASKS);
+}
+
+void
+az_agent_fences_tick (struct az_agent_board *board)
+{
+  struct timespec now = az_agent_now (board);
+  struct az_agent_fence *fence;
+
+  while ((fence = g_queue_peek_head (&board->fence_order))
+         && az_time_compare (fence->until, now) <= 0)
+    {
+      g_queue_unlink (&board->fence_order, &fence->link);
+      g_hash_table_remove (board->fences, fence);
+    }
+}
--- /dev/null
+++ b/src/agent/grant_messages.c
@@ -0,0 +1,104 @@
+#include "agent/board.h"
+
+/* Grants are renewed when they have less than 40% of their life left, all of an entry in one
+ * message. A message that leaves anyway renews at 60%, which saves that message under load. */
+#define RENEW_PERCENT 40
+#define RENEW_EARLY_PERCENT 60
+
+static bool
+is_near_expiry (const struct az_agent_board *board,
+                const struct az_agent_grant *grant,
+                int64_t percent)
+{
+  int64_t left_ms = az_time_diff_ms (grant->expires, az_agent_now (board));
+
+  return left_ms * 100 < board->settings.grant_life_ms * percent;
+}
+
+static bool
+is_listed (const struct az_agent_entry *entry, uint64_t id)
+{
+  for (guint i = 0; i < entry->grants->len; i++)
+    if (g_array_index (entry->grants, uint64_t, i) == id)
+      return true;
+  return false;
+}
+
+static void
+renew_entry (struct az_agent_board *board, uint32_t handle, int64_t percent)
+{
+  struct az_agent_entry *entry = az_agent_entry_get (board, handle);
+  struct timespec now = az_agent_now (board);
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, board->grants);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct az_agent_grant *grant = value;
+
+      if (grant->entry != handle || grant->recalled || is_listed (entry, grant->id))
+        continue;
+      if (!is_near_expiry (board, grant, percent) || az_time_compare (grant->expires, now) <= 0)
+        continue;
+      grant->expires = az_time_add_ms (now, board->settings.grant_life_ms);
+      g_array_append_val (entry->grants, grant->id);
+    }
+}
+
+void
+az_agent_grants_renew (struct az_agent_board *board)
+{
+  GHashTableIter iter;
+  uint32_t due = 0;
+  void *value;
+
+  g_hash_table_iter_init (&iter, board->grants);
+  while (!due && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct az_agent_grant *grant = value;
+
+      if (!grant->recalled && is_near_expiry (board, grant, RENEW_PERCENT))
+        due = grant->entry;
+    }
+  if (due)
+    renew_entry (board, due, RENEW_EARLY_PERCENT);
+}
+
+/**
+ * az_agent_grants_refresh - lists for renewal what is worth it in a message that leaves anyway
+ */
+void
+az_agent_grants_refresh (struct az_agent_board *board, uint32_t entry)
+{
+  if (az_agent_may_grant (board))
+    renew_entry (board, entry, RENEW_EARLY_PERCENT);
+}
+
+/**
+ * az_agent_grants_take - the grants to send to an entry, and empties its list
+ *
+ * Return: array to free with g_free(), NULL if there are none.
+ */
+struct az_grant *
+az_agent_grants_take (struct az_agent_board *board, uint32_t handle, u_int *n_grants)
+{
+  struct az_agent_entry *entry = az_agent_entry_get (board, handle);
+  struct az_grant *grants = g_new0 (struct az_grant, entry->grants->len);
+
+  *n_grants = 0;
+  for (guint i = 0; i < entry->grants->len && *n_grants < AZ_MAX_GRANTS; i++)
+    {
+      uint64_t id = g_array_index (entry->grants, uint64_t, i);
+      struct az_agent_grant *grant = az_agent_grant_get (board, id);
+      int64_t left_ms = grant ? az_time_diff_ms (grant->expires, az_agent_now (board)) : 0;
+
+      if (left_ms <= 0 || grant->recalled)
+        continue;
+      grant->sent = true;
+      grants[*n_grants].id = id;
+      grants[(*n_grants)++].remaining_ms = (u_int)left_ms;
+    }
+  g_array_set_size (entry->grants, 0);
+  return grants;
+}
--- /dev/null
+++ b/src/agent/tasks.c
@@ -0,0 +1,182 @@
+#include "agent/board.h"
+#include <string.h>
+
+/* Reported to the caller as the code of a task that ran past its timeout. */
+static const char timeout_code[] = "task_timeout";
+
+static void
+write_start (struct az_agent_board *board, const struct az_agent_record *record)
+{
+  char task[16];
+  char attempt[16];
+  char entry[24];
+  char revision[24];
+
+  g_snprintf (task, sizeof task, "%u", record->id.task);
+  g_snprintf (attempt, sizeof attempt, "%u", record->id.attempt);
+  g_snprintf (entry, sizeof entry, "%" G_GUINT64_FORMAT, (guint64)record->origin);
+  g_snprintf (revision, sizeof revision, "%" G_GUINT64_FORMAT, (guint64)board->view.revision);
+  az_event_log_write (board->events, "start", "job", record->id.job, "task", task, "attempt",
+                      attempt, "domain", board->settings.domain, "entry", entry, "revision",
+                      revision, NULL);
+}
+
+static void
+write_finish (struct az_agent_board *board, const struct az_attempt *id, az_status status)
+{
+  static const char *const names[] = { "ok", "failed", "unknown", "not_started" };
+  char task[16];
+  char attempt[16];
+
+  g_snprintf (task, sizeof task, "%u", id->task);
+  g_snprintf (attempt, sizeof attempt, "%u", id->attempt);
+  az_event_log_write (board->events, "finish", "job", id->job, "task", task, "attempt", attempt,
+                      "status", names[status], NULL);
+}
+
+static int64_t
+shorter_timeout (uint32_t a_ms, uint32_t b_ms)
+{
+  if (!a_ms || !b_ms)
+    return MAX (a_ms, b_ms);
+  return MIN (a_ms, b_ms);
+}
+
+static uint32_t
+occupy_slot (struct az_agent_board *board,
+             struct az_agent_record *record,
+             const struct az_start_task *task)
+{
+  struct az_agent_running *running;
+  void *row;
+  uint32_t handle = az_table_rows_add (board->running, &row);
+
+  running = row;
+  running->record = record;
+  running->started = az_agent_now (board);
+  running->timeout_ms = shorter_timeout (task->timeout_ms, board->view.task_timeout_ms);
+  record->task = handle;
+  return handle;
+}
+
+/** az_agent_task_start - starts a task for which all start conditions hold */
+void
+az_agent_task_start (struct az_agent_board *board,
+                     uint32_t entry,
+                     const struct az_start *start,
+                     const struct az_start_task *task)
+{
+  uint64_t origin = az_agent_entry_get (board, entry)->incarnation;
+  struct az_agent_record *record = az_agent_record_add (board, origin, task);
+  uint32_t handle = occupy_slot (board, record, task);
+  const struct az_agent_running *running = az_table_rows_get (board->running, handle);
+  struct az_agent_task request = {
+    .handle = handle,
+    .id = &record->id,
+    .team = start->team,
+    .service = start->service,
+    .timeout_ms = running->timeout_ms,
+    .payload = (const uint8_t *)task->payload.az_payload_val,
+    .payload_length = task->payload.az_payload_len,
+  };
+
+  az_counters_add (board->counters, board->metrics.starts, 1);
+  write_start (board, record);
+  board->io.start (board->io.context, &request);
+}
+
+static void
+report_not_started (struct az_agent_board *board, struct az_agent_record *record)
+{
+  uint32_t entry = az_agent_entry_by_incarnation (board, record->origin);
+
+  az_agent_refuse (board, entry, &record->id, AZ_REFUSAL_UPSTREAM);
+  az_agent_record_remove (board, record);
+}
+
+static void
+report_result (struct az_agent_board *board,
+               struct az_agent_record *record,
+               bool timed_out,
+               az_status status,
+               const uint8_t *payload,
+               size_t length)
+{
+  if (timed_out && status != AZ_STATUS_OK)
+    {
+      status = AZ_STATUS_FAILED;
+      payload = (const uint8_t *)timeout_code;
+      length = strlen (timeout_code);
+    }
+  az_agent_record_finish (board, record, status, payload, length);
+  az_agent_results_queue (board, record);
+}
+
+void
+az_agent_task_finished (struct az_agent_board *board,
+                        uint32_t handle,
+                        az_status status,
+                        const uint8_t *payload,
+                        size_t length)
+{
+  struct az_agent_running *running = az_table_rows_get (board->running, handle);
+  struct az_agent_record *record;
+  bool timed_out;
+  uint64_t origin;
+
+  if (!running)
+    {
+      az_counters_add (board->counters, board->metrics.late, 1);
+      return;
+    }
+  record = running->record;
+  origin = record->origin;
+  timed_out = running->timed_out;
+  record->run_us = (uint32_t)az_time_diff_us (az_agent_now (board), running->started);
+  record->task = 0;
+  az_table_rows_remove (board->running, handle);
+  write_finish (board, &record->id, status);
+  if (status == AZ_STATUS_UNKNOWN && board->guards.unknown_is_not_started)
+    status = AZ_STATUS_NOT_STARTED;
+  if (status == AZ_STATUS_NOT_STARTED)
+    report_not_started (board, record);
+  else
+    report_result (board, record, timed_out, status, payload, length);
+  az_agent_grants_offer (board, az_agent_entry_by_incarnation (board, origin));
+}
+
+void
+az_agent_tasks_cancel_job (struct az_agent_board *board, const char *job)
+{
+  az_agent_fence_job (board, job);
+  for (uint32_t handle = az_table_rows_next (board->running, 0); handle;
+       handle = az_table_rows_next (board->running, handle))
+    {
+      struct az_agent_running *running = az_table_rows_get (board->running, handle);
+
+      if (running->cancelled || strcmp (running->record->id.job, job) != 0)
+        continue;
+      running->cancelled = true;
+      board->io.cancel (board->io.context, handle);
+    }
+}
+
+void
+az_agent_tasks_tick (struct az_agent_board *board)
+{
+  struct timespec now = az_agent_now (board);
+
+  for (uint32_t handle = az_table_rows_next (board->running, 0); handle;
+       handle = az_table_rows_next (board->running, handle))
+    {
+      struct az_agent_running *running = az_table_rows_get (board->running, handle);
+      int64_t run_ms = az_time_diff_ms (now, running->started);
+
+      if (!running->timeout_ms || run_ms <= running->timeout_ms || running->cancelled)
+        continue;
+      running->timed_out = true;
+      running->cancelled = true;
+      az_counters_add (board->counters, board->metrics.timeouts, 1);
+      board->io.cancel (board->io.context, handle);
+    }
+}
--- /dev/null
+++ b/tests/agent_rig.h
@@ -0,0 +1,121 @@
+#ifndef AZUREROCK_TESTS_AGENT_RIG_H
+#define AZUREROCK_TESTS_AGENT_RIG_H
+
+#include "agent/guards.h"
+#include "azurerock/agent_core.h"
+#include "azurerock/limits.h"
+
+/* An agent core with a virtual clock and two entries that are played by the test. */
+#define RIG_JOB "1700000000000-unittest1"
+#define RIG_WALL_MS 1700000001000
+#define RIG_SLOTS 8
+#define RIG_NO_REFUSAL (-1)
+
+enum
+{
+  RIG_A = 1, /* connection of the entry with incarnation 101, owner of all ids */
+  RIG_B = 2, /* connection of the entry with incarnation 102 */
+};
+
+struct rig_sent
+{
+  uint32_t connection;
+  struct az_message *message;
+};
+
+struct rig_started
+{
+  uint32_t handle;
+  uint32_t task;
+  uint32_t attempt;
+  int64_t timeout_ms;
+};
+
+/**
+ * struct rig - @silent: bit per connection whose heartbeats the test doesn't answer
+ */
+struct rig
+{
+  int64_t now_ns;
+  struct az_clock clock;
+  GRand *random;
+  struct az_counters *counters;
+  struct az_agent_settings settings;
+  struct az_agent_core *core;
+  GPtrArray *sent;     /* struct rig_sent */
+  GArray *started;     /* struct rig_started */
+  GArray *cancelled;   /* uint32_t */
+  GPtrArray *connects; /* char * */
+  GArray *closed;      /* uint32_t */
+  GQueue grants[4];    /* ids received per connection, oldest first */
+  uint64_t revision;
+  uint64_t table_version;
+  uint64_t acknowledged;
+  uint32_t silent;
+  uint64_t entry_a; /* incarnation in the roster at the address of RIG_A */
+};
+
+struct rig *
+rig_create (void);
+
+/** rig_create_ready - with both entries connected, view and table known, evidence fresh */
+struct rig *
+rig_create_ready (void);
+void
+rig_destroy (struct rig *rig);
+
+/** rig_advance - passes time with ticks every 20 ms; heartbeats are answered at once */
+void
+rig_advance (struct rig *rig, int64_t ms);
+
+/** rig_freeze - passes time in which the agent doesn't run */
+void
+rig_freeze (struct rig *rig, int64_t ms);
+void
+rig_flush (struct rig *rig);
+void
+rig_open (struct rig *rig, uint32_t connection, const char *address);
+void
+rig_welcome (struct rig *rig, uint32_t connection, uint64_t incarnation);
+void
+rig_view (struct rig *rig, uint32_t connection, uint64_t revision, bool in_service);
+void
+rig_table (struct rig *rig, uint32_t connection, uint64_t owner);
+void
+rig_acknowledge (struct rig *rig, uint32_t connection, uint64_t sequence);
+void
+rig_receive (struct rig *rig, uint32_t connection, const struct az_message *message);
+
+/** rig_take_grant - id of an unused grant of the connection, 0 if it has none */
+uint64_t
+rig_take_grant (struct rig *rig, uint32_t connection);
+
+/** rig_start - START of one task; returns the refusal reason or RIG_NO_REFUSAL */
+int
+rig_start (struct rig *rig, uint32_t connection, uint32_t task, uint32_t attempt, uint64_t grant);
+int
+rig_start_job (struct rig *rig,
+               uint32_t connection,
+               const char *job,
+               uint32_t task,
+               uint32_t attempt,
+               uint64_t grant,
+               uint32_t remaining_ms);
+void
+rig_demand (struct rig *rig, uint32_t connection, uint32_t waiting, uint32_t oldest_ms);
+void
+rig_finish (struct rig *rig, uint32_t index, az_status status);
+
+/** rig_query - fate of one attempt, by QUERY */
+az_status
+rig_query (struct rig *rig, uint32_t connection, uint32_t task, uint32_t attempt);
+
+/** rig_count - messages of a kind sent on a connection since rig_clear() */
+uint32_t
+rig_count (const struct rig *rig, uint32_t connection, az_proc proc);
+const struct az_message *
+rig_last (const struct rig *rig, uint32_t connection, az_proc proc);
+void
+rig_clear (struct rig *rig);
+
+#endif
--- /dev/null
+++ b/tests/test_agent_core.c
@@ -0,0 +1,309 @@
+#include "agent_rig.h"
+#include "testing.h"
+
+static int
+create_ready (void **state)
+{
+  *state = rig_create_ready ();
+  return 0;
+}
+
+static int
+destroy_rig (void **state)
+{
+  rig_destroy (*state);
+  return 0;
+}
+
+/* Guards against a start that waits for a later event although every condition holds. */
+static void
+test_start_happens_within_the_call (void **state)
+{
+  struct rig *rig = *state;
+
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)), RIG_NO_REFUSAL);
+  assert_int_equal (rig->started->len, 1);
+}
+
+/* Guards against a start without a reserved slot (condition 1). */
+static void
+test_unknown_grant_is_refused (void **state)
+{
+  struct rig *rig = *state;
+  uint64_t grant = rig_take_grant (rig, RIG_A);
+
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, 99), AZ_REFUSAL_GRANT);
+  assert_int_equal (rig_start (rig, RIG_A, 1, 0, grant), RIG_NO_REFUSAL);
+  assert_int_equal (rig_start (rig, RIG_A, 2, 0, grant), AZ_REFUSAL_GRANT);
+  assert_int_equal (rig->started->len, 1);
+}
+
+/* Guards against the use of a slot that is reserved for another entry (condition 1). */
+static void
+test_grant_of_another_entry_is_refused (void **state)
+{
+  struct rig *rig = *state;
+
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_B)), AZ_REFUSAL_GRANT);
+}
+
+/* Guards against a start by an entry that doesn't own the id (condition 2). */
+static void
+test_other_owner_is_refused (void **state)
+{
+  struct rig *rig = *state;
+
+  assert_int_equal (rig_start (rig, RIG_B, 0, 0, rig_take_grant (rig, RIG_B)), AZ_REFUSAL_OWNER);
+  rig_table (rig, RIG_A, 102);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)), AZ_REFUSAL_OWNER);
+  assert_int_equal (rig_start (rig, RIG_B, 0, 0, rig_take_grant (rig, RIG_B)), RIG_NO_REFUSAL);
+}
+
+/* Guards against a start on old knowledge (condition 3). */
+static void
+test_old_evidence_is_refused (void **state)
+{
+  struct rig *rig = *state;
+  uint64_t grant;
+
+  rig->silent = ~0u;
+  rig_advance (rig, 2700);
+  grant = rig_take_grant (rig, RIG_A);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, grant), AZ_REFUSAL_EVIDENCE);
+}
+
+/* Guards against evidence from an entry that knows more than the agent (condition 3). */
+static void
+test_evidence_needs_the_revision (void **state)
+{
+  struct rig *rig = *state;
+
+  rig->revision = 2;
+  rig_advance (rig, 2700);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)), AZ_REFUSAL_EVIDENCE);
+  rig_view (rig, RIG_A, 2, true);
+  rig_advance (rig, 800);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 1, rig_take_grant (rig, RIG_A)), RIG_NO_REFUSAL);
+}
+
+/* Guards against a process that resumes after a freeze and starts on evidence from before it. */
+static void
+test_freeze_before_a_start (void **state)
+{
+  struct rig *rig = *state;
+  uint64_t grant = rig_take_grant (rig, RIG_A);
+
+  rig_freeze (rig, 2600);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, grant), AZ_REFUSAL_EVIDENCE);
+  rig_advance (rig, 200);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 1, rig_take_grant (rig, RIG_A)), RIG_NO_REFUSAL);
+}
+
+/* Guards against a heartbeat answer that waited during a freeze and counts as new. */
+static void
+test_late_answer_is_old_evidence (void **state)
+{
+  struct rig *rig = *state;
+  struct az_message ack = { .proc = AZ_HEARTBEAT_ACK };
+
+  ack.az_message_u.heartbeat_ack.sent_ns = (uint64_t)rig->now_ns;
+  ack.az_message_u.heartbeat_ack.revision = 1;
+  ack.az_message_u.heartbeat_ack.table_version = 1;
+  rig_freeze (rig, 2600);
+  rig_receive (rig, RIG_A, &ack);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)), AZ_REFUSAL_EVIDENCE);
+}
+
+/* Guards against a start in a withdrawn domain with a grant from before (condition 4). */
+static void
+test_withdrawal_while_granted (void **state)
+{
+  struct rig *rig = *state;
+
+  rig_view (rig, RIG_A, 2, false);
+  assert_int_equal (rig_count (rig, RIG_A, AZ_RECALL), 1);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)),
+                    AZ_REFUSAL_WITHDRAWN);
+  rig_view (rig, RIG_B, 1, true);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 1, rig_take_grant (rig, RIG_A)),
+                    AZ_REFUSAL_WITHDRAWN);
+}
+
+/* Guards against new work for an agent that stops, and against work lost by the stop
+ * (condition 4). */
+static void
+test_drain (void **state)
+{
+  struct rig *rig = *state;
+
+  rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A));
+  az_agent_core_stop (rig->core);
+  assert_int_equal (rig_start (rig, RIG_A, 1, 0, rig_take_grant (rig, RIG_A)), AZ_REFUSAL_STOPPING);
+  assert_false (az_agent_core_is_drained (rig->core));
+  rig_finish (rig, 0, AZ_STATUS_OK);
+  rig_flush (rig);
+  assert_false (az_agent_core_is_drained (rig->core));
+  rig_acknowledge (rig, RIG_A, 1);
+  assert_true (az_agent_core_is_drained (rig->core));
+}
+
+/* Guards against a drain that waits forever for the acknowledgement of a dead entry. */
+static void
+test_drain_with_a_dead_entry (void **state)
+{
+  struct rig *rig = *state;
+
+  rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A));
+  az_agent_core_stop (rig->core);
+  rig_finish (rig, 0, AZ_STATUS_OK);
+  az_agent_core_closed (rig->core, RIG_A);
+  rig_advance (rig, 1000);
+  assert_false (az_agent_core_is_drained (rig->core));
+  rig_advance (rig, 10000);
+  assert_true (az_agent_core_is_drained (rig->core));
+}
+
+/* Guards against a start whose caller no longer waits (condition 5). */
+static void
+test_start_deadline (void **state)
+{
+  struct rig *rig = *state;
+  uint64_t grant = rig_take_grant (rig, RIG_A);
+
+  assert_int_equal (rig_start_job (rig, RIG_A, RIG_JOB, 0, 0, grant, 0), AZ_REFUSAL_DEADLINE);
+}
+
+/* Guards against a START that waited in the socket of a frozen agent past its deadline, although
+ * the evidence is still fresh (condition 5). */
+static void
+test_start_deadline_counts_a_freeze (void **state)
+{
+  struct rig *rig = *state;
+
+  rig_freeze (rig, 1000);
+  assert_int_equal (rig_start_job (rig, RIG_A, RIG_JOB, 0, 0, rig_take_grant (rig, RIG_A), 800),
+                    AZ_REFUSAL_DEADLINE);
+  az_agent_core_tick (rig->core);
+  assert_int_equal (rig_start_job (rig, RIG_A, RIG_JOB, 0, 1, rig_take_grant (rig, RIG_A), 800),
+                    AZ_REFUSAL_DEADLINE);
+  rig_advance (rig, 40);
+  assert_int_equal (rig_start_job (rig, RIG_A, RIG_JOB, 0, 2, rig_take_grant (rig, RIG_A), 800),
+                    RIG_NO_REFUSAL);
+}
+
+/* Guards against a second start of one task (condition 6). A copy of the same START must not be
+ * refused either: REFUSED says that the attempt did not start. */
+static void
+test_duplicate_start (void **state)
+{
+  struct rig *rig = *state;
+  uint64_t grant = rig_take_grant (rig, RIG_A);
+
+  rig_start (rig, RIG_A, 0, 0, grant);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, grant), RIG_NO_REFUSAL);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 1, rig_take_grant (rig, RIG_A)),
+                    AZ_REFUSAL_DUPLICATE);
+  assert_int_equal (rig->started->len, 1);
+  rig_finish (rig, 0, AZ_STATUS_OK);
+  rig_flush (rig);
+  rig_start (rig, RIG_A, 0, 0, grant);
+  assert_int_equal (rig_count (rig, RIG_A, AZ_RESULT), 2);
+  assert_int_equal (rig->started->len, 1);
+}
+
+/* Guards against a start after the agent proved "not started" (condition 6). */
+static void
+test_query_fences_a_start (void **state)
+{
+  struct rig *rig = *state;
+
+  assert_int_equal (rig_query (rig, RIG_A, 0, 0), AZ_STATUS_NOT_STARTED);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)), AZ_REFUSAL_FENCED);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 1, rig_take_grant (rig, RIG_A)), RIG_NO_REFUSAL);
+  assert_int_equal (rig_query (rig, RIG_A, 0, 1), AZ_STATUS_RUNNING);
+  rig_finish (rig, 0, AZ_STATUS_FAILED);
+  assert_int_equal (rig_query (rig, RIG_A, 0, 1), AZ_STATUS_FAILED);
+}
+
+/* Guards against the start of a task of a cancelled job, and against work that goes on after its
+ * job was cancelled (condition 6). */
+static void
+test_cancelled_job (void **state)
+{
+  struct rig *rig = *state;
+  struct az_message message = { .proc = AZ_CANCEL };
+
+  rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A));
+  message.az_message_u.cancel.job = RIG_JOB;
+  rig_receive (rig, RIG_A, &message);
+  assert_int_equal (rig->cancelled->len, 1);
+  assert_int_equal (rig_start (rig, RIG_A, 1, 0, rig_take_grant (rig, RIG_A)), AZ_REFUSAL_FENCED);
+}
+
+/* Guards against a START that was still unread when its connection was replaced. */
+static void
+test_start_on_a_closed_connection (void **state)
+{
+  struct rig *rig = *state;
+  uint64_t grant = rig_take_grant (rig, RIG_A);
+
+  rig_open (rig, 3, "127.0.0.1:7001");
+  assert_int_equal (g_array_index (rig->closed, uint32_t, 0), RIG_A);
+  rig_start (rig, RIG_A, 0, 0, grant);
+  assert_int_equal (rig->started->len, 0);
+}
+
+/* Guards against a START sent over an old connection of an entry that is known by two addresses,
+ * after a QUERY over the new one. */
+static void
+test_second_address_of_an_entry (void **state)
+{
+  struct rig *rig = *state;
+
+  rig_open (rig, 3, "127.0.0.9:7001");
+  rig_welcome (rig, 3, 101);
+  assert_int_equal (rig->closed->len, 1);
+  rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A));
+  assert_int_equal (rig->started->len, 0);
+}
+
+/* Guards against a revision that reverts when a stale entry connects. */
+static void
+test_lower_revision_is_ignored (void **state)
+{
+  struct rig *rig = *state;
+
+  rig_view (rig, RIG_A, 5, true);
+  rig_view (rig, RIG_B, 4, false);
+  assert_int_equal (rig_start (rig, RIG_A, 0, 0, rig_take_grant (rig, RIG_A)), RIG_NO_REFUSAL);
+}
+
+#define RIG_TEST(test) cmocka_unit_test_setup_teardown (test, create_ready, destroy_rig)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    RIG_TEST (test_start_happens_within_the_call),
+    RIG_TEST (test_unknown_grant_is_refused),
+    RIG_TEST (test_grant_of_another_entry_is_refused),
+    RIG_TEST (test_other_owner_is_refused),
+    RIG_TEST (test_old_evidence_is_refused),
+    RIG_TEST (test_evidence_needs_the_revision),
+    RIG_TEST (test_freeze_before_a_start),
+    RIG_TEST (test_late_answer_is_old_evidence),
+    RIG_TEST (test_withdrawal_while_granted),
+    RIG_TEST (test_drain),
+    RIG_TEST (test_drain_with_a_dead_entry),
+    RIG_TEST (test_start_deadline),
+    RIG_TEST (test_start_deadline_counts_a_freeze),
+    RIG_TEST (test_duplicate_start),
+    RIG_TEST (test_query_fences_a_start),
+    RIG_TEST (test_cancelled_job),
+    RIG_TEST (test_start_on_a_closed_connection),
+    RIG_TEST (test_second_address_of_an_entry),
+    RIG_TEST (test_lower_revision_is_ignored),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
