--- /dev/null
+++ b/src/entry/admission.c
@@ -0,0 +1,162 @@
+#include "azurerock/job_id.h"
+#include "entry/agents.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* Below this number of observations the estimates of run times mean little. */
+#define ESTIMATE_MIN_COUNT 20
+
+/* Deadline of a job that is forwarded before this entry knows its service. */
+#define DEADLINE_DEFAULT_MS 10000
+
+static const struct az_entry_group *
+find_group (const struct az_entry_board *board, const char *service, uint32_t *index)
+{
+  void *found;
+  const struct az_entry_group *group;
+
+  if (!g_hash_table_lookup_extended (board->group_by_name, service, NULL, &found))
+    return NULL;
+  *index = GPOINTER_TO_UINT (found);
+  group = az_entry_board_group (board, *index);
+  return group->configured ? group : NULL;
+}
+
+static const struct az_entry_team *
+find_team (const struct az_entry_board *board, const char *name, uint32_t *index)
+{
+  void *found;
+  const struct az_entry_team *team;
+
+  if (!g_hash_table_lookup_extended (board->team_by_name, name, NULL, &found))
+    return NULL;
+  *index = GPOINTER_TO_UINT (found);
+  team = az_entry_board_team (board, *index);
+  return team->configured ? team : NULL;
+}
+
+int64_t
+az_entry_deadline_ms (const struct az_entry_board *board, const struct az_submit *submit)
+{
+  uint32_t index;
+  const struct az_entry_group *group = find_group (board, submit->service, &index);
+
+  if (!group)
+    return submit->deadline_ms ? submit->deadline_ms : DEADLINE_DEFAULT_MS;
+  if (!submit->deadline_ms)
+    return group->policy.deadline_default_ms;
+  return MIN (submit->deadline_ms, group->policy.deadline_max_ms);
+}
+
+static bool
+has_capacity (const struct az_entry_board *board, const struct az_entry_group *group)
+{
+  for (guint i = 0; i < group->pools->len; i++)
+    if (az_entry_board_pool (board, g_array_index (group->pools, uint32_t, i))->in_service)
+      return true;
+  return false;
+}
+
+static uint64_t
+reachable_slots (const struct az_entry_board *board, const struct az_entry_group *group)
+{
+  uint64_t slots = 0;
+
+  for (guint i = 0; i < group->pools->len; i++)
+    slots
+        += az_entry_board_pool (board, g_array_index (group->pools, uint32_t, i))->connected_slots;
+  return slots;
+}
+
+/* The estimate is a lower bound: it counts every slot that may be granted to this entry, since
+ * an idle entry holds few grants before a burst. */
+static bool
+can_meet_deadline (const struct az_entry_board *board,
+                   const struct az_entry_group *group,
+                   const struct az_submit *submit)
+{
+  int64_t deadline_us = az_entry_deadline_ms (board, submit) * 1000;
+  uint64_t slots = reachable_slots (board, group);
+
+  if (az_run_time_count (group->run_times) < ESTIMATE_MIN_COUNT || !slots)
+    return true;
+  if (az_run_time_quantile_us (group->run_times, 0) > deadline_us)
+    return false;
+  return az_run_time_wait_us (group->run_times, group->waiting, submit->tasks.tasks_len, slots)
+         <= deadline_us;
+}
+
+static const char *
+check_size (const struct az_entry_group *group, const struct az_submit *submit, const char **text)
+{
+  if (!submit->tasks.tasks_len)
+    {
+      *text = "a job needs at least one task";
+      return "invalid_request";
+    }
+  if (submit->tasks.tasks_len > group->policy.max_tasks_per_job)
+    {
+      *text = "more tasks than the policy of the service allows";
+      return "too_many_tasks";
+    }
+  for (uint32_t i = 0; i < submit->tasks.tasks_len; i++)
+    if (submit->tasks.tasks_val[i].payload.az_payload_len > group->policy.max_payload_bytes)
+      {
+        *text = "a payload is longer than the policy of the service allows";
+        return "payload_too_large";
+      }
+  return NULL;
+}
+
+static const char *
+check_load (const struct az_entry_board *board,
+            const struct az_entry_group *group,
+            const struct az_submit *submit,
+            const char **text)
+{
+  if (!has_capacity (board, group))
+    {
+      *text = "no upstream of the service is in service";
+      return "no_capacity";
+    }
+  if (!az_entry_is_fresh (board))
+    {
+      *text = "no evidence that the configuration is the newest";
+      return "no_fresh_evidence";
+    }
+  if (group->waiting + submit->tasks.tasks_len > group->policy.max_queued_tasks)
+    {
+      *text = "the queue of the service is full";
+      return "queue_full";
+    }
+  if (!can_meet_deadline (board, group, submit))
+    {
+      *text = "the expected completion is after the deadline";
+      return "deadline_cannot_be_met";
+    }
+  return NULL;
+}
+
+const char *
+az_entry_refusal (struct az_entry_board *board,
+                  const struct az_submit *submit,
+                  uint32_t *team,
+                  uint32_t *group,
+                  const char **text)
+{
+  const struct az_entry_team *team_row = find_team (board, submit->team, team);
+  const struct az_entry_group *group_row = find_group (board, submit->service, group);
+  const char *code;
+
+  *text = submit->team;
+  if (!team_row)
+    return "unknown_team";
+  *text = submit->service;
+  if (!group_row)
+    return "unknown_service";
+  if (!g_hash_table_contains (team_row->services, GUINT_TO_POINTER (*group + 1)))
+    return "team_not_allowed";
+  code = check_size (group_row, submit, text);
+  return code ? code : check_load (board, group_row, submit, text);
+}
--- /dev/null
+++ b/src/entry/adopt.c
@@ -0,0 +1,123 @@
+#include "azurerock/log.h"
+#include "entry/agents.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+bool
+az_entry_adopt_configuration (struct az_entry_board *board, const char *document, size_t length)
+{
+  GError *error = NULL;
+  struct az_configuration *configuration = az_configuration_parse (document, length, &error);
+
+  if (!configuration)
+    {
+      az_log (LOG_ERR, "configuration not adopted: %s", error->message);
+      g_error_free (error);
+      return false;
+    }
+  if (configuration->revision <= board->revision)
+    {
+      az_configuration_destroy (configuration);
+      return true;
+    }
+  if (board->configuration)
+    az_configuration_destroy (board->configuration);
+  board->configuration = configuration;
+  board->revision = configuration->revision;
+  g_free (board->document);
+  board->document = g_memdup2 (document, length);
+  board->document_length = length;
+  az_entry_apply_configuration (board);
+  return true;
+}
+
+static char *
+withdrawn_domains (const struct az_entry_board *board)
+{
+  GString *names = g_string_new (NULL);
+  const struct az_domain *domains;
+  uint32_t count = 0;
+
+  if (board->configuration)
+    {
+      domains = az_object_set_domains (board->configuration->objects, &count);
+      for (uint32_t i = 0; i < count; i++)
+        if (!domains[i].in_service)
+          g_string_append_printf (names, "%s%s", names->len ? "," : "", domains[i].name);
+    }
+  return g_string_free (names, FALSE);
+}
+
+static void
+write_revision_event (struct az_entry_board *board)
+{
+  char *withdrawn = withdrawn_domains (board);
+  char *revision = g_strdup_printf ("%" G_GUINT64_FORMAT, board->revision);
+  char *version = g_strdup_printf ("%" G_GUINT64_FORMAT, (uint64_t)board->table.table_version);
+
+  az_event_log_write (board->events, "revision", "revision", revision, "table_version", version,
+                      "withdrawn_domains", withdrawn, NULL);
+  az_log (LOG_NOTICE, "revision %s, owner table version %s, withdrawn domains: %s", revision,
+          version, withdrawn);
+  g_free (withdrawn);
+  g_free (revision);
+  g_free (version);
+}
+
+void
+az_entry_changed (struct az_entry_board *board)
+{
+  write_revision_event (board);
+  az_entry_agents_update (board);
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h;
+       h = az_table_rows_next (board->peers, h))
+    az_entry_config_send (board, az_entry_board_peer (board, h));
+  /* Peers' next replies confirm the new state at once instead of after a whole interval. */
+  board->next_exchange = board->now;
+}
+
+/* Where this entry's ownership of a partition is new, nothing is known of older ids. */
+static void
+note_ownership (struct az_entry_board *board, uint32_t partition)
+{
+  const struct az_partition *row = &board->table.partitions.partitions_val[partition];
+
+  if (row->owner != board->incarnation)
+    {
+      board->owned[partition].from_ms = -1;
+      board->owned[partition].is_pending = false;
+      board->recover_partitions &= ~(1ULL << partition);
+      return;
+    }
+  if (board->owned[partition].from_ms == (int64_t)row->from_ms)
+    return;
+  board->owned[partition].from_ms = (int64_t)row->from_ms;
+  board->owned[partition].horizon_ms = INT64_MAX;
+  board->owned[partition].is_pending = true;
+}
+
+/* Jobs that wait for an owner may have another one now. */
+static void
+forward_anew (struct az_entry_board *board)
+{
+  az_entry_forward_all (board, 0);
+}
+
+void
+az_entry_adopt_table (struct az_entry_board *board, const struct az_table *table)
+{
+  if (table->partitions.partitions_len != AZ_PARTITIONS
+      || (board->has_table && table->table_version <= board->table.table_version))
+    return;
+  if (board->has_table)
+    az_owner_table_clear (&board->table);
+  az_owner_table_copy (&board->table, table);
+  board->has_table = true;
+  for (uint32_t i = 0; i < AZ_PARTITIONS; i++)
+    note_ownership (board, i);
+  az_entry_peers_update (board);
+  az_entry_confirm (board);
+  az_entry_quota_update (board);
+  forward_anew (board);
+}
--- /dev/null
+++ b/src/entry/answer.c
@@ -0,0 +1,199 @@
+#include "entry/agents.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* Leaves room for the rest of an ANSWER below the longest record. */
+#define ANSWER_PAYLOAD_MAX (AZ_RECORD_MAX - 1048576u)
+
+static struct az_answer *
+create_answer (const struct az_entry_job *job,
+               az_outcome outcome,
+               const char *code,
+               const char *text)
+{
+  struct az_answer *answer = g_new0 (struct az_answer, 1);
+
+  answer->job = g_strdup (job->id);
+  answer->outcome = outcome;
+  answer->code = g_strdup (code);
+  answer->message = g_strdup (text);
+  return answer;
+}
+
+/* Moves the results, in the order of the tasks, from the record into the answer. */
+static void
+move_results (struct az_entry_job *job, struct az_answer *answer)
+{
+  answer->results.results_len = job->n_tasks;
+  answer->results.results_val = g_new0 (struct az_task_result, job->n_tasks);
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      answer->results.results_val[i].payload = job->tasks[i].result;
+      job->tasks[i].result = (az_payload){ 0 };
+    }
+}
+
+static size_t
+result_bytes (const struct az_entry_job *job)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    bytes += job->tasks[i].result.az_payload_len;
+  return bytes;
+}
+
+static void
+drop_waiting (struct az_entry_board *board, uint32_t handle, struct az_entry_job *job)
+{
+  struct az_entry_group *group;
+
+  for (uint32_t i = 0; i < job->n_waiting; i++)
+    job->tasks[job->waiting[i]].state = AZ_ENTRY_TASK_DROPPED;
+  if (job->n_waiting)
+    {
+      group = az_entry_board_group (board, job->group);
+      az_team_queue_remove (board->queue, job->team, job->group, handle);
+      group->waiting -= job->n_waiting;
+    }
+  job->n_waiting = 0;
+  for (uint32_t i = 0; job->n_delayed && i < job->n_tasks; i++)
+    if (job->tasks[i].state == AZ_ENTRY_TASK_DELAYED)
+      {
+        job->tasks[i].state = AZ_ENTRY_TASK_DROPPED;
+        job->n_delayed--;
+        az_team_queue_finished (board->queue, job->team);
+      }
+}
+
+/* A job that did not run leaves no record: the caller may submit it again. */
+static void
+keep_or_remove (struct az_entry_board *board, uint32_t handle)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (job->answer->outcome == AZ_OUTCOME_NOT_RUN || job->role == AZ_ENTRY_ROLE_FORWARDER)
+    {
+      az_entry_job_remove (board, handle);
+      return;
+    }
+  az_entry_submit_free (job->request);
+  job->request = NULL;
+  az_entry_retain (board, handle);
+}
+
+void
+az_entry_job_answer (struct az_entry_board *board,
+                     uint32_t handle,
+                     az_outcome outcome,
+                     const char *code,
+                     const char *text)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (!job || job->answer)
+    return;
+  if (job->role == AZ_ENTRY_ROLE_OWNER)
+    {
+      drop_waiting (board, handle, job);
+      if (job->n_open && !job->cancelled)
+        az_entry_cancel_open (board, job);
+    }
+  job->answer = create_answer (job, outcome, code, text);
+  if (outcome == AZ_OUTCOME_DONE)
+    move_results (job, job->answer);
+  az_entry_job_deliver (board, handle, job->answer);
+  if (az_entry_board_job (board, handle))
+    keep_or_remove (board, handle);
+}
+
+static void
+answer_done (struct az_entry_board *board, uint32_t handle, const struct az_entry_job *job)
+{
+  if (result_bytes (job) > ANSWER_PAYLOAD_MAX)
+    az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, "payload_too_large",
+                         "the results together are too long");
+  else
+    az_entry_job_answer (board, handle, AZ_OUTCOME_DONE, "", "");
+}
+
+/* A cancelled job has no waiting tasks; its outcome is known when nothing is open any more. */
+static void
+settle_cancelled (struct az_entry_board *board, uint32_t handle, const struct az_entry_job *job)
+{
+  if (job->n_open)
+    return;
+  if (az_entry_job_has_started (job))
+    az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, "cancelled",
+                         "cancelled after some tasks had started");
+  else
+    az_entry_job_answer (board, handle, AZ_OUTCOME_NOT_RUN, "cancelled", "cancelled");
+}
+
+void
+az_entry_job_settle (struct az_entry_board *board, uint32_t handle)
+{
+  const struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (!job || job->answer)
+    return;
+  if (job->n_ok == job->n_tasks)
+    answer_done (board, handle, job);
+  else if (job->n_failed)
+    az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, "task_failed", "a task failed");
+  else if (job->n_unknown)
+    az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                         "the fate of a task can't be determined");
+  else if (job->cancelled)
+    settle_cancelled (board, handle, job);
+}
+
+void
+az_entry_job_cancel (struct az_entry_board *board, uint32_t handle)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (job->answer || job->cancelled)
+    return;
+  drop_waiting (board, handle, job);
+  job->cancelled = true;
+  if (job->n_open)
+    az_entry_cancel_open (board, job);
+  az_entry_job_settle (board, handle);
+}
+
+static void
+expire_forwarded (struct az_entry_board *board, uint32_t handle, const struct az_entry_job *job)
+{
+  if (job->was_forwarded)
+    az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                         "the owner did not answer before the deadline");
+  else
+    az_entry_job_answer (board, handle,
+                         job->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN,
+                         "owner_unavailable", "the owner could not be reached");
+}
+
+void
+az_entry_job_expire (struct az_entry_board *board, uint32_t handle)
+{
+  const struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (!job || job->answer)
+    return;
+  if (job->role == AZ_ENTRY_ROLE_FORWARDER)
+    expire_forwarded (board, handle, job);
+  else if (job->n_open)
+    az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                         "the deadline passed while tasks were running");
+  else if (az_entry_job_has_started (job))
+    az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, "deadline_passed",
+                         "the deadline passed before all tasks had run");
+  else if (!az_entry_is_fresh (board))
+    az_entry_job_answer (board, handle, AZ_OUTCOME_NOT_RUN, "no_fresh_evidence",
+                         "no evidence that the configuration is the newest");
+  else
+    az_entry_job_answer (board, handle, AZ_OUTCOME_NOT_RUN, "deadline_passed",
+                         "the deadline passed before a task could start");
+}
--- /dev/null
+++ b/src/entry/board.h
@@ -0,0 +1,365 @@
+#ifndef AZUREROCK_ENTRY_BOARD_H
+#define AZUREROCK_ENTRY_BOARD_H
+
+#include "azurerock/configuration.h"
+#include "azurerock/ejector.h"
+#include "azurerock/entry_core.h"
+#include "azurerock/limits.h"
+#include "azurerock/quota_share.h"
+#include "azurerock/retry_budget.h"
+#include "azurerock/run_time.h"
+#include "azurerock/table.h"
+#include "azurerock/team_queue.h"
+#include "entry/heap.h"
+
+/*
+ * State of an entry, shared by its controllers. Jobs, agents and peers are rows addressed by
+ * handles; services (groups of the queue), upstreams (pools of agents) and teams are addressed by
+ * an index that a name keeps for the life of the process.
+ */
+
+#define AZ_ENTRY_NONE UINT32_MAX
+
+/* Agents with more usable grants than this share one bucket of their pool. */
+#define AZ_ENTRY_BUCKETS 64
+
+enum az_entry_task_state
+{
+  AZ_ENTRY_TASK_WAITING,
+  AZ_ENTRY_TASK_DELAYED, /* refused, waits for the retry budget */
+  AZ_ENTRY_TASK_OPEN,    /* START was sent, the fate is open */
+  AZ_ENTRY_TASK_OK,
+  AZ_ENTRY_TASK_FAILED,
+  AZ_ENTRY_TASK_UNKNOWN,
+  AZ_ENTRY_TASK_DROPPED, /* never started and never will */
+};
+
+struct az_entry_task
+{
+  enum az_entry_task_state state;
+  uint32_t attempt;
+  uint32_t agent;
+  az_payload result;
+};
+
+enum az_entry_role
+{
+  AZ_ENTRY_ROLE_OWNER,
+  AZ_ENTRY_ROLE_FORWARDER,
+};
+
+struct az_entry_job
+{
+  char *id;
+  int64_t id_time_ms;
+  uint32_t partition;
+  enum az_entry_role role;
+  bool first_attempt;
+  bool cancelled;
+  uint32_t team;
+  uint32_t group;
+  struct timespec arrived;
+  struct timespec deadline;
+  struct az_submit *request; /* NULL once answered */
+  struct az_entry_task *tasks;
+  uint32_t n_tasks;
+  uint32_t *waiting; /* stack of waiting tasks */
+  uint32_t n_waiting;
+  uint32_t n_delayed;
+  uint32_t n_open;
+  uint32_t n_ok;
+  uint32_t n_failed;
+  uint32_t n_unknown;
+  GArray *waiters; /* uint32_t handles of callers' requests */
+  GArray *peers;   /* uint64_t incarnations of entries that forwarded the job */
+  struct az_answer *answer;
+  struct timespec answered;
+  size_t answer_bytes;
+  /* of a forwarder */
+  uint64_t owner;
+  bool was_forwarded;
+  uint32_t sent_on; /* peer connection that carried SUBMIT, 0 if none */
+};
+
+/* A task whose START went to an agent. Attempts are unique within an entry's incarnation. */
+struct az_entry_open
+{
+  uint32_t attempt;
+  uint32_t job;
+  uint32_t task;
+  uint32_t team;
+  uint64_t grant;
+};
+
+struct az_entry_grant
+{
+  uint64_t id;
+  struct timespec expires;
+};
+
+struct az_entry_agent
+{
+  uint32_t handle;
+  uint64_t incarnation;
+  char *instance;
+  char *domain;
+  uint32_t pool;
+  uint32_t slots;
+  uint32_t connection; /* 0 if none */
+  bool in_service;
+  bool stopping;
+  bool suspected;
+
+  struct timespec heard;
+  struct timespec blocked_until; /* after a refusal that more STARTs would meet as well */
+  uint64_t result_sequence;
+  uint64_t sent_revision;
+  uint64_t sent_table;
+  GArray *idle;  /* struct az_entry_grant */
+  GArray *open;  /* struct az_entry_open */
+  GArray *batch; /* struct az_entry_open, part of the next START */
+  /* place in the pool's buckets */
+  uint32_t placed; /* usable grants counted in the pool */
+  uint32_t next;
+  uint32_t previous;
+  struct az_demand demand; /* last figures sent */
+  struct timespec demand_sent;
+};
+
+struct az_entry_peer
+{
+  uint32_t handle;
+  uint64_t incarnation;
+  char *instance;
+  char *rpc_address;
+  uint32_t connection; /* 0 if none */
+  bool connecting;
+  bool in_roster;
+  struct timespec retry_at;
+  struct timespec down_since;
+  uint64_t revision;
+  uint64_t table_version;
+  bool restored;
+  bool has_acked;
+  struct timespec acked; /* send time, on this clock, of the last exchange answered */
+  uint64_t sent_revision;
+  uint64_t sent_table;
+  GHashTable *claims; /* team index -> struct az_quota_peer */
+};
+
+enum az_entry_link_kind
+{
+  AZ_ENTRY_LINK_NEW,
+  AZ_ENTRY_LINK_AGENT,
+  AZ_ENTRY_LINK_PEER,
+};
+
+struct az_entry_link
+{
+  enum az_entry_link_kind kind;
+  uint32_t handle;
+  bool outgoing;
+  char *address;
+};
+
+/* One service: a group of the team queue. */
+struct az_entry_group
+{
+  char *name;
+  bool configured;
+  struct az_policy policy;
+  GArray *pools; /* uint32_t, upstreams of the service */
+  struct az_run_time *run_times;
+  uint64_t waiting;
+  GQueue arrivals; /* job handles in arrival order, for the age of the oldest */
+};
+
+/* One upstream: agents that announced it, in buckets by number of usable grants. */
+struct az_entry_pool
+{
+  char *name;
+  bool configured;
+  bool in_service;
+  uint32_t slots;
+  uint32_t connections;
+  uint32_t task_timeout_ms;
+  GArray *groups; /* uint32_t */
+  uint32_t buckets[AZ_ENTRY_BUCKETS];
+  uint32_t top; /* no bucket above this one is filled */
+  uint32_t usable;
+  uint64_t connected_slots; /* of agents in service */
+  GArray *agents;           /* uint32_t handles of connected agents */
+  bool has_demand;          /* agents were told of waiting tasks */
+};
+
+struct az_entry_team
+{
+  char *name;
+  bool configured;
+  uint32_t quota;
+  uint32_t weight;
+  uint32_t max_queued;
+  uint32_t claim;
+  GHashTable *services; /* set of group index + 1 */
+};
+
+struct az_entry_request
+{
+  uint32_t job;
+  bool is_fetch;
+  struct timespec until;
+};
+
+struct az_entry_delayed
+{
+  uint32_t job;
+  uint32_t task;
+  struct timespec after;
+};
+
+/* A job put together from agents' records after a takeover. */
+struct az_entry_recovery
+{
+  uint32_t n_tasks;
+  uint32_t n_ok;
+  uint32_t n_failed;
+  struct az_entry_task *tasks;
+};
+
+struct az_entry_counters
+{
+  uint32_t sent[AZ_CANCEL_JOB + 1];
+  uint32_t received[AZ_CANCEL_JOB + 1];
+  uint32_t outcomes[AZ_OUTCOME_UNKNOWN + 1];
+  uint32_t submitted;
+  uint32_t forwarded;
+  uint32_t started;
+  uint32_t retried;
+  uint32_t dropped;
+  uint32_t refused;
+  uint32_t late;
+  uint32_t cancelled;
+  uint32_t duplicate;
+  uint32_t table_writes;
+  uint32_t agents;
+  uint32_t ejected;
+  uint32_t jobs;
+  uint32_t waiting;
+  uint32_t evidence_age;
+};
+
+/* What this entry knows of a partition that it owns. */
+struct az_entry_owned
+{
+  int64_t horizon_ms; /* nothing is known of older ids without a record */
+  int64_t from_ms;    /* -1 if not owned */
+  bool is_pending;    /* until the table version is confirmed */
+};
+
+/* The last reading of the store and the write that may be under way. */
+struct az_entry_store
+{
+  bool seen;
+  bool owners_absent;
+  bool config_rejected; /* the stored document is invalid: a later "unchanged" proves nothing */
+  bool has_sessions;
+  bool write_pending;
+  struct timespec evidence; /* send time of the last read with this entry's state */
+  struct timespec read;     /* send time of the last read */
+  uint64_t index;
+  uint64_t table_version; /* version that @index stands for */
+  GHashTable *sessions;   /* live incarnations: set of uint64_t * */
+  GHashTable *missing;    /* uint64_t * -> struct timespec *, since when a member has no session */
+  struct timespec next_write;
+  struct timespec written; /* when the last write was asked for */
+};
+
+struct az_entry_board
+{
+  struct az_entry_settings settings;
+  uint64_t incarnation;
+  const struct az_clock *clock;
+  GRand *random;
+  struct az_entry_io io;
+  struct az_counters *counters;
+  struct az_event_log *events;
+  struct az_entry_counters count;
+  struct timespec now;
+  int64_t wall_ms;
+  bool stopping;
+  bool restored; /* this entry's state counts towards a majority */
+  bool has_table;
+
+  /* configuration in force */
+  struct az_configuration *configuration;
+  char *document;
+  size_t document_length;
+  uint64_t revision;
+
+  /* owner table in force */
+  struct az_table table;
+  uint64_t confirmed_version;
+  struct az_entry_owned owned[AZ_PARTITIONS];
+  uint64_t recover_partitions;
+  struct timespec recover_until;
+
+  struct az_entry_store store;
+  struct timespec next_exchange;
+  struct timespec next_slow_tick;
+
+  GHashTable *links; /* connection -> struct az_entry_link */
+  struct az_table_rows *agents;
+  GHashTable *agents_by_instance; /* instance -> handle */
+  struct az_table_rows *peers;
+  struct az_table_rows *jobs;
+  GHashTable *jobs_by_id; /* id -> handle */
+  GHashTable *requests;   /* request -> struct az_entry_request */
+  GQueue answered;        /* handles of answered jobs, oldest first */
+  size_t answered_bytes;
+  GQueue delayed; /* struct az_entry_delayed */
+  struct az_entry_heap *timers;
+  uint32_t next_attempt;
+  GHashTable *recoveries; /* id -> struct az_entry_recovery */
+
+  GPtrArray *groups; /* struct az_entry_group */
+  GHashTable *group_by_name;
+  GPtrArray *pools; /* struct az_entry_pool */
+  GHashTable *pool_by_name;
+  GPtrArray *teams; /* struct az_entry_team */
+  GHashTable *team_by_name;
+
+  struct az_team_queue *queue;
+  struct az_ejector *ejector;
+  struct az_retry_budget *retry_budget;
+  uint32_t retry_percent;
+  GArray *dirty; /* handles of agents with a batch */
+  uint32_t next_group;
+};
+
+struct az_entry_board *
+az_entry_board_create (const struct az_entry_settings *settings,
+                       uint64_t incarnation,
+                       const struct az_clock *clock,
+                       GRand *random,
+                       const struct az_entry_io *io);
+void
+az_entry_board_destroy (struct az_entry_board *board);
+
+/** az_entry_board_update_time - reads the clock once for a whole call */
+void
+az_entry_board_update_time (struct az_entry_board *board);
+
+struct az_entry_job *
+az_entry_board_job (const struct az_entry_board *board, uint32_t handle);
+struct az_entry_agent *
+az_entry_board_agent (const struct az_entry_board *board, uint32_t handle);
+struct az_entry_peer *
+az_entry_board_peer (const struct az_entry_board *board, uint32_t handle);
+struct az_entry_group *
+az_entry_board_group (const struct az_entry_board *board, uint32_t group);
+struct az_entry_pool *
+az_entry_board_pool (const struct az_entry_board *board, uint32_t pool);
+struct az_entry_team *
+az_entry_board_team (const struct az_entry_board *board, uint32_t team);
+
+#endif
--- /dev/null
+++ b/src/entry/callers.c
@@ -0,0 +1,83 @@
+#include "azurerock/job_id.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* The answer about an id without a record here. Another entry may own it and know more; callers
+ * get that by submitting the job again. */
+static void
+answer_without_record (struct az_entry_board *board, uint32_t request, const char *id)
+{
+  struct az_entry_origin origin = { .request = request };
+  int64_t time_ms;
+
+  if (!az_job_id_parse (id, &time_ms))
+    az_entry_refuse (board, id, &origin, AZ_OUTCOME_NOT_RUN, "invalid_request",
+                     "the id must be 13 digits, '-' and a token of 8 to 64 characters");
+  else if (board->wall_ms - time_ms > az_entry_retention_ms (board, NULL))
+    az_entry_refuse (board, id, &origin, AZ_OUTCOME_UNKNOWN, "answer_expired",
+                     "the id is older than the time for which answers are kept");
+  else
+    az_entry_refuse (board, id, &origin, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                     "this entry has no record of the job");
+}
+
+void
+az_entry_fetch (struct az_entry_board *board, uint32_t request, const char *id, int64_t wait_ms)
+{
+  uint32_t handle = az_entry_job_find (board, id);
+
+  if (!handle)
+    handle = az_entry_recover_job (board, id);
+  if (handle)
+    az_entry_job_wait (board, handle, request, true, az_time_add_ms (board->now, wait_ms));
+  else
+    answer_without_record (board, request, id);
+}
+
+static void
+send_cancel (struct az_entry_board *board, const char *id)
+{
+  const struct az_entry_peer *peer;
+  struct az_message message = { .proc = AZ_CANCEL_JOB };
+
+  if (!board->has_table)
+    return;
+  peer = az_entry_peer_find (board, az_entry_owner_of (board, id));
+  if (!peer || !peer->connection)
+    return;
+  message.az_message_u.cancel_job.job = (char *)id;
+  az_entry_send (board, peer->connection, &message);
+}
+
+static void
+cancel_forwarded (struct az_entry_board *board, uint32_t handle, const struct az_entry_job *job)
+{
+  if (job->was_forwarded)
+    send_cancel (board, job->id);
+  else
+    az_entry_job_answer (board, handle,
+                         job->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN, "cancelled",
+                         "cancelled before it was sent to its owner");
+}
+
+void
+az_entry_cancel (struct az_entry_board *board, uint32_t request, const char *id)
+{
+  uint32_t handle = az_entry_job_find (board, id);
+  const struct az_entry_job *job = az_entry_board_job (board, handle);
+  int64_t time_ms;
+
+  if (!job)
+    {
+      if (az_job_id_parse (id, &time_ms))
+        send_cancel (board, id);
+      answer_without_record (board, request, id);
+      return;
+    }
+  az_entry_job_wait (board, handle, request, false, board->now);
+  if (job->role == AZ_ENTRY_ROLE_FORWARDER)
+    cancel_forwarded (board, handle, job);
+  else
+    az_entry_job_cancel (board, handle);
+}
--- /dev/null
+++ b/src/entry/core.c
@@ -0,0 +1,183 @@
+#include "entry/core.h"
+#include "azurerock/limits.h"
+#include "entry/agents.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* Checks of agents and of the roster cost a scan of agents or members. */
+#define SLOW_TICK_MS 100
+
+void
+az_entry_settings_init (struct az_entry_settings *settings)
+{
+  *settings = (struct az_entry_settings){
+    .instance = "",
+    .domain = "",
+    .rpc_address = "",
+    .http_address = "",
+    .freshness_limit_ms = AZ_FRESHNESS_LIMIT_MS,
+    .handover_ms = AZ_HANDOVER_MS,
+    .clock_skew_max_ms = AZ_CLOCK_SKEW_MAX_MS,
+    .peer_exchange_ms = AZ_PEER_EXCHANGE_MS,
+    .owner_session_ms = AZ_OWNER_SESSION_MS,
+    .answer_bytes_max = AZ_ANSWER_BYTES_MAX,
+  };
+}
+
+struct az_entry_core *
+az_entry_core_create (const struct az_entry_settings *settings,
+                      uint64_t incarnation,
+                      const struct az_clock *clock,
+                      GRand *random,
+                      const struct az_entry_io *io,
+                      struct az_counters *counters,
+                      struct az_event_log *events)
+{
+  struct az_entry_core *core = g_new0 (struct az_entry_core, 1);
+
+  core->board = az_entry_board_create (settings, incarnation, clock, random, io);
+  core->board->counters = counters;
+  core->board->events = events;
+  az_entry_register_counters (core->board);
+  return core;
+}
+
+void
+az_entry_core_destroy (struct az_entry_core *core)
+{
+  if (!core)
+    return;
+  az_entry_board_destroy (core->board);
+  g_free (core);
+}
+
+void
+az_entry_core_submit (struct az_entry_core *core,
+                      uint32_t request,
+                      const struct az_submit *job,
+                      bool first_attempt)
+{
+  struct az_entry_origin origin = { .request = request, .first_attempt = first_attempt };
+
+  az_entry_board_update_time (core->board);
+  az_entry_submit (core->board, job, &origin);
+}
+
+void
+az_entry_core_fetch (struct az_entry_core *core,
+                     uint32_t request,
+                     const char *job_id,
+                     int64_t wait_ms)
+{
+  struct az_entry_board *board = core->board;
+
+  az_entry_board_update_time (board);
+  az_entry_fetch (board, request, job_id, wait_ms);
+}
+
+void
+az_entry_core_cancel (struct az_entry_core *core, uint32_t request, const char *job_id)
+{
+  az_entry_board_update_time (core->board);
+  az_entry_cancel (core->board, request, job_id);
+}
+
+void
+az_entry_core_forget (struct az_entry_core *core, uint32_t request)
+{
+  az_entry_request_forget (core->board, request);
+}
+
+void
+az_entry_core_store_read (struct az_entry_core *core, const struct az_store_reading *reading)
+{
+  az_entry_board_update_time (core->board);
+  az_entry_store_read (core->board, reading);
+}
+
+void
+az_entry_core_table_written (struct az_entry_core *core, enum az_table_write result, uint64_t index)
+{
+  /* The next read of the store tells the index together with the table. */
+  (void)index;
+  az_entry_board_update_time (core->board);
+  az_entry_table_written (core->board, result);
+}
+
+static void
+run_timers (struct az_entry_board *board)
+{
+  struct az_entry_timer timer;
+
+  while (az_entry_heap_pop (board->timers, board->now, &timer))
+    switch (timer.kind)
+      {
+      case AZ_ENTRY_TIMER_DEADLINE:
+        az_entry_job_expire (board, timer.value);
+        break;
+      case AZ_ENTRY_TIMER_FETCH:
+        az_entry_request_expire (board, timer.value);
+        break;
+      case AZ_ENTRY_TIMER_OWNER:
+        az_entry_forward_check (board, timer.value);
+        break;
+      }
+}
+
+void
+az_entry_core_tick (struct az_entry_core *core)
+{
+  struct az_entry_board *board = core->board;
+
+  az_entry_board_update_time (board);
+  run_timers (board);
+  az_entry_retention_tick (board);
+  az_entry_peers_tick (board);
+  az_entry_delayed_tick (board);
+  if (az_time_compare (board->now, board->next_slow_tick) >= 0)
+    {
+      board->next_slow_tick = az_time_add_ms (board->now, SLOW_TICK_MS);
+      az_entry_agents_tick (board);
+      az_entry_update_gauges (board);
+      az_entry_roster_tick (board);
+    }
+  az_entry_dispatch (board);
+}
+
+void
+az_entry_core_flush (struct az_entry_core *core)
+{
+  az_entry_board_update_time (core->board);
+  az_entry_dispatch (core->board);
+}
+
+void
+az_entry_core_stop (struct az_entry_core *core)
+{
+  az_entry_board_update_time (core->board);
+  core->board->stopping = true;
+}
+
+bool
+az_entry_core_is_drained (const struct az_entry_core *core)
+{
+  return az_entry_is_drained (core->board);
+}
+
+json_t *
+az_entry_core_status (struct az_entry_core *core)
+{
+  az_entry_board_update_time (core->board);
+  return az_entry_status (core->board);
+}
+
+bool
+az_entry_core_is_ready (struct az_entry_core *core)
+{
+  struct az_entry_board *board = core->board;
+
+  az_entry_board_update_time (board);
+  return !board->stopping && board->configuration && board->has_table
+         && az_owner_table_has (&board->table, board->incarnation) && az_entry_is_fresh (board);
+}
--- /dev/null
+++ b/src/entry/demand.c
@@ -0,0 +1,133 @@
+#include "entry/agents.h"
+#include "entry/send.h"
+
+/* At most one DEMAND per agent in this time, unless waiting tasks appear or double. */
+#define DEMAND_INTERVAL_MS 50
+
+/* Jobs whose tasks have all left the queue are taken from the head when they are met. */
+static const struct az_entry_job *
+oldest_job (struct az_entry_board *board, struct az_entry_group *group)
+{
+  while (group->arrivals.length)
+    {
+      const struct az_entry_job *job
+          = az_entry_board_job (board, GPOINTER_TO_UINT (g_queue_peek_head (&group->arrivals)));
+
+      if (job && job->n_waiting)
+        return job;
+      g_queue_pop_head (&group->arrivals);
+    }
+  return NULL;
+}
+
+struct az_demand
+az_entry_demand_of (struct az_entry_board *board, struct az_entry_pool *pool)
+{
+  struct az_demand demand = { 0 };
+
+  for (guint i = 0; i < pool->groups->len; i++)
+    {
+      uint32_t index = g_array_index (pool->groups, uint32_t, i);
+      struct az_entry_group *group = az_entry_board_group (board, index);
+      const struct az_entry_job *oldest = oldest_job (board, group);
+      int64_t age_ms = oldest ? az_time_diff_ms (board->now, oldest->arrived) : 0;
+
+      demand.waiting += group->waiting ? az_team_queue_runnable (board->queue, index) : 0;
+      demand.oldest_ms = MAX (demand.oldest_ms, (uint32_t)age_ms);
+    }
+  if (!demand.waiting)
+    demand.oldest_ms = 0;
+  return demand;
+}
+
+/* That no task waits any more is told with START, or after the interval. */
+static bool
+is_due (const struct az_entry_board *board,
+        const struct az_entry_agent *agent,
+        const struct az_demand *demand)
+{
+  bool is_over = az_time_diff_ms (board->now, agent->demand_sent) >= DEMAND_INTERVAL_MS;
+
+  if (!demand->waiting)
+    return agent->demand.waiting && is_over;
+  if (!agent->demand.waiting || demand->waiting >= 2 * agent->demand.waiting)
+    return true;
+  return is_over;
+}
+
+static void
+send_demand (struct az_entry_board *board,
+             struct az_entry_agent *agent,
+             const struct az_demand *demand)
+{
+  struct az_message message = { .proc = AZ_DEMAND };
+
+  if (!agent->connection || !agent->in_service || agent->stopping || agent->suspected
+      || !is_due (board, agent, demand))
+    return;
+  message.az_message_u.demand = *demand;
+  agent->demand = *demand;
+  agent->demand_sent = board->now;
+  az_entry_send (board, agent->connection, &message);
+}
+
+static struct az_entry_agent *
+agent_at (struct az_entry_board *board, const struct az_entry_pool *pool, guint index)
+{
+  return az_entry_board_agent (board, g_array_index (pool->agents, uint32_t, index));
+}
+
+/* Moves a random sample to the front of the list of agents. */
+static void
+draw_sample (struct az_entry_board *board, struct az_entry_pool *pool)
+{
+  uint32_t *agents = (uint32_t *)(void *)pool->agents->data;
+
+  for (guint i = 0; i < AZ_DEMAND_SAMPLE; i++)
+    {
+      guint other = (guint)g_rand_int_range (board->random, (gint32)i, (gint32)pool->agents->len);
+      uint32_t agent = agents[i];
+
+      agents[i] = agents[other];
+      agents[other] = agent;
+    }
+}
+
+/* Whoever was told of waiting tasks, also in an earlier sample, is told that there are none. */
+static void
+end_demand (struct az_entry_board *board, struct az_entry_pool *pool)
+{
+  const struct az_demand none = { 0 };
+
+  pool->has_demand = false;
+  for (guint i = 0; i < pool->agents->len; i++)
+    {
+      struct az_entry_agent *agent = agent_at (board, pool, i);
+
+      if (agent->demand.waiting)
+        send_demand (board, agent, &none);
+      pool->has_demand |= agent->demand.waiting > 0;
+    }
+}
+
+void
+az_entry_demand_send (struct az_entry_board *board, struct az_entry_pool *pool)
+{
+  struct az_demand demand;
+  guint count = MIN (pool->agents->len, AZ_DEMAND_SAMPLE);
+
+  if (!pool->agents->len)
+    return;
+  demand = az_entry_demand_of (board, pool);
+  if (!demand.waiting || pool->usable)
+    {
+      if (pool->has_demand)
+        end_demand (board, pool);
+      return;
+    }
+  if (!pool->has_demand && pool->agents->len > AZ_DEMAND_SAMPLE)
+    draw_sample (board, pool);
+  pool->has_demand = true;
+  for (guint i = 0; i < count; i++)
+    send_demand (board, agent_at (board, pool, i), &demand);
+}
--- /dev/null
+++ b/src/entry/dispatch.c
@@ -0,0 +1,285 @@
+#include "entry/agents.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* Payloads of one START; half of the longest record leaves room for everything else. */
+#define START_PAYLOAD_MAX (AZ_RECORD_MAX / 2)
+
+static struct az_entry_agent *
+best_agent (struct az_entry_board *board, const struct az_entry_group *group)
+{
+  struct az_entry_agent *best = NULL;
+
+  for (guint i = 0; i < group->pools->len; i++)
+    {
+      struct az_entry_pool *pool
+          = az_entry_board_pool (board, g_array_index (group->pools, uint32_t, i));
+      struct az_entry_agent *agent = pool->usable ? az_entry_grants_best (board, pool) : NULL;
+
+      if (agent && (!best || agent->placed > best->placed))
+        best = agent;
+    }
+  return best;
+}
+
+/* Whether a queued job that has not started can no longer finish in time. */
+static bool
+is_too_late (const struct az_entry_board *board, const struct az_entry_job *job)
+{
+  const struct az_entry_group *group = az_entry_board_group (board, job->group);
+  int64_t remaining_us = az_time_diff_us (job->deadline, board->now);
+
+  if (remaining_us <= 0)
+    return true;
+  if (az_entry_job_has_started (job) || az_run_time_count (group->run_times) < 20)
+    return false;
+  return remaining_us < az_run_time_quantile_us (group->run_times, 100);
+}
+
+static void
+drop_late (struct az_entry_board *board, uint32_t handle, bool has_started)
+{
+  if (has_started)
+    {
+      az_entry_job_expire (board, handle);
+      return;
+    }
+  az_entry_count (board, board->count.dropped, 1);
+  az_entry_job_answer (board, handle, AZ_OUTCOME_NOT_RUN, "deadline_cannot_be_met",
+                       "the remaining time is below the usual run time");
+}
+
+static void
+bind_task (struct az_entry_board *board,
+           struct az_entry_job *job,
+           uint32_t handle,
+           struct az_entry_agent *agent,
+           uint64_t grant)
+{
+  uint32_t index = job->waiting[--job->n_waiting];
+  struct az_entry_open open = { board->next_attempt++, handle, index, job->team, grant };
+  struct az_entry_task *task = &job->tasks[index];
+
+  task->state = AZ_ENTRY_TASK_OPEN;
+  task->attempt = open.attempt;
+  task->agent = agent->handle;
+  job->n_open++;
+  g_array_append_val (agent->open, open);
+  if (!agent->batch->len)
+    g_array_append_val (board->dirty, agent->handle);
+  g_array_append_val (agent->batch, open);
+  az_retry_budget_started (board->retry_budget);
+}
+
+/* Binds one task of the group. Returns false when nothing more can be bound now. */
+static bool
+dispatch_one (struct az_entry_board *board, uint32_t group_index)
+{
+  struct az_entry_group *group = az_entry_board_group (board, group_index);
+  struct az_entry_agent *agent = best_agent (board, group);
+  struct az_entry_job *job;
+  uint32_t team = 0;
+  uint32_t handle;
+  uint64_t grant;
+
+  if (!agent)
+    return false;
+  handle = az_team_queue_pop (board->queue, group_index, &team);
+  job = az_entry_board_job (board, handle);
+  if (!job)
+    return false;
+  if (is_too_late (board, job))
+    {
+      az_team_queue_push_front (board->queue, team, group_index, handle);
+      drop_late (board, handle, az_entry_job_has_started (job));
+      return true;
+    }
+  if (!az_entry_grants_take (board, agent, &grant))
+    {
+      az_team_queue_push_front (board->queue, team, group_index, handle);
+      return true;
+    }
+  group->waiting--;
+  bind_task (board, job, handle, agent, grant);
+  return true;
+}
+
+static void
+fill_task (struct az_entry_board *board,
+           const struct az_entry_open *open,
+           struct az_start_task *start)
+{
+  const struct az_entry_job *job = az_entry_board_job (board, open->job);
+  const struct az_entry_group *group = az_entry_board_group (board, job->group);
+  int64_t remaining_ms = az_time_diff_ms (job->deadline, board->now);
+
+  start->id.job = job->id;
+  start->id.task = open->task;
+  start->id.attempt = open->attempt;
+  start->job_tasks = job->n_tasks;
+  start->grant = open->grant;
+  start->remaining_ms = (uint32_t)MAX (remaining_ms, 0);
+  start->timeout_ms = (uint32_t)group->policy.task_timeout_ms;
+  start->payload = job->request->tasks.tasks_val[open->task].payload;
+}
+
+/* Tasks from @first on that can share a START: same team and service, bounded in size. */
+static guint
+count_alike (struct az_entry_board *board, const GArray *batch, guint first)
+{
+  const struct az_entry_job *head
+      = az_entry_board_job (board, g_array_index (batch, struct az_entry_open, first).job);
+  size_t bytes = 0;
+  guint i;
+
+  for (i = first; i < batch->len && i - first < AZ_MAX_GRANTS; i++)
+    {
+      const struct az_entry_open *open = &g_array_index (batch, struct az_entry_open, i);
+      const struct az_entry_job *job = az_entry_board_job (board, open->job);
+
+      bytes += job->request->tasks.tasks_val[open->task].payload.az_payload_len;
+      if (job->team != head->team || job->group != head->group)
+        break;
+      if (bytes > START_PAYLOAD_MAX && i > first)
+        break;
+    }
+  return i - first;
+}
+
+static void
+send_start (struct az_entry_board *board, struct az_entry_agent *agent, guint first, guint count)
+{
+  const struct az_entry_open *open = &g_array_index (agent->batch, struct az_entry_open, first);
+  const struct az_entry_job *job = az_entry_board_job (board, open->job);
+  struct az_start_task *tasks = g_new (struct az_start_task, count);
+  struct az_message message = { .proc = AZ_START };
+  struct az_start *start = &message.az_message_u.start;
+
+  start->team = az_entry_board_team (board, job->team)->name;
+  start->service = az_entry_board_group (board, job->group)->name;
+  start->tasks.tasks_len = count;
+  start->tasks.tasks_val = tasks;
+  for (guint i = 0; i < count; i++)
+    fill_task (board, open + i, &tasks[i]);
+  start->demand = az_entry_demand_of (board, az_entry_board_pool (board, agent->pool));
+  agent->demand = start->demand;
+  agent->demand_sent = board->now;
+  if (start->demand.waiting)
+    az_entry_board_pool (board, agent->pool)->has_demand = true;
+  az_entry_count (board, board->count.started, count);
+  az_entry_send (board, agent->connection, &message);
+  g_free (tasks);
+}
+
+static void
+send_batches (struct az_entry_board *board)
+{
+  for (guint i = 0; i < board->dirty->len; i++)
+    {
+      struct az_entry_agent *agent
+          = az_entry_board_agent (board, g_array_index (board->dirty, uint32_t, i));
+      guint count;
+
+      for (guint first = 0; first < agent->batch->len; first += count)
+        {
+          count = count_alike (board, agent->batch, first);
+          send_start (board, agent, first, count);
+        }
+      g_array_set_size (agent->batch, 0);
+    }
+  g_array_set_size (board->dirty, 0);
+}
+
+/* One task of each service in turn, so that services that share agents get equal parts. */
+static void
+bind_waiting (struct az_entry_board *board)
+{
+  uint32_t idle = 0;
+
+  while (idle < board->groups->len)
+    {
+      uint32_t group = board->next_group++ % board->groups->len;
+
+      if (az_entry_board_group (board, group)->waiting && dispatch_one (board, group))
+        idle = 0;
+      else
+        idle++;
+    }
+}
+
+void
+az_entry_dispatch (struct az_entry_board *board)
+{
+  if (!board->groups->len || !board->configuration)
+    return;
+  if (!az_entry_is_fresh (board))
+    return;
+  bind_waiting (board);
+  send_batches (board);
+  for (uint32_t i = 0; i < board->pools->len; i++)
+    az_entry_demand_send (board, az_entry_board_pool (board, i));
+}
+
+void
+az_entry_task_retry (struct az_entry_board *board, uint32_t handle, uint32_t task, int64_t delay_ms)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  struct az_entry_delayed *delayed = g_new0 (struct az_entry_delayed, 1);
+
+  job->tasks[task].state = AZ_ENTRY_TASK_DELAYED;
+  job->n_delayed++;
+  delayed->job = handle;
+  delayed->task = task;
+  delayed->after = az_time_add_ms (board->now, delay_ms);
+  g_queue_push_tail (&board->delayed, delayed);
+}
+
+static bool
+is_delayed (const struct az_entry_job *job, uint32_t task)
+{
+  return job && !job->answer && job->tasks[task].state == AZ_ENTRY_TASK_DELAYED;
+}
+
+/* Returns a task to the front of the queue; it counted as running since it was popped. */
+static void
+requeue (struct az_entry_board *board, const struct az_entry_delayed *delayed)
+{
+  struct az_entry_job *job = az_entry_board_job (board, delayed->job);
+  struct az_entry_group *group = az_entry_board_group (board, job->group);
+
+  job->tasks[delayed->task].state = AZ_ENTRY_TASK_WAITING;
+  job->n_delayed--;
+  job->waiting[job->n_waiting++] = delayed->task;
+  group->waiting++;
+  g_queue_push_head (&group->arrivals, GUINT_TO_POINTER (delayed->job));
+  az_team_queue_push_front (board->queue, job->team, job->group, delayed->job);
+  az_entry_count (board, board->count.retried, 1);
+}
+
+void
+az_entry_delayed_tick (struct az_entry_board *board)
+{
+  for (guint left = board->delayed.length; left; left--)
+    {
+      struct az_entry_delayed *delayed = g_queue_pop_head (&board->delayed);
+
+      if (!is_delayed (az_entry_board_job (board, delayed->job), delayed->task))
+        {
+          g_free (delayed);
+          continue;
+        }
+      if (az_time_compare (board->now, delayed->after) < 0)
+        {
+          g_queue_push_tail (&board->delayed, delayed);
+          continue;
+        }
+      if (!az_retry_budget_take (board->retry_budget))
+        {
+          g_queue_push_head (&board->delayed, delayed);
+          return;
+        }
+      requeue (board, delayed);
+      g_free (delayed);
+    }
+}
--- /dev/null
+++ b/src/entry/evidence.c
@@ -0,0 +1,103 @@
+#include "entry/cluster.h"
+#include <stdlib.h>
+
+static bool
+is_newer (const struct az_entry_board *board, const struct az_entry_peer *peer)
+{
+  return peer->revision > board->revision || peer->table_version > board->table.table_version;
+}
+
+static int
+compare_newest_first (const void *a, const void *b)
+{
+  return az_time_compare (*(const struct timespec *)b, *(const struct timespec *)a);
+}
+
+/* Send times of the last exchanges answered by members whose word counts. A member without
+ * partitions may be one that was taken over: a later table can leave it out, so a majority that
+ * needs it need not intersect the members that confirm later versions. */
+static uint32_t
+collect_acked (const struct az_entry_board *board, struct timespec *acked, bool *has_newer)
+{
+  uint32_t count = 0;
+
+  *has_newer = false;
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h;
+       h = az_table_rows_next (board->peers, h))
+    {
+      const struct az_entry_peer *peer = az_entry_board_peer (board, h);
+
+      *has_newer |= is_newer (board, peer);
+      if (peer->in_roster && peer->has_acked && peer->restored && count < AZ_MAX_ENTRIES
+          && az_entry_owns_partitions (board, peer->incarnation))
+        acked[count++] = peer->acked;
+    }
+  qsort (acked, count, sizeof *acked, compare_newest_first);
+  return count;
+}
+
+static bool
+counts_itself (const struct az_entry_board *board)
+{
+  return board->restored && az_owner_table_has (&board->table, board->incarnation)
+         && az_entry_owns_partitions (board, board->incarnation);
+}
+
+static bool
+majority_evidence (const struct az_entry_board *board, bool with_self, struct timespec *evidence)
+{
+  struct timespec acked[AZ_MAX_ENTRIES] = { 0 };
+  uint32_t majority = board->table.roster.roster_len / 2 + 1;
+  uint32_t needed = majority - (with_self ? 1 : 0);
+  bool has_newer;
+  uint32_t count = collect_acked (board, acked, &has_newer);
+
+  if (!board->has_table || !board->configuration || has_newer || count < needed)
+    return false;
+  *evidence = needed ? acked[needed - 1] : board->now;
+  return true;
+}
+
+bool
+az_entry_evidence (const struct az_entry_board *board, struct timespec *evidence)
+{
+  struct timespec from_peers;
+  bool has_peers = majority_evidence (board, counts_itself (board), &from_peers);
+  bool has_store = board->store.seen && board->has_table && board->configuration;
+
+  if (!has_peers && !has_store)
+    return false;
+  if (has_store)
+    *evidence = board->store.evidence;
+  if (has_peers && (!has_store || az_time_compare (from_peers, *evidence) > 0))
+    *evidence = from_peers;
+  return true;
+}
+
+uint32_t
+az_entry_evidence_age_ms (const struct az_entry_board *board)
+{
+  struct timespec evidence;
+  int64_t age_ms;
+
+  if (!az_entry_evidence (board, &evidence))
+    return G_MAXUINT32;
+  age_ms = az_time_diff_ms (board->now, evidence);
+  /* Rounded up: the age that an agent subtracts must not be too small. */
+  return (uint32_t)CLAMP (age_ms + 1, 0, (int64_t)G_MAXUINT32);
+}
+
+bool
+az_entry_is_fresh (const struct az_entry_board *board)
+{
+  return az_entry_evidence_age_ms (board) <= board->settings.freshness_limit_ms;
+}
+
+void
+az_entry_check_restored (struct az_entry_board *board)
+{
+  struct timespec evidence;
+
+  if (!board->restored && majority_evidence (board, false, &evidence))
+    board->restored = true;
+}
--- /dev/null
+++ b/src/entry/forward.c
@@ -0,0 +1,136 @@
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+#include <string.h>
+
+/* How long a job waits for the connection to its owner before the caller is told. */
+#define OWNER_WAIT_MS 1000
+
+/* Pause before a job is offered again after its target said that it is not the owner. */
+#define OWNER_DISAGREES_MS 100
+
+/* The owner's deadline is earlier by this, so that its answer arrives before ours has passed. */
+#define FORWARD_MARGIN_MS 5
+
+static void
+send_submit (struct az_entry_board *board,
+             struct az_entry_job *job,
+             const struct az_entry_peer *peer)
+{
+  struct az_message message = { .proc = AZ_SUBMIT };
+  int64_t remaining_ms = az_time_diff_ms (job->deadline, board->now);
+
+  message.az_message_u.submit = *job->request;
+  message.az_message_u.submit.deadline_ms = (uint32_t)MAX (remaining_ms - FORWARD_MARGIN_MS, 1);
+  job->sent_on = peer->connection;
+  if (!job->was_forwarded)
+    az_entry_count (board, board->count.forwarded, 1);
+  job->was_forwarded = true;
+  az_entry_send (board, peer->connection, &message);
+}
+
+static void
+arm_owner_timer (struct az_entry_board *board, uint32_t handle, int64_t delay_ms)
+{
+  struct az_entry_timer timer
+      = { az_time_add_ms (board->now, delay_ms), AZ_ENTRY_TIMER_OWNER, handle };
+
+  az_entry_heap_push (board->timers, &timer);
+}
+
+/* This entry became the owner while the job waited. Ids of the new interval are above the
+ * horizon only if no other entry could start them. */
+static void
+become_owner (struct az_entry_board *board, uint32_t handle)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (job->was_forwarded)
+    return;
+  az_entry_job_answer (board, handle, job->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN,
+                       "owner_unavailable", "the owner of the id changed");
+}
+
+void
+az_entry_forward (struct az_entry_board *board, uint32_t handle)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  const struct az_entry_peer *peer;
+
+  if (!job || job->answer || job->role != AZ_ENTRY_ROLE_FORWARDER)
+    return;
+  job->owner = az_entry_owner_of (board, job->id);
+  if (job->owner == board->incarnation)
+    {
+      become_owner (board, handle);
+      return;
+    }
+  peer = az_entry_peer_find (board, job->owner);
+  if (peer && peer->connection && job->sent_on != peer->connection)
+    send_submit (board, job, peer);
+  else if (!peer || !peer->connection)
+    arm_owner_timer (board, handle, OWNER_WAIT_MS);
+}
+
+void
+az_entry_forward_all (struct az_entry_board *board, uint64_t peer)
+{
+  uint32_t next;
+
+  for (uint32_t h = az_table_rows_next (board->jobs, 0); h; h = next)
+    {
+      const struct az_entry_job *job = az_entry_board_job (board, h);
+
+      next = az_table_rows_next (board->jobs, h);
+      if (job->role == AZ_ENTRY_ROLE_FORWARDER && (!peer || job->owner == peer))
+        az_entry_forward (board, h);
+    }
+}
+
+void
+az_entry_forward_check (struct az_entry_board *board, uint32_t handle)
+{
+  const struct az_entry_job *job = az_entry_board_job (board, handle);
+  const struct az_entry_peer *peer;
+
+  if (!job || job->answer || job->role != AZ_ENTRY_ROLE_FORWARDER)
+    return;
+  peer = az_entry_peer_find (board, job->owner);
+  if (peer && peer->connection)
+    az_entry_forward (board, handle);
+  else if (!job->was_forwarded)
+    az_entry_job_answer (board, handle,
+                         job->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN,
+                         "owner_unavailable", "the owner of the id can't be reached");
+}
+
+/* The target has no record, but an earlier target may have: only an owner's word counts. */
+static void
+offer_again (struct az_entry_board *board, uint32_t handle)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  job->sent_on = 0;
+  arm_owner_timer (board, handle, OWNER_DISAGREES_MS);
+}
+
+void
+az_entry_received_answer (struct az_entry_board *board, const struct az_answer *answer)
+{
+  uint32_t handle = az_entry_job_find (board, answer->job);
+  const struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (!job || job->role != AZ_ENTRY_ROLE_FORWARDER)
+    {
+      az_entry_count (board, board->count.late, 1);
+      return;
+    }
+  if (!strcmp (answer->code, "not_owner"))
+    {
+      offer_again (board, handle);
+      return;
+    }
+  az_entry_job_deliver (board, handle, answer);
+  if (az_entry_job_find (board, answer->job) == handle)
+    az_entry_job_remove (board, handle);
+}
--- /dev/null
+++ b/src/entry/grants.c
@@ -0,0 +1,189 @@
+#include "entry/agents.h"
+#include "entry/send.h"
+
+/* A grant expires on the agent's clock. The entry stops using it earlier, since neither the time
+ * that GRANT took nor the time that START will take is known. */
+#define EXPIRY_MARGIN_MS 250
+
+static uint32_t
+bucket_of (uint32_t usable)
+{
+  return MIN (usable, AZ_ENTRY_BUCKETS - 1);
+}
+
+static void
+unlink_agent (struct az_entry_board *board,
+              struct az_entry_pool *pool,
+              struct az_entry_agent *agent)
+{
+  struct az_entry_agent *next = az_entry_board_agent (board, agent->next);
+  struct az_entry_agent *previous = az_entry_board_agent (board, agent->previous);
+
+  if (!agent->placed)
+    return;
+  if (previous)
+    previous->next = agent->next;
+  else
+    pool->buckets[bucket_of (agent->placed)] = agent->next;
+  if (next)
+    next->previous = agent->previous;
+  pool->usable -= agent->placed;
+  agent->placed = 0;
+  agent->next = 0;
+  agent->previous = 0;
+}
+
+static void
+link_agent (struct az_entry_board *board,
+            struct az_entry_pool *pool,
+            struct az_entry_agent *agent,
+            uint32_t usable)
+{
+  uint32_t bucket = bucket_of (usable);
+  struct az_entry_agent *first = az_entry_board_agent (board, pool->buckets[bucket]);
+
+  agent->placed = usable;
+  agent->next = pool->buckets[bucket];
+  if (first)
+    first->previous = agent->handle;
+  pool->buckets[bucket] = agent->handle;
+  pool->usable += usable;
+  pool->top = MAX (pool->top, bucket);
+}
+
+static uint32_t
+usable_grants (struct az_entry_board *board, const struct az_entry_agent *agent)
+{
+  if (!agent->connection || !agent->in_service || agent->stopping || agent->suspected
+      || !agent->idle->len || az_time_compare (board->now, agent->blocked_until) < 0)
+    return 0;
+  /* A member that was ejected gets one probe at a time. */
+  if (az_ejector_n_ejected (board->ejector)
+      && az_ejector_is_ejected (board->ejector, agent->handle))
+    return az_ejector_may_start (board->ejector, agent->handle) ? 1 : 0;
+  return agent->idle->len;
+}
+
+void
+az_entry_grants_place (struct az_entry_board *board, struct az_entry_agent *agent)
+{
+  struct az_entry_pool *pool = az_entry_board_pool (board, agent->pool);
+  uint32_t usable = usable_grants (board, agent);
+
+  if (usable == agent->placed)
+    return;
+  unlink_agent (board, pool, agent);
+  if (usable)
+    link_agent (board, pool, agent, usable);
+}
+
+void
+az_entry_grants_drop (struct az_entry_board *board, struct az_entry_agent *agent)
+{
+  g_array_set_size (agent->idle, 0);
+  az_entry_grants_place (board, agent);
+}
+
+struct az_entry_agent *
+az_entry_grants_best (struct az_entry_board *board, struct az_entry_pool *pool)
+{
+  while (pool->top && !pool->buckets[pool->top])
+    pool->top--;
+  return az_entry_board_agent (board, pool->buckets[pool->top]);
+}
+
+bool
+az_entry_grants_take (struct az_entry_board *board, struct az_entry_agent *agent, uint64_t *grant)
+{
+  bool taken = false;
+
+  while (!taken && agent->idle->len)
+    {
+      const struct az_entry_grant *last
+          = &g_array_index (agent->idle, struct az_entry_grant, agent->idle->len - 1);
+
+      *grant = last->id;
+      taken = az_time_compare (board->now, last->expires) < 0;
+      g_array_set_size (agent->idle, agent->idle->len - 1);
+    }
+  if (taken && az_ejector_n_ejected (board->ejector))
+    az_ejector_started (board->ejector, agent->handle);
+  az_entry_grants_place (board, agent);
+  return taken;
+}
+
+void
+az_entry_grants_expire (struct az_entry_board *board, struct az_entry_agent *agent)
+{
+  for (guint i = agent->idle->len; i > 0; i--)
+    if (az_time_compare (board->now,
+                         g_array_index (agent->idle, struct az_entry_grant, i - 1).expires)
+        >= 0)
+      g_array_remove_index_fast (agent->idle, i - 1);
+}
+
+static struct az_entry_grant *
+find_idle (struct az_entry_agent *agent, uint64_t id)
+{
+  for (guint i = 0; i < agent->idle->len; i++)
+    if (g_array_index (agent->idle, struct az_entry_grant, i).id == id)
+      return &g_array_index (agent->idle, struct az_entry_grant, i);
+  return NULL;
+}
+
+/* A renewal may cross the START that used the grant. */
+static bool
+is_used (const struct az_entry_agent *agent, uint64_t id)
+{
+  for (guint i = 0; i < agent->open->len; i++)
+    if (g_array_index (agent->open, struct az_entry_open, i).grant == id)
+      return true;
+  return false;
+}
+
+void
+az_entry_grants_add (struct az_entry_board *board,
+                     struct az_entry_agent *agent,
+                     const struct az_grant *grants,
+                     uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      int64_t life_ms = (int64_t)grants[i].remaining_ms - EXPIRY_MARGIN_MS;
+      struct az_entry_grant grant = { grants[i].id, az_time_add_ms (board->now, life_ms) };
+      struct az_entry_grant *known = find_idle (agent, grant.id);
+
+      if (known)
+        known->expires = grant.expires;
+      else if (agent->in_service && !is_used (agent, grant.id))
+        g_array_append_val (agent->idle, grant);
+    }
+  if (count)
+    az_entry_grants_place (board, agent);
+}
+
+void
+az_entry_received_recall (struct az_entry_board *board,
+                          struct az_entry_agent *agent,
+                          const struct az_grant_ids *recall)
+{
+  struct az_message message = { .proc = AZ_RETURN };
+  GArray *ids = g_array_new (FALSE, FALSE, sizeof (u_quad_t));
+
+  for (uint32_t i = 0; i < recall->ids.ids_len; i++)
+    {
+      struct az_entry_grant *grant = find_idle (agent, recall->ids.ids_val[i]);
+
+      if (!grant)
+        continue;
+      g_array_append_val (ids, recall->ids.ids_val[i]);
+      g_array_remove_index_fast (
+          agent->idle, (guint)(grant - (struct az_entry_grant *)(void *)agent->idle->data));
+    }
+  az_entry_grants_place (board, agent);
+  message.az_message_u.returned.ids.ids_len = ids->len;
+  message.az_message_u.returned.ids.ids_val = (u_quad_t *)(void *)ids->data;
+  if (ids->len)
+    az_entry_send (board, agent->connection, &message);
+  g_array_unref (ids);
+}
--- /dev/null
+++ b/src/entry/ownership.c
@@ -0,0 +1,87 @@
+#include "azurerock/job_id.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+
+uint64_t
+az_entry_owner_of (const struct az_entry_board *board, const char *id)
+{
+  uint64_t owner = az_owner_table_owner (&board->table, id);
+
+  /* Nobody has records of an interval whose owner has left; its successor says so. */
+  if (!az_owner_table_has (&board->table, owner))
+    return board->table.partitions.partitions_val[az_job_id_partition (id)].owner;
+  return owner;
+}
+
+bool
+az_entry_owns_partitions (const struct az_entry_board *board, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < board->table.partitions.partitions_len; i++)
+    if (board->table.partitions.partitions_val[i].owner == incarnation)
+      return true;
+  return false;
+}
+
+static bool
+has_reported (const struct az_entry_board *board, uint64_t incarnation, uint64_t version)
+{
+  const struct az_entry_peer *peer;
+
+  if (incarnation == board->incarnation)
+    return true;
+  peer = az_entry_peer_find (board, incarnation);
+  return peer && peer->table_version >= version;
+}
+
+static bool
+is_confirmed (const struct az_entry_board *board)
+{
+  uint64_t version = board->table.table_version;
+  uint32_t counted = 0;
+  uint32_t reported = 0;
+
+  for (uint32_t i = 0; i < board->table.roster.roster_len; i++)
+    {
+      const struct az_roster_entry *member = &board->table.roster.roster_val[i];
+
+      if (member->joined >= version)
+        continue;
+      counted++;
+      reported += has_reported (board, member->incarnation, version);
+    }
+  return reported >= (counted + 1) / 2;
+}
+
+static void
+set_horizon (struct az_entry_board *board, uint32_t partition)
+{
+  const struct az_partition *row = &board->table.partitions.partitions_val[partition];
+
+  board->owned[partition].is_pending = false;
+  /* Partitions of the first table had no owner before, so no older id can have run. */
+  if (row->from_ms == 0 && row->previous == 0)
+    {
+      board->owned[partition].horizon_ms = 0;
+      return;
+    }
+  board->owned[partition].horizon_ms
+      = MAX ((int64_t)row->from_ms, board->wall_ms + board->settings.handover_ms);
+  if (row->previous)
+    board->recover_partitions |= 1ULL << partition;
+}
+
+void
+az_entry_confirm (struct az_entry_board *board)
+{
+  uint64_t known = board->recover_partitions;
+
+  if (!board->has_table || board->confirmed_version >= board->table.table_version
+      || !is_confirmed (board))
+    return;
+  board->confirmed_version = board->table.table_version;
+  for (uint32_t i = 0; i < AZ_PARTITIONS; i++)
+    if (board->owned[i].is_pending)
+      set_horizon (board, i);
+  if (board->recover_partitions != known)
+    az_entry_recover_start (board, NULL);
+}
--- /dev/null
+++ b/src/entry/peers.c
@@ -0,0 +1,230 @@
+#include "azurerock/log.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+#include <string.h>
+
+/* Pause before another attempt to connect to a peer. */
+#define RECONNECT_MS 500
+
+struct az_entry_peer *
+az_entry_peer_find (const struct az_entry_board *board, uint64_t incarnation)
+{
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h;
+       h = az_table_rows_next (board->peers, h))
+    {
+      struct az_entry_peer *peer = az_entry_board_peer (board, h);
+
+      if (peer->incarnation == incarnation)
+        return peer;
+    }
+  return NULL;
+}
+
+static struct az_entry_peer *
+add_peer (struct az_entry_board *board, uint64_t incarnation, const char *instance)
+{
+  struct az_entry_peer *peer;
+  void *row;
+  uint32_t handle = az_table_rows_add (board->peers, &row);
+
+  peer = row;
+  peer->handle = handle;
+  peer->incarnation = incarnation;
+  peer->instance = g_strdup (instance);
+  peer->retry_at = board->now;
+  peer->down_since = board->now;
+  peer->claims = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return peer;
+}
+
+static void
+remove_peer (struct az_entry_board *board, struct az_entry_peer *peer)
+{
+  g_free (peer->instance);
+  g_free (peer->rpc_address);
+  g_hash_table_destroy (peer->claims);
+  az_table_rows_remove (board->peers, peer->handle);
+}
+
+static void
+update_member (struct az_entry_board *board, const struct az_roster_entry *member)
+{
+  struct az_entry_peer *peer = az_entry_peer_find (board, member->incarnation);
+
+  if (member->incarnation == board->incarnation)
+    return;
+  if (!peer)
+    peer = add_peer (board, member->incarnation, member->instance);
+  peer->in_roster = true;
+  g_free (peer->rpc_address);
+  peer->rpc_address = g_strdup (member->rpc_address);
+}
+
+void
+az_entry_peers_update (struct az_entry_board *board)
+{
+  uint32_t next;
+
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h;
+       h = az_table_rows_next (board->peers, h))
+    az_entry_board_peer (board, h)->in_roster = false;
+  for (uint32_t i = 0; i < board->table.roster.roster_len; i++)
+    update_member (board, &board->table.roster.roster_val[i]);
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h; h = next)
+    {
+      struct az_entry_peer *peer = az_entry_board_peer (board, h);
+
+      next = az_table_rows_next (board->peers, h);
+      if (!peer->in_roster && !peer->connection)
+        remove_peer (board, peer);
+    }
+}
+
+static void
+send_hello (struct az_entry_board *board, uint32_t connection)
+{
+  struct az_message message = { .proc = AZ_PEER_HELLO };
+
+  message.az_message_u.peer_hello.incarnation = board->incarnation;
+  message.az_message_u.peer_hello.instance = (char *)board->settings.instance;
+  az_entry_send (board, connection, &message);
+}
+
+void
+az_entry_peer_opened (struct az_entry_board *board, uint32_t connection)
+{
+  send_hello (board, connection);
+}
+
+static void
+send_state (struct az_entry_board *board, const struct az_entry_peer *peer);
+
+const char *
+az_entry_received_peer_hello (struct az_entry_board *board,
+                              uint32_t connection,
+                              const struct az_peer_hello *hello)
+{
+  struct az_entry_link *link = g_hash_table_lookup (board->links, GUINT_TO_POINTER (connection));
+  struct az_entry_peer *peer = az_entry_peer_find (board, hello->incarnation);
+  struct az_entry_link *old;
+
+  if (link->kind != AZ_ENTRY_LINK_NEW)
+    return "PEER_HELLO on an identified connection";
+  if (hello->incarnation == board->incarnation)
+    return "PEER_HELLO with this entry's own incarnation";
+  if (!peer)
+    peer = add_peer (board, hello->incarnation, hello->instance);
+  old = g_hash_table_lookup (board->links, GUINT_TO_POINTER (peer->connection));
+  if (old && peer->connection)
+    old->kind = AZ_ENTRY_LINK_NEW;
+  link->kind = AZ_ENTRY_LINK_PEER;
+  link->handle = peer->handle;
+  peer->connection = connection;
+  peer->connecting = false;
+  peer->sent_revision = 0;
+  peer->sent_table = 0;
+  if (!link->outgoing)
+    send_hello (board, connection);
+  send_state (board, peer);
+  az_entry_forward_all (board, peer->incarnation);
+  return NULL;
+}
+
+void
+az_entry_peer_closed (struct az_entry_board *board, uint32_t handle)
+{
+  struct az_entry_peer *peer = az_entry_board_peer (board, handle);
+
+  if (!peer)
+    return;
+  peer->connection = 0;
+  peer->connecting = false;
+  peer->retry_at = az_time_add_ms (board->now, RECONNECT_MS);
+  peer->down_since = board->now;
+  if (!peer->in_roster)
+    remove_peer (board, peer);
+}
+
+void
+az_entry_peer_unreachable (struct az_entry_board *board, const char *address)
+{
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h;
+       h = az_table_rows_next (board->peers, h))
+    {
+      struct az_entry_peer *peer = az_entry_board_peer (board, h);
+
+      if (peer->connection || !peer->rpc_address || strcmp (peer->rpc_address, address) != 0)
+        continue;
+      peer->connecting = false;
+      peer->retry_at = az_time_add_ms (board->now, RECONNECT_MS);
+    }
+}
+
+static void
+fill_claims (const struct az_entry_board *board, struct az_peer_state *state)
+{
+  uint32_t count = MIN (board->teams->len, AZ_MAX_TEAMS);
+
+  state->claims.claims_val = g_new0 (struct az_team_claim, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct az_entry_team *team = az_entry_board_team (board, i);
+      struct az_team_claim *claim = &state->claims.claims_val[state->claims.claims_len];
+
+      if (!team->configured)
+        continue;
+      claim->team = team->name;
+      claim->claim = team->claim;
+      claim->running = az_team_queue_running (board->queue, i);
+      claim->waiting = az_team_queue_waiting (board->queue, i);
+      state->claims.claims_len++;
+    }
+}
+
+static void
+send_state (struct az_entry_board *board, const struct az_entry_peer *peer)
+{
+  struct az_message message = { .proc = AZ_PEER_STATE };
+  struct az_peer_state *state = &message.az_message_u.peer_state;
+
+  state->sent_ns = (u_quad_t)az_time_to_ns (board->now);
+  state->revision = board->revision;
+  state->table_version = board->table.table_version;
+  state->restored = board->restored;
+  fill_claims (board, state);
+  az_entry_send (board, peer->connection, &message);
+  g_free (state->claims.claims_val);
+}
+
+/* The entry with the lower incarnation connects. */
+static void
+connect_peer (struct az_entry_board *board, struct az_entry_peer *peer)
+{
+  if (peer->connection || peer->connecting || !peer->in_roster
+      || peer->incarnation < board->incarnation || az_time_compare (board->now, peer->retry_at) < 0)
+    return;
+  peer->connecting = true;
+  board->io.connect (board->io.context, peer->rpc_address);
+}
+
+void
+az_entry_peers_tick (struct az_entry_board *board)
+{
+  bool is_due = az_time_compare (board->now, board->next_exchange) >= 0;
+
+  if (is_due)
+    {
+      board->next_exchange = az_time_add_ms (board->now, board->settings.peer_exchange_ms);
+      az_entry_quota_update (board);
+    }
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h;
+       h = az_table_rows_next (board->peers, h))
+    {
+      struct az_entry_peer *peer = az_entry_board_peer (board, h);
+
+      connect_peer (board, peer);
+      if (is_due && peer->connection)
+        send_state (board, peer);
+    }
+}
--- /dev/null
+++ b/src/entry/plans.c
@@ -0,0 +1,238 @@
+#include "entry/cluster.h"
+#include <string.h>
+
+/* A partition that changed hands this recently is not moved again: only one previous owner is
+ * kept, and ids of the one before would become unknown. */
+#define SETTLED_MS 60000
+
+/* A dead member stays in the roster until the ids of its interval are this old. */
+#define REMOVAL_DELAY_MS 10000
+
+static struct az_roster_entry *
+find_member (const struct az_table *table, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < table->roster.roster_len; i++)
+    if (table->roster.roster_val[i].incarnation == incarnation)
+      return &table->roster.roster_val[i];
+  return NULL;
+}
+
+static uint32_t
+count_owned (const struct az_table *table, uint64_t incarnation)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < table->partitions.partitions_len; i++)
+    count += table->partitions.partitions_val[i].owner == incarnation;
+  return count;
+}
+
+static uint32_t
+count_live (const struct az_entry_board *board, const struct az_table *table)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < table->roster.roster_len; i++)
+    count += az_entry_is_live (board, table->roster.roster_val[i].incarnation);
+  return MAX (count, 1);
+}
+
+void
+az_entry_plan_move (const struct az_entry_board *board,
+                    struct az_partition *partition,
+                    uint64_t owner)
+{
+  int64_t from_ms = board->wall_ms + board->settings.handover_ms;
+  int64_t surely_future_ms = board->wall_ms + 2 * board->settings.clock_skew_max_ms;
+
+  /* An owner whose interval has not begun has run nothing; the one before it keeps its own. */
+  if ((int64_t)partition->from_ms > surely_future_ms)
+    from_ms = MAX (from_ms, (int64_t)partition->from_ms);
+  else
+    partition->previous = partition->owner;
+  partition->owner = owner;
+  partition->from_ms = (uint64_t)from_ms;
+}
+
+static void
+set_member (const struct az_entry_board *board, struct az_roster_entry *member)
+{
+  g_free (member->instance);
+  g_free (member->domain);
+  g_free (member->rpc_address);
+  g_free (member->http_address);
+  member->incarnation = board->incarnation;
+  member->instance = g_strdup (board->settings.instance);
+  member->domain = g_strdup (board->settings.domain);
+  member->rpc_address = g_strdup (board->settings.rpc_address);
+  member->http_address = g_strdup (board->settings.http_address);
+}
+
+bool
+az_entry_plan_replace (const struct az_entry_board *board, struct az_table *table)
+{
+  for (uint32_t i = 0; i < table->roster.roster_len; i++)
+    {
+      struct az_roster_entry *member = &table->roster.roster_val[i];
+      uint64_t ended = member->incarnation;
+
+      if (strcmp (member->instance, board->settings.instance) != 0)
+        continue;
+      set_member (board, member);
+      for (uint32_t p = 0; p < table->partitions.partitions_len; p++)
+        if (table->partitions.partitions_val[p].owner == ended)
+          az_entry_plan_move (board, &table->partitions.partitions_val[p], board->incarnation);
+      return true;
+    }
+  return false;
+}
+
+static bool
+is_movable (const struct az_entry_board *board, const struct az_partition *partition)
+{
+  int64_t from_ms = (int64_t)partition->from_ms;
+
+  return from_ms > board->wall_ms + 2 * board->settings.clock_skew_max_ms
+         || from_ms + SETTLED_MS < board->wall_ms;
+}
+
+/* Takes partitions from members that have more than an equal part. */
+bool
+az_entry_plan_share (const struct az_entry_board *board, struct az_table *table)
+{
+  uint32_t part = AZ_PARTITIONS / count_live (board, table);
+  uint32_t owned = count_owned (table, board->incarnation);
+  uint32_t taken = 0;
+
+  for (uint32_t p = 0; p < table->partitions.partitions_len && owned + taken < part; p++)
+    {
+      struct az_partition *partition = &table->partitions.partitions_val[p];
+
+      if (partition->owner == board->incarnation || !is_movable (board, partition)
+          || count_owned (table, partition->owner) <= part)
+        continue;
+      az_entry_plan_move (board, partition, board->incarnation);
+      taken++;
+    }
+  return taken > 0;
+}
+
+bool
+az_entry_plan_join (const struct az_entry_board *board, struct az_table *table)
+{
+  uint32_t count = table->roster.roster_len;
+  struct az_roster_entry *member;
+
+  if (count >= AZ_MAX_ENTRIES)
+    return false;
+  table->roster.roster_val
+      = g_realloc_n (table->roster.roster_val, count + 1, sizeof (struct az_roster_entry));
+  member = &table->roster.roster_val[count];
+  memset (member, 0, sizeof *member);
+  set_member (board, member);
+  member->joined = table->table_version;
+  table->roster.roster_len = count + 1;
+  az_entry_plan_share (board, table);
+  return true;
+}
+
+static uint64_t
+least_loaded (const struct az_entry_board *board, const struct az_table *table, uint64_t except)
+{
+  uint64_t best = 0;
+  uint32_t best_owned = UINT32_MAX;
+
+  for (uint32_t i = 0; i < table->roster.roster_len; i++)
+    {
+      uint64_t member = table->roster.roster_val[i].incarnation;
+      uint32_t owned = count_owned (table, member);
+
+      if (member == except || !az_entry_is_live (board, member) || owned >= best_owned)
+        continue;
+      best = member;
+      best_owned = owned;
+    }
+  return best;
+}
+
+bool
+az_entry_plan_takeover (const struct az_entry_board *board, struct az_table *table)
+{
+  bool changed = false;
+
+  for (uint32_t p = 0; p < table->partitions.partitions_len; p++)
+    {
+      struct az_partition *partition = &table->partitions.partitions_val[p];
+
+      if (az_entry_is_live (board, partition->owner))
+        continue;
+      az_entry_plan_move (board, partition, least_loaded (board, table, partition->owner));
+      changed = true;
+    }
+  return changed;
+}
+
+static bool
+is_needed (const struct az_entry_board *board, const struct az_table *table, uint64_t member)
+{
+  for (uint32_t p = 0; p < table->partitions.partitions_len; p++)
+    {
+      const struct az_partition *partition = &table->partitions.partitions_val[p];
+
+      if (partition->owner == member)
+        return true;
+      if (partition->previous == member
+          && (int64_t)partition->from_ms + REMOVAL_DELAY_MS > board->wall_ms)
+        return true;
+    }
+  return false;
+}
+
+static void
+remove_member (struct az_table *table, uint32_t index)
+{
+  struct az_roster_entry *member = &table->roster.roster_val[index];
+
+  g_free (member->instance);
+  g_free (member->domain);
+  g_free (member->rpc_address);
+  g_free (member->http_address);
+  table->roster.roster_len--;
+  memmove (member, member + 1, (table->roster.roster_len - index) * sizeof *member);
+}
+
+/* One member per version, so that half of those that remain meets every majority before. */
+bool
+az_entry_plan_removal (const struct az_entry_board *board, struct az_table *table)
+{
+  for (uint32_t i = 0; i < table->roster.roster_len; i++)
+    {
+      uint64_t member = table->roster.roster_val[i].incarnation;
+
+      if (az_entry_is_live (board, member) || is_needed (board, table, member))
+        continue;
+      remove_member (table, i);
+      return true;
+    }
+  return false;
+}
+
+bool
+az_entry_plan_stop (const struct az_entry_board *board, struct az_table *table)
+{
+  bool changed = false;
+
+  if (!find_member (table, board->incarnation))
+    return false;
+  for (uint32_t p = 0; p < table->partitions.partitions_len; p++)
+    {
+      struct az_partition *partition = &table->partitions.partitions_val[p];
+      uint64_t heir = least_loaded (board, table, board->incarnation);
+
+      if (partition->owner != board->incarnation || !heir)
+        continue;
+      az_entry_plan_move (board, partition, heir);
+      changed = true;
+    }
+  return changed;
+}
--- /dev/null
+++ b/src/entry/quota.c
@@ -0,0 +1,67 @@
+#include "entry/agents.h"
+#include "entry/cluster.h"
+
+static uint32_t
+collect_peers (const struct az_entry_board *board, uint32_t team, struct az_quota_peer *reports)
+{
+  uint32_t count = 0;
+
+  for (uint32_t h = az_table_rows_next (board->peers, 0); h && count < AZ_MAX_ENTRIES;
+       h = az_table_rows_next (board->peers, h))
+    {
+      const struct az_entry_peer *peer = az_entry_board_peer (board, h);
+      const struct az_quota_peer *report;
+
+      if (!peer->in_roster)
+        continue;
+      report = g_hash_table_lookup (peer->claims, GUINT_TO_POINTER (team + 1));
+      reports[count] = report ? *report : (struct az_quota_peer){ 0 };
+      reports[count].is_after = peer->incarnation > board->incarnation;
+      count++;
+    }
+  return count;
+}
+
+void
+az_entry_quota_update (struct az_entry_board *board)
+{
+  struct az_quota_peer reports[AZ_MAX_ENTRIES];
+
+  for (uint32_t i = 0; i < board->teams->len; i++)
+    {
+      struct az_entry_team *team = az_entry_board_team (board, i);
+      uint32_t count = collect_peers (board, i, reports);
+
+      if (!team->configured)
+        continue;
+      /* Without other entries nobody else can claim. */
+      if (!count)
+        team->claim = team->quota;
+      else
+        team->claim
+            = az_quota_share (team->quota, team->claim, az_team_queue_running (board->queue, i),
+                              az_team_queue_waiting (board->queue, i), reports, count);
+      az_team_queue_set_slot_limit (board->queue, i, team->claim);
+    }
+}
+
+void
+az_entry_quota_received (struct az_entry_board *board,
+                         struct az_entry_peer *peer,
+                         const struct az_peer_state *state)
+{
+  for (uint32_t i = 0; i < state->claims.claims_len; i++)
+    {
+      const struct az_team_claim *claim = &state->claims.claims_val[i];
+      struct az_quota_peer *report;
+      void *team;
+
+      if (!g_hash_table_lookup_extended (board->team_by_name, claim->team, NULL, &team))
+        continue;
+      report = g_new0 (struct az_quota_peer, 1);
+      report->claim = claim->claim;
+      report->running = claim->running;
+      report->waiting = claim->waiting;
+      g_hash_table_replace (peer->claims, GUINT_TO_POINTER (GPOINTER_TO_UINT (team) + 1), report);
+    }
+}
--- /dev/null
+++ b/src/entry/recover.c
@@ -0,0 +1,118 @@
+#include "entry/agents.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* Agents keep the records of finished tasks for 30 s; later records answer nothing. */
+#define RECOVER_MS 30000
+
+static void
+send_recover (struct az_entry_board *board, const struct az_entry_agent *agent)
+{
+  struct az_message message = { .proc = AZ_RECOVER };
+
+  message.az_message_u.recover.partitions = board->recover_partitions;
+  az_entry_send (board, agent->connection, &message);
+}
+
+void
+az_entry_recover_start (struct az_entry_board *board, struct az_entry_agent *agent)
+{
+  if (!board->recover_partitions)
+    return;
+  if (agent)
+    {
+      if (az_time_compare (board->now, board->recover_until) < 0)
+        send_recover (board, agent);
+      return;
+    }
+  board->recover_until = az_time_add_ms (board->now, RECOVER_MS);
+  for (uint32_t h = az_table_rows_next (board->agents, 0); h;
+       h = az_table_rows_next (board->agents, h))
+    {
+      const struct az_entry_agent *row = az_entry_board_agent (board, h);
+
+      if (row->connection)
+        send_recover (board, row);
+    }
+}
+
+static struct az_entry_recovery *
+need_recovery (struct az_entry_board *board, const struct az_record *record)
+{
+  struct az_entry_recovery *recovery = g_hash_table_lookup (board->recoveries, record->id.job);
+
+  if (recovery)
+    return recovery;
+  if (!record->job_tasks || record->job_tasks > AZ_MAX_TASKS)
+    return NULL;
+  recovery = g_new0 (struct az_entry_recovery, 1);
+  recovery->n_tasks = record->job_tasks;
+  recovery->tasks = g_new0 (struct az_entry_task, record->job_tasks);
+  g_hash_table_insert (board->recoveries, g_strdup (record->id.job), recovery);
+  return recovery;
+}
+
+static void
+add_record (struct az_entry_board *board, const struct az_record *record)
+{
+  struct az_entry_recovery *recovery = need_recovery (board, record);
+  struct az_entry_task *task;
+
+  if (!recovery || record->id.task >= recovery->n_tasks)
+    return;
+  task = &recovery->tasks[record->id.task];
+  if (task->state == AZ_ENTRY_TASK_OK || task->state == AZ_ENTRY_TASK_FAILED)
+    return;
+  if (record->status == AZ_STATUS_FAILED)
+    {
+      task->state = AZ_ENTRY_TASK_FAILED;
+      recovery->n_failed++;
+    }
+  if (record->status != AZ_STATUS_OK)
+    return;
+  task->state = AZ_ENTRY_TASK_OK;
+  task->result.az_payload_len = record->payload.az_payload_len;
+  task->result.az_payload_val
+      = g_memdup2 (record->payload.az_payload_val, record->payload.az_payload_len);
+  recovery->n_ok++;
+}
+
+void
+az_entry_received_records (struct az_entry_board *board, const struct az_records *records)
+{
+  if (az_time_compare (board->now, board->recover_until) >= 0)
+    return;
+  for (uint32_t i = 0; i < records->records.records_len; i++)
+    if (!az_entry_job_find (board, records->records.records_val[i].id.job))
+      add_record (board, &records->records.records_val[i]);
+}
+
+static void
+move_tasks (struct az_entry_recovery *recovery, struct az_entry_job *job)
+{
+  g_free (job->tasks);
+  job->tasks = recovery->tasks;
+  job->n_tasks = recovery->n_tasks;
+  job->n_waiting = 0;
+  job->n_ok = recovery->n_ok;
+  job->n_failed = recovery->n_failed;
+  recovery->tasks = NULL;
+  recovery->n_tasks = 0;
+}
+
+uint32_t
+az_entry_recover_job (struct az_entry_board *board, const char *id)
+{
+  struct az_entry_recovery *recovery = g_hash_table_lookup (board->recoveries, id);
+  struct az_submit submit = { .job = (char *)id, .team = (char *)"", .service = (char *)"" };
+  uint32_t handle;
+
+  if (!recovery || recovery->n_ok + recovery->n_failed < recovery->n_tasks)
+    return 0;
+  handle = az_entry_job_add (board, &submit, AZ_ENTRY_ROLE_OWNER, false);
+  az_entry_board_job (board, handle)->group = AZ_ENTRY_NONE;
+  move_tasks (recovery, az_entry_board_job (board, handle));
+  g_hash_table_remove (board->recoveries, id);
+  az_entry_job_settle (board, handle);
+  return az_entry_job_find (board, id);
+}
--- /dev/null
+++ b/src/entry/requests.c
@@ -0,0 +1,183 @@
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+static void
+write_answer_event (struct az_entry_board *board, uint32_t request, const struct az_answer *answer)
+{
+  static const char *const outcomes[] = { "done", "failed", "not_run", "unknown" };
+  char number[16];
+
+  if (!answer)
+    return;
+  g_snprintf (number, sizeof number, "%u", request);
+  az_event_log_write (board->events, "answer", "job", answer->job, "outcome",
+                      outcomes[answer->outcome], "code", answer->code, "request", number, NULL);
+}
+
+void
+az_entry_request_answer (struct az_entry_board *board,
+                         uint32_t request,
+                         const struct az_answer *answer)
+{
+  g_hash_table_remove (board->requests, GUINT_TO_POINTER (request));
+  write_answer_event (board, request, answer);
+  board->io.answer (board->io.context, request, answer);
+}
+
+static void
+stop_waiting (struct az_entry_job *job, uint32_t request)
+{
+  for (guint i = 0; i < job->waiters->len; i++)
+    if (g_array_index (job->waiters, uint32_t, i) == request)
+      {
+        g_array_remove_index_fast (job->waiters, i);
+        return;
+      }
+}
+
+void
+az_entry_request_forget (struct az_entry_board *board, uint32_t request)
+{
+  struct az_entry_request *row = g_hash_table_lookup (board->requests, GUINT_TO_POINTER (request));
+  struct az_entry_job *job;
+
+  if (!row)
+    return;
+  job = az_entry_board_job (board, row->job);
+  if (job)
+    stop_waiting (job, request);
+  g_hash_table_remove (board->requests, GUINT_TO_POINTER (request));
+}
+
+void
+az_entry_request_expire (struct az_entry_board *board, uint32_t request)
+{
+  const struct az_entry_request *row
+      = g_hash_table_lookup (board->requests, GUINT_TO_POINTER (request));
+
+  /* The number may stand for a later request by now. */
+  if (!row || !row->is_fetch || az_time_compare (row->until, board->now) > 0)
+    return;
+  az_entry_request_forget (board, request);
+  az_entry_request_answer (board, request, NULL);
+}
+
+static void
+arm_fetch (struct az_entry_board *board, uint32_t request, struct timespec until)
+{
+  struct az_entry_timer timer = { until, AZ_ENTRY_TIMER_FETCH, request };
+
+  az_entry_heap_push (board->timers, &timer);
+}
+
+void
+az_entry_job_wait (struct az_entry_board *board,
+                   uint32_t handle,
+                   uint32_t request,
+                   bool is_fetch,
+                   struct timespec until)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  struct az_entry_request *row;
+
+  if (job->answer || (is_fetch && az_time_compare (until, board->now) <= 0))
+    {
+      az_entry_request_answer (board, request, job->answer);
+      return;
+    }
+  row = g_new0 (struct az_entry_request, 1);
+  row->job = handle;
+  row->is_fetch = is_fetch;
+  row->until = until;
+  g_hash_table_insert (board->requests, GUINT_TO_POINTER (request), row);
+  g_array_append_val (job->waiters, request);
+  if (is_fetch)
+    arm_fetch (board, request, until);
+}
+
+static void
+send_answer (struct az_entry_board *board, uint64_t incarnation, const struct az_answer *answer)
+{
+  const struct az_entry_peer *peer = az_entry_peer_find (board, incarnation);
+  struct az_message message = { .proc = AZ_ANSWER };
+
+  /* A peer that reconnects submits the job again and gets the answer then. */
+  if (!peer || !peer->connection)
+    return;
+  message.az_message_u.answer = *answer;
+  az_entry_send (board, peer->connection, &message);
+}
+
+void
+az_entry_job_wait_peer (struct az_entry_board *board, uint32_t handle, uint64_t incarnation)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+
+  if (job->answer)
+    {
+      send_answer (board, incarnation, job->answer);
+      return;
+    }
+  for (guint i = 0; i < job->peers->len; i++)
+    if (g_array_index (job->peers, uint64_t, i) == incarnation)
+      return;
+  g_array_append_val (job->peers, incarnation);
+}
+
+void
+az_entry_refuse (struct az_entry_board *board,
+                 const char *id,
+                 const struct az_entry_origin *origin,
+                 az_outcome outcome,
+                 const char *code,
+                 const char *text)
+{
+  struct az_answer answer = {
+    .job = (char *)id,
+    .outcome = outcome,
+    .code = (char *)code,
+    .message = (char *)text,
+  };
+
+  az_entry_count (board, board->count.outcomes[outcome], 1);
+  if (origin->peer)
+    send_answer (board, origin->peer, &answer);
+  else
+    az_entry_request_answer (board, origin->request, &answer);
+}
+
+static void
+answer_peers (struct az_entry_board *board, GArray *peers, const struct az_answer *answer)
+{
+  for (guint i = 0; i < peers->len; i++)
+    send_answer (board, g_array_index (peers, uint64_t, i), answer);
+  g_array_set_size (peers, 0);
+}
+
+static void
+answer_callers (struct az_entry_board *board, GArray *callers, const struct az_answer *answer)
+{
+  for (guint i = 0; i < callers->len; i++)
+    az_entry_request_answer (board, g_array_index (callers, uint32_t, i), answer);
+}
+
+/* The callbacks may change the table of jobs, so the lists are taken out of the row first. */
+static void
+answer_waiters (struct az_entry_board *board, uint32_t handle, const struct az_answer *answer)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  GArray *callers = job->waiters;
+
+  job->waiters = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  answer_peers (board, job->peers, answer);
+  answer_callers (board, callers, answer);
+  g_array_unref (callers);
+}
+
+void
+az_entry_job_deliver (struct az_entry_board *board, uint32_t handle, const struct az_answer *answer)
+{
+  az_entry_count (board, board->count.outcomes[answer->outcome], 1);
+  answer_waiters (board, handle, answer);
+}
--- /dev/null
+++ b/src/entry/results.c
@@ -0,0 +1,249 @@
+#include "entry/agents.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+/* A refusing agent is left alone for this long: its evidence, table or view takes a heartbeat to
+ * change, and each START until then would be wasted. */
+#define REFUSAL_PAUSE_MS 100
+
+static struct az_entry_open *
+find_open (const struct az_entry_agent *agent, uint32_t attempt)
+{
+  for (guint i = 0; i < agent->open->len; i++)
+    {
+      struct az_entry_open *open = &g_array_index (agent->open, struct az_entry_open, i);
+
+      if (open->attempt == attempt)
+        return open;
+    }
+  return NULL;
+}
+
+/**
+ * struct closed - an attempt that left the list of open ones
+ * @job: its job, NULL if that is answered already
+ */
+struct closed
+{
+  uint32_t handle;
+  struct az_entry_job *job;
+  struct az_entry_task *task;
+  uint32_t index;
+  uint32_t team;
+};
+
+/* Matches by incarnation of the agent, job, task and attempt; false for anything else. */
+static bool
+close_attempt (struct az_entry_board *board,
+               struct az_entry_agent *agent,
+               const struct az_attempt *id,
+               struct closed *closed)
+{
+  const struct az_entry_open *open = find_open (agent, id->attempt);
+  struct az_entry_job *job = open ? az_entry_board_job (board, open->job) : NULL;
+
+  if (!open || open->task != id->task || (job && g_strcmp0 (job->id, id->job) != 0))
+    {
+      az_entry_count (board, board->count.duplicate, 1);
+      return false;
+    }
+  *closed = (struct closed){ open->job, job, NULL, open->task, open->team };
+  g_array_remove_index_fast (
+      agent->open, (guint)(open - (const struct az_entry_open *)(void *)agent->open->data));
+  if (job)
+    job->n_open--;
+  if (job && job->answer)
+    closed->job = NULL;
+  if (closed->job)
+    closed->task = &job->tasks[closed->index];
+  return true;
+}
+
+static void
+observe (struct az_entry_board *board,
+         const struct az_entry_agent *agent,
+         const struct closed *closed,
+         const struct az_result_task *result)
+{
+  if (result->status == AZ_STATUS_OK || result->status == AZ_STATUS_FAILED)
+    az_ejector_report (board->ejector, agent->handle, result->status == AZ_STATUS_OK);
+  else
+    az_ejector_cancelled (board->ejector, agent->handle);
+  if (result->status == AZ_STATUS_OK && closed->job)
+    az_run_time_add (az_entry_board_group (board, closed->job->group)->run_times, result->run_us);
+}
+
+static void
+store_result (const struct closed *closed, const az_payload *payload)
+{
+  closed->task->state = AZ_ENTRY_TASK_OK;
+  closed->task->result.az_payload_len = payload->az_payload_len;
+  closed->task->result.az_payload_val
+      = g_memdup2 (payload->az_payload_val, payload->az_payload_len);
+  closed->job->n_ok++;
+}
+
+/* Frees the slot of the team; returns whether the job still waits for the result. */
+static bool
+end_running (struct az_entry_board *board, const struct closed *closed)
+{
+  az_team_queue_finished (board->queue, closed->team);
+  if (!closed->job)
+    az_entry_count (board, board->count.late, 1);
+  return closed->job != NULL;
+}
+
+static void
+end_unknown (struct az_entry_board *board, const struct closed *closed)
+{
+  if (!end_running (board, closed))
+    return;
+  closed->task->state = AZ_ENTRY_TASK_UNKNOWN;
+  closed->job->n_unknown++;
+  az_entry_job_settle (board, closed->handle);
+}
+
+static void
+end_task (struct az_entry_board *board,
+          const struct closed *closed,
+          az_status status,
+          const az_payload *payload)
+{
+  if (status != AZ_STATUS_OK && status != AZ_STATUS_FAILED)
+    {
+      end_unknown (board, closed);
+      return;
+    }
+  if (!end_running (board, closed))
+    return;
+  if (status == AZ_STATUS_OK)
+    store_result (closed, payload);
+  else
+    {
+      closed->task->state = AZ_ENTRY_TASK_FAILED;
+      closed->job->n_failed++;
+    }
+  az_entry_job_settle (board, closed->handle);
+}
+
+/* The attempt is proved not to have started. */
+static void
+end_unstarted (struct az_entry_board *board, const struct closed *closed, int64_t delay_ms)
+{
+  if (closed->job && !closed->job->cancelled)
+    {
+      az_entry_task_retry (board, closed->handle, closed->index, delay_ms);
+      return;
+    }
+  az_team_queue_finished (board->queue, closed->team);
+  if (!closed->job)
+    return;
+  closed->task->state = AZ_ENTRY_TASK_DROPPED;
+  az_entry_job_settle (board, closed->handle);
+}
+
+static void
+receive_one (struct az_entry_board *board,
+             struct az_entry_agent *agent,
+             const struct az_result_task *result)
+{
+  struct closed closed;
+
+  agent->result_sequence = MAX (agent->result_sequence, result->sequence);
+  if (result->status == AZ_STATUS_RUNNING || !close_attempt (board, agent, &result->id, &closed))
+    return;
+  observe (board, agent, &closed, result);
+  if (result->status == AZ_STATUS_NOT_STARTED)
+    end_unstarted (board, &closed, REFUSAL_PAUSE_MS);
+  else
+    end_task (board, &closed, result->status, &result->payload);
+}
+
+void
+az_entry_received_result (struct az_entry_board *board,
+                          struct az_entry_agent *agent,
+                          const struct az_result *result)
+{
+  for (uint32_t i = 0; i < result->results.results_len; i++)
+    receive_one (board, agent, &result->results.results_val[i]);
+  az_entry_grants_add (board, agent, result->grants.grants_val, result->grants.grants_len);
+  az_entry_grants_place (board, agent);
+}
+
+/* Whether the agent would refuse the next START for the same reason. */
+static bool
+is_lasting (az_refusal reason)
+{
+  return reason == AZ_REFUSAL_OWNER || reason == AZ_REFUSAL_EVIDENCE
+         || reason == AZ_REFUSAL_WITHDRAWN || reason == AZ_REFUSAL_STOPPING
+         || reason == AZ_REFUSAL_UPSTREAM;
+}
+
+static void
+refuse_one (struct az_entry_board *board,
+            struct az_entry_agent *agent,
+            const struct az_refused_task *refused)
+{
+  struct closed closed;
+
+  az_entry_count (board, board->count.refused, 1);
+  if (!close_attempt (board, agent, &refused->id, &closed))
+    return;
+  az_ejector_cancelled (board->ejector, agent->handle);
+  if (is_lasting (refused->reason))
+    agent->blocked_until = az_time_add_ms (board->now, REFUSAL_PAUSE_MS);
+  /* A record of the task at the agent means that an earlier attempt may have started. */
+  if (refused->reason == AZ_REFUSAL_DUPLICATE)
+    end_unknown (board, &closed);
+  else
+    end_unstarted (board, &closed, is_lasting (refused->reason) ? REFUSAL_PAUSE_MS : 0);
+}
+
+void
+az_entry_received_refused (struct az_entry_board *board,
+                           struct az_entry_agent *agent,
+                           const struct az_refused *refused)
+{
+  for (uint32_t i = 0; i < refused->tasks.tasks_len; i++)
+    refuse_one (board, agent, &refused->tasks.tasks_val[i]);
+  az_entry_grants_place (board, agent);
+}
+
+static void
+apply_fate (struct az_entry_board *board,
+            struct az_entry_agent *agent,
+            const struct az_fate_task *fate)
+{
+  struct closed closed;
+
+  if (fate->status == AZ_STATUS_RUNNING || !close_attempt (board, agent, &fate->id, &closed))
+    return;
+  if (fate->status == AZ_STATUS_NOT_STARTED)
+    end_unstarted (board, &closed, 0);
+  else
+    end_task (board, &closed, fate->status, &fate->payload);
+}
+
+void
+az_entry_received_fate (struct az_entry_board *board,
+                        struct az_entry_agent *agent,
+                        const struct az_fate *fate)
+{
+  for (uint32_t i = 0; i < fate->tasks.tasks_len; i++)
+    apply_fate (board, agent, &fate->tasks.tasks_val[i]);
+}
+
+void
+az_entry_agent_lost (struct az_entry_board *board, struct az_entry_agent *agent)
+{
+  while (agent->open->len)
+    {
+      const struct az_entry_open *open = &g_array_index (agent->open, struct az_entry_open, 0);
+      struct az_entry_job *job = az_entry_board_job (board, open->job);
+      struct az_attempt id = { job ? job->id : NULL, open->task, open->attempt };
+      struct closed closed;
+
+      if (close_attempt (board, agent, &id, &closed))
+        end_unknown (board, &closed);
+    }
+}
--- /dev/null
+++ b/src/entry/send.h
@@ -0,0 +1,24 @@
+#ifndef AZUREROCK_ENTRY_SEND_H
+#define AZUREROCK_ENTRY_SEND_H
+
+#include "entry/board.h"
+
+/** az_entry_send - sends and counts one message */
+void
+az_entry_send (struct az_entry_board *board, uint32_t connection, const struct az_message *message);
+
+/** az_entry_count_received - counts one received message by kind */
+void
+az_entry_count_received (struct az_entry_board *board, az_proc proc);
+
+/** az_entry_register_counters - names every counter of the core */
+void
+az_entry_register_counters (struct az_entry_board *board);
+void
+az_entry_count (struct az_entry_board *board, uint32_t counter, uint64_t amount);
+
+/** az_entry_update_gauges - sizes and ages, for /metrics */
+void
+az_entry_update_gauges (struct az_entry_board *board);
+
+#endif
--- /dev/null
+++ b/src/entry/submit.c
@@ -0,0 +1,168 @@
+#include "azurerock/job_id.h"
+#include "entry/agents.h"
+#include "entry/cluster.h"
+#include "entry/jobs.h"
+#include "entry/send.h"
+
+static void
+wait_for (struct az_entry_board *board, uint32_t handle, const struct az_entry_origin *origin)
+{
+  if (origin->peer)
+    az_entry_job_wait_peer (board, handle, origin->peer);
+  else
+    az_entry_job_wait (board, handle, origin->request, false, board->now);
+}
+
+static void
+write_submit_event (struct az_entry_board *board,
+                    const struct az_submit *submit,
+                    enum az_entry_role role)
+{
+  char tasks[16];
+
+  g_snprintf (tasks, sizeof tasks, "%u", submit->tasks.tasks_len);
+  az_event_log_write (board->events, "submit", "job", submit->job, "tasks", tasks, "entry",
+                      role == AZ_ENTRY_ROLE_OWNER ? "owner" : "forwarder", NULL);
+}
+
+/* Outcome of a refusal by an entry that can't tell whether the id was run before. */
+static az_outcome
+outcome_without_record (const struct az_entry_origin *origin)
+{
+  return origin->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN;
+}
+
+static void
+accept_job (struct az_entry_board *board,
+            const struct az_submit *submit,
+            const struct az_entry_origin *origin,
+            uint32_t team,
+            uint32_t group)
+{
+  uint32_t handle = az_entry_job_add (board, submit, AZ_ENTRY_ROLE_OWNER, origin->first_attempt);
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  struct az_entry_group *group_row = az_entry_board_group (board, group);
+
+  job->team = team;
+  job->group = group;
+  write_submit_event (board, submit, AZ_ENTRY_ROLE_OWNER);
+  if (!az_team_queue_push (board->queue, team, group, handle, job->n_tasks))
+    {
+      az_entry_job_remove (board, handle);
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "queue_full",
+                       "the queue of the team is full");
+      return;
+    }
+  group_row->waiting += job->n_tasks;
+  g_queue_push_tail (&group_row->arrivals, GUINT_TO_POINTER (handle));
+  wait_for (board, handle, origin);
+}
+
+/* An id without a record that the horizon or its age puts out of this entry's knowledge. */
+static bool
+refuse_unknown (struct az_entry_board *board,
+                const struct az_submit *submit,
+                const struct az_entry_origin *origin,
+                int64_t id_time_ms)
+{
+  int64_t age_ms = board->wall_ms - id_time_ms;
+  int64_t retention_ms = az_entry_retention_ms (board, submit->service);
+
+  if (age_ms > retention_ms)
+    {
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_UNKNOWN, "answer_expired",
+                       "the id is older than the time for which answers are kept");
+      return true;
+    }
+  if (id_time_ms < board->owned[az_job_id_partition (submit->job)].horizon_ms)
+    {
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                       "this entry has no knowledge of ids of that time");
+      return true;
+    }
+  if (age_ms > retention_ms / 2)
+    {
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "id_too_old",
+                       "the time in the id is too far in the past");
+      return true;
+    }
+  return false;
+}
+
+static void
+submit_own (struct az_entry_board *board,
+            const struct az_submit *submit,
+            const struct az_entry_origin *origin,
+            int64_t id_time_ms)
+{
+  uint32_t recovered = az_entry_recover_job (board, submit->job);
+  const char *text = "";
+  const char *code;
+  uint32_t team = 0;
+  uint32_t group = 0;
+
+  if (recovered)
+    {
+      wait_for (board, recovered, origin);
+      return;
+    }
+  if (refuse_unknown (board, submit, origin, id_time_ms))
+    return;
+  code = az_entry_refusal (board, submit, &team, &group, &text);
+  if (board->stopping && !az_entry_has_live_peer (board))
+    az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "stopping",
+                     "the entry is stopping");
+  else if (code)
+    az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, code, text);
+  else
+    accept_job (board, submit, origin, team, group);
+}
+
+static void
+submit_to_owner (struct az_entry_board *board,
+                 const struct az_submit *submit,
+                 const struct az_entry_origin *origin)
+{
+  uint32_t handle;
+
+  /* Only the first entry forwards, so that entries with different tables form no loop. */
+  if (origin->peer)
+    {
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_UNKNOWN, "not_owner",
+                       "this entry does not own the id");
+      return;
+    }
+  handle = az_entry_job_add (board, submit, AZ_ENTRY_ROLE_FORWARDER, origin->first_attempt);
+  write_submit_event (board, submit, AZ_ENTRY_ROLE_FORWARDER);
+  wait_for (board, handle, origin);
+  az_entry_forward (board, handle);
+}
+
+void
+az_entry_submit (struct az_entry_board *board,
+                 const struct az_submit *submit,
+                 const struct az_entry_origin *origin)
+{
+  uint32_t handle = az_entry_job_find (board, submit->job);
+  int64_t id_time_ms;
+
+  az_entry_count (board, board->count.submitted, 1);
+  if (handle)
+    {
+      wait_for (board, handle, origin);
+      return;
+    }
+  if (!az_job_id_parse (submit->job, &id_time_ms))
+    az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "invalid_request",
+                     "the id must be 13 digits, '-' and a token of 8 to 64 characters");
+  else if (id_time_ms > board->wall_ms + board->settings.clock_skew_max_ms)
+    az_entry_refuse (board, submit->job, origin, outcome_without_record (origin), "id_in_future",
+                     "the time in the id is ahead of the clock");
+  else if (!board->has_table || !board->configuration)
+    az_entry_refuse (board, submit->job, origin, outcome_without_record (origin), "not_ready",
+                     "no configuration or owner table is known yet");
+  else if (az_entry_owner_of (board, submit->job) == board->incarnation)
+    submit_own (board, submit, origin, id_time_ms);
+  else
+    submit_to_owner (board, submit, origin);
+}
--- /dev/null
+++ b/tests/entry_fixture.h
@@ -0,0 +1,162 @@
+#ifndef AZUREROCK_TESTS_ENTRY_FIXTURE_H
+#define AZUREROCK_TESTS_ENTRY_FIXTURE_H
+
+#include "azurerock/configuration.h"
+#include "azurerock/entry_core.h"
+
+/*
+ * An entry core on a virtual clock. Messages and answers are recorded; the test plays the agents,
+ * the peers, the callers and the store.
+ */
+#define TEST_WALL_MS 1796361241000LL
+#define TEST_SELF 500
+#define TEST_PEER 900
+#define TEST_OTHER 901
+
+struct test_answer
+{
+  uint32_t request;
+  bool pending;
+  az_outcome outcome;
+  char *code;
+  uint32_t n_results;
+  char *first_result;
+};
+
+struct test_sent
+{
+  uint32_t connection;
+  struct az_message message; /* deep copy by the codec of XDR */
+};
+
+struct test_entry
+{
+  int64_t now_ns;
+  int64_t wall_offset_ms;
+  struct az_clock clock;
+  GRand *random;
+  struct az_counters *counters;
+  struct az_entry_core *core;
+  GPtrArray *sent;    /* struct test_sent */
+  GPtrArray *answers; /* struct test_answer */
+  GPtrArray *connects;
+  bool wrote;
+  struct az_table written;
+  uint64_t written_index;
+  uint64_t store_index;
+  uint64_t revision;
+};
+
+struct test_entry *
+test_entry_create (void);
+struct test_entry *
+test_entry_create_with (const struct az_entry_settings *settings);
+void
+test_entry_destroy (struct test_entry *entry);
+
+/** test_entry_advance - moves the clock in steps of 10 ms with a tick each */
+void
+test_entry_advance (struct test_entry *entry, int64_t ms);
+
+/** test_entry_configure - store read with a configuration; the fields replace defaults if set */
+struct test_configuration
+{
+  bool withdrawn; /* domain "a" is out of service */
+  uint32_t quota;
+  uint32_t max_queued;
+  int64_t retention_ms;
+  int64_t deadline_ms;
+};
+void
+test_entry_configure (struct test_entry *entry, const struct test_configuration *fields);
+char *
+test_entry_document (uint64_t revision, const struct test_configuration *fields);
+
+/** test_entry_read - store read without news */
+void
+test_entry_read (struct test_entry *entry, const uint64_t *sessions, size_t n_sessions);
+
+/** test_entry_read_table - store read that shows @table */
+void
+test_entry_read_table (struct test_entry *entry,
+                       const struct az_table *table,
+                       const uint64_t *sessions,
+                       size_t n_sessions);
+
+/** test_entry_commit - the table that the core asked for takes effect in the store */
+void
+test_entry_commit (struct test_entry *entry, const uint64_t *sessions, size_t n_sessions);
+
+/** test_entry_start - a ready entry with the first table and revision 1 */
+struct test_entry *
+test_entry_start (void);
+
+/** test_entry_agent - connects an agent in domain "a" with 4 slots and as many grants */
+void
+test_entry_agent (struct test_entry *entry,
+                  uint32_t connection,
+                  uint64_t incarnation,
+                  const char *instance);
+void
+test_entry_grant (struct test_entry *entry, uint32_t connection, uint64_t first_id, uint32_t count);
+
+/** test_entry_table - table of @n members (TEST_SELF, TEST_PEER, ...); all partitions of @owner */
+void
+test_entry_table (struct az_table *table, uint64_t version, uint32_t n, uint64_t owner);
+
+/** test_entry_peer - connects the peer and answers HELLO */
+void
+test_entry_peer (struct test_entry *entry, uint32_t connection, uint64_t incarnation);
+
+/** test_entry_peer_ack - the peer replies to an exchange sent now */
+void
+test_entry_peer_ack (struct test_entry *entry,
+                     uint32_t connection,
+                     uint64_t revision,
+                     uint64_t table_version,
+                     bool restored);
+
+/** test_entry_id - a job id with a time relative to the wall clock */
+const char *
+test_entry_id (const struct test_entry *entry, int64_t age_ms, const char *token);
+void
+test_entry_submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks);
+void
+test_entry_submit_first (struct test_entry *entry,
+                         uint32_t request,
+                         const char *id,
+                         uint32_t n_tasks);
+
+/** test_entry_count - messages of a kind sent since the last test_entry_forget_sent() */
+uint32_t
+test_entry_count (const struct test_entry *entry, az_proc proc);
+const struct test_sent *
+test_entry_last (const struct test_entry *entry, az_proc proc);
+void
+test_entry_forget_sent (struct test_entry *entry);
+
+/** test_entry_started - the @index-th task sent in START messages, NULL if there is none */
+const struct az_start_task *
+test_entry_started (const struct test_entry *entry, uint32_t index, uint32_t *connection);
+uint32_t
+test_entry_n_started (const struct test_entry *entry);
+
+/** test_entry_finish - RESULT for the @index-th started task */
+void
+test_entry_finish (struct test_entry *entry, uint32_t index, az_status status);
+void
+test_entry_refuse (struct test_entry *entry, uint32_t index, az_refusal reason);
+void
+test_entry_fate (struct test_entry *entry, uint32_t index, uint32_t connection, az_status status);
+
+/** test_entry_answer - the only answer of @request, NULL if there is none; fails on two */
+const struct test_answer *
+test_entry_answer (const struct test_entry *entry, uint32_t request);
+uint64_t
+test_entry_counter (const struct test_entry *entry, const char *name);
+const char *
+test_entry_receive (struct test_entry *entry,
+                    uint32_t connection,
+                    const struct az_message *message);
+
+#endif
