Complete entry core and test it on a virtual clock

A scripted agent, peer, caller and store drive the core through resubmission, crossed and late results, fates, refusals, takeover, horizon, confirmation, majority evidence, planned stop, eviction, quota, ejection, cancellation and early refusal.

The tests led to these changes. Agents with equally many grants take turns: the list of a bucket put the agent that had just finished at its head, so one agent got all work of a light load. An entry that is not in the roster yet connects to every member, as nobody else could connect to it and it needs their reports to join. A fetch or cancellation at another entry than the owner sends SUBMIT without tasks, which starts nothing and is answered like the job; without it, a caller behind the balancer would hear "unknown" of a running job. Grants of an agent that is out of service are kept, since after a return they may arrive before the revision does. The end of a cancelled task no longer counts for or against its agent.

Evidence is computed when a store read, a reply of a peer or a new state arrives, no longer for each message.

--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -78,8 +78,7 @@
       az_entry_job_remove (board, handle);
       return;
     }
-  az_entry_submit_free (job->request);
-  job->request = NULL;
+  az_entry_job_shrink (job);
   az_entry_retain (board, handle);
 }
 
@@ -141,7 +140,7 @@
   if (job->n_ok == job->n_tasks)
     answer_done (board, handle, job);
   else if (job->n_failed)
-    az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, "task_failed", "a task failed");
+    az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, job->failure, "a task failed");
   else if (job->n_unknown)
     az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
                          "the fate of a task can't be determined");
@@ -180,7 +179,7 @@
 {
   const struct az_entry_job *job = az_entry_board_job (board, handle);
 
-  if (!job || job->answer)
+  if (!job || job->answer || az_time_compare (job->deadline, board->now) > 0)
     return;
   if (job->role == AZ_ENTRY_ROLE_FORWARDER)
     expire_forwarded (board, handle, job);
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -70,8 +70,9 @@
   uint32_t n_ok;
   uint32_t n_failed;
   uint32_t n_unknown;
-  GArray *waiters; /* uint32_t handles of callers' requests */
-  GArray *peers;   /* uint64_t incarnations of entries that forwarded the job */
+  const char *failure; /* code of the last failed task, a literal */
+  GArray *waiters;     /* uint32_t handles of callers' requests */
+  GArray *peers;       /* uint64_t incarnations of entries that forwarded the job */
   struct az_answer *answer;
   struct timespec answered;
   size_t answer_bytes;
@@ -183,8 +184,9 @@
   uint32_t slots;
   uint32_t connections;
   uint32_t task_timeout_ms;
-  GArray *groups; /* uint32_t */
-  uint32_t buckets[AZ_ENTRY_BUCKETS];
+  GArray *groups;                     /* uint32_t */
+  uint32_t buckets[AZ_ENTRY_BUCKETS]; /* first agent of each */
+  uint32_t last[AZ_ENTRY_BUCKETS];
   uint32_t top; /* no bucket above this one is filled */
   uint32_t usable;
   uint64_t connected_slots; /* of agents in service */
@@ -274,6 +276,14 @@
   struct timespec written; /* when the last write was asked for */
 };
 
+/* Since when this entry is known to have the newest configuration and table. */
+struct az_entry_evidence
+{
+  bool exists;
+  bool is_now;
+  struct timespec time;
+};
+
 struct az_entry_board
 {
   struct az_entry_settings settings;
@@ -304,6 +314,7 @@
   struct timespec recover_until;
 
   struct az_entry_store store;
+  struct az_entry_evidence evidence;
   struct timespec next_exchange;
   struct timespec next_slow_tick;
 
@@ -320,6 +331,7 @@
   struct az_entry_heap *timers;
   uint32_t next_attempt;
   GHashTable *recoveries; /* id -> struct az_entry_recovery */
+  size_t recovery_bytes;
 
   GPtrArray *groups; /* struct az_entry_group */
   GHashTable *group_by_name;
--- a/src/entry/callers.c
+++ b/src/entry/callers.c
@@ -3,8 +3,13 @@
 #include "entry/jobs.h"
 #include "entry/send.h"
 
-/* The answer about an id without a record here. Another entry may own it and know more; callers
- * get that by submitting the job again. */
+/* A fetch that doesn't wait still needs a round trip to the owner. */
+#define REMOTE_FETCH_MIN_MS 200
+#define REMOTE_FETCH_MARGIN_MS 1000
+
+/* How long a caller waits for the answer of a job that it cancels at another entry. */
+#define REMOTE_CANCEL_WAIT_MS 1000
+
 static void
 answer_without_record (struct az_entry_board *board, uint32_t request, const char *id)
 {
@@ -19,7 +24,27 @@
                      "the id is older than the time for which answers are kept");
   else
     az_entry_refuse (board, id, &origin, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
-                     "this entry has no record of the job");
+                     "the owner has no record of the job");
+}
+
+/* Asks the owner: a SUBMIT without tasks starts nothing and is answered like the job itself. */
+static bool
+fetch_from_owner (struct az_entry_board *board, uint32_t request, const char *id, int64_t wait_ms)
+{
+  struct az_submit submit = { .job = (char *)id, .team = (char *)"", .service = (char *)"" };
+  struct timespec until = az_time_add_ms (board->now, MAX (wait_ms, REMOTE_FETCH_MIN_MS));
+  int64_t time_ms;
+  uint32_t handle;
+
+  if (!az_job_id_parse (id, &time_ms) || !board->has_table
+      || az_entry_owner_of (board, id) == board->incarnation)
+    return false;
+  /* The record outlives the request, so that "pending" is told and not "unknown". */
+  submit.deadline_ms = (uint32_t)(MAX (wait_ms, REMOTE_FETCH_MIN_MS) + REMOTE_FETCH_MARGIN_MS);
+  handle = az_entry_job_add (board, &submit, AZ_ENTRY_ROLE_FORWARDER, false);
+  az_entry_job_wait (board, handle, request, true, until);
+  az_entry_forward (board, handle);
+  return true;
 }
 
 void
@@ -31,7 +56,7 @@
     handle = az_entry_recover_job (board, id);
   if (handle)
     az_entry_job_wait (board, handle, request, true, az_time_add_ms (board->now, wait_ms));
-  else
+  else if (!fetch_from_owner (board, request, id, wait_ms))
     answer_without_record (board, request, id);
 }
 
@@ -72,7 +97,8 @@
     {
       if (az_job_id_parse (id, &time_ms))
         send_cancel (board, id);
-      answer_without_record (board, request, id);
+      if (!fetch_from_owner (board, request, id, REMOTE_CANCEL_WAIT_MS))
+        answer_without_record (board, request, id);
       return;
     }
   az_entry_job_wait (board, handle, request, false, board->now);
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -36,9 +36,9 @@
 void
 az_entry_confirm (struct az_entry_board *board);
 
-/** az_entry_evidence - time since when this entry is known to have the newest state */
-bool
-az_entry_evidence (const struct az_entry_board *board, struct timespec *evidence);
+/** az_entry_evidence_update - after a store read, a reply of a peer or a change of state */
+void
+az_entry_evidence_update (struct az_entry_board *board);
 
 /** az_entry_evidence_age_ms - G_MAXUINT32 if there is no evidence */
 uint32_t
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -141,6 +141,7 @@
       az_entry_agents_tick (board);
       az_entry_update_gauges (board);
       az_entry_roster_tick (board);
+      az_entry_recover_tick (board);
     }
   az_entry_dispatch (board);
 }
--- a/src/entry/evidence.c
+++ b/src/entry/evidence.c
@@ -58,31 +58,33 @@
   return true;
 }
 
-bool
-az_entry_evidence (const struct az_entry_board *board, struct timespec *evidence)
+void
+az_entry_evidence_update (struct az_entry_board *board)
 {
+  struct az_entry_evidence *evidence = &board->evidence;
   struct timespec from_peers;
   bool has_peers = majority_evidence (board, counts_itself (board), &from_peers);
   bool has_store = board->store.seen && board->has_table && board->configuration;
 
-  if (!has_peers && !has_store)
-    return false;
+  evidence->exists = has_peers || has_store;
+  /* The only entry knows of every publication, since none is accepted without it. */
+  evidence->is_now = has_peers && board->table.roster.roster_len == 1;
   if (has_store)
-    *evidence = board->store.evidence;
-  if (has_peers && (!has_store || az_time_compare (from_peers, *evidence) > 0))
-    *evidence = from_peers;
-  return true;
+    evidence->time = board->store.evidence;
+  if (has_peers && (!has_store || az_time_compare (from_peers, evidence->time) > 0))
+    evidence->time = from_peers;
 }
 
 uint32_t
 az_entry_evidence_age_ms (const struct az_entry_board *board)
 {
-  struct timespec evidence;
-  int64_t age_ms;
+  const struct az_entry_evidence *evidence = &board->evidence;
+  int64_t age_ms = 0;
 
-  if (!az_entry_evidence (board, &evidence))
+  if (!evidence->exists)
     return G_MAXUINT32;
-  age_ms = az_time_diff_ms (board->now, evidence);
+  if (!evidence->is_now)
+    age_ms = az_time_diff_ms (board->now, evidence->time);
   /* Rounded up: the age that an agent subtracts must not be too small. */
   return (uint32_t)CLAMP (age_ms + 1, 0, (int64_t)G_MAXUINT32);
 }
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -36,6 +36,7 @@
   peer->table_version = MAX (peer->table_version, table_version);
   peer->restored = restored;
   az_entry_confirm (board);
+  az_entry_evidence_update (board);
   az_entry_config_send (board, peer);
 }
 
@@ -68,6 +69,7 @@
     peer->acked = sent;
   peer->has_acked = true;
   az_entry_check_restored (board);
+  az_entry_evidence_update (board);
 }
 
 /* Configuration and table are adopted together, so that whoever knows a newer roster also knows
@@ -82,7 +84,9 @@
                                      config->document.document_len))
     return;
   az_entry_adopt_table (board, &config->table);
+  az_entry_evidence_update (board);
   if (board->revision != revision || board->table.table_version != version)
     az_entry_changed (board);
   az_entry_check_restored (board);
+  az_entry_evidence_update (board);
 }
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -72,6 +72,23 @@
     arm_owner_timer (board, handle, OWNER_WAIT_MS);
 }
 
+void
+az_entry_forward_instead (struct az_entry_board *board,
+                          uint32_t handle,
+                          const struct az_submit *submit)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  struct az_entry_timer timer = { .kind = AZ_ENTRY_TIMER_DEADLINE, .value = handle };
+
+  az_entry_submit_free (job->request);
+  job->request = az_entry_submit_copy (submit);
+  job->deadline = az_time_add_ms (board->now, az_entry_deadline_ms (board, submit));
+  job->sent_on = 0;
+  timer.at = job->deadline;
+  az_entry_heap_push (board->timers, &timer);
+  az_entry_forward (board, handle);
+}
+
 void
 az_entry_forward_all (struct az_entry_board *board, uint64_t peer)
 {
--- a/src/entry/grants.c
+++ b/src/entry/grants.c
@@ -27,12 +27,15 @@
     pool->buckets[bucket_of (agent->placed)] = agent->next;
   if (next)
     next->previous = agent->previous;
+  else
+    pool->last[bucket_of (agent->placed)] = agent->previous;
   pool->usable -= agent->placed;
   agent->placed = 0;
   agent->next = 0;
   agent->previous = 0;
 }
 
+/* At the end, so that agents with equally many grants take turns. */
 static void
 link_agent (struct az_entry_board *board,
             struct az_entry_pool *pool,
@@ -40,13 +43,15 @@
             uint32_t usable)
 {
   uint32_t bucket = bucket_of (usable);
-  struct az_entry_agent *first = az_entry_board_agent (board, pool->buckets[bucket]);
+  struct az_entry_agent *last = az_entry_board_agent (board, pool->last[bucket]);
 
   agent->placed = usable;
-  agent->next = pool->buckets[bucket];
-  if (first)
-    first->previous = agent->handle;
-  pool->buckets[bucket] = agent->handle;
+  agent->previous = pool->last[bucket];
+  if (last)
+    last->next = agent->handle;
+  else
+    pool->buckets[bucket] = agent->handle;
+  pool->last[bucket] = agent->handle;
   pool->usable += usable;
   pool->top = MAX (pool->top, bucket);
 }
@@ -155,7 +160,7 @@
 
       if (known)
         known->expires = grant.expires;
-      else if (agent->in_service && !is_used (agent, grant.id))
+      else if (!is_used (agent, grant.id))
         g_array_append_val (agent->idle, grant);
     }
   if (count)
--- a/src/entry/jobs.c
+++ b/src/entry/jobs.c
@@ -122,11 +122,24 @@
     g_free (job->tasks[i].result.az_payload_val);
   g_free (job->tasks);
   g_free (job->waiting);
-  g_array_unref (job->waiters);
-  g_array_unref (job->peers);
+  g_clear_pointer (&job->waiters, g_array_unref);
+  g_clear_pointer (&job->peers, g_array_unref);
   g_free (job->id);
 }
 
+void
+az_entry_job_shrink (struct az_entry_job *job)
+{
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    g_free (job->tasks[i].result.az_payload_val);
+  job->n_tasks = 0;
+  g_clear_pointer (&job->request, az_entry_submit_free);
+  g_clear_pointer (&job->tasks, g_free);
+  g_clear_pointer (&job->waiting, g_free);
+  g_clear_pointer (&job->waiters, g_array_unref);
+  g_clear_pointer (&job->peers, g_array_unref);
+}
+
 void
 az_entry_job_remove (struct az_entry_board *board, uint32_t handle)
 {
--- a/src/entry/jobs.h
+++ b/src/entry/jobs.h
@@ -30,6 +30,10 @@
 void
 az_entry_job_clear (struct az_entry_job *job);
 
+/** az_entry_job_shrink - frees all but the answer of an answered job */
+void
+az_entry_job_shrink (struct az_entry_job *job);
+
 /** az_entry_job_wait - lets @request wait for the answer, or answers it at once */
 void
 az_entry_job_wait (struct az_entry_board *board,
@@ -145,6 +149,12 @@
 void
 az_entry_forward (struct az_entry_board *board, uint32_t handle);
 
+/** az_entry_forward_instead - replaces what a record sends to the owner */
+void
+az_entry_forward_instead (struct az_entry_board *board,
+                          uint32_t handle,
+                          const struct az_submit *submit);
+
 /** az_entry_forward_all - sends what waits for @peer, or for any owner if @peer is 0 */
 void
 az_entry_forward_all (struct az_entry_board *board, uint64_t peer);
@@ -158,6 +168,10 @@
 /** az_entry_recover_start - asks @agent, or all if NULL, for records of taken partitions */
 void
 az_entry_recover_start (struct az_entry_board *board, struct az_entry_agent *agent);
+
+/** az_entry_recover_tick - forgets records that no caller asked for */
+void
+az_entry_recover_tick (struct az_entry_board *board);
 void
 az_entry_received_records (struct az_entry_board *board, const struct az_records *records);
 
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -197,12 +197,20 @@
   g_free (state->claims.claims_val);
 }
 
-/* The entry with the lower incarnation connects. */
+/* The entry with the lower incarnation connects. One that is not in the roster yet is unknown to
+ * the others and connects to all of them: it needs their reports to join. */
+static bool
+is_caller (const struct az_entry_board *board, const struct az_entry_peer *peer)
+{
+  return board->incarnation < peer->incarnation
+         || !az_owner_table_has (&board->table, board->incarnation);
+}
+
 static void
 connect_peer (struct az_entry_board *board, struct az_entry_peer *peer)
 {
-  if (peer->connection || peer->connecting || !peer->in_roster
-      || peer->incarnation < board->incarnation || az_time_compare (board->now, peer->retry_at) < 0)
+  if (peer->connection || peer->connecting || !peer->in_roster || !is_caller (board, peer)
+      || az_time_compare (board->now, peer->retry_at) < 0)
     return;
   peer->connecting = true;
   board->io.connect (board->io.context, peer->rpc_address);
--- a/src/entry/recover.c
+++ b/src/entry/recover.c
@@ -36,6 +36,16 @@
     }
 }
 
+void
+az_entry_recover_tick (struct az_entry_board *board)
+{
+  if (!g_hash_table_size (board->recoveries)
+      || az_time_diff_ms (board->now, board->recover_until) < RECOVER_MS)
+    return;
+  g_hash_table_remove_all (board->recoveries);
+  board->recovery_bytes = 0;
+}
+
 static struct az_entry_recovery *
 need_recovery (struct az_entry_board *board, const struct az_record *record)
 {
@@ -46,6 +56,7 @@
   if (!record->job_tasks || record->job_tasks > AZ_MAX_TASKS)
     return NULL;
   recovery = g_new0 (struct az_entry_recovery, 1);
+  board->recovery_bytes += record->job_tasks * sizeof (struct az_entry_task);
   recovery->n_tasks = record->job_tasks;
   recovery->tasks = g_new0 (struct az_entry_task, record->job_tasks);
   g_hash_table_insert (board->recoveries, g_strdup (record->id.job), recovery);
@@ -75,6 +86,7 @@
   task->result.az_payload_val
       = g_memdup2 (record->payload.az_payload_val, record->payload.az_payload_len);
   recovery->n_ok++;
+  board->recovery_bytes += record->payload.az_payload_len;
 }
 
 void
@@ -82,7 +94,10 @@
 {
   if (az_time_compare (board->now, board->recover_until) >= 0)
     return;
-  for (uint32_t i = 0; i < records->records.records_len; i++)
+  /* What doesn't fit stays "outcome unknown". */
+  for (uint32_t i = 0;
+       i < records->records.records_len && board->recovery_bytes < board->settings.answer_bytes_max;
+       i++)
     if (!az_entry_job_find (board, records->records.records_val[i].id.job))
       add_record (board, &records->records.records_val[i]);
 }
@@ -96,6 +111,7 @@
   job->n_waiting = 0;
   job->n_ok = recovery->n_ok;
   job->n_failed = recovery->n_failed;
+  job->failure = "task_failed";
   recovery->tasks = NULL;
   recovery->n_tasks = 0;
 }
--- a/src/entry/requests.c
+++ b/src/entry/requests.c
@@ -45,7 +45,7 @@
   if (!row)
     return;
   job = az_entry_board_job (board, row->job);
-  if (job)
+  if (job && job->waiters)
     stop_waiting (job, request);
   g_hash_table_remove (board->requests, GUINT_TO_POINTER (request));
 }
--- a/src/entry/results.c
+++ b/src/entry/results.c
@@ -1,6 +1,7 @@
 #include "entry/agents.h"
 #include "entry/jobs.h"
 #include "entry/send.h"
+#include <string.h>
 
 /* A refusing agent is left alone for this long: its evidence, table or view takes a heartbeat to
  * change, and each START until then would be wasted. */
@@ -65,7 +66,10 @@
          const struct closed *closed,
          const struct az_result_task *result)
 {
-  if (result->status == AZ_STATUS_OK || result->status == AZ_STATUS_FAILED)
+  bool is_wanted = closed->job && !closed->job->cancelled;
+
+  /* How a task ends after CANCEL says nothing about the agent. */
+  if (is_wanted && (result->status == AZ_STATUS_OK || result->status == AZ_STATUS_FAILED))
     az_ejector_report (board->ejector, agent->handle, result->status == AZ_STATUS_OK);
   else
     az_ejector_cancelled (board->ejector, agent->handle);
@@ -103,6 +107,19 @@
   az_entry_job_settle (board, closed->handle);
 }
 
+/* The agent names the cause of a failure that is not the upstream's own in the payload. */
+static const char *
+failure_code (const az_payload *payload)
+{
+  static const char *const codes[] = { "stopped_by_guard", "task_timeout" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (codes); i++)
+    if (payload->az_payload_len == strlen (codes[i])
+        && !memcmp (payload->az_payload_val, codes[i], payload->az_payload_len))
+      return codes[i];
+  return "task_failed";
+}
+
 static void
 end_task (struct az_entry_board *board,
           const struct closed *closed,
@@ -122,6 +139,7 @@
     {
       closed->task->state = AZ_ENTRY_TASK_FAILED;
       closed->job->n_failed++;
+      closed->job->failure = failure_code (payload);
     }
   az_entry_job_settle (board, closed->handle);
 }
--- a/src/entry/retention.c
+++ b/src/entry/retention.c
@@ -24,7 +24,7 @@
 static size_t
 answer_bytes (const struct az_entry_job *job)
 {
-  size_t bytes = RECORD_OVERHEAD_BYTES + job->n_tasks * sizeof (struct az_entry_task);
+  size_t bytes = RECORD_OVERHEAD_BYTES;
 
   for (uint32_t i = 0; i < job->answer->results.results_len; i++)
     bytes += sizeof (struct az_task_result)
--- a/src/entry/store.c
+++ b/src/entry/store.c
@@ -99,6 +99,7 @@
       board->restored = true;
       board->store.evidence = reading->sent;
     }
+  az_entry_evidence_update (board);
   if (board->revision != revision || board->table.table_version != version)
     az_entry_changed (board);
 }
--- a/src/entry/submit.c
+++ b/src/entry/submit.c
@@ -106,6 +106,12 @@
       wait_for (board, recovered, origin);
       return;
     }
+  if (origin->peer && !submit->tasks.tasks_len)
+    {
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                       "the owner has no record of the job");
+      return;
+    }
   if (refuse_unknown (board, submit, origin, id_time_ms))
     return;
   code = az_entry_refusal (board, submit, &team, &group, &text);
@@ -138,6 +144,22 @@
   az_entry_forward (board, handle);
 }
 
+/* A record that only fetches an answer from the owner becomes one that submits the job. */
+static void
+join (struct az_entry_board *board,
+      uint32_t handle,
+      const struct az_submit *submit,
+      const struct az_entry_origin *origin)
+{
+  struct az_entry_job *job = az_entry_board_job (board, handle);
+  bool is_fetch = job->request && !job->request->tasks.tasks_len;
+
+  job->first_attempt &= origin->first_attempt;
+  wait_for (board, handle, origin);
+  if (is_fetch && submit->tasks.tasks_len)
+    az_entry_forward_instead (board, handle, submit);
+}
+
 void
 az_entry_submit (struct az_entry_board *board,
                  const struct az_submit *submit,
@@ -149,7 +171,7 @@
   az_entry_count (board, board->count.submitted, 1);
   if (handle)
     {
-      wait_for (board, handle, origin);
+      join (board, handle, submit, origin);
       return;
     }
   if (!az_job_id_parse (submit->job, &id_time_ms))
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -531,6 +531,20 @@
   return found;
 }
 
+void
+test_entry_assert_answer (const struct test_entry *entry,
+                          uint32_t request,
+                          az_outcome outcome,
+                          const char *code)
+{
+  const struct test_answer *answer = test_entry_answer (entry, request);
+
+  assert_non_null (answer);
+  assert_false (answer->pending);
+  assert_string_equal (answer->code, code);
+  assert_int_equal (answer->outcome, outcome);
+}
+
 uint64_t
 test_entry_counter (const struct test_entry *entry, const char *name)
 {
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -152,6 +152,11 @@
 /** test_entry_answer - the only answer of @request, NULL if there is none; fails on two */
 const struct test_answer *
 test_entry_answer (const struct test_entry *entry, uint32_t request);
+void
+test_entry_assert_answer (const struct test_entry *entry,
+                          uint32_t request,
+                          az_outcome outcome,
+                          const char *code);
 uint64_t
 test_entry_counter (const struct test_entry *entry, const char *name);
 const char *
--- /dev/null
+++ b/tests/test_entry_agents.c
@@ -0,0 +1,353 @@
+#include "entry_fixture.h"
+#include "testing.h"
+
+/* Agent 1 on connection 1 with a job of one task that it was sent. */
+static struct test_entry *
+start_one_task (void)
+{
+  struct test_entry *entry = test_entry_start ();
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  return entry;
+}
+
+/* The agent connects again over connection 2, with no grants. */
+static void
+reconnect (struct test_entry *entry, uint64_t incarnation)
+{
+  struct az_message message = { .proc = AZ_HELLO };
+  struct az_hello *hello = &message.az_message_u.hello;
+
+  hello->incarnation = incarnation;
+  hello->instance = (char *)"agent-1";
+  hello->upstream = (char *)"u";
+  hello->domain = (char *)"a";
+  hello->slots = 4;
+  az_entry_core_opened (entry->core, 2, false, "127.0.0.1:9");
+  assert_null (test_entry_receive (entry, 2, &message));
+}
+
+/* Guards against a lost task after a refusal, and against an attempt number that is used twice. */
+static void
+test_refused_task_is_sent_again (void **state)
+{
+  struct test_entry *entry = start_one_task ();
+  uint32_t connection;
+  uint32_t first = test_entry_started (entry, 0, &connection)->id.attempt;
+
+  test_entry_refuse (entry, 0, AZ_REFUSAL_GRANT);
+  test_entry_advance (entry, 20);
+  assert_int_equal (test_entry_n_started (entry), 2);
+  assert_int_not_equal (test_entry_started (entry, 1, &connection)->id.attempt, first);
+  test_entry_finish (entry, 1, AZ_STATUS_OK);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_DONE, "");
+  test_entry_destroy (entry);
+}
+
+/* Guards against STARTs that an agent with old evidence would refuse one after the other. */
+static void
+test_lasting_refusal_pauses_the_agent (void **state)
+{
+  struct test_entry *entry = start_one_task ();
+
+  test_entry_refuse (entry, 0, AZ_REFUSAL_EVIDENCE);
+  test_entry_advance (entry, 50);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_advance (entry, 250);
+  assert_int_equal (test_entry_n_started (entry), 2);
+  test_entry_destroy (entry);
+}
+
+/* Guards against retries that amplify a burst: without starts the budget is 10 in a second. */
+static void
+test_retries_are_bounded (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  uint32_t refused = 0;
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  for (int i = 0; i < 50; i++)
+    {
+      if (refused < test_entry_n_started (entry))
+        test_entry_refuse (entry, refused++, AZ_REFUSAL_GRANT);
+      test_entry_grant (entry, 1, 7000 + (uint32_t)i, 1);
+      test_entry_advance (entry, 10);
+    }
+  assert_in_range (test_entry_n_started (entry), 10, 13);
+  test_entry_destroy (entry);
+}
+
+/* Guards against "not run" or a second start after an agent has a record of the task. */
+static void
+test_duplicate_is_unknown (void **state)
+{
+  struct test_entry *entry = start_one_task ();
+
+  test_entry_refuse (entry, 0, AZ_REFUSAL_DUPLICATE);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_UNKNOWN, "outcome_unknown");
+  test_entry_advance (entry, 1000);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a start elsewhere while the fate of the first attempt is open. */
+static void
+test_fate_is_asked_after_reconnection (void **state)
+{
+  struct test_entry *entry = start_one_task ();
+
+  az_entry_core_closed (entry->core, 1);
+  test_entry_agent (entry, 3, 13, "agent-3");
+  test_entry_advance (entry, 500);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  reconnect (entry, 11);
+  assert_int_equal (test_entry_count (entry, AZ_QUERY), 1);
+  test_entry_fate (entry, 0, 2, AZ_STATUS_RUNNING);
+  test_entry_advance (entry, 100);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_fate (entry, 0, 2, AZ_STATUS_OK);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_DONE, "");
+  assert_string_equal (test_entry_answer (entry, 7)->first_result, "fate");
+  test_entry_destroy (entry);
+}
+
+/* Guards against a task that is lost although the agent proved that it did not start. */
+static void
+test_fenced_task_runs_elsewhere (void **state)
+{
+  struct test_entry *entry = start_one_task ();
+
+  az_entry_core_closed (entry->core, 1);
+  test_entry_agent (entry, 3, 13, "agent-3");
+  reconnect (entry, 11);
+  test_entry_fate (entry, 0, 2, AZ_STATUS_NOT_STARTED);
+  test_entry_advance (entry, 20);
+  assert_int_equal (test_entry_n_started (entry), 2);
+  test_entry_finish (entry, 1, AZ_STATUS_OK);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_DONE, "");
+  test_entry_destroy (entry);
+}
+
+/* Guards against a second run of a task whose agent was replaced. */
+static void
+test_replaced_agent_makes_fate_unknown (void **state)
+{
+  struct test_entry *entry = start_one_task ();
+
+  reconnect (entry, 99);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_UNKNOWN, "outcome_unknown");
+  test_entry_grant (entry, 2, 9000, 4);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_destroy (entry);
+}
+
+static struct az_message
+heartbeat_message (void)
+{
+  struct az_message message = { .proc = AZ_HEARTBEAT };
+
+  message.az_message_u.heartbeat.sent_ns = 77;
+  return message;
+}
+
+/* Guards against work for a silent agent, and against a suspicion that can't be retracted. */
+static void
+test_silent_agent_is_suspected (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  struct az_message heartbeat = heartbeat_message ();
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_advance (entry, 4000);
+  test_entry_grant (entry, 1, 2000, 4);
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  test_entry_advance (entry, 2300);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "ijklmnop"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  assert_null (test_entry_answer (entry, 7));
+  assert_null (test_entry_receive (entry, 1, &heartbeat));
+  az_entry_core_flush (entry->core);
+  assert_int_equal (test_entry_n_started (entry), 2);
+  test_entry_destroy (entry);
+}
+
+/* Guards against an acknowledgement that an agent can't match or that claims too young evidence. */
+static void
+test_heartbeat_is_answered_with_age (void **state)
+{
+  struct test_entry *entry = test_entry_create ();
+  struct az_message heartbeat = heartbeat_message ();
+  const struct az_heartbeat_ack *ack;
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  assert_null (test_entry_receive (entry, 1, &heartbeat));
+  ack = &test_entry_last (entry, AZ_HEARTBEAT_ACK)->message.az_message_u.heartbeat_ack;
+  assert_int_equal (ack->sent_ns, 77);
+  assert_int_equal (ack->evidence_age_ms, UINT32_MAX);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a start in a withdrawn domain, and against a VIEW that waits for a heartbeat. */
+static void
+test_withdrawal_is_pushed_and_stops_dispatch (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  struct test_configuration withdrawn = { .withdrawn = true };
+  struct test_configuration restored = { 0 };
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_forget_sent (entry);
+  test_entry_configure (entry, &withdrawn);
+  assert_int_equal (test_entry_count (entry, AZ_VIEW), 1);
+  assert_false (test_entry_last (entry, AZ_VIEW)->message.az_message_u.view.in_service);
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  test_entry_grant (entry, 1, 3000, 1);
+  test_entry_advance (entry, 100);
+  assert_int_equal (test_entry_n_started (entry), 0);
+  test_entry_configure (entry, &restored);
+  az_entry_core_flush (entry->core);
+  assert_true (test_entry_last (entry, AZ_VIEW)->message.az_message_u.view.in_service);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_destroy (entry);
+}
+
+/* Guards against work for a worker that fails everything while others succeed. */
+static void
+test_failing_agent_is_ejected_and_probed (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  uint32_t connection;
+
+  for (uint32_t i = 1; i <= 4; i++)
+    test_entry_agent (entry, i, 10 + i, (const char *[]){ "a1", "a2", "a3", "a4" }[i - 1]);
+  for (uint32_t i = 0; i < 60; i++)
+    {
+      test_entry_submit (entry, 100 + i, test_entry_id (entry, (int64_t)i - 100, "abcdefgh"), 1);
+      assert_non_null (test_entry_started (entry, i, &connection));
+      test_entry_finish (entry, i, connection == 1 ? AZ_STATUS_FAILED : AZ_STATUS_OK);
+      test_entry_grant (entry, connection, 50000 + i, 1);
+    }
+  test_entry_forget_sent (entry);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      test_entry_submit (entry, 200 + i, test_entry_id (entry, (int64_t)i - 100, "ijklmnop"), 1);
+      assert_non_null (test_entry_started (entry, i, &connection));
+      assert_int_not_equal (connection, 1);
+    }
+  /* All other grants are in use; after a second one probe may be sent. */
+  test_entry_advance (entry, 1200);
+  test_entry_submit (entry, 300, test_entry_id (entry, 0, "qrstuvwx"), 2);
+  assert_int_equal (test_entry_n_started (entry), 13);
+  assert_non_null (test_entry_started (entry, 12, &connection));
+  assert_int_equal (connection, 1);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a use of grants that the agent takes back, and of grants that have expired. */
+static void
+test_recalled_and_expired_grants_are_not_used (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  u_quad_t ids[] = { 1000, 1001, 1002, 4711 };
+  struct az_message recall = { .proc = AZ_RECALL };
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  recall.az_message_u.recall.ids.ids_len = 4;
+  recall.az_message_u.recall.ids.ids_val = ids;
+  assert_null (test_entry_receive (entry, 1, &recall));
+  assert_int_equal (test_entry_last (entry, AZ_RETURN)->message.az_message_u.returned.ids.ids_len,
+                    3);
+  test_entry_advance (entry, 4800);
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  assert_int_equal (test_entry_n_started (entry), 0);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a renewal that crossed the START being taken for a second grant. */
+static void
+test_renewal_of_used_grant_is_ignored (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 4);
+  test_entry_grant (entry, 1, 1000, 4);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "ijklmnop"), 1);
+  assert_int_equal (test_entry_n_started (entry), 4);
+  test_entry_destroy (entry);
+}
+
+/* Guards against DEMAND for each waiting job, which would exceed the messages of the work. */
+static void
+test_demand_is_bounded (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 4);
+  test_entry_forget_sent (entry);
+  for (uint32_t i = 0; i < 10; i++)
+    test_entry_submit (entry, 100 + i, test_entry_id (entry, i, "ijklmnop"), 1);
+  /* 1, 2, 4 and 8 waiting tasks. */
+  assert_int_equal (test_entry_count (entry, AZ_DEMAND), 4);
+  test_entry_advance (entry, 60);
+  assert_int_equal (test_entry_count (entry, AZ_DEMAND), 5);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a team that uses more slots than its quota. */
+static void
+test_quota_limits_running_tasks (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  struct test_configuration fields = { .quota = 2 };
+
+  test_entry_configure (entry, &fields);
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 4);
+  assert_int_equal (test_entry_n_started (entry), 2);
+  test_entry_finish (entry, 0, AZ_STATUS_OK);
+  assert_int_equal (test_entry_n_started (entry), 3);
+  test_entry_destroy (entry);
+}
+
+/* Guards against messages that change state before the sender has said who it is. */
+static void
+test_unidentified_connection_is_closed (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  struct az_message heartbeat = heartbeat_message ();
+
+  az_entry_core_opened (entry->core, 5, false, "127.0.0.1:9");
+  assert_non_null (test_entry_receive (entry, 5, &heartbeat));
+  assert_non_null (test_entry_receive (entry, 6, &heartbeat));
+  test_entry_destroy (entry);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_refused_task_is_sent_again),
+    cmocka_unit_test (test_lasting_refusal_pauses_the_agent),
+    cmocka_unit_test (test_retries_are_bounded),
+    cmocka_unit_test (test_duplicate_is_unknown),
+    cmocka_unit_test (test_fate_is_asked_after_reconnection),
+    cmocka_unit_test (test_fenced_task_runs_elsewhere),
+    cmocka_unit_test (test_replaced_agent_makes_fate_unknown),
+    cmocka_unit_test (test_silent_agent_is_suspected),
+    cmocka_unit_test (test_heartbeat_is_answered_with_age),
+    cmocka_unit_test (test_withdrawal_is_pushed_and_stops_dispatch),
+    cmocka_unit_test (test_failing_agent_is_ejected_and_probed),
+    cmocka_unit_test (test_recalled_and_expired_grants_are_not_used),
+    cmocka_unit_test (test_renewal_of_used_grant_is_ignored),
+    cmocka_unit_test (test_demand_is_bounded),
+    cmocka_unit_test (test_quota_limits_running_tasks),
+    cmocka_unit_test (test_unidentified_connection_is_closed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_entry_owners.c
@@ -0,0 +1,353 @@
+#include "azurerock/job_id.h"
+#include "azurerock/limits.h"
+#include "entry_fixture.h"
+#include "testing.h"
+
+static const uint64_t both[] = { TEST_SELF, TEST_PEER };
+static const uint64_t all[] = { TEST_SELF, TEST_PEER, TEST_OTHER };
+
+/* An entry that finds a table of @n members with revision 1; the peers are connected on
+ * connections 20 and 21 and have reported the table. */
+static struct test_entry *
+join_cluster (uint32_t n, uint64_t owner)
+{
+  struct test_entry *entry = test_entry_create ();
+  struct test_configuration fields = { 0 };
+  struct az_table table;
+
+  test_entry_configure (entry, &fields);
+  test_entry_table (&table, 3, n, owner);
+  test_entry_read_table (entry, &table, all, n);
+  az_owner_table_clear (&table);
+  for (uint32_t i = 1; i < n; i++)
+    {
+      test_entry_peer (entry, 19 + i, all[i]);
+      test_entry_peer_ack (entry, 19 + i, 1, 3, true);
+    }
+  return entry;
+}
+
+static void
+read_for (struct test_entry *entry, int64_t ms, const uint64_t *sessions, size_t n)
+{
+  for (int64_t passed = 0; passed < ms; passed += 500)
+    {
+      test_entry_read (entry, sessions, n);
+      test_entry_advance (entry, 500);
+    }
+}
+
+static uint32_t
+owned_by (const struct az_table *table, uint64_t owner)
+{
+  uint32_t count = 0;
+
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    count += table->partitions.partitions_val[p].owner == owner;
+  return count;
+}
+
+/* Guards against two entries that both create the first table, and against a wait of the first
+ * entry for an older owner that never was. */
+static void
+test_first_table_is_owned_at_once (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  assert_null (test_entry_answer (entry, 7));
+  test_entry_destroy (entry);
+}
+
+/* Guards against a takeover while the session of the owner may still exist. */
+static void
+test_takeover_needs_missing_session (void **state)
+{
+  struct test_entry *entry = join_cluster (2, 0);
+
+  read_for (entry, 3000, both, 2);
+  assert_false (entry->wrote);
+  read_for (entry, 4500, both, 1);
+  assert_false (entry->wrote);
+  read_for (entry, 1500, both, 1);
+  assert_true (entry->wrote);
+  assert_int_equal (entry->written.table_version, 4);
+  assert_int_equal (owned_by (&entry->written, TEST_SELF), AZ_PARTITIONS);
+  for (uint32_t p = 1; p < AZ_PARTITIONS; p += 2)
+    {
+      assert_int_equal (entry->written.partitions.partitions_val[p].previous, TEST_PEER);
+      assert_true ((int64_t)entry->written.partitions.partitions_val[p].from_ms
+                   > az_clock_wall_ms (&entry->clock) + AZ_HANDOVER_MS - 1500);
+    }
+  assert_int_equal (entry->written.roster.roster_len, 2);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a version that is written before the one before it is confirmed. */
+static void
+test_next_version_needs_confirmation (void **state)
+{
+  struct test_entry *entry = test_entry_create ();
+  struct test_configuration fields = { 0 };
+  struct az_table table;
+
+  test_entry_configure (entry, &fields);
+  test_entry_table (&table, 3, 3, 0);
+  test_entry_read_table (entry, &table, all, 3);
+  az_owner_table_clear (&table);
+  /* Of three members one, this entry, reports version 3; half rounded up is two. */
+  read_for (entry, 8000, both, 2);
+  assert_false (entry->wrote);
+  test_entry_peer (entry, 20, TEST_PEER);
+  test_entry_peer_ack (entry, 20, 1, 3, true);
+  read_for (entry, 500, both, 2);
+  assert_true (entry->wrote);
+  test_entry_destroy (entry);
+}
+
+/* The peer dies and this entry takes its partitions; returns after the table is in the store. */
+static struct test_entry *
+take_over (void)
+{
+  struct test_entry *entry = join_cluster (2, TEST_PEER);
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  az_entry_core_closed (entry->core, 20);
+  read_for (entry, 6000, both, 1);
+  test_entry_commit (entry, both, 1);
+  return entry;
+}
+
+/* Guards against running an id that the former owner may have run. */
+static void
+test_ids_before_horizon_are_unknown (void **state)
+{
+  struct test_entry *entry = take_over ();
+  int64_t confirmed_ms = az_clock_wall_ms (&entry->clock);
+  char *id;
+
+  test_entry_read (entry, both, 1);
+  id = g_strdup (test_entry_id (entry, 0, "abcdefgh"));
+  read_for (entry, 3000, both, 1);
+  test_entry_submit (entry, 7, id, 1);
+  test_entry_advance (entry, 1200);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_UNKNOWN, "owner_unavailable");
+  read_for (entry, 2000, both, 1);
+  test_entry_grant (entry, 1, 6000, 4);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "ijklmnop"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  assert_true (az_clock_wall_ms (&entry->clock) >= confirmed_ms + AZ_HANDOVER_MS);
+  g_free (id);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a caller that hears "unknown" although agents hold all results of its job. */
+static void
+test_records_of_agents_answer_older_jobs (void **state)
+{
+  struct test_entry *entry = join_cluster (2, TEST_PEER);
+  char *whole = g_strdup (test_entry_id (entry, 0, "abcdefgh"));
+  char *partial = g_strdup (test_entry_id (entry, 0, "ijklmnop"));
+  struct az_record records[] = {
+    { .id = { whole, 0, 1 }, .job_tasks = 2, .payload = { 3, (char *)"one" } },
+    { .id = { whole, 1, 2 }, .job_tasks = 2, .payload = { 3, (char *)"two" } },
+    { .id = { partial, 0, 3 }, .job_tasks = 2, .payload = { 3, (char *)"one" } },
+  };
+  struct az_message message = { .proc = AZ_RECORDS };
+  struct az_table table;
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  az_entry_core_closed (entry->core, 20);
+  read_for (entry, 6000, both, 1);
+  test_entry_commit (entry, both, 1);
+  assert_int_equal (test_entry_count (entry, AZ_RECOVER), 1);
+  message.az_message_u.records.records.records_len = 3;
+  message.az_message_u.records.records.records_val = records;
+  assert_null (test_entry_receive (entry, 1, &message));
+  /* The former owner leaves the roster, so that its ids come to this entry. */
+  test_entry_table (&table, 5, 1, TEST_SELF);
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    {
+      table.partitions.partitions_val[p].from_ms
+          = (u_quad_t)(az_clock_wall_ms (&entry->clock) + AZ_HANDOVER_MS);
+      table.partitions.partitions_val[p].previous = TEST_PEER;
+    }
+  test_entry_read_table (entry, &table, both, 1);
+  az_owner_table_clear (&table);
+  test_entry_submit (entry, 7, whole, 2);
+  test_entry_submit (entry, 8, partial, 2);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_DONE, "");
+  assert_string_equal (test_entry_answer (entry, 7)->first_result, "one");
+  test_entry_assert_answer (entry, 8, AZ_OUTCOME_UNKNOWN, "outcome_unknown");
+  assert_int_equal (test_entry_n_started (entry), 0);
+  g_free (whole);
+  g_free (partial);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a replacement that waits for a confirmation which only it could give. */
+static void
+test_replacement_takes_its_place_unconfirmed (void **state)
+{
+  struct test_entry *entry = test_entry_create ();
+  struct test_configuration fields = { 0 };
+  struct az_table table;
+
+  test_entry_configure (entry, &fields);
+  test_entry_table (&table, 3, 3, 0);
+  table.roster.roster_val[0].incarnation = 77;
+  table.roster.roster_val[0].joined = 2;
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    if (table.partitions.partitions_val[p].owner == TEST_SELF)
+      table.partitions.partitions_val[p].owner = 77;
+  test_entry_read_table (entry, &table, all, 3);
+  az_owner_table_clear (&table);
+  test_entry_advance (entry, 100);
+  assert_true (entry->wrote);
+  assert_int_equal (entry->written.roster.roster_len, 3);
+  assert_int_equal (entry->written.roster.roster_val[0].incarnation, TEST_SELF);
+  assert_int_equal (entry->written.roster.roster_val[0].joined, 2);
+  assert_int_equal (owned_by (&entry->written, TEST_SELF), 22);
+  assert_int_equal (entry->written.partitions.partitions_val[0].previous, 77);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a joining entry that takes nothing, or ids that others may run already. */
+static void
+test_joining_entry_takes_its_share (void **state)
+{
+  struct test_entry *entry = test_entry_create ();
+  struct test_configuration fields = { 0 };
+  struct az_table table;
+
+  test_entry_configure (entry, &fields);
+  test_entry_table (&table, 3, 2, TEST_PEER);
+  table.roster.roster_val[0].incarnation = TEST_PEER;
+  table.roster.roster_val[1].incarnation = TEST_OTHER;
+  g_free (table.roster.roster_val[0].instance);
+  table.roster.roster_val[0].instance = g_strdup ("first");
+  test_entry_read_table (entry, &table, all, 3);
+  az_owner_table_clear (&table);
+  test_entry_advance (entry, 200);
+  assert_false (entry->wrote);
+  assert_int_equal (entry->connects->len, 2);
+  test_entry_peer (entry, 20, TEST_PEER);
+  test_entry_peer_ack (entry, 20, 1, 3, true);
+  test_entry_advance (entry, 200);
+  assert_true (entry->wrote);
+  assert_int_equal (entry->written.roster.roster_len, 3);
+  assert_int_equal (entry->written.roster.roster_val[2].joined, 4);
+  assert_int_equal (owned_by (&entry->written, TEST_SELF), 21);
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    if (entry->written.partitions.partitions_val[p].owner == TEST_SELF)
+      assert_true (entry->written.partitions.partitions_val[p].from_ms > TEST_WALL_MS);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a stop that leaves partitions without an owner or drops open jobs. */
+static void
+test_planned_stop_hands_over (void **state)
+{
+  struct test_entry *entry = join_cluster (2, 0);
+
+  test_entry_agent (entry, 1, 11, "agent-1");
+  az_entry_core_stop (entry->core);
+  assert_false (az_entry_core_is_ready (entry->core));
+  test_entry_read (entry, both, 2);
+  test_entry_advance (entry, 200);
+  assert_true (entry->wrote);
+  assert_int_equal (owned_by (&entry->written, TEST_PEER), AZ_PARTITIONS);
+  test_entry_commit (entry, both, 2);
+  /* This entry goes on serving ids of its own interval. */
+  for (uint32_t i = 0;; i++)
+    {
+      char token[16];
+      const char *id;
+
+      g_snprintf (token, sizeof token, "token%03u", i);
+      id = test_entry_id (entry, 0, token);
+      if (az_job_id_partition (id) % 2)
+        continue;
+      test_entry_submit (entry, 7, id, 1);
+      break;
+    }
+  read_for (entry, 4000, both, 2);
+  assert_false (az_entry_core_is_drained (entry->core));
+  test_entry_finish (entry, 0, AZ_STATUS_OK);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_DONE, "");
+  assert_false (az_entry_core_is_drained (entry->core));
+  read_for (entry, 1000, both, 2);
+  assert_true (az_entry_core_is_drained (entry->core));
+  test_entry_destroy (entry);
+}
+
+/* Guards against a stop that waits for a successor that doesn't exist. */
+static void
+test_last_entry_stops_alone (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+
+  az_entry_core_stop (entry->core);
+  assert_true (az_entry_core_is_drained (entry->core));
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_NOT_RUN, "stopping");
+  test_entry_destroy (entry);
+}
+
+/* Guards against a roster that keeps dead members, whose count makes majorities larger. */
+static void
+test_dead_member_is_removed_later (void **state)
+{
+  struct test_entry *entry = take_over ();
+
+  read_for (entry, 10000, both, 1);
+  assert_false (entry->wrote);
+  read_for (entry, 6000, both, 1);
+  assert_true (entry->wrote);
+  assert_int_equal (entry->written.roster.roster_len, 1);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a table or revision that goes back after a read from a stale store. */
+static void
+test_state_never_goes_back (void **state)
+{
+  struct test_entry *entry = join_cluster (2, 0);
+  struct test_configuration withdrawn = { .withdrawn = true };
+  struct az_table table;
+  json_t *status;
+
+  test_entry_configure (entry, &withdrawn);
+  entry->revision = 0;
+  test_entry_configure (entry, &(struct test_configuration){ 0 });
+  test_entry_table (&table, 2, 1, TEST_SELF);
+  test_entry_read_table (entry, &table, both, 2);
+  az_owner_table_clear (&table);
+  status = az_entry_core_status (entry->core);
+  assert_int_equal (json_integer_value (json_object_get (status, "revision")), 2);
+  assert_int_equal (json_integer_value (json_object_get (status, "table_version")), 3);
+  json_decref (status);
+  test_entry_destroy (entry);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_first_table_is_owned_at_once),
+    cmocka_unit_test (test_takeover_needs_missing_session),
+    cmocka_unit_test (test_next_version_needs_confirmation),
+    cmocka_unit_test (test_ids_before_horizon_are_unknown),
+    cmocka_unit_test (test_records_of_agents_answer_older_jobs),
+    cmocka_unit_test (test_replacement_takes_its_place_unconfirmed),
+    cmocka_unit_test (test_joining_entry_takes_its_share),
+    cmocka_unit_test (test_planned_stop_hands_over),
+    cmocka_unit_test (test_last_entry_stops_alone),
+    cmocka_unit_test (test_dead_member_is_removed_later),
+    cmocka_unit_test (test_state_never_goes_back),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
