Add the placement model and the record of policies compared

The design page leaves open how demand is divided among agents and to which entry a free slot goes. The model runs the theatre's size in virtual time against an ideal central queue and shares the workload, the ideal queue and the quantiles (src/load) with the load generator.

Random, power of two choices and stale views were ruled out for response time, messages, or because a bound task can't move.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,9 @@
 HELPER_OBJECTS = $(HELPER_SOURCES:%.c=$(BUILD)/%.o)
 BENCH_SOURCES = $(wildcard bench/*.c)
 BENCHES = $(BENCH_SOURCES:bench/%.c=$(BUILD)/bench/%)
-FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] tests/*.[ch] bench/*.[ch]))
+MODEL_SOURCES = $(wildcard bench/model/*.c)
+MODEL_OBJECTS = $(MODEL_SOURCES:%.c=$(BUILD)/%.o)
+FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] tests/*.[ch] bench/*.[ch] bench/model/*.[ch]))
 
 main_entry = src/entry/main.c
 main_agent = src/agent/main.c
@@ -54,7 +56,7 @@
 endef
 $(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p:azurerock-%=%))))
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(MODEL_OBJECTS) $(LIB)
 	$(CC) $(ALL_CFLAGS) $^ $(PKG_LIBS) -o $@
 
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(HELPER_OBJECTS) $(LIB)
--- /dev/null
+++ b/bench/model/early.c
@@ -0,0 +1,247 @@
+#include "model.h"
+
+/*
+ * Policies that bind a task to an agent when it is submitted: random, power of two choices with
+ * probes, and least loaded by the entry's own stale view. Tasks wait in a queue at the agent.
+ */
+
+struct early_state
+{
+  GQueue queues[MODEL_AGENTS_MAX]; /* waiting (task, entry) pairs at agents */
+  /* load of agents as each entry knows it: reported with results, plus own starts since */
+  int64_t views[MODEL_ENTRIES_MAX][MODEL_AGENTS_MAX];
+};
+
+struct waiting
+{
+  uint32_t task;
+  uint32_t entry;
+};
+
+static struct early_state *
+state_of (const struct model *model)
+{
+  return model->state;
+}
+
+static void
+early_create (struct model *model)
+{
+  struct early_state *state = g_new0 (struct early_state, 1);
+
+  for (uint32_t i = 0; i < MODEL_AGENTS_MAX; i++)
+    g_queue_init (&state->queues[i]);
+  model->state = state;
+}
+
+static void
+early_destroy (struct model *model)
+{
+  for (uint32_t i = 0; i < MODEL_AGENTS_MAX; i++)
+    g_queue_clear_full (&state_of (model)->queues[i], g_free);
+  g_free (model->state);
+}
+
+static int64_t
+load_of (const struct model *model, uint32_t agent)
+{
+  return model->agents[agent].busy + state_of (model)->queues[agent].length;
+}
+
+static void
+run_queue (struct model *model, uint32_t agent)
+{
+  GQueue *queue = &state_of (model)->queues[agent];
+
+  while (queue->length && model->agents[agent].busy < model->agents[agent].limit)
+    {
+      struct waiting *waiting = g_queue_pop_head (queue);
+
+      model_start (model, agent, waiting->entry, waiting->task);
+      g_free (waiting);
+    }
+}
+
+static void
+place (struct model *model, uint32_t entry, uint32_t task);
+
+static void
+refused (struct model *model, const struct model_event *event)
+{
+  place (model, event->to, event->task);
+}
+
+static void
+refuse (struct model *model, uint32_t agent, uint32_t entry, uint32_t task)
+{
+  model_send (model, MODEL_REFUSED,
+              &(struct model_event){
+                  .run = refused, .from = model_node_of_agent (agent), .to = entry, .task = task });
+}
+
+static void
+receive_start (struct model *model, const struct model_event *event)
+{
+  uint32_t agent = model_agent_of_node (event->to);
+  struct waiting *waiting;
+
+  if (!model->agents[agent].in_service)
+    {
+      refuse (model, agent, event->from, event->task);
+      return;
+    }
+  waiting = g_new (struct waiting, 1);
+  *waiting = (struct waiting){ event->task, event->from };
+  g_queue_push_tail (&state_of (model)->queues[agent], waiting);
+  run_queue (model, agent);
+}
+
+static void
+send_start (struct model *model, uint32_t entry, uint32_t agent, uint32_t task)
+{
+  state_of (model)->views[entry][agent]++;
+  if (model->config.use_ejector)
+    az_ejector_started (model->ejectors[entry], agent);
+  model_send (
+      model, MODEL_START,
+      &(struct model_event){
+          .run = receive_start, .from = entry, .to = model_node_of_agent (agent), .task = task });
+}
+
+static bool
+is_usable (struct model *model, uint32_t entry, uint32_t agent)
+{
+  if (!model->agents[agent].in_service)
+    return false;
+  return !model->config.use_ejector || az_ejector_may_start (model->ejectors[entry], agent);
+}
+
+static uint32_t
+random_agent (struct model *model, uint32_t entry)
+{
+  uint32_t agent;
+
+  do
+    agent = (uint32_t)g_rand_int_range (model->random, 0, (gint32)model->config.agents);
+  while (!is_usable (model, entry, agent));
+  return agent;
+}
+
+static uint32_t
+least_loaded (struct model *model, uint32_t entry)
+{
+  const int64_t *views = state_of (model)->views[entry];
+  uint32_t best = random_agent (model, entry);
+
+  for (uint32_t agent = 0; agent < model->config.agents; agent++)
+    if (views[agent] < views[best] && is_usable (model, entry, agent))
+      best = agent;
+  return best;
+}
+
+/* Replies of the two probes of a task: the first one waits for the second in the event. */
+static void
+receive_replies (struct model *model, const struct model_event *event)
+{
+  uint32_t chosen = (uint32_t)(event->a >> 32 <= event->b >> 32 ? event->a : event->b);
+
+  send_start (model, event->to, chosen, event->task);
+}
+
+static void
+answer_probes (struct model *model, const struct model_event *event)
+{
+  uint32_t first = (uint32_t)event->a;
+  uint32_t second = (uint32_t)event->b;
+  struct model_event reply = { .run = receive_replies, .to = event->from, .task = event->task };
+
+  reply.a = load_of (model, first) << 32 | first;
+  reply.b = load_of (model, second) << 32 | second;
+  reply.from = model_node_of_agent (first);
+  model_send (model, MODEL_REPLY, &reply);
+  /* The second reply arrives at the same time and is only counted. */
+  model->messages[MODEL_REPLY]++;
+}
+
+static void
+probe_two (struct model *model, uint32_t entry, uint32_t task)
+{
+  uint32_t first = random_agent (model, entry);
+  uint32_t second = random_agent (model, entry);
+
+  model->messages[MODEL_PROBE]++;
+  model_send (model, MODEL_PROBE,
+              &(struct model_event){ .run = answer_probes,
+                                     .from = entry,
+                                     .to = model_node_of_agent (first),
+                                     .task = task,
+                                     .a = first,
+                                     .b = second });
+}
+
+static void
+place (struct model *model, uint32_t entry, uint32_t task)
+{
+  if (model->config.policy == MODEL_RANDOM)
+    send_start (model, entry, random_agent (model, entry), task);
+  else if (model->config.policy == MODEL_TWO_CHOICES)
+    probe_two (model, entry, task);
+  else
+    send_start (model, entry, least_loaded (model, entry), task);
+}
+
+static void
+early_submit (struct model *model, uint32_t entry, uint32_t job)
+{
+  const struct az_workload_job *row = &model->workload->jobs[job];
+
+  for (uint32_t task = 0; task < row->n_tasks; task++)
+    place (model, entry, row->first_task + task);
+}
+
+static void
+receive_view (struct model *model, const struct model_event *event)
+{
+  state_of (model)->views[event->to][model_agent_of_node (event->from)] = event->a;
+}
+
+static void
+early_finished (struct model *model, uint32_t agent, uint32_t entry, uint32_t task)
+{
+  run_queue (model, agent);
+  /* The load is part of the RESULT message. */
+  model_at (model, model->config.delay_us,
+            &(struct model_event){ .run = receive_view,
+                                   .from = model_node_of_agent (agent),
+                                   .to = entry,
+                                   .a = load_of (model, agent) });
+}
+
+static void
+early_changed (struct model *model, uint32_t agent)
+{
+  GQueue *queue = &state_of (model)->queues[agent];
+
+  if (!model->agents[agent].in_service)
+    {
+      while (queue->length)
+        {
+          struct waiting *waiting = g_queue_pop_head (queue);
+
+          refuse (model, agent, waiting->entry, waiting->task);
+          g_free (waiting);
+        }
+      return;
+    }
+  for (uint32_t entry = 0; entry < model->config.entries; entry++)
+    state_of (model)->views[entry][agent] = load_of (model, agent);
+  run_queue (model, agent);
+}
+
+static void
+early_answered (struct model *model, uint32_t entry, uint32_t agent)
+{
+}
+
+const struct model_scheme model_early
+    = { early_create, early_destroy, early_submit, early_finished, early_changed, early_answered };
--- /dev/null
+++ b/bench/model/model.h
@@ -0,0 +1,181 @@
+#ifndef AZUREROCK_MODEL_H
+#define AZUREROCK_MODEL_H
+
+#include "azurerock/clock.h"
+#include "azurerock/ejector.h"
+#include "load/workload.h"
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define MODEL_ENTRIES_MAX 16
+#define MODEL_AGENTS_MAX 64
+#define MODEL_NODES_MAX (MODEL_ENTRIES_MAX + MODEL_AGENTS_MAX)
+
+enum model_policy
+{
+  MODEL_RANDOM,
+  MODEL_TWO_CHOICES,
+  MODEL_STALE_VIEW,
+  MODEL_RESERVATION,
+  MODEL_CENTRAL,
+  MODEL_N_POLICIES,
+};
+
+enum model_message
+{
+  MODEL_START,
+  MODEL_RESULT,
+  MODEL_PROBE,
+  MODEL_REPLY,
+  MODEL_GRANT,
+  MODEL_DEMAND,
+  MODEL_RECALL,
+  MODEL_RETURN,
+  MODEL_REFUSED,
+  MODEL_N_MESSAGES,
+};
+
+/**
+ * struct model_config - one run
+ * @demand_fanout: agents asked per waiting task by an entry without grants; 0 asks all
+ * @return_unneeded: an entry returns a granted slot at once if it has no waiting task and the
+ *                   agent knows of demand elsewhere
+ * @split_demand: each agent is told its part of the waiting tasks instead of all of them
+ * @keep_grants: without demand, a slot goes back to the entry that used it unless that entry
+ *                 has this many idle grants more than another one at this agent; 0 always
+ *                 takes the entry with the fewest
+ * @recall_idle_us: idle time after which a grant may be recalled
+ * @failing_agents: agents that fail every task at once
+ * @use_ejector: entries eject agents by az_ejector
+ * @leave_us, @return_us: the agents of one domain leave and return; 0 for never
+ * @leaving_agents: their number
+ * @slow_return: only half of the slots in the first 500 ms after the return
+ */
+struct model_config
+{
+  enum model_policy policy;
+  uint32_t agents;
+  uint32_t slots;
+  uint32_t entries;
+  int64_t delay_us;
+  guint32 seed;
+  uint32_t demand_fanout;
+  bool return_unneeded;
+  bool split_demand;
+  uint32_t keep_grants;
+  int64_t recall_idle_us;
+  uint32_t failing_agents;
+  bool use_ejector;
+  int64_t leave_us;
+  int64_t return_us;
+  uint32_t leaving_agents;
+  bool slow_return;
+};
+
+struct model_job
+{
+  uint32_t entry;
+  uint32_t left;
+  int64_t response_us;
+};
+
+struct model;
+
+/** struct model_event - message or timer; the meaning of the numbers depends on @run */
+struct model_event
+{
+  int64_t time_us;
+  uint64_t serial;
+  void (*run) (struct model *model, const struct model_event *event);
+  uint32_t from;
+  uint32_t to;
+  uint32_t task;
+  uint32_t epoch;
+  int64_t a;
+  int64_t b;
+};
+
+struct model_agent
+{
+  bool in_service;
+  uint32_t limit; /* slots that may be used now */
+  uint32_t busy;
+  uint32_t epoch; /* changes when the agent leaves, which makes older grants void */
+};
+
+struct model
+{
+  struct model_config config;
+  const struct az_workload *workload;
+  GRand *random;
+  int64_t now_us;
+  uint64_t next_serial;
+  GSequence *events;
+  struct az_clock clock;
+  struct model_agent agents[MODEL_AGENTS_MAX];
+  struct az_ejector *ejectors[MODEL_ENTRIES_MAX];
+  struct model_job *jobs;
+  uint32_t *task_jobs; /* job of each task */
+  void *state;         /* of the policy */
+  uint64_t messages[MODEL_N_MESSAGES];
+  int64_t last_sent_us[MODEL_N_MESSAGES][MODEL_NODES_MAX][MODEL_NODES_MAX];
+  uint64_t starts;
+  uint64_t lost;          /* tasks that ran on a failing agent */
+  uint64_t lost_after_1s; /* of those, later than the first second */
+  uint64_t starts_after_1s;
+  GArray *work; /* int64_t: busy slot time per 100 ms */
+};
+
+/** struct model_scheme - functions of a policy; tasks are indexes into the workload */
+struct model_scheme
+{
+  void (*create) (struct model *model);
+  void (*destroy) (struct model *model);
+  void (*submit) (struct model *model, uint32_t entry, uint32_t job);
+  /* a task's slot is free again; @entry gets the result */
+  void (*finished) (struct model *model, uint32_t agent, uint32_t entry, uint32_t task);
+  /* an agent's service or limit changed */
+  void (*changed) (struct model *model, uint32_t agent);
+  /* an entry has a result, which may have ejected or readmitted an agent */
+  void (*answered) (struct model *model, uint32_t entry, uint32_t agent);
+};
+
+extern const struct model_scheme model_early;
+extern const struct model_scheme model_reservation;
+extern const struct model_scheme model_central;
+
+/** model_create - a run of @workload; model_run() ends when all jobs are answered */
+struct model *
+model_create (const struct model_config *config, const struct az_workload *workload);
+void
+model_run (struct model *model);
+void
+model_destroy (struct model *model);
+
+/** model_at - adds an event after @delay_us */
+void
+model_at (struct model *model, int64_t delay_us, const struct model_event *event);
+
+/** model_send - counts and delivers a message; those of one kind, instant, sender and receiver
+ * count as one. Agents are numbered from MODEL_ENTRIES_MAX as @from and @to. */
+void
+model_send (struct model *model, enum model_message kind, const struct model_event *event);
+
+/** model_start - the agent starts a task now */
+void
+model_start (struct model *model, uint32_t agent, uint32_t entry, uint32_t task);
+
+static inline uint32_t
+model_node_of_agent (uint32_t agent)
+{
+  return MODEL_ENTRIES_MAX + agent;
+}
+
+static inline uint32_t
+model_agent_of_node (uint32_t node)
+{
+  return node - MODEL_ENTRIES_MAX;
+}
+
+#endif
--- /dev/null
+++ b/bench/model/reservation.h
@@ -0,0 +1,85 @@
+#ifndef AZUREROCK_MODEL_RESERVATION_H
+#define AZUREROCK_MODEL_RESERVATION_H
+
+#include "azurerock/team_queue.h"
+#include "model.h"
+
+/*
+ * Reservation with late binding, design page section 4: agents grant free slots to entries;
+ * tasks wait at entries and are sent only with a grant.
+ */
+
+/* The one team and group of the model. */
+#define RESERVATION_TEAM 0
+#define RESERVATION_GROUP 0
+
+/* What an agent knows of an entry. */
+struct agent_side
+{
+  uint32_t granted;     /* idle grants, also those on their way */
+  GQueue granted_at_us; /* time of each, oldest first */
+  uint32_t recalled;    /* of @granted, those asked back */
+  uint32_t demand;
+  int64_t demand_since_us;
+};
+
+/* What an entry knows of an agent. */
+struct entry_side
+{
+  uint32_t grants;
+  uint32_t epoch; /* of the agent when it gave the grants */
+  uint32_t asked; /* demand told to the agent, less the grants received since */
+};
+
+struct entry_state
+{
+  struct az_team_queue *queue;
+  GHashTable *next_task; /* next task to start by job handle (job + 1) */
+  GQueue refused;        /* tasks that come back, sent first */
+  GQueue waiting_jobs;   /* job handles by arrival, for the age of the oldest */
+  struct entry_side agents[MODEL_AGENTS_MAX];
+};
+
+struct reservation_state
+{
+  struct agent_side sides[MODEL_AGENTS_MAX][MODEL_ENTRIES_MAX];
+  bool recall_timer[MODEL_AGENTS_MAX];
+  struct entry_state entries[MODEL_ENTRIES_MAX];
+};
+
+static inline struct reservation_state *
+reservation_of (const struct model *model)
+{
+  return model->state;
+}
+
+/* Agent side. */
+
+/** reservation_agent_allocate - grants free slots; @result_to is the entry to which a RESULT goes
+ * at the same time, or MODEL_ENTRIES_MAX */
+void
+reservation_agent_allocate (struct model *model, uint32_t agent, uint32_t result_to);
+
+/** reservation_agent_start - START arrives: task, epoch; a: demand, b: arrival of the oldest */
+void
+reservation_agent_start (struct model *model, const struct model_event *event);
+void
+reservation_agent_demand (struct model *model, const struct model_event *event);
+void
+reservation_agent_return (struct model *model, const struct model_event *event);
+void
+reservation_agent_changed (struct model *model, uint32_t agent);
+
+/* Entry side. */
+
+/** reservation_entry_grant - GRANT arrives: a: number, b: whether others have demand */
+void
+reservation_entry_grant (struct model *model, const struct model_event *event);
+void
+reservation_entry_recall (struct model *model, const struct model_event *event);
+void
+reservation_entry_refused (struct model *model, const struct model_event *event);
+void
+reservation_entry_dispatch (struct model *model, uint32_t entry);
+
+#endif
--- /dev/null
+++ b/bench/model/setup.h
@@ -0,0 +1,57 @@
+#ifndef AZUREROCK_MODEL_SETUP_H
+#define AZUREROCK_MODEL_SETUP_H
+
+#include "model.h"
+#include <jansson.h>
+
+#define US_PER_S 1000000
+
+/**
+ * struct model_variant - a policy as compared
+ * Fields but @name are as in struct model_config.
+ */
+struct model_variant
+{
+  const char *name;
+  enum model_policy policy;
+  uint32_t demand_fanout;
+  bool return_unneeded;
+  bool split_demand;
+  uint32_t keep_grants;
+};
+
+extern const struct model_variant model_variants[];
+extern const guint model_n_variants;
+
+/** struct model_run_settings - seed and length of all runs */
+struct model_run_settings
+{
+  guint32 seed;
+  int64_t duration_us;
+};
+
+/** model_theatre - 11 agents of 8 slots and 3 entries */
+struct model_config
+model_theatre (const struct model_run_settings *run,
+               const struct model_variant *variant,
+               int64_t delay_us);
+
+/**
+ * model_theatre_workload - jobs for a share of the theatre's slots
+ * @tasks: size of every job, or 0 for mixed sizes
+ */
+struct az_workload *
+model_theatre_workload (const struct model_run_settings *run,
+                        double load,
+                        bool bursts,
+                        uint32_t tasks);
+
+/** model_compare - response time and messages of each policy against the ideal central queue */
+void
+model_compare (const struct model_run_settings *run, json_t *report);
+
+/** model_scenarios - a worker that fails everything; a domain that leaves and returns */
+void
+model_scenarios (const struct model_run_settings *run, json_t *report);
+
+#endif
