Simulate entries and agents together and fix two faults it found in the entry core

An entry now remembers ids with an unanswered SUBMIT and reports a later "not run" of them as "unknown".

--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -162,6 +162,10 @@
 };
 
 /* core.c */
+
+/* az_agent_core_board - state of a core, for tests */
+struct az_agent_board *
+az_agent_core_board (struct az_agent_core *core);
 struct timespec
 az_agent_now (const struct az_agent_board *board);
 void
--- a/src/agent/core.c
+++ b/src/agent/core.c
@@ -102,10 +102,10 @@
   g_free (core);
 }
 
-struct az_agent_guards *
-az_agent_core_guards (struct az_agent_core *core)
+struct az_agent_board *
+az_agent_core_board (struct az_agent_core *core)
 {
-  return &core->board.guards;
+  return &core->board;
 }
 
 void
--- a/src/agent/guards.h
+++ b/src/agent/guards.h
@@ -3,8 +3,6 @@
 
 #include <stdbool.h>
 
-struct az_agent_core;
-
 /**
  * struct az_agent_guards - checks that a test has turned off; all false outside tests
  *
@@ -26,8 +24,4 @@
   bool accept_closed;          /* a message of a connection that was replaced is still handled */
 };
 
-/** az_agent_core_guards - the switches of one core, for tests */
-struct az_agent_guards *
-az_agent_core_guards (struct az_agent_core *core);
-
 #endif
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -166,8 +166,11 @@
 expire_forwarded (struct az_entry_board *board, uint32_t handle, const struct az_entry_job *job)
 {
   if (job->was_forwarded)
-    az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
-                         "the owner did not answer before the deadline");
+    {
+      az_entry_unanswered_add (board, job);
+      az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                           "the owner did not answer before the deadline");
+    }
   else
     az_entry_job_answer (board, handle,
                          job->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN,
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -330,6 +330,7 @@
   GQueue delayed; /* struct az_entry_delayed */
   struct az_entry_heap *timers;
   uint32_t next_attempt;
+  GHashTable *unanswered; /* id -> struct timespec until which it is remembered */
   GHashTable *recoveries; /* id -> struct az_entry_recovery */
   size_t recovery_bytes;
 
--- a/src/entry/connections.c
+++ b/src/entry/connections.c
@@ -107,7 +107,8 @@
       return NULL;
     case AZ_CANCEL_JOB:
       job = az_entry_job_find (board, message->az_message_u.cancel_job.job);
-      if (job)
+      /* A forwarder holds no tasks and waits for the owner's answer. */
+      if (job && az_entry_board_job (board, job)->role == AZ_ENTRY_ROLE_OWNER)
         az_entry_job_cancel (board, job);
       return NULL;
     default:
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -22,6 +22,8 @@
 
   message.az_message_u.submit = *job->request;
   message.az_message_u.submit.deadline_ms = (uint32_t)MAX (remaining_ms - FORWARD_MARGIN_MS, 1);
+  if (job->sent_on)
+    az_entry_unanswered_add (board, job);
   job->sent_on = peer->connection;
   if (!job->was_forwarded)
     az_entry_count (board, board->count.forwarded, 1);
@@ -147,6 +149,12 @@
       offer_again (board, handle);
       return;
     }
+  if (answer->outcome == AZ_OUTCOME_NOT_RUN && az_entry_unanswered_has (board, answer->job))
+    {
+      az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                           "an earlier submission of the id may still run");
+      return;
+    }
   az_entry_job_deliver (board, handle, answer);
   if (az_entry_job_find (board, answer->job) == handle)
     az_entry_job_remove (board, handle);
--- a/src/entry/jobs.h
+++ b/src/entry/jobs.h
@@ -145,6 +145,16 @@
 int64_t
 az_entry_retention_ms (const struct az_entry_board *board, const char *service);
 
+/* unanswered.c */
+void
+az_entry_unanswered_create (struct az_entry_board *board);
+void
+az_entry_unanswered_add (struct az_entry_board *board, const struct az_entry_job *job);
+bool
+az_entry_unanswered_has (const struct az_entry_board *board, const char *id);
+void
+az_entry_unanswered_tick (struct az_entry_board *board);
+
 /** az_entry_forward - sends a job to its owner, or again after a reconnection */
 void
 az_entry_forward (struct az_entry_board *board, uint32_t handle);
--- a/tests/agent_rig.h
+++ b/tests/agent_rig.h
@@ -1,7 +1,6 @@
 #ifndef AZUREROCK_TESTS_AGENT_RIG_H
 #define AZUREROCK_TESTS_AGENT_RIG_H
 
-#include "agent/guards.h"
 #include "azurerock/agent_core.h"
 #include "azurerock/limits.h"
 
--- /dev/null
+++ b/tests/sim_callers.c
@@ -0,0 +1,255 @@
+#include "sim.h"
+
+#define PATIENCE_MS 1000
+
+static struct sim_request *
+request_of (struct sim *sim, uint32_t handle)
+{
+  return &g_array_index (sim->requests, struct sim_request, handle - 1);
+}
+
+static void
+free_submit (struct az_submit *submit)
+{
+  for (u_int i = 0; i < submit->tasks.tasks_len; i++)
+    g_free (submit->tasks.tasks_val[i].payload.az_payload_val);
+  g_free (submit->tasks.tasks_val);
+}
+
+static void
+fill_submit (const struct sim_job *job, struct az_submit *submit)
+{
+  *submit = (struct az_submit){ (char *)job->id, "t", "s", job->deadline_ms, { 0 } };
+  submit->tasks.tasks_len = job->n_tasks;
+  submit->tasks.tasks_val = g_new0 (struct az_job_task, job->n_tasks);
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      submit->tasks.tasks_val[i].payload.az_payload_val = g_strdup ("work");
+      submit->tasks.tasks_val[i].payload.az_payload_len = 4;
+    }
+}
+
+static void
+arrive (struct sim *sim, struct sim_node *node, void *data)
+{
+  uint32_t handle = GPOINTER_TO_UINT (data);
+  struct sim_request *request = request_of (sim, handle);
+  struct az_submit submit;
+
+  /* The caller has closed its connection, or this is another process. */
+  if (request->abandoned)
+    return;
+  request->delivered = true;
+  sim_trace (sim, "%s %s request %u attempt %u at %s", request->is_fetch ? "fetch" : "submit",
+             request->job->id, handle, request->job->submissions, node->instance);
+  if (request->is_fetch)
+    {
+      az_entry_core_fetch (node->entry, handle, request->job->id, 500);
+      return;
+    }
+  fill_submit (request->job, &submit);
+  az_entry_core_submit (node->entry, handle, &submit, request->first_attempt);
+  free_submit (&submit);
+}
+
+static void
+forget (struct sim *sim, struct sim_node *node, void *data)
+{
+  const struct sim_request *request = request_of (sim, GPOINTER_TO_UINT (data));
+
+  if (request->delivered && !request->answered)
+    az_entry_core_forget (node->entry, GPOINTER_TO_UINT (data));
+}
+
+static struct sim_node *
+choose_entry (struct sim *sim)
+{
+  for (int tries = 0; tries < 8; tries++)
+    {
+      struct sim_node *node = sim_random_node (sim, SIM_ENTRY);
+
+      /* The balancer leaves out instances that stop. */
+      if (node->alive && (!node->stopping || sim_chance (sim, 0.1)))
+        return node;
+    }
+  return NULL;
+}
+
+static uint32_t
+send_request (struct sim *sim, struct sim_job *job, struct sim_node *node, bool is_fetch)
+{
+  struct sim_request request = { .job = job, .node = node->index, .life = node->life };
+  uint32_t handle = sim->requests->len + 1;
+
+  request.is_fetch = is_fetch;
+  request.first_attempt = job->submissions == 0;
+  g_array_append_val (sim->requests, request);
+  sim_schedule (sim, sim->now + sim_between (sim, 1, 4), node, arrive, GUINT_TO_POINTER (handle),
+                NULL);
+  return handle;
+}
+
+static void
+submit (struct sim *sim, struct sim_node *world, void *data);
+
+static void
+repeat (struct sim *sim, struct sim_job *job, double probability)
+{
+  if (!sim->no_load && job->submissions < 4 && sim_chance (sim, probability))
+    sim_schedule (sim, sim->now + sim_between (sim, 10, 1500), NULL, submit, job, NULL);
+}
+
+static void
+abandon (struct sim *sim, uint32_t handle)
+{
+  struct sim_request *request = request_of (sim, handle);
+  struct sim_node *node = &sim->nodes[request->node];
+
+  sim_trace (sim, "request %u of %s abandoned", handle, request->job->id);
+  request->abandoned = true;
+  if (request->job->request == handle)
+    request->job->request = 0;
+  if (node->alive && node->life == request->life)
+    sim_schedule (sim, sim->now + SIM_MS, node, forget, GUINT_TO_POINTER (handle), NULL);
+}
+
+static void
+run_out_of_patience (struct sim *sim, struct sim_node *world, void *data)
+{
+  uint32_t handle = GPOINTER_TO_UINT (data);
+  struct sim_job *job = request_of (sim, handle)->job;
+
+  (void)world;
+  if (job->request != handle)
+    return;
+  abandon (sim, handle);
+  repeat (sim, job, 0.6);
+}
+
+static void
+submit (struct sim *sim, struct sim_node *world, void *data)
+{
+  struct sim_job *job = data;
+  struct sim_node *node = choose_entry (sim);
+  int64_t patience = (job->deadline_ms + PATIENCE_MS) * SIM_MS;
+
+  (void)world;
+  if (!node || job->request)
+    return;
+  job->not_run = false;
+  job->request = send_request (sim, job, node, false);
+  sim_schedule (sim, sim->now + patience, NULL, run_out_of_patience,
+                GUINT_TO_POINTER (job->request), NULL);
+  if (sim_chance (sim, 0.03))
+    {
+      job->doubled = true;
+      node = choose_entry (sim);
+      if (node)
+        send_request (sim, job, node, false);
+    }
+  job->submissions++;
+}
+
+static void
+cancel (struct sim *sim, struct sim_node *node, void *data)
+{
+  struct sim_job *job = data;
+  struct sim_request request = { .job = job, .node = node->index, .life = node->life };
+
+  request.is_fetch = true;
+  request.delivered = true;
+  request.abandoned = true;
+  g_array_append_val (sim->requests, request);
+  az_entry_core_cancel (node->entry, sim->requests->len, job->id);
+}
+
+static struct sim_job *
+create_job (struct sim *sim)
+{
+  struct sim_job *job = g_new0 (struct sim_job, 1);
+  int64_t clock_error = sim_between (sim, 0, 400) - 200 * SIM_MS;
+
+  g_snprintf (job->id, sizeof job->id, "%013" G_GINT64_FORMAT "-sim%05u",
+              (int64_t)(SIM_WALL_MS + (sim->now + clock_error) / SIM_MS), sim->jobs->len);
+  job->n_tasks = sim_chance (sim, 0.5) ? 1 : (uint32_t)g_rand_int_range (sim->random, 2, 7);
+  job->deadline_ms = (uint32_t)g_rand_int_range (sim->random, 800, 4000);
+  job->starts = g_new0 (uint8_t, job->n_tasks);
+  g_ptr_array_add (sim->jobs, job);
+  g_hash_table_insert (sim->jobs_by_id, job->id, job);
+  return job;
+}
+
+static void
+arrival (struct sim *sim, struct sim_node *world, void *data)
+{
+  struct sim_job *job;
+  struct sim_node *node = choose_entry (sim);
+
+  (void)data;
+  if (sim->no_load)
+    return;
+  job = create_job (sim);
+  submit (sim, world, job);
+  if (node && sim_chance (sim, 0.06))
+    sim_schedule (sim, sim->now + sim_between (sim, 5, 600), node, cancel, job, NULL);
+  if (node && sim_chance (sim, 0.05))
+    send_request (sim, job, node, true);
+  sim_schedule (sim, sim->now + sim_between (sim, 5, 250), NULL, arrival, NULL, NULL);
+}
+
+static void
+receive_answer (struct sim *sim, uint32_t handle, const struct az_answer *answer)
+{
+  const struct sim_request *request = request_of (sim, handle);
+  struct sim_job *job = request->job;
+
+  sim_trace (sim, "request %u answered at %s", handle, sim->nodes[request->node].instance);
+  sim_rules_answer (sim, job, answer);
+  if (request->is_fetch || job->request != handle)
+    return;
+  job->request = 0;
+  job->not_run = answer->outcome == AZ_OUTCOME_NOT_RUN;
+  repeat (sim, job, answer->outcome == AZ_OUTCOME_DONE ? 0.1 : 0.4);
+}
+
+/** sim_answer - the answer callback of an entry core */
+void
+sim_answer (void *context, uint32_t handle, const struct az_answer *answer)
+{
+  const struct sim_node *node = context;
+  struct sim *sim = node->sim;
+  struct sim_request *request = request_of (sim, handle);
+
+  if (request->answered)
+    sim_violation (sim, "R4", "request %u of %s answered twice", handle, request->job->id);
+  request->answered = true;
+  if (!answer || request->abandoned)
+    return;
+  receive_answer (sim, handle, answer);
+}
+
+/** sim_callers_lose - the connections of callers to a process break */
+void
+sim_callers_lose (struct sim *sim, struct sim_node *node)
+{
+  for (uint32_t handle = 1; handle <= sim->requests->len; handle++)
+    {
+      struct sim_request *request = request_of (sim, handle);
+      struct sim_job *job = request->job;
+
+      if (request->node != node->index || request->life != node->life || request->answered
+          || request->abandoned)
+        continue;
+      request->abandoned = true;
+      if (job->request != handle)
+        continue;
+      job->request = 0;
+      repeat (sim, job, 0.7);
+    }
+}
+
+void
+sim_callers_create (struct sim *sim)
+{
+  sim_schedule (sim, sim->now + SIM_MS * 500, NULL, arrival, NULL, NULL);
+}
--- /dev/null
+++ b/tests/sim_faults.c
@@ -0,0 +1,214 @@
+#include "sim.h"
+
+/* Each schedule draws the kinds of faults it has, so that each kind occurs alone and in
+ * combination with each other. */
+enum fault
+{
+  FAULT_CRASH_ENTRY,
+  FAULT_CRASH_AGENT,
+  FAULT_STOP_ENTRY,
+  FAULT_STOP_AGENT,
+  FAULT_FREEZE_ENTRY,
+  FAULT_FREEZE_AGENT,
+  FAULT_CUT,
+  FAULT_ISOLATE,
+  FAULT_STORE_DOWN,
+  FAULT_STORE_SLOW,
+  FAULT_STORE_LOSES,
+  FAULT_PUBLISH,
+  FAULT_UPSTREAM,
+  N_FAULTS,
+};
+
+struct plan
+{
+  uint32_t kinds;
+  int64_t pause_ms;
+};
+
+static void
+restart (struct sim *sim, struct sim_node *world, void *data)
+{
+  struct sim_node *node = data;
+
+  (void)world;
+  if (!node->alive)
+    sim_node_start (sim, node);
+}
+
+static void
+crash (struct sim *sim, struct sim_node *node)
+{
+  sim_node_end (sim, node);
+  sim_schedule (sim, sim->now + sim_between (sim, 20, 7000), NULL, restart, node, NULL);
+}
+
+static void
+freeze (struct sim *sim, struct sim_node *node)
+{
+  int64_t duration
+      = sim_chance (sim, 0.5) ? sim_between (sim, 100, 3000) : sim_between (sim, 2000, 15000);
+
+  sim_trace (sim, "freeze %s for %d ms", node->instance, (int)(duration / SIM_MS));
+  if (node->alive)
+    sim_freeze (sim, node, duration);
+}
+
+static void
+cut_pair (struct sim *sim, int a, int b, int64_t duration)
+{
+  bool silent = sim_chance (sim, 0.3);
+
+  if (a == b)
+    return;
+  sim_trace (sim, "cut %s from %s for %d ms%s", sim->nodes[a].instance, sim->nodes[b].instance,
+             (int)(duration / SIM_MS), silent ? ", silent" : "");
+  sim_cut (sim, a, b, silent);
+  sim->cut_until[a][b] = sim->now + duration;
+  sim->cut_until[b][a] = sim->now + duration;
+}
+
+static void
+cut (struct sim *sim)
+{
+  int a = sim_random_node (sim, SIM_ENTRY)->index;
+  int b = sim_random_node (sim, sim_chance (sim, 0.4) ? SIM_ENTRY : SIM_AGENT)->index;
+
+  cut_pair (sim, a, b, sim_chance (sim, 0.5) ? 0 : sim_between (sim, 100, 6000));
+}
+
+static void
+isolate (struct sim *sim)
+{
+  int node = g_rand_int_range (sim->random, 0, SIM_N_ENTRIES + SIM_N_AGENTS);
+  int64_t duration = sim_between (sim, 500, 9000);
+
+  for (int i = 0; i < SIM_N_ENTRIES + SIM_N_AGENTS; i++)
+    cut_pair (sim, node, i, duration);
+  if (sim_chance (sim, 0.7))
+    sim->store_cut_until[node] = sim->now + duration;
+}
+
+static void
+heal_store (struct sim *sim, struct sim_node *world, void *data)
+{
+  bool *flag = data;
+
+  (void)sim;
+  (void)world;
+  *flag = false;
+}
+
+static void
+store_fault (struct sim *sim, bool *flag, const char *name)
+{
+  sim_trace (sim, "store %s", name);
+  *flag = true;
+  sim_schedule (sim, sim->now + sim_between (sim, 500, 12000), NULL, heal_store, flag, NULL);
+}
+
+static void
+heal_upstream (struct sim *sim, struct sim_node *node, void *data)
+{
+  (void)sim;
+  (void)data;
+  node->unhealthy = false;
+  az_agent_core_set_upstream_healthy (node->agent, true);
+}
+
+static void
+notice_upstream (struct sim *sim, struct sim_node *node, void *data)
+{
+  (void)sim;
+  (void)data;
+  az_agent_core_set_upstream_healthy (node->agent, false);
+}
+
+static void
+break_upstream (struct sim *sim, struct sim_node *node)
+{
+  if (!node->alive || node->unhealthy)
+    return;
+  node->unhealthy = true;
+  sim_schedule (sim, sim->now + sim_between (sim, 1, 500), node, notice_upstream, NULL, NULL);
+  sim_schedule (sim, sim->now + sim_between (sim, 600, 3000), node, heal_upstream, NULL, NULL);
+}
+
+static void
+inject_node (struct sim *sim, enum fault fault)
+{
+  struct sim_node *entry = sim_random_node (sim, SIM_ENTRY);
+  struct sim_node *agent = sim_random_node (sim, SIM_AGENT);
+
+  if (fault == FAULT_CRASH_ENTRY)
+    crash (sim, entry);
+  else if (fault == FAULT_CRASH_AGENT)
+    crash (sim, agent);
+  else if (fault == FAULT_STOP_ENTRY)
+    sim_node_stop (sim, entry);
+  else if (fault == FAULT_STOP_AGENT)
+    sim_node_stop (sim, agent);
+  else if (fault == FAULT_FREEZE_ENTRY)
+    freeze (sim, entry);
+  else if (fault == FAULT_FREEZE_AGENT)
+    freeze (sim, agent);
+  else
+    break_upstream (sim, agent);
+}
+
+static void
+inject (struct sim *sim, enum fault fault)
+{
+  switch (fault)
+    {
+    case FAULT_CUT:
+      cut (sim);
+      break;
+    case FAULT_ISOLATE:
+      isolate (sim);
+      break;
+    case FAULT_STORE_DOWN:
+      store_fault (sim, &sim->store.down, "down");
+      break;
+    case FAULT_STORE_SLOW:
+      store_fault (sim, &sim->store.slow, "slow");
+      break;
+    case FAULT_STORE_LOSES:
+      store_fault (sim, &sim->store.loses_answers, "loses answers");
+      break;
+    case FAULT_PUBLISH:
+      sim_operator_publish (sim);
+      break;
+    default:
+      inject_node (sim, fault);
+    }
+}
+
+static void
+next_fault (struct sim *sim, struct sim_node *world, void *data)
+{
+  const struct plan *plan = data;
+  enum fault fault = (enum fault)g_rand_int_range (sim->random, 0, N_FAULTS);
+
+  (void)world;
+  if (sim->quiet)
+    return;
+  while (!(plan->kinds >> fault & 1))
+    fault = (fault + 1) % N_FAULTS;
+  inject (sim, fault);
+  sim_schedule (sim, sim->now + sim_between (sim, 10, plan->pause_ms), NULL, next_fault,
+                g_memdup2 (plan, sizeof *plan), g_free);
+}
+
+void
+sim_faults_create (struct sim *sim)
+{
+  struct plan plan = { 1u << FAULT_PUBLISH, 0 };
+  int n_kinds = g_rand_int_range (sim->random, 1, 7);
+
+  for (int i = 0; i < n_kinds; i++)
+    plan.kinds |= 1u << g_rand_int_range (sim->random, 0, N_FAULTS);
+  plan.pause_ms = g_rand_int_range (sim->random, 200, 3000);
+  sim_schedule (sim, sim->now + sim_between (sim, 500, 6000), NULL, next_fault,
+                g_memdup2 (&plan, sizeof plan), g_free);
+}
