--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,15 @@
 LIB = $(BUILD)/libazurerock.a
 TEST_SOURCES = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SOURCES:tests/%.c=$(BUILD)/tests/%)
+# Process-level tests: executable, bounded in time, use the programs in BUILD.
+SCRIPT_TESTS = $(wildcard tests/test_*.py tests/test_*.sh)
 HELPER_SOURCES = $(filter-out $(TEST_SOURCES) $(wildcard tests/fuzz_*.c),$(wildcard tests/*.c))
 HELPER_OBJECTS = $(HELPER_SOURCES:%.c=$(BUILD)/%.o)
 BENCH_SOURCES = $(wildcard bench/*.c)
 BENCHES = $(BENCH_SOURCES:bench/%.c=$(BUILD)/bench/%)
-FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] tests/*.[ch] bench/*.[ch]))
+MODEL_SOURCES = $(wildcard bench/model/*.c)
+MODEL_OBJECTS = $(MODEL_SOURCES:%.c=$(BUILD)/%.o)
+FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] tests/*.[ch] bench/*.[ch] bench/model/*.[ch]))
 
 main_entry = src/entry/main.c
 main_agent = src/agent/main.c
@@ -55,7 +59,7 @@
 endef
 $(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p:azurerock-%=%))))
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(MODEL_OBJECTS) $(LIB)
 	$(CC) $(ALL_CFLAGS) $^ $(PKG_LIBS) -o $@
 
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(HELPER_OBJECTS) $(LIB)
@@ -68,11 +72,15 @@
 
 .PHONY: unit
 unit: all $(TESTS)
-	BUILD=$(BUILD) tests/run_tests.sh $(TESTS)
+	BUILD=$(BUILD) tests/run_tests.sh $(TESTS) $(SCRIPT_TESTS)
 
 .PHONY: check
 check: unit
 
+.PHONY: smoke
+smoke: all
+	python3 tests/smoke.py --build $(BUILD)
+
 .PHONY: asan
 asan:
 	$(MAKE) unit BUILD=build-asan CFLAGS="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
