--- a/src/entry/admission.c
+++ b/src/entry/admission.c
@@ -7,6 +7,8 @@
 /* Below this number of observations the estimates of run times mean little. */
 #define ESTIMATE_MIN_COUNT 20
 
+#define P10_PER_MILLE 100
+
 /* Deadline of a job that is forwarded before this entry knows its service. */
 #define DEADLINE_DEFAULT_MS 10000
 
@@ -69,6 +71,20 @@
   return slots;
 }
 
+void
+az_entry_estimates_tick (struct az_entry_board *board)
+{
+  for (uint32_t i = 0; i < board->groups->len; i++)
+    {
+      struct az_entry_group *group = az_entry_board_group (board, i);
+
+      if (az_run_time_count (group->run_times) < ESTIMATE_MIN_COUNT)
+        continue;
+      group->least_run_us = az_run_time_quantile_us (group->run_times, 0);
+      group->p10_run_us = az_run_time_quantile_us (group->run_times, P10_PER_MILLE);
+    }
+}
+
 /* The estimate is a lower bound: it counts every slot that may be granted to this entry, since
  * an idle entry holds few grants before a burst. */
 static bool
@@ -79,9 +95,9 @@
   int64_t deadline_us = az_entry_deadline_ms (board, submit) * 1000;
   uint64_t slots = reachable_slots (board, group);
 
-  if (az_run_time_count (group->run_times) < ESTIMATE_MIN_COUNT || !slots)
+  if (!group->least_run_us || !slots)
     return true;
-  if (az_run_time_quantile_us (group->run_times, 0) > deadline_us)
+  if (group->least_run_us > deadline_us)
     return false;
   return az_run_time_wait_us (group->run_times, group->waiting, submit->tasks.tasks_len, slots)
          <= deadline_us;
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -171,6 +171,8 @@
   struct az_policy policy;
   GArray *pools; /* uint32_t, upstreams of the service */
   struct az_run_time *run_times;
+  int64_t least_run_us; /* 0 while there are too few observations */
+  int64_t p10_run_us;
   uint64_t waiting;
   GQueue arrivals; /* job handles in arrival order, for the age of the oldest */
 };
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -30,11 +30,9 @@
   const struct az_entry_group *group = az_entry_board_group (board, job->group);
   int64_t remaining_us = az_time_diff_us (job->deadline, board->now);
 
-  if (remaining_us <= 0)
-    return true;
-  if (az_entry_job_has_started (job) || az_run_time_count (group->run_times) < 20)
-    return false;
-  return remaining_us < az_run_time_quantile_us (group->run_times, 100);
+  if (az_entry_job_has_started (job))
+    return remaining_us <= 0;
+  return remaining_us <= group->p10_run_us;
 }
 
 static void
--- a/src/entry/jobs.h
+++ b/src/entry/jobs.h
@@ -103,6 +103,10 @@
                   uint32_t *group,
                   const char **text);
 
+/** az_entry_estimates_tick - quantiles of run times for admission and dispatch */
+void
+az_entry_estimates_tick (struct az_entry_board *board);
+
 /** az_entry_deadline_ms - deadline of @submit within the limits of its service */
 int64_t
 az_entry_deadline_ms (const struct az_entry_board *board, const struct az_submit *submit);
--- a/tests/test_entry_jobs.c
+++ b/tests/test_entry_jobs.c
@@ -272,6 +272,7 @@
       test_entry_finish (entry, i, AZ_STATUS_OK);
       test_entry_grant (entry, 1, 5000 + i, 1);
     }
+  test_entry_advance (entry, 100);
   /* 100 tasks of 100 ms on 4 slots take 2.5 s. */
   test_entry_submit (entry, 7, test_entry_id (entry, 0, "ijklmnop"), 100);
   test_entry_assert_answer (entry, 7, AZ_OUTCOME_NOT_RUN, "deadline_cannot_be_met");
