Keep both connections of two entries that connect to each other at once

Each side took the connection whose PEER_HELLO came last and called messages on the other one a fault, so both could be closed. Messages of either connection are taken now, and the row follows the connection that is left.

Claims rise only with an exchange, no longer with each new table or revision, and the claim of a member without a session and connection is free for the others. Arrivals of jobs that ended without any agent are forgotten by the tick; they were kept for as long as no agent was connected.

--- a/src/entry/adopt.c
+++ b/src/entry/adopt.c
@@ -118,6 +118,6 @@
     note_ownership (board, i);
   az_entry_peers_update (board);
   az_entry_confirm (board);
-  az_entry_quota_update (board);
+  az_entry_quota_update (board, false);
   forward_anew (board);
 }
--- a/src/entry/agents.h
+++ b/src/entry/agents.h
@@ -84,6 +84,10 @@
 struct az_demand
 az_entry_demand_of (struct az_entry_board *board, struct az_entry_pool *pool);
 
+/** az_entry_arrivals_tick - forgets arrivals of jobs that left the queue without an agent */
+void
+az_entry_arrivals_tick (struct az_entry_board *board);
+
 /** az_entry_demand_send - tells agents of a pool without usable grants what waits */
 void
 az_entry_demand_send (struct az_entry_board *board, struct az_entry_pool *pool);
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -137,7 +137,6 @@
   bool connecting;
   bool in_roster;
   struct timespec retry_at;
-  struct timespec down_since;
   uint64_t revision;
   uint64_t table_version;
   bool restored;
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -99,7 +99,7 @@
 void
 az_entry_peer_opened (struct az_entry_board *board, uint32_t connection);
 void
-az_entry_peer_closed (struct az_entry_board *board, uint32_t peer);
+az_entry_peer_closed (struct az_entry_board *board, uint32_t peer, uint32_t connection);
 void
 az_entry_peer_unreachable (struct az_entry_board *board, const char *address);
 
@@ -125,9 +125,12 @@
 struct az_entry_peer *
 az_entry_peer_find (const struct az_entry_board *board, uint64_t incarnation);
 
-/** az_entry_quota_update - exchanges claims into slot limits of the teams */
+/**
+ * az_entry_quota_update - turns the reports of peers into claims and slot limits of the teams
+ * @is_exchange: whether an exchange interval has passed; a claim rises only then
+ */
 void
-az_entry_quota_update (struct az_entry_board *board);
+az_entry_quota_update (struct az_entry_board *board, bool is_exchange);
 void
 az_entry_quota_received (struct az_entry_board *board,
                          struct az_entry_peer *peer,
--- a/src/entry/configure.c
+++ b/src/entry/configure.c
@@ -144,5 +144,5 @@
   configure_groups (board);
   configure_teams (board);
   configure_limits (board);
-  az_entry_quota_update (board);
+  az_entry_quota_update (board, false);
 }
--- a/src/entry/connections.c
+++ b/src/entry/connections.c
@@ -32,7 +32,7 @@
   if (link->kind == AZ_ENTRY_LINK_AGENT)
     az_entry_agent_closed (board, link->handle);
   else if (link->kind == AZ_ENTRY_LINK_PEER)
-    az_entry_peer_closed (board, link->handle);
+    az_entry_peer_closed (board, link->handle, connection);
   else if (link->outgoing)
     az_entry_peer_unreachable (board, link->address);
   g_hash_table_remove (board->links, GUINT_TO_POINTER (connection));
@@ -82,12 +82,20 @@
 
 static const char *
 receive_from_peer (struct az_entry_board *board,
-                   struct az_entry_peer *peer,
+                   uint32_t connection,
+                   uint32_t handle,
                    const struct az_message *message)
 {
-  struct az_entry_origin origin = { .peer = peer->incarnation };
+  struct az_entry_peer *peer = az_entry_board_peer (board, handle);
+  struct az_entry_origin origin = { 0 };
   uint32_t job;
 
+  if (!peer)
+    return "a peer that left the roster";
+  origin.peer = peer->incarnation;
+  /* The later connection of two was closed; the other one still carries messages. */
+  if (!peer->connection)
+    peer->connection = connection;
   switch (message->proc)
     {
     case AZ_PEER_STATE:
@@ -149,7 +157,7 @@
     case AZ_ENTRY_LINK_AGENT:
       return receive_from_agent (board, az_entry_board_agent (board, link->handle), message);
     case AZ_ENTRY_LINK_PEER:
-      return receive_from_peer (board, az_entry_board_peer (board, link->handle), message);
+      return receive_from_peer (board, connection, link->handle, message);
     default:
       return receive_first (board, connection, message);
     }
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -140,6 +140,7 @@
       board->next_slow_tick = az_time_add_ms (board->now, SLOW_TICK_MS);
       az_entry_agents_tick (board);
       az_entry_estimates_tick (board);
+      az_entry_arrivals_tick (board);
       az_entry_update_gauges (board);
       az_entry_roster_tick (board);
       az_entry_recover_tick (board);
--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -20,6 +20,13 @@
   return NULL;
 }
 
+void
+az_entry_arrivals_tick (struct az_entry_board *board)
+{
+  for (uint32_t i = 0; i < board->groups->len; i++)
+    oldest_job (board, az_entry_board_group (board, i));
+}
+
 struct az_demand
 az_entry_demand_of (struct az_entry_board *board, struct az_entry_pool *pool)
 {
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -33,7 +33,6 @@
   peer->incarnation = incarnation;
   peer->instance = g_strdup (instance);
   peer->retry_at = board->now;
-  peer->down_since = board->now;
   peer->claims = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return peer;
 }
@@ -107,7 +106,6 @@
 {
   struct az_entry_link *link = g_hash_table_lookup (board->links, GUINT_TO_POINTER (connection));
   struct az_entry_peer *peer = az_entry_peer_find (board, hello->incarnation);
-  struct az_entry_link *old;
 
   if (link->kind != AZ_ENTRY_LINK_NEW)
     return "PEER_HELLO on an identified connection";
@@ -115,9 +113,8 @@
     return "PEER_HELLO with this entry's own incarnation";
   if (!peer)
     peer = add_peer (board, hello->incarnation, hello->instance);
-  old = g_hash_table_lookup (board->links, GUINT_TO_POINTER (peer->connection));
-  if (old && peer->connection)
-    old->kind = AZ_ENTRY_LINK_NEW;
+  /* Two entries may connect to each other at once. Messages of the other connection are still
+   * taken: each kind is idempotent or carries its own order. */
   link->kind = AZ_ENTRY_LINK_PEER;
   link->handle = peer->handle;
   peer->connection = connection;
@@ -132,16 +129,15 @@
 }
 
 void
-az_entry_peer_closed (struct az_entry_board *board, uint32_t handle)
+az_entry_peer_closed (struct az_entry_board *board, uint32_t handle, uint32_t connection)
 {
   struct az_entry_peer *peer = az_entry_board_peer (board, handle);
 
-  if (!peer)
+  if (!peer || peer->connection != connection)
     return;
   peer->connection = 0;
   peer->connecting = false;
   peer->retry_at = az_time_add_ms (board->now, RECONNECT_MS);
-  peer->down_since = board->now;
   if (!peer->in_roster)
     remove_peer (board, peer);
 }
@@ -224,7 +220,7 @@
   if (is_due)
     {
       board->next_exchange = az_time_add_ms (board->now, board->settings.peer_exchange_ms);
-      az_entry_quota_update (board);
+      az_entry_quota_update (board, true);
     }
   for (uint32_t h = az_table_rows_next (board->peers, 0); h;
        h = az_table_rows_next (board->peers, h))
--- a/src/entry/quota.c
+++ b/src/entry/quota.c
@@ -12,7 +12,8 @@
       const struct az_entry_peer *peer = az_entry_board_peer (board, h);
       const struct az_quota_peer *report;
 
-      if (!peer->in_roster)
+      /* The claim of a dead member is free, though its last tasks may still run. */
+      if (!peer->in_roster || (!peer->connection && !az_entry_is_live (board, peer->incarnation)))
         continue;
       report = g_hash_table_lookup (peer->claims, GUINT_TO_POINTER (team + 1));
       reports[count] = report ? *report : (struct az_quota_peer){ 0 };
@@ -23,7 +24,7 @@
 }
 
 void
-az_entry_quota_update (struct az_entry_board *board)
+az_entry_quota_update (struct az_entry_board *board, bool is_exchange)
 {
   struct az_quota_peer reports[AZ_MAX_ENTRIES];
 
@@ -37,7 +38,7 @@
       /* Without other entries nobody else can claim. */
       if (!count)
         team->claim = team->quota;
-      else
+      else if (is_exchange)
         team->claim
             = az_quota_share (team->quota, team->claim, az_team_queue_running (board->queue, i),
                               az_team_queue_waiting (board->queue, i), reports, count);
