--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -137,7 +137,6 @@
   bool connecting;
   bool in_roster;
   struct timespec retry_at;
-  struct timespec down_since;
   uint64_t revision;
   uint64_t table_version;
   bool restored;
@@ -171,6 +170,8 @@
   struct az_policy policy;
   GArray *pools; /* uint32_t, upstreams of the service */
   struct az_run_time *run_times;
+  int64_t least_run_us; /* 0 while there are too few observations */
+  int64_t p10_run_us;
   uint64_t waiting;
   GQueue arrivals; /* job handles in arrival order, for the age of the oldest */
 };
