Close the gap in ownership after a planned stop

Cause: a new owner set its horizon to the confirmation of the table plus the handover time, also when the former owner was alive and knew the table. Ids of the first moments of the new interval were then answered "outcome unknown" after every planned stop; the smoke test saw it.

Change: if the former owner reports the table at least twice the clock skew before from_ms, it accepts no id of the new interval, so the horizon is from_ms. Shortening the handover for all cases was ruled out: a dead or cut-off owner needs it.

The new unit test fails without the change (0 starts instead of 1) and passes with it.

--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -52,6 +52,17 @@
   return reported >= (counted + 1) / 2;
 }
 
+/* Whether the previous owner knew the table early enough to accept no id of the new interval,
+ * whatever its wall clock says. Then nothing younger than from_ms can be in its memory. */
+static bool
+has_previous_stopped (const struct az_entry_board *board, const struct az_partition *row)
+{
+  int64_t skew_ms = 2 * board->settings.clock_skew_max_ms;
+
+  return row->previous && board->wall_ms + skew_ms <= (int64_t)row->from_ms
+         && has_reported (board, row->previous, board->table.table_version);
+}
+
 static void
 set_horizon (struct az_entry_board *board, uint32_t partition)
 {
@@ -64,8 +75,10 @@
       board->owned[partition].horizon_ms = 0;
       return;
     }
-  board->owned[partition].horizon_ms
-      = MAX ((int64_t)row->from_ms, board->wall_ms + board->settings.handover_ms);
+  board->owned[partition].horizon_ms = (int64_t)row->from_ms;
+  if (!has_previous_stopped (board, row))
+    board->owned[partition].horizon_ms
+        = MAX ((int64_t)row->from_ms, board->wall_ms + board->settings.handover_ms);
   if (row->previous)
     board->recover_partitions |= 1ULL << partition;
 }
--- a/tests/test_entry_owners.c
+++ b/tests/test_entry_owners.c
@@ -143,6 +143,33 @@
   test_entry_destroy (entry);
 }
 
+/* Guards against a gap after a planned stop: the former owner reports the table a second before its
+ * interval ends, so ids of the new interval run from the first millisecond on. */
+static void
+test_planned_handover_has_no_gap (void **state)
+{
+  struct test_entry *entry = join_cluster (3, TEST_PEER);
+  int64_t from_ms = az_clock_wall_ms (&entry->clock) + AZ_HANDOVER_MS;
+  struct az_table table;
+
+  test_entry_table (&table, 4, 3, TEST_SELF);
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    {
+      table.partitions.partitions_val[p].previous = TEST_PEER;
+      table.partitions.partitions_val[p].from_ms = (uint64_t)from_ms;
+    }
+  test_entry_read_table (entry, &table, all, 3);
+  az_owner_table_clear (&table);
+  test_entry_agent (entry, 1, 11, "agent-1");
+  read_for (entry, 1000, all, 3);
+  test_entry_peer_ack (entry, 20, 1, 4, true);
+  read_for (entry, AZ_HANDOVER_MS - 1000, all, 3);
+  test_entry_grant (entry, 1, 6000, 4);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "ijklmnop"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_destroy (entry);
+}
+
 /* Guards against a caller that hears "unknown" although agents hold all results of its job. */
 static void
 test_records_of_agents_answer_older_jobs (void **state)
@@ -340,6 +367,7 @@
     cmocka_unit_test (test_takeover_needs_missing_session),
     cmocka_unit_test (test_next_version_needs_confirmation),
     cmocka_unit_test (test_ids_before_horizon_are_unknown),
+    cmocka_unit_test (test_planned_handover_has_no_gap),
     cmocka_unit_test (test_records_of_agents_answer_older_jobs),
     cmocka_unit_test (test_replacement_takes_its_place_unconfirmed),
     cmocka_unit_test (test_joining_entry_takes_its_share),
