Add azurerock-load

It sends an open (Poisson) or closed loop through several entries, cancels and resubmits a share of the jobs, and compares each answer with the id and the echo of each task: a foreign, reordered or incomplete answer counts as a mismatch and makes the program fail.

The response time is compared with the central queue of the placement model, run over the times at which the jobs were really sent and the task times they carry, so that a late timer of the generator doesn't count against the fleet; the lag is reported. Messages are taken from the entries' counters only, since each message between own processes has an entry at one end.

--- /dev/null
+++ b/src/load/report.c
@@ -0,0 +1,256 @@
+#include "load/ideal_queue.h"
+#include "load/load.h"
+#include "load/quantile.h"
+#include <jansson.h>
+#include <stdio.h>
+
+#define BIN_US 100000
+
+/* Response times in ascending order, and those of the ideal queue over the same jobs. */
+struct responses
+{
+  int64_t *measured;
+  int64_t *ideal;
+  int64_t *lag;
+  uint32_t n;
+};
+
+static const struct az_workload_job *
+drawn_job (const struct az_load *load, const struct az_load_job *job)
+{
+  return &load->workload->jobs[job->drawn];
+}
+
+/* The ideal queue runs the jobs that were done, from the times at which they were sent. */
+static void
+run_ideal (const struct az_load *load, struct responses *responses)
+{
+  struct az_workload done = { .runs_us = load->workload->runs_us };
+
+  done.jobs = g_new0 (struct az_workload_job, load->jobs->len + 1);
+  for (guint i = 0; i < load->jobs->len; i++)
+    {
+      const struct az_load_job *job = load->jobs->pdata[i];
+
+      if (job->outcome != AZ_LOAD_DONE)
+        continue;
+      done.jobs[done.n_jobs] = *drawn_job (load, job);
+      done.jobs[done.n_jobs].arrival_us = job->sent_us;
+      responses->measured[done.n_jobs] = job->answered_us - job->sent_us;
+      responses->lag[done.n_jobs++] = job->lag_us;
+    }
+  responses->n = done.n_jobs;
+  responses->ideal = az_ideal_queue_run (&done, (uint32_t)load->settings->slots, NULL, NULL);
+  g_free (done.jobs);
+}
+
+static void
+collect (const struct az_load *load, struct responses *responses)
+{
+  responses->measured = g_new0 (int64_t, load->jobs->len + 1);
+  responses->lag = g_new0 (int64_t, load->jobs->len + 1);
+  run_ideal (load, responses);
+  az_quantile_sort (responses->measured, responses->n);
+  az_quantile_sort (responses->ideal, responses->n);
+  az_quantile_sort (responses->lag, responses->n);
+}
+
+static void
+release (struct responses *responses)
+{
+  g_free (responses->measured);
+  g_free (responses->ideal);
+  g_free (responses->lag);
+}
+
+static json_t *
+print_quantile (const struct responses *responses, uint32_t per_mille)
+{
+  double measured = (double)az_quantile (responses->measured, responses->n, per_mille);
+  double ideal = (double)az_quantile (responses->ideal, responses->n, per_mille);
+
+  return json_pack ("{s:f, s:f, s:f}", "ms", measured / 1000, "ideal_ms", ideal / 1000, "ratio",
+                    ideal > 0 ? measured / ideal : 0.0);
+}
+
+static json_t *
+print_response (const struct responses *responses)
+{
+  return json_pack ("{s:i, s:o, s:o, s:o, s:f}", "jobs", (int)responses->n, "p50",
+                    print_quantile (responses, 500), "p90", print_quantile (responses, 900), "p99",
+                    print_quantile (responses, 990), "send_lag_p99_ms",
+                    (double)az_quantile (responses->lag, responses->n, 990) / 1000);
+}
+
+static json_t *
+print_outcomes (const struct az_load *load)
+{
+  json_t *outcomes = json_object ();
+  uint32_t counts[AZ_LOAD_N_OUTCOMES] = { 0 };
+
+  for (guint i = 0; i < load->jobs->len; i++)
+    counts[((const struct az_load_job *)load->jobs->pdata[i])->outcome]++;
+  for (int i = AZ_LOAD_DONE; i < AZ_LOAD_N_OUTCOMES; i++)
+    json_object_set_new (outcomes, az_load_outcome_name (i), json_integer (counts[i]));
+  return outcomes;
+}
+
+static json_t *
+print_codes (const struct az_load *load)
+{
+  json_t *codes = json_object ();
+  GHashTableIter iter;
+  gpointer code;
+  gpointer count;
+
+  g_hash_table_iter_init (&iter, load->codes);
+  while (g_hash_table_iter_next (&iter, &code, &count))
+    json_object_set_new (codes, code, json_integer (GPOINTER_TO_UINT (count)));
+  return codes;
+}
+
+static int64_t
+work_of (const struct az_load *load, const struct az_load_job *job)
+{
+  const struct az_workload_job *drawn = drawn_job (load, job);
+  int64_t work = 0;
+
+  for (uint32_t i = 0; i < drawn->n_tasks; i++)
+    work += load->workload->runs_us[drawn->first_task + i];
+  return work;
+}
+
+/* Tasks and their run time in jobs answered "done", by the time of the answer. */
+static json_t *
+print_work (const struct az_load *load)
+{
+  GArray *tasks = g_array_new (FALSE, TRUE, sizeof (int64_t));
+  GArray *work = g_array_new (FALSE, TRUE, sizeof (int64_t));
+  json_t *bins = json_array ();
+
+  for (guint i = 0; i < load->jobs->len; i++)
+    {
+      const struct az_load_job *job = load->jobs->pdata[i];
+      guint bin = (guint)(job->answered_us / BIN_US);
+
+      if (job->outcome != AZ_LOAD_DONE)
+        continue;
+      if (bin >= work->len)
+        {
+          g_array_set_size (work, bin + 1);
+          g_array_set_size (tasks, bin + 1);
+        }
+      g_array_index (work, int64_t, bin) += work_of (load, job);
+      g_array_index (tasks, int64_t, bin) += drawn_job (load, job)->n_tasks;
+    }
+  for (guint i = 0; i < work->len; i++)
+    json_array_append_new (bins, json_pack ("[I, f]", g_array_index (tasks, int64_t, i),
+                                            (double)g_array_index (work, int64_t, i) / 1e6));
+  g_array_unref (work);
+  g_array_unref (tasks);
+  return bins;
+}
+
+static json_t *
+print_busy (const struct az_load *load)
+{
+  json_t *samples = json_array ();
+
+  for (guint i = 0; i < load->busy->len; i++)
+    json_array_append_new (samples, json_integer (g_array_index (load->busy, int64_t, i)));
+  return samples;
+}
+
+static json_t *
+print_messages (const struct az_load *load)
+{
+  json_t *kinds = json_object ();
+  struct az_load_messages messages = az_load_metrics_messages (load->before, load->after, kinds);
+  double starts = MAX (messages.starts, 1);
+
+  return json_pack ("{s:f, s:f, s:f, s:f, s:f, s:o}", "starts", messages.starts, "per_start",
+                    messages.others / starts, "fixed_rate", messages.fixed, "wasted",
+                    messages.wasted, "wasted_percent",
+                    100 * messages.wasted / MAX (messages.others, 1), "kinds", kinds);
+}
+
+static int64_t
+last_answer_us (const struct az_load *load)
+{
+  int64_t last = 0;
+
+  for (guint i = 0; i < load->jobs->len; i++)
+    last = MAX (last, ((const struct az_load_job *)load->jobs->pdata[i])->answered_us);
+  return last;
+}
+
+static json_t *
+make_report (const struct az_load *load)
+{
+  struct responses responses = { 0 };
+  json_t *report;
+
+  collect (load, &responses);
+  report = json_pack ("{s:I, s:i, s:f, s:o, s:o, s:I, s:I, s:I, s:I, s:o}", "seed",
+                      load->settings->seed, "submitted", (int)load->jobs->len, "seconds",
+                      (double)last_answer_us (load) / 1e6, "outcomes", print_outcomes (load),
+                      "codes", print_codes (load), "mismatches", load->mismatches, "conflicts",
+                      load->conflicts, "resubmitted", load->resubmitted, "cancelled",
+                      load->cancelled, "response", print_response (&responses));
+  json_object_set_new (report, "work_per_100ms", print_work (load));
+  if (load->settings->sample_busy)
+    json_object_set_new (report, "busy_slots_per_100ms", print_busy (load));
+  if (load->settings->metrics->len)
+    json_object_set_new (report, "messages", print_messages (load));
+  release (&responses);
+  return report;
+}
+
+static void
+print_summary (json_t *report)
+{
+  static const char *const quantiles[] = { "p50", "p90", "p99" };
+  json_t *response = json_object_get (report, "response");
+  json_t *messages = json_object_get (report, "messages");
+  json_t *outcomes = json_object_get (report, "outcomes");
+  const char *name;
+  json_t *count;
+
+  json_object_foreach (outcomes, name, count)
+  {
+    printf ("%s %" JSON_INTEGER_FORMAT "\n", name, json_integer_value (count));
+  }
+  printf ("mismatches %" JSON_INTEGER_FORMAT "\n",
+          json_integer_value (json_object_get (report, "mismatches")));
+  printf ("conflicts %" JSON_INTEGER_FORMAT "\n",
+          json_integer_value (json_object_get (report, "conflicts")));
+  for (guint i = 0; i < G_N_ELEMENTS (quantiles); i++)
+    {
+      json_t *row = json_object_get (response, quantiles[i]);
+
+      printf ("response %s %.3f ms, ideal %.3f ms, ratio %.4f\n", quantiles[i],
+              json_number_value (json_object_get (row, "ms")),
+              json_number_value (json_object_get (row, "ideal_ms")),
+              json_number_value (json_object_get (row, "ratio")));
+    }
+  if (messages)
+    printf ("messages per start %.3f, wasted %.2f%%\n",
+            json_number_value (json_object_get (messages, "per_start")),
+            json_number_value (json_object_get (messages, "wasted_percent")));
+}
+
+bool
+az_load_report (struct az_load *load)
+{
+  json_t *report = make_report (load);
+  bool written = true;
+
+  print_summary (report);
+  if (load->settings->output)
+    written = !json_dump_file (report, load->settings->output,
+                               JSON_INDENT (1) | JSON_REAL_PRECISION (8));
+  if (!written)
+    fprintf (stderr, "cannot write %s\n", load->settings->output);
+  json_decref (report);
+  return written && !load->mismatches && !load->conflicts;
+}
--- /dev/null
+++ b/src/load/request.h
@@ -0,0 +1,61 @@
+#ifndef AZUREROCK_LOAD_REQUEST_H
+#define AZUREROCK_LOAD_REQUEST_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define AZ_LOAD_ID_SIZE 40
+
+enum az_load_outcome
+{
+  AZ_LOAD_OPEN, /* no answer yet */
+  AZ_LOAD_DONE,
+  AZ_LOAD_FAILED,
+  AZ_LOAD_NOT_RUN,
+  AZ_LOAD_UNKNOWN,
+  AZ_LOAD_LOST,    /* no answer from any entry */
+  AZ_LOAD_INVALID, /* an answer that can't be read */
+  AZ_LOAD_N_OUTCOMES,
+};
+
+/** az_load_outcome_name - as in the answers of entries */
+const char *
+az_load_outcome_name (enum az_load_outcome outcome);
+
+/** az_load_request_id - fills @id with the time and a random token, design page section 3.1 */
+void
+az_load_request_id (char id[AZ_LOAD_ID_SIZE], int64_t wall_ms, GRand *random);
+
+/** struct az_load_request - what a request body is made of */
+struct az_load_request
+{
+  const char *id;
+  const char *team;
+  const char *service;
+  int64_t deadline_ms; /* 0: left out */
+  uint32_t attempt;    /* from 1 */
+  const int64_t *runs_us;
+  uint32_t n_tasks;
+};
+
+/** az_load_request_body - appends the JSON body of a submission to @body */
+void
+az_load_request_body (const struct az_load_request *request, GString *body);
+
+/**
+ * az_load_answer_read - outcome of an answer
+ * @mismatched: set if the answer isn't the complete answer to this job: another id, another
+ *              number of results, or the echo of another task
+ * @code: receives the error code if there is one; free with g_free()
+ */
+enum az_load_outcome
+az_load_answer_read (const char *body,
+                     size_t length,
+                     const char *id,
+                     uint32_t n_tasks,
+                     bool *mismatched,
+                     char **code);
+
+#endif
--- a/src/load/workload.c
+++ b/src/load/workload.c
@@ -58,6 +58,7 @@
 {
   if (low >= high)
     return (double)low;
+  low = MAX (low, 1);
   return (double)(high - low) / log ((double)high / (double)low);
 }
 
@@ -94,6 +95,7 @@
 {
   if (low >= high)
     return low;
+  low = MAX (low, 1);
   return (int64_t)((double)low * pow ((double)high / (double)low, g_rand_double (random)));
 }
 
