Confirm table versions and revisions by half of both rosters

Cause: the model of freshness (three entries, a roster that grows) found a start after an accepted withdrawal: entry 1 of {0, 1} confirmed alone while entry 2, just added, and entry 0 formed a majority of the new roster without the news. Counting only the older members doesn't intersect majorities of the new roster.

Requiring a majority instead was ruled out: half suffices and leaves a fleet of two able to recover from the loss of one. The horizon after a planned stop is now also lowered when the former owner's report arrives after the confirmation.

--- a/model/freshness.pml
+++ b/model/freshness.pml
@@ -10,15 +10,16 @@
  *
  * Guards, removed one at a time with -D:
  *   NO_FRESHNESS   the agent ignores the age of its evidence
- *   NO_MAJORITY    a reply of one peer is evidence, whatever the size of the roster
+ *   NO_MAJORITY    an entry trusts itself without a reply of others
  *   NO_ACCEPT      "accepted" without the confirmation of half the counted members
- *   NO_COUNTED     members that joined in the current version count
+ *   NO_OLD_MEMBERS members that joined in the present version count like others
+ *   NO_NEW_MEMBERS half of the older members is enough
  *   NO_CONFIRM     a roster version is written before the present one is confirmed
  */
 #define ENTRIES 3
-#define LIMIT 2          /* freshness limit */
+#define LIMIT 1          /* freshness limit */
 #define OLD (LIMIT + 1)
-#define NEVER (OLD + 1)
+#define NEVER OLD
 
 /* Roster version r holds entries 0 to r - 1; entry e joined in version e + 1. */
 byte stored_roster = 1;
@@ -41,21 +42,37 @@
 #define HALF(n) (((n) + 1) / 2)
 
 #ifdef NO_FRESHNESS
-#define IS_FRESH (agent_evidence < NEVER)
+#define IS_FRESH true
 #else
 #define IS_FRESH (agent_evidence <= LIMIT)
 #endif
 #ifdef NO_MAJORITY
-#define NEEDED(n) ((n > 1) -> 2 : 1)
+#define NEEDED(n) 1
 #define COUNTS_PEER(e, f) true
 #else
 #define NEEDED(n) MAJORITY (n)
 #define COUNTS_PEER(e, f) (f < roster[e])
 #endif
-#ifdef NO_COUNTED
-#define COUNTED(version) (version)
+#define OLD_MEMBERS ((stored_roster > 1) -> stored_roster - 1 : 1)
+#ifdef NO_OLD_MEMBERS
+#define IS_CONFIRMED (count >= HALF (stored_roster))
 #else
-#define COUNTED(version) ((version > 1) -> version - 1 : 1)
+#ifdef NO_NEW_MEMBERS
+#define IS_CONFIRMED (age >= HALF (OLD_MEMBERS))
+#else
+#define IS_CONFIRMED (count >= HALF (stored_roster) && age >= HALF (OLD_MEMBERS))
+#endif
+#endif
+
+#ifdef NO_ACCEPT
+#define ACCEPTED_BY_HALF true
+#else
+#define ACCEPTED_BY_HALF IS_CONFIRMED
+#endif
+#ifdef NO_CONFIRM
+#define ROSTER_CONFIRMED true
+#else
+#define ROSTER_CONFIRMED IS_CONFIRMED
 #endif
 
 #define GROW(age) age = ((age < OLD) -> age + 1 : age)
@@ -130,12 +147,16 @@
   stored_withdrawn = true;
 }
 
-inline count_confirmations (array, version)
+/* Half of the members, and half of those that were in the roster before its present version. */
+inline count_confirmations (array)
 {
   count = 0;
+  age = 0;
   for (f : 0 .. 2) {
     if
-    :: f < COUNTED (version) && array -> count++;
+    :: f < stored_roster && array ->
+       count++;
+       age = ((f < OLD_MEMBERS) -> age + 1 : age);
     :: else -> skip;
     fi;
   }
@@ -143,12 +164,9 @@
 
 inline accept ()
 {
-  count_confirmations (withdrawn[f], stored_roster);
-#ifdef NO_ACCEPT
-  count = ENTRIES;
-#endif
+  count_confirmations (withdrawn[f]);
   if
-  :: stored_withdrawn && !accepted && count >= HALF (COUNTED (stored_roster)) -> accepted = true;
+  :: stored_withdrawn && !accepted && ACCEPTED_BY_HALF -> accepted = true;
   :: else -> skip;
   fi;
 }
@@ -156,12 +174,9 @@
 /* Entry e reads the store, then writes the roster with itself added. */
 inline join (e)
 {
-  count_confirmations (roster[f] >= stored_roster, stored_roster);
-#ifdef NO_CONFIRM
-  count = ENTRIES;
-#endif
+  count_confirmations (roster[f] >= stored_roster);
   if
-  :: stored_roster == e && !in_roster[e] && count >= HALF (COUNTED (stored_roster)) ->
+  :: stored_roster == e && !in_roster[e] && ROSTER_CONFIRMED ->
      in_roster[e] = true;
      stored_roster = e + 1;
      read_store (e);
@@ -206,7 +221,7 @@
        d_step { count = 0; age = 0; e = 0; f = 0; p = 0; } }
   :: d_step { tick (); count = 0; age = 0; e = 0; f = 0; }
   :: d_step { publish () }
-  :: d_step { accept (); count = 0; f = 0; }
+  :: d_step { accept (); count = 0; age = 0; f = 0; }
   :: atomic { start_task () }
   od
 }
--- a/src/ctl/acceptance.c
+++ b/src/ctl/acceptance.c
@@ -29,7 +29,9 @@
 bool
 az_ctl_is_accepted (const struct az_ctl_acceptance *acceptance)
 {
-  uint32_t needed = (acceptance->counted + 1) / 2;
+  uint32_t needed = (acceptance->members + 1) / 2;
+  uint32_t needed_counted = (acceptance->counted + 1) / 2;
 
-  return needed > 0 && acceptance->counted_confirmed >= needed;
+  return needed_counted > 0 && acceptance->counted_confirmed >= needed_counted
+         && acceptance->confirmed >= needed;
 }
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -255,7 +255,8 @@
 struct az_entry_owned
 {
   int64_t horizon_ms; /* nothing is known of older ids without a record */
-  int64_t from_ms;    /* -1 if not owned */
+  int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
+  int64_t from_ms;             /* -1 if not owned */
   bool is_pending;    /* until the table version is confirmed */
 };
 
--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -33,23 +33,31 @@
   return peer && peer->table_version >= version;
 }
 
+static uint32_t
+half_of (uint32_t members)
+{
+  return (members + 1) / 2;
+}
+
+/* Majorities of the present roster and of the one before it can both give fresh evidence, so half
+ * of each must have the version. */
 static bool
 is_confirmed (const struct az_entry_board *board)
 {
   uint64_t version = board->table.table_version;
-  uint32_t counted = 0;
-  uint32_t reported = 0;
+  uint32_t older = 0, older_reported = 0, reported = 0;
 
   for (uint32_t i = 0; i < board->table.roster.roster_len; i++)
     {
       const struct az_roster_entry *member = &board->table.roster.roster_val[i];
+      bool has_it = has_reported (board, member->incarnation, version);
+      bool is_older = member->joined < version;
 
-      if (member->joined >= version)
-        continue;
-      counted++;
-      reported += has_reported (board, member->incarnation, version);
+      reported += has_it;
+      older += is_older;
+      older_reported += is_older && has_it;
     }
-  return reported >= (counted + 1) / 2;
+  return reported >= half_of (board->table.roster.roster_len) && older_reported >= half_of (older);
 }
 
 /* Whether the previous owner knew the table early enough to accept no id of the new interval,
@@ -75,16 +83,31 @@
       board->owned[partition].horizon_ms = 0;
       return;
     }
-  board->owned[partition].horizon_ms = (int64_t)row->from_ms;
-  if (!has_previous_stopped (board, row))
-    board->owned[partition].horizon_ms
-        = MAX ((int64_t)row->from_ms, board->wall_ms + board->settings.handover_ms);
+  board->owned[partition].horizon_ms
+      = MAX ((int64_t)row->from_ms, board->wall_ms + board->settings.handover_ms);
+  board->owned[partition].handover_horizon_ms = board->owned[partition].horizon_ms;
   if (row->previous)
     board->recover_partitions |= 1ULL << partition;
 }
 
-void
-az_entry_confirm (struct az_entry_board *board)
+/* A horizon that retention has moved since is not lowered. */
+static void
+lower_horizons (struct az_entry_board *board)
+{
+  for (uint32_t i = 0; i < board->table.partitions.partitions_len; i++)
+    {
+      const struct az_partition *row = &board->table.partitions.partitions_val[i];
+      struct az_entry_owned *owned = &board->owned[i];
+
+      if (owned->from_ms < 0 || owned->is_pending
+          || owned->horizon_ms != owned->handover_horizon_ms || !has_previous_stopped (board, row))
+        continue;
+      owned->horizon_ms = (int64_t)row->from_ms;
+    }
+}
+
+static void
+confirm_version (struct az_entry_board *board)
 {
   uint64_t known = board->recover_partitions;
 
@@ -98,3 +121,11 @@
   if (board->recover_partitions != known)
     az_entry_recover_start (board, NULL);
 }
+
+void
+az_entry_confirm (struct az_entry_board *board)
+{
+  confirm_version (board);
+  if (board->has_table)
+    lower_horizons (board);
+}
