Compare agents within their upstream and estimate with granted slots

Ejection compared all agents of an entry with each other. An upstream whose own service fails for another reason then lost agents because those of other upstreams succeed. Each upstream has its own ejector now, under the policy of its first service.

The estimate of a job's completion counted every connected slot, also those that other entries use, so that an entry under load accepted jobs that missed their deadline in the queue. Once demand has been open for 500 ms, the slots granted to this entry count. Granted slots alone were ruled out: an idle entry holds few grants before a burst and would refuse jobs that all slots together can run.

Grants per agent, jobs and the wait of a remote fetch are bounded.

--- a/src/entry/admission.c
+++ b/src/entry/admission.c
@@ -9,14 +9,17 @@
 
 #define P10_PER_MILLE 100
 
+/* Several times the interval of DEMAND and the usual run time of a task. */
+#define DEMAND_SETTLED_MS 500
+
 /* Deadline of a job that is forwarded before this entry knows its service. */
 #define DEADLINE_DEFAULT_MS 10000
 
-static const struct az_entry_group *
+static struct az_entry_group *
 find_group (const struct az_entry_board *board, const char *service, uint32_t *index)
 {
   void *found;
-  const struct az_entry_group *group;
+  struct az_entry_group *group;
 
   if (!g_hash_table_lookup_extended (board->group_by_name, service, NULL, &found))
     return NULL;
@@ -60,14 +63,21 @@
   return false;
 }
 
+/* Slots that serve the queue. An idle entry holds few grants before a burst, so every slot that may
+ * be granted counts until demand has been open for long enough to have drawn what others leave. */
 static uint64_t
-reachable_slots (const struct az_entry_board *board, const struct az_entry_group *group)
+slots_for (struct az_entry_board *board, struct az_entry_group *group)
 {
+  bool is_saturated = az_entry_oldest_ms (board, group) > DEMAND_SETTLED_MS;
   uint64_t slots = 0;
 
   for (guint i = 0; i < group->pools->len; i++)
-    slots
-        += az_entry_board_pool (board, g_array_index (group->pools, uint32_t, i))->connected_slots;
+    {
+      const struct az_entry_pool *pool
+          = az_entry_board_pool (board, g_array_index (group->pools, uint32_t, i));
+
+      slots += is_saturated ? pool->n_open + pool->usable : pool->connected_slots;
+    }
   return slots;
 }
 
@@ -85,15 +95,13 @@
     }
 }
 
-/* The estimate is a lower bound: it counts every slot that may be granted to this entry, since
- * an idle entry holds few grants before a burst. */
 static bool
-can_meet_deadline (const struct az_entry_board *board,
-                   const struct az_entry_group *group,
+can_meet_deadline (struct az_entry_board *board,
+                   struct az_entry_group *group,
                    const struct az_submit *submit)
 {
   int64_t deadline_us = az_entry_deadline_ms (board, submit) * 1000;
-  uint64_t slots = reachable_slots (board, group);
+  uint64_t slots = slots_for (board, group);
 
   if (!group->least_run_us || !slots)
     return true;
@@ -126,8 +134,8 @@
 }
 
 static const char *
-check_load (const struct az_entry_board *board,
-            const struct az_entry_group *group,
+check_load (struct az_entry_board *board,
+            struct az_entry_group *group,
             const struct az_submit *submit,
             const char **text)
 {
@@ -162,7 +170,7 @@
                   const char **text)
 {
   const struct az_entry_team *team_row = find_team (board, submit->team, team);
-  const struct az_entry_group *group_row = find_group (board, submit->service, group);
+  struct az_entry_group *group_row = find_group (board, submit->service, group);
   const char *code;
 
   *text = submit->team;
--- a/src/entry/agents.c
+++ b/src/entry/agents.c
@@ -32,7 +32,7 @@
   agent->batch = g_array_new (FALSE, FALSE, sizeof (struct az_entry_open));
   g_hash_table_insert (board->agents_by_instance, g_strdup (hello->instance),
                        GUINT_TO_POINTER (handle));
-  az_ejector_add (board->ejector, handle);
+  az_ejector_add (az_entry_board_pool (board, agent->pool)->ejector, handle);
   return handle;
 }
 
@@ -44,7 +44,7 @@
 
   if (GPOINTER_TO_UINT (named) == handle)
     g_hash_table_remove (board->agents_by_instance, agent->instance);
-  az_ejector_remove (board->ejector, handle);
+  az_ejector_remove (az_entry_board_pool (board, agent->pool)->ejector, handle);
   g_free (agent->instance);
   g_free (agent->domain);
   g_array_unref (agent->idle);
--- a/src/entry/agents.h
+++ b/src/entry/agents.h
@@ -84,6 +84,10 @@
 struct az_demand
 az_entry_demand_of (struct az_entry_board *board, struct az_entry_pool *pool);
 
+/** az_entry_oldest_ms - age of the oldest job with a waiting task of the group */
+uint32_t
+az_entry_oldest_ms (struct az_entry_board *board, struct az_entry_group *group);
+
 /** az_entry_arrivals_tick - forgets arrivals of jobs that left the queue without an agent */
 void
 az_entry_arrivals_tick (struct az_entry_board *board);
--- a/src/entry/board.c
+++ b/src/entry/board.c
@@ -31,6 +31,7 @@
   g_free (pool->name);
   g_array_unref (pool->groups);
   g_array_unref (pool->agents);
+  az_ejector_destroy (pool->ejector);
   g_free (pool);
 }
 
@@ -107,7 +108,6 @@
   board->next_attempt = 1;
   create_tables (board);
   board->queue = az_team_queue_create ();
-  board->ejector = az_ejector_create (clock);
   az_entry_board_update_time (board);
   return board;
 }
@@ -183,7 +183,6 @@
   free_jobs (board);
   free_tables (board);
   az_team_queue_destroy (board->queue);
-  az_ejector_destroy (board->ejector);
   if (board->retry_budget)
     az_retry_budget_destroy (board->retry_budget);
   if (board->configuration)
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -191,8 +191,10 @@
   uint32_t top; /* no bucket above this one is filled */
   uint32_t usable;
   uint64_t connected_slots; /* of agents in service */
+  uint64_t n_open;          /* tasks whose START went to an agent of the pool */
   GArray *agents;           /* uint32_t handles of connected agents */
-  bool has_demand;          /* agents were told of waiting tasks */
+  struct az_ejector *ejector;
+  bool has_demand; /* agents were told of waiting tasks */
 };
 
 struct az_entry_team
@@ -343,7 +345,6 @@
   GHashTable *team_by_name;
 
   struct az_team_queue *queue;
-  struct az_ejector *ejector;
   struct az_retry_budget *retry_budget;
   uint32_t retry_percent;
   GArray *dirty; /* handles of agents with a batch */
--- a/src/entry/callers.c
+++ b/src/entry/callers.c
@@ -5,6 +5,7 @@
 
 /* A fetch that doesn't wait still needs a round trip to the owner. */
 #define REMOTE_FETCH_MIN_MS 200
+#define REMOTE_FETCH_MAX_MS 3600000
 #define REMOTE_FETCH_MARGIN_MS 1000
 
 /* How long a caller waits for the answer of a job that it cancels at another entry. */
@@ -32,7 +33,8 @@
 fetch_from_owner (struct az_entry_board *board, uint32_t request, const char *id, int64_t wait_ms)
 {
   struct az_submit submit = { .job = (char *)id, .team = (char *)"", .service = (char *)"" };
-  struct timespec until = az_time_add_ms (board->now, MAX (wait_ms, REMOTE_FETCH_MIN_MS));
+  int64_t limited_ms = CLAMP (wait_ms, REMOTE_FETCH_MIN_MS, REMOTE_FETCH_MAX_MS);
+  struct timespec until = az_time_add_ms (board->now, limited_ms);
   int64_t time_ms;
   uint32_t handle;
 
@@ -40,7 +42,7 @@
       || az_entry_owner_of (board, id) == board->incarnation)
     return false;
   /* The record outlives the request, so that "pending" is told and not "unknown". */
-  submit.deadline_ms = (uint32_t)(MAX (wait_ms, REMOTE_FETCH_MIN_MS) + REMOTE_FETCH_MARGIN_MS);
+  submit.deadline_ms = (uint32_t)(limited_ms + REMOTE_FETCH_MARGIN_MS);
   handle = az_entry_job_add (board, &submit, AZ_ENTRY_ROLE_FORWARDER, false);
   az_entry_job_wait (board, handle, request, true, until);
   az_entry_forward (board, handle);
--- a/src/entry/configure.c
+++ b/src/entry/configure.c
@@ -32,7 +32,8 @@
     }
 }
 
-/* The view of an agent has one timeout: the longest of the services that use its upstream. */
+/* The view of an agent has one timeout: the longest of the services that use its upstream. An
+ * upstream's agents are compared with each other under the policy of its first service. */
 static void
 join_pool (struct az_entry_board *board,
            uint32_t group,
@@ -42,6 +43,8 @@
   uint32_t index = az_entry_pool_of (board, upstream);
   struct az_entry_pool *pool = az_entry_board_pool (board, index);
 
+  if (!pool->groups->len)
+    az_ejector_set_policy (pool->ejector, &policy->ejection);
   g_array_append_val (az_entry_board_group (board, group)->pools, index);
   g_array_append_val (pool->groups, group);
   pool->task_timeout_ms = MAX (pool->task_timeout_ms, (uint32_t)policy->task_timeout_ms);
@@ -109,26 +112,15 @@
     configure_team (board, &teams[i]);
 }
 
-/* One ejector and one retry budget serve all services: they take the policy of the first
- * service and the largest share. */
+/* One retry budget serves all services and takes the largest share. */
 static void
-configure_limits (struct az_entry_board *board)
+configure_retries (struct az_entry_board *board)
 {
   uint32_t percent = 0;
-  const struct az_ejection_policy *ejection = NULL;
 
   for (uint32_t i = 0; i < board->groups->len; i++)
-    {
-      const struct az_entry_group *group = az_entry_board_group (board, i);
-
-      if (!group->configured)
-        continue;
-      percent = MAX (percent, group->policy.retry_budget_percent);
-      if (!ejection)
-        ejection = &group->policy.ejection;
-    }
-  if (ejection)
-    az_ejector_set_policy (board->ejector, ejection);
+    if (az_entry_board_group (board, i)->configured)
+      percent = MAX (percent, az_entry_board_group (board, i)->policy.retry_budget_percent);
   if (board->retry_budget && percent == board->retry_percent)
     return;
   if (board->retry_budget)
@@ -143,6 +135,6 @@
   configure_pools (board);
   configure_groups (board);
   configure_teams (board);
-  configure_limits (board);
+  configure_retries (board);
   az_entry_quota_update (board, false);
 }
--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -27,6 +27,14 @@
     oldest_job (board, az_entry_board_group (board, i));
 }
 
+uint32_t
+az_entry_oldest_ms (struct az_entry_board *board, struct az_entry_group *group)
+{
+  const struct az_entry_job *oldest = oldest_job (board, group);
+
+  return oldest ? (uint32_t)az_time_diff_ms (board->now, oldest->arrived) : 0;
+}
+
 struct az_demand
 az_entry_demand_of (struct az_entry_board *board, struct az_entry_pool *pool)
 {
@@ -36,11 +44,11 @@
     {
       uint32_t index = g_array_index (pool->groups, uint32_t, i);
       struct az_entry_group *group = az_entry_board_group (board, index);
-      const struct az_entry_job *oldest = oldest_job (board, group);
-      int64_t age_ms = oldest ? az_time_diff_ms (board->now, oldest->arrived) : 0;
 
-      demand.waiting += group->waiting ? az_team_queue_runnable (board->queue, index) : 0;
-      demand.oldest_ms = MAX (demand.oldest_ms, (uint32_t)age_ms);
+      if (!group->waiting)
+        continue;
+      demand.waiting += az_team_queue_runnable (board->queue, index);
+      demand.oldest_ms = MAX (demand.oldest_ms, az_entry_oldest_ms (board, group));
     }
   if (!demand.waiting)
     demand.oldest_ms = 0;
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -63,6 +63,7 @@
   task->attempt = open.attempt;
   task->agent = agent->handle;
   job->n_open++;
+  az_entry_board_pool (board, agent->pool)->n_open++;
   g_array_append_val (agent->open, open);
   if (!agent->batch->len)
     g_array_append_val (board->dirty, agent->handle);
--- a/src/entry/fates.c
+++ b/src/entry/fates.c
@@ -24,6 +24,7 @@
       if (az_entry_board_job (board, open->job))
         continue;
       az_team_queue_finished (board->queue, open->team);
+      az_entry_board_pool (board, agent->pool)->n_open--;
       g_array_remove_index_fast (agent->open, i - 1);
     }
 }
--- a/src/entry/grants.c
+++ b/src/entry/grants.c
@@ -59,13 +59,14 @@
 static uint32_t
 usable_grants (struct az_entry_board *board, const struct az_entry_agent *agent)
 {
+  struct az_ejector *ejector = az_entry_board_pool (board, agent->pool)->ejector;
+
   if (!agent->connection || !agent->in_service || agent->stopping || agent->suspected
       || !agent->idle->len || az_time_compare (board->now, agent->blocked_until) < 0)
     return 0;
   /* A member that was ejected gets one probe at a time. */
-  if (az_ejector_n_ejected (board->ejector)
-      && az_ejector_is_ejected (board->ejector, agent->handle))
-    return az_ejector_may_start (board->ejector, agent->handle) ? 1 : 0;
+  if (az_ejector_n_ejected (ejector) && az_ejector_is_ejected (ejector, agent->handle))
+    return az_ejector_may_start (ejector, agent->handle) ? 1 : 0;
   return agent->idle->len;
 }
 
@@ -100,6 +101,7 @@
 bool
 az_entry_grants_take (struct az_entry_board *board, struct az_entry_agent *agent, uint64_t *grant)
 {
+  struct az_ejector *ejector = az_entry_board_pool (board, agent->pool)->ejector;
   bool taken = false;
 
   while (!taken && agent->idle->len)
@@ -111,8 +113,8 @@
       taken = az_time_compare (board->now, last->expires) < 0;
       g_array_set_size (agent->idle, agent->idle->len - 1);
     }
-  if (taken && az_ejector_n_ejected (board->ejector))
-    az_ejector_started (board->ejector, agent->handle);
+  if (taken && az_ejector_n_ejected (ejector))
+    az_ejector_started (ejector, agent->handle);
   az_entry_grants_place (board, agent);
   return taken;
 }
@@ -160,7 +162,7 @@
 
       if (known)
         known->expires = grant.expires;
-      else if (!is_used (agent, grant.id))
+      else if (agent->idle->len < AZ_MAX_GRANTS && !is_used (agent, grant.id))
         g_array_append_val (agent->idle, grant);
     }
   if (count)
--- a/src/entry/names.c
+++ b/src/entry/names.c
@@ -31,6 +31,7 @@
   pool->name = g_strdup (upstream);
   pool->groups = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   pool->agents = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  pool->ejector = az_ejector_create (board->clock);
   g_ptr_array_add (board->pools, pool);
   g_hash_table_insert (board->pool_by_name, pool->name, GUINT_TO_POINTER (board->pools->len - 1));
   return board->pools->len - 1;
--- a/src/entry/results.c
+++ b/src/entry/results.c
@@ -51,6 +51,7 @@
   *closed = (struct closed){ open->job, job, NULL, open->task, open->team };
   g_array_remove_index_fast (
       agent->open, (guint)(open - (const struct az_entry_open *)(void *)agent->open->data));
+  az_entry_board_pool (board, agent->pool)->n_open--;
   if (job)
     job->n_open--;
   if (job && job->answer)
@@ -66,13 +67,14 @@
          const struct closed *closed,
          const struct az_result_task *result)
 {
+  struct az_ejector *ejector = az_entry_board_pool (board, agent->pool)->ejector;
   bool is_wanted = closed->job && !closed->job->cancelled;
 
   /* How a task ends after CANCEL says nothing about the agent. */
   if (is_wanted && (result->status == AZ_STATUS_OK || result->status == AZ_STATUS_FAILED))
-    az_ejector_report (board->ejector, agent->handle, result->status == AZ_STATUS_OK);
+    az_ejector_report (ejector, agent->handle, result->status == AZ_STATUS_OK);
   else
-    az_ejector_cancelled (board->ejector, agent->handle);
+    az_ejector_cancelled (ejector, agent->handle);
   if (result->status == AZ_STATUS_OK && closed->job)
     az_run_time_add (az_entry_board_group (board, closed->job->group)->run_times, result->run_us);
 }
@@ -207,7 +209,7 @@
   az_entry_count (board, board->count.refused, 1);
   if (!close_attempt (board, agent, &refused->id, &closed))
     return;
-  az_ejector_cancelled (board->ejector, agent->handle);
+  az_ejector_cancelled (az_entry_board_pool (board, agent->pool)->ejector, agent->handle);
   if (is_lasting (refused->reason))
     agent->blocked_until = az_time_add_ms (board->now, REFUSAL_PAUSE_MS);
   /* A record of the task at the agent means that an earlier attempt may have started. */
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -137,13 +137,17 @@
 {
   uint64_t waiting = 0;
   uint64_t connected = 0;
+  uint64_t ejected = 0;
 
   for (uint32_t i = 0; i < board->groups->len; i++)
     waiting += az_entry_board_group (board, i)->waiting;
   for (uint32_t i = 0; i < board->pools->len; i++)
-    connected += az_entry_board_pool (board, i)->agents->len;
+    {
+      connected += az_entry_board_pool (board, i)->agents->len;
+      ejected += az_ejector_n_ejected (az_entry_board_pool (board, i)->ejector);
+    }
   az_counters_set (board->counters, board->count.agents, connected);
-  az_counters_set (board->counters, board->count.ejected, az_ejector_n_ejected (board->ejector));
+  az_counters_set (board->counters, board->count.ejected, ejected);
   az_counters_set (board->counters, board->count.jobs, az_table_rows_count (board->jobs));
   az_counters_set (board->counters, board->count.waiting, waiting);
   az_counters_set (board->counters, board->count.evidence_age, az_entry_evidence_age_ms (board));
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -34,13 +34,14 @@
 static json_t *
 agent_status (const struct az_entry_board *board, const struct az_entry_agent *agent)
 {
-  return json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:I, s:I, s:I}", "instance",
-                    agent->instance, "upstream", az_entry_board_pool (board, agent->pool)->name,
-                    "domain", agent->domain, "connected", agent->connection != 0, "in_service",
-                    agent->in_service, "suspected", agent->suspected, "ejected",
-                    az_ejector_is_ejected (board->ejector, agent->handle), "slots",
-                    (json_int_t)agent->slots, "grants", (json_int_t)agent->idle->len, "open",
-                    (json_int_t)agent->open->len);
+  return json_pack (
+      "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:I, s:I, s:I}", "instance", agent->instance, "upstream",
+      az_entry_board_pool (board, agent->pool)->name, "domain", agent->domain, "connected",
+      agent->connection != 0, "in_service", agent->in_service, "suspected", agent->suspected,
+      "ejected",
+      az_ejector_is_ejected (az_entry_board_pool (board, agent->pool)->ejector, agent->handle),
+      "slots", (json_int_t)agent->slots, "grants", (json_int_t)agent->idle->len, "open",
+      (json_int_t)agent->open->len);
 }
 
 static json_t *
--- a/src/entry/submit.c
+++ b/src/entry/submit.c
@@ -4,6 +4,9 @@
 #include "entry/jobs.h"
 #include "entry/send.h"
 
+/* Half of what a table addresses by handles. */
+#define JOBS_MAX 500000
+
 static void
 wait_for (struct az_entry_board *board, uint32_t handle, const struct az_entry_origin *origin)
 {
@@ -180,6 +183,9 @@
   else if (id_time_ms > board->wall_ms + board->settings.clock_skew_max_ms)
     az_entry_refuse (board, submit->job, origin, outcome_without_record (origin), "id_in_future",
                      "the time in the id is ahead of the clock");
+  else if (az_table_rows_count (board->jobs) >= JOBS_MAX)
+    az_entry_refuse (board, submit->job, origin, outcome_without_record (origin), "queue_full",
+                     "this entry holds too many jobs");
   else if (!board->has_table || !board->configuration)
     az_entry_refuse (board, submit->job, origin, outcome_without_record (origin), "not_ready",
                      "no configuration or owner table is known yet");
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -174,11 +174,15 @@
       "{\"kind\":\"domain\",\"name\":\"b\",\"region\":\"r\"},"
       "{\"kind\":\"upstream\",\"name\":\"u\",\"domains\":[\"a\",\"b\"],\"slots\":4,"
       "\"connections\":8},"
+      "{\"kind\":\"upstream\",\"name\":\"v\",\"domains\":[\"a\"],\"slots\":4,"
+      "\"connections\":8},"
+      "{\"kind\":\"service\",\"name\":\"w\",\"upstreams\":[\"v\"],\"policy\":\"p\"},"
       "{\"kind\":\"policy\",\"name\":\"p\",\"max_tasks_per_job\":100,\"max_payload_bytes\":1000,"
       "\"result_retention_ms\":%d,\"deadline_default_ms\":%d},"
       "{\"kind\":\"service\",\"name\":\"s\",\"upstreams\":[\"u\"],\"policy\":\"p\"},"
       "{\"kind\":\"service\",\"name\":\"other\",\"upstreams\":[\"u\"],\"policy\":\"p\"},"
-      "{\"kind\":\"team\",\"name\":\"t\",\"quota_slots\":%u,\"weight\":1,\"services\":[\"s\"],"
+      "{\"kind\":\"team\",\"name\":\"t\",\"quota_slots\":%u,\"weight\":1,\"services\":[\"s\",\"w\"]"
+      ","
       "\"max_queued_tasks\":%u}]}",
       (int)revision, (int)revision, fields->withdrawn ? "false" : "true",
       (int)(fields->retention_ms ? fields->retention_ms : 60000),
@@ -292,13 +296,23 @@
                   uint32_t connection,
                   uint64_t incarnation,
                   const char *instance)
+{
+  test_entry_agent_of (entry, connection, incarnation, instance, "u");
+}
+
+void
+test_entry_agent_of (struct test_entry *entry,
+                     uint32_t connection,
+                     uint64_t incarnation,
+                     const char *instance,
+                     const char *upstream)
 {
   struct az_message message = { .proc = AZ_HELLO };
   struct az_hello *hello = &message.az_message_u.hello;
 
   hello->incarnation = incarnation;
   hello->instance = (char *)instance;
-  hello->upstream = (char *)"u";
+  hello->upstream = (char *)upstream;
   hello->domain = (char *)"a";
   hello->slots = 4;
   az_entry_core_opened (entry->core, connection, false, "127.0.0.1:9");
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -98,6 +98,12 @@
                   uint64_t incarnation,
                   const char *instance);
 void
+test_entry_agent_of (struct test_entry *entry,
+                     uint32_t connection,
+                     uint64_t incarnation,
+                     const char *instance,
+                     const char *upstream);
+void
 test_entry_grant (struct test_entry *entry, uint32_t connection, uint64_t first_id, uint32_t count);
 
 /** test_entry_table - table of @n members (TEST_SELF, TEST_PEER, ...); all partitions of @owner */
--- a/tests/test_entry_agents.c
+++ b/tests/test_entry_agents.c
@@ -246,6 +246,46 @@
   test_entry_destroy (entry);
 }
 
+static void
+submit_service (struct test_entry *entry, uint32_t request, const char *token, const char *service)
+{
+  struct az_job_task task = { .payload = { 4, (char *)"work" } };
+  struct az_submit job = { .job = (char *)test_entry_id (entry, 0, token),
+                           .team = (char *)"t",
+                           .service = (char *)service,
+                           .tasks = { 1, &task } };
+
+  az_entry_core_submit (entry->core, request, &job, false);
+  az_entry_core_flush (entry->core);
+}
+
+/* Guards against the ejection of agents whose upstream fails all of its own service, because the
+ * agents of another upstream succeed. */
+static void
+test_agents_are_compared_within_their_upstream (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  uint32_t connection;
+  uint32_t started = 0;
+
+  for (uint32_t i = 1; i <= 4; i++)
+    test_entry_agent_of (entry, i, 10 + i, (const char *[]){ "a1", "a2", "a3", "a4" }[i - 1],
+                         i > 2 ? "v" : "u");
+  for (uint32_t i = 0; i < 80; i++)
+    {
+      char token[16];
+
+      g_snprintf (token, sizeof token, "token%03u", i);
+      submit_service (entry, 100 + i, token, i % 2 ? "w" : "s");
+      assert_non_null (test_entry_started (entry, started, &connection));
+      test_entry_finish (entry, started++, connection > 2 ? AZ_STATUS_FAILED : AZ_STATUS_OK);
+      test_entry_grant (entry, connection, 50000 + i, 1);
+    }
+  test_entry_advance (entry, 100);
+  assert_int_equal (test_entry_counter (entry, "azurerock_agents_ejected"), 0);
+  test_entry_destroy (entry);
+}
+
 /* Guards against a use of grants that the agent takes back, and of grants that have expired. */
 static void
 test_recalled_and_expired_grants_are_not_used (void **state)
@@ -342,6 +382,7 @@
     cmocka_unit_test (test_heartbeat_is_answered_with_age),
     cmocka_unit_test (test_withdrawal_is_pushed_and_stops_dispatch),
     cmocka_unit_test (test_failing_agent_is_ejected_and_probed),
+    cmocka_unit_test (test_agents_are_compared_within_their_upstream),
     cmocka_unit_test (test_recalled_and_expired_grants_are_not_used),
     cmocka_unit_test (test_renewal_of_used_grant_is_ignored),
     cmocka_unit_test (test_demand_is_bounded),
--- a/tests/test_entry_jobs.c
+++ b/tests/test_entry_jobs.c
@@ -281,6 +281,37 @@
   test_entry_destroy (entry);
 }
 
+/* Guards against an estimate that counts slots which other entries use: one task runs at a time,
+ * though the agents have 12 slots. */
+static void
+test_estimate_follows_granted_slots (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  struct test_configuration fields = { .deadline_ms = 5000 };
+
+  test_entry_configure (entry, &fields);
+  test_entry_agent (entry, 1, 11, "agent-1");
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      test_entry_submit (entry, 100 + i, test_entry_id (entry, i, "abcdefgh"), 1);
+      test_entry_finish (entry, i, AZ_STATUS_OK);
+      if (i > 2)
+        test_entry_grant (entry, 1, 5000 + i, 1);
+    }
+  test_entry_agent (entry, 2, 12, "agent-2");
+  test_entry_agent (entry, 3, 13, "agent-3");
+  test_entry_advance (entry, 100);
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "ijklmnop"), 50);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "qrstuvwx"), 50);
+  assert_null (test_entry_answer (entry, 8));
+  for (uint32_t i = 0; i < 8; i++)
+    test_entry_finish (entry, 20 + i, AZ_STATUS_OK);
+  test_entry_advance (entry, 600);
+  test_entry_submit (entry, 9, test_entry_id (entry, 0, "yzyzyzyz"), 50);
+  test_entry_assert_answer (entry, 9, AZ_OUTCOME_NOT_RUN, "deadline_cannot_be_met");
+  test_entry_destroy (entry);
+}
+
 /* Guards against a slot for a job that is certain to miss its deadline. */
 static void
 test_late_job_is_dropped_before_a_slot (void **state)
@@ -401,6 +432,7 @@
     cmocka_unit_test (test_invalid_jobs_are_refused_in_the_call),
     cmocka_unit_test (test_full_queue_refuses),
     cmocka_unit_test (test_hopeless_job_is_refused_early),
+    cmocka_unit_test (test_estimate_follows_granted_slots),
     cmocka_unit_test (test_late_job_is_dropped_before_a_slot),
     cmocka_unit_test (test_fetch_waits_and_tells_pending),
     cmocka_unit_test (test_early_eviction_moves_the_horizon),
