Report an unresolved publication as unknown

Cause: after a lost answer azurerock-ctl said "not published" when the revision was absent at the end of its wait, but the model of publishing shows that a late write can still take effect.

The exit code stays 1; only the claim changes.

--- a/src/ctl/resolve.c
+++ b/src/ctl/resolve.c
@@ -82,10 +82,11 @@
     return AZ_EXIT_SUCCESS;
   if (finding == FINDING_OTHER)
     return az_ctl_report_conflict (ctl, configuration->objects);
-  g_printerr (finding == FINDING_ABSENT ? "not published: revision %" G_GUINT64_FORMAT
-                                          " is not in the store\n"
-                                        : "unknown whether revision %" G_GUINT64_FORMAT
-                                          " was published: the store doesn't answer\n",
-              configuration->revision);
+  /* Absence proves nothing: the write may be queued in the store (model/publish.pml, NO_RETRY). */
+  g_printerr ("unknown whether revision %" G_GUINT64_FORMAT
+              " was published: %s; see 'history' later\n",
+              configuration->revision,
+              finding == FINDING_ABSENT ? "it is not in the store, but may still take effect"
+                                        : "the store doesn't answer");
   return AZ_EXIT_FAILURE;
 }
