Close earlier submissions with "not run"

Change: SUBMIT carries the caller's number of the submission. When an owner answers "not run" to any but the first, it remembers the number until the id is too old to run and refuses it and all lower ones. A higher number is a new submission and may run, as before. First attempts need no memory, so an overload of first attempts costs nothing. A submission without a number counts as 0; after "not run" such a caller needs a new id or a number.

Weighed: answering "unknown" to refused resubmissions, which is true but says less; remembering every refused id without a number, which would keep callers from running an id again.

The horizon without the handover time (planned stop) now also requires that the version before named the previous owner. Otherwise an owner whose interval had not begun, and which may not know the new table, could accept the same ids.

tests/test_message.c: one offset moves by the length of the new field; its check is the same.

--- a/src/entry/adopt.c
+++ b/src/entry/adopt.c
@@ -79,7 +79,7 @@
 
 /* Where this entry's ownership of a partition is new, nothing is known of older ids. */
 static void
-note_ownership (struct az_entry_board *board, uint32_t partition)
+note_ownership (struct az_entry_board *board, uint32_t partition, uint64_t former_owner)
 {
   const struct az_partition *row = &board->table.partitions.partitions_val[partition];
 
@@ -95,6 +95,19 @@
   board->owned[partition].from_ms = (int64_t)row->from_ms;
   board->owned[partition].horizon_ms = INT64_MAX;
   board->owned[partition].is_pending = true;
+  board->owned[partition].is_direct = former_owner && former_owner == row->previous;
+}
+
+/* Owners in the version just before @table; 0 if this entry doesn't have that version. */
+static void
+find_former_owners (const struct az_entry_board *board,
+                    const struct az_table *table,
+                    uint64_t *former_owners)
+{
+  bool is_next = board->has_table && board->table.table_version + 1 == table->table_version;
+
+  for (uint32_t i = 0; i < AZ_PARTITIONS; i++)
+    former_owners[i] = is_next ? board->table.partitions.partitions_val[i].owner : 0;
 }
 
 /* Jobs that wait for an owner may have another one now. */
@@ -107,15 +120,18 @@
 void
 az_entry_adopt_table (struct az_entry_board *board, const struct az_table *table)
 {
+  uint64_t former_owners[AZ_PARTITIONS];
+
   if (table->partitions.partitions_len != AZ_PARTITIONS
       || (board->has_table && table->table_version <= board->table.table_version))
     return;
+  find_former_owners (board, table, former_owners);
   if (board->has_table)
     az_owner_table_clear (&board->table);
   az_owner_table_copy (&board->table, table);
   board->has_table = true;
   for (uint32_t i = 0; i < AZ_PARTITIONS; i++)
-    note_ownership (board, i);
+    note_ownership (board, i, former_owners[i]);
   az_entry_peers_update (board);
   az_entry_confirm (board);
   az_entry_quota_update (board, false);
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -67,6 +67,21 @@
       }
 }
 
+static void
+close_attempts (struct az_entry_board *board, const struct az_entry_job *job, const char *code)
+{
+  struct az_entry_closing closing = {
+    .id = job->id,
+    .service = job->request->service,
+    .id_time_ms = job->id_time_ms,
+    .partition = job->partition,
+    .attempt = job->attempt,
+    .is_first = job->first_attempt,
+  };
+
+  az_entry_closed_add (board, &closing, code);
+}
+
 /* A job that did not run leaves no record: the caller may submit it again. */
 static void
 keep_or_remove (struct az_entry_board *board, uint32_t handle)
@@ -98,6 +113,8 @@
       drop_waiting (board, handle, job);
       if (job->n_open && !job->cancelled)
         az_entry_cancel_open (board, job);
+      if (outcome == AZ_OUTCOME_NOT_RUN)
+        close_attempts (board, job, code);
     }
   job->answer = create_answer (job, outcome, code, text);
   if (outcome == AZ_OUTCOME_DONE)
--- a/src/entry/board.c
+++ b/src/entry/board.c
@@ -67,6 +67,7 @@
   board->jobs_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   board->requests = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   az_entry_unanswered_create (board);
+  az_entry_closed_create (board);
   board->recoveries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_recovery);
   board->store.sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   board->store.missing = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -160,6 +161,7 @@
   g_hash_table_destroy (board->jobs_by_id);
   g_hash_table_destroy (board->requests);
   g_hash_table_destroy (board->unanswered);
+  az_entry_closed_destroy (board);
   g_hash_table_destroy (board->recoveries);
   g_hash_table_destroy (board->store.sessions);
   g_hash_table_destroy (board->store.missing);
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -54,7 +54,8 @@
   int64_t id_time_ms;
   uint32_t partition;
   enum az_entry_role role;
-  bool first_attempt;
+  bool first_attempt; /* no submission but the caller's first is known */
+  uint32_t attempt;   /* highest of the caller that is known, 0 if not stated */
   bool cancelled;
   uint32_t team;
   uint32_t group;
@@ -259,6 +260,7 @@
   int64_t horizon_ms; /* nothing is known of older ids without a record */
   int64_t from_ms;    /* -1 if not owned */
   bool is_pending;    /* until the table version is confirmed */
+  bool is_direct;     /* the version before named the previous owner as owner */
 };
 
 /* The last reading of the store and the write that may be under way. */
@@ -333,6 +335,8 @@
   GQueue delayed; /* struct az_entry_delayed */
   struct az_entry_heap *timers;
   uint32_t next_attempt;
+  GHashTable *closed; /* id -> attempts of it that are not run */
+  GQueue closed_order;
   GHashTable *unanswered; /* id -> struct timespec until which it is remembered */
   GHashTable *recoveries; /* id -> struct az_entry_recovery */
   size_t recovery_bytes;
--- a/src/entry/connections.c
+++ b/src/entry/connections.c
@@ -108,6 +108,7 @@
       az_entry_received_config (board, &message->az_message_u.config);
       return NULL;
     case AZ_SUBMIT:
+      origin.first_attempt = message->az_message_u.submit.attempt == 1;
       az_entry_submit (board, &message->az_message_u.submit, &origin);
       return NULL;
     case AZ_ANSWER:
--- a/src/entry/core.c
+++ b/src/entry/core.c
@@ -58,10 +58,14 @@
                       const struct az_submit *job,
                       bool first_attempt)
 {
-  struct az_entry_origin origin = { .request = request, .first_attempt = first_attempt };
+  struct az_entry_origin origin = { .request = request };
+  struct az_submit numbered = *job;
 
+  if (first_attempt)
+    numbered.attempt = 1;
+  origin.first_attempt = numbered.attempt == 1;
   az_entry_board_update_time (core->board);
-  az_entry_submit (core->board, job, &origin);
+  az_entry_submit (core->board, &numbered, &origin);
 }
 
 void
@@ -142,6 +146,7 @@
       az_entry_estimates_tick (board);
       az_entry_arrivals_tick (board);
       az_entry_unanswered_tick (board);
+      az_entry_closed_tick (board);
       az_entry_update_gauges (board);
       az_entry_roster_tick (board);
       az_entry_recover_tick (board);
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -22,6 +22,8 @@
 
   message.az_message_u.submit = *job->request;
   message.az_message_u.submit.deadline_ms = (uint32_t)MAX (remaining_ms - FORWARD_MARGIN_MS, 1);
+  /* "First" must hold for every caller that waits here. */
+  message.az_message_u.submit.attempt = job->attempt == 1 && !job->first_attempt ? 0 : job->attempt;
   if (job->sent_on)
     az_entry_unanswered_add (board, job);
   job->sent_on = peer->connection;
--- a/src/entry/jobs.h
+++ b/src/entry/jobs.h
@@ -149,6 +149,37 @@
 int64_t
 az_entry_retention_ms (const struct az_entry_board *board, const char *service);
 
+/**
+ * struct az_entry_closing - a job that is answered "not run" by its owner
+ * @is_first: only the caller's first submission is known
+ */
+struct az_entry_closing
+{
+  const char *id;
+  const char *service;
+  int64_t id_time_ms;
+  uint32_t partition;
+  uint32_t attempt;
+  bool is_first;
+};
+
+void
+az_entry_closed_create (struct az_entry_board *board);
+void
+az_entry_closed_destroy (struct az_entry_board *board);
+
+/** az_entry_closed_add - from now on the attempt and those before it are refused with @code */
+void
+az_entry_closed_add (struct az_entry_board *board,
+                     const struct az_entry_closing *closing,
+                     const char *code);
+
+/** az_entry_closed_code - code of the refusal of this attempt or a later one, or NULL */
+const char *
+az_entry_closed_code (const struct az_entry_board *board, const struct az_submit *submit);
+void
+az_entry_closed_tick (struct az_entry_board *board);
+
 /* unanswered.c */
 void
 az_entry_unanswered_create (struct az_entry_board *board);
--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -53,13 +53,16 @@
 }
 
 /* Whether the previous owner knew the table early enough to accept no id of the new interval,
- * whatever its wall clock says. Then nothing younger than from_ms can be in its memory. */
+ * whatever its wall clock says. Then nothing younger than from_ms can be in its memory. An owner
+ * between the two, whose interval never began, has no place in the table: it may not know that,
+ * so the version before must be known and name the previous owner. */
 static bool
-has_previous_stopped (const struct az_entry_board *board, const struct az_partition *row)
+has_previous_stopped (const struct az_entry_board *board, uint32_t partition)
 {
+  const struct az_partition *row = &board->table.partitions.partitions_val[partition];
   int64_t skew_ms = 2 * board->settings.clock_skew_max_ms;
 
-  return row->previous && board->wall_ms + skew_ms <= (int64_t)row->from_ms
+  return board->owned[partition].is_direct && board->wall_ms + skew_ms <= (int64_t)row->from_ms
          && has_reported (board, row->previous, board->table.table_version);
 }
 
@@ -76,7 +79,7 @@
       return;
     }
   board->owned[partition].horizon_ms = (int64_t)row->from_ms;
-  if (!has_previous_stopped (board, row))
+  if (!has_previous_stopped (board, partition))
     board->owned[partition].horizon_ms
         = MAX ((int64_t)row->from_ms, board->wall_ms + board->settings.handover_ms);
   if (row->previous)
--- a/src/entry/program_submission.c
+++ b/src/entry/program_submission.c
@@ -158,6 +158,7 @@
     {
       done = read_number (value, key, G_MAXINT32, &number, error);
       submission->is_first_attempt = number == 1;
+      job->attempt = (u_int)number;
       return done;
     }
   return refuse_field (error, key, "unknown field");
--- a/src/entry/submit.c
+++ b/src/entry/submit.c
@@ -35,6 +35,27 @@
   return origin->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN;
 }
 
+/* A refusal by the owner, which knows that the id has not run. */
+static void
+refuse_own (struct az_entry_board *board,
+            const struct az_submit *submit,
+            const struct az_entry_origin *origin,
+            const char *code,
+            const char *text)
+{
+  struct az_entry_closing closing = {
+    .id = submit->job,
+    .service = submit->service,
+    .partition = az_job_id_partition (submit->job),
+    .attempt = submit->attempt,
+    .is_first = origin->first_attempt,
+  };
+
+  az_job_id_parse (submit->job, &closing.id_time_ms);
+  az_entry_closed_add (board, &closing, code);
+  az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, code, text);
+}
+
 static void
 accept_job (struct az_entry_board *board,
             const struct az_submit *submit,
@@ -52,8 +73,7 @@
   if (!az_team_queue_push (board->queue, team, group, handle, job->n_tasks))
     {
       az_entry_job_remove (board, handle);
-      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "queue_full",
-                       "the queue of the team is full");
+      refuse_own (board, submit, origin, "queue_full", "the queue of the team is full");
       return;
     }
   group_row->waiting += job->n_tasks;
@@ -117,12 +137,19 @@
     }
   if (refuse_unknown (board, submit, origin, id_time_ms))
     return;
-  code = az_entry_refusal (board, submit, &team, &group, &text);
   if (board->stopping && !az_entry_has_live_peer (board))
-    az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "stopping",
-                     "the entry is stopping");
-  else if (code)
-    az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, code, text);
+    {
+      refuse_own (board, submit, origin, "stopping", "the entry is stopping");
+      return;
+    }
+  code = az_entry_refusal (board, submit, &team, &group, &text);
+  if (!code)
+    {
+      code = az_entry_closed_code (board, submit);
+      text = "a later submission was refused; state a higher attempt to run the job";
+    }
+  if (code)
+    refuse_own (board, submit, origin, code, text);
   else
     accept_job (board, submit, origin, team, group);
 }
@@ -158,6 +185,7 @@
   bool is_fetch = job->request && !job->request->tasks.tasks_len;
 
   job->first_attempt &= origin->first_attempt;
+  job->attempt = MAX (job->attempt, submit->attempt);
   wait_for (board, handle, origin);
   if (is_fetch && submit->tasks.tasks_len)
     az_entry_forward_instead (board, handle, submit);
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -242,12 +242,17 @@
 	az_payload payload;
 };
 
+/*
+ * attempt numbers the submissions of an id by its caller from 1; 0 if the caller doesn't say. A
+ * SUBMIT without tasks asks for the answer and starts nothing.
+ */
 struct az_submit {
 	az_job_id job;
 	az_name team;
 	az_name service;
 	unsigned int deadline_ms;
 	az_job_task tasks<AZ_MAX_TASKS>;
+	unsigned int attempt;
 };
 
 enum az_outcome {
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -335,6 +335,7 @@
 		u_int tasks_len;
 		az_job_task *tasks_val;
 	} tasks;
+	u_int attempt;
 };
 typedef struct az_submit az_submit;
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -600,6 +600,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, AZ_MAX_TASKS,
 		sizeof (az_job_task), (xdrproc_t) xdr_az_job_task))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -386,7 +386,11 @@
 }
 
 static void
-submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks, bool first)
+submit (struct test_entry *entry,
+        uint32_t request,
+        const char *id,
+        uint32_t n_tasks,
+        uint32_t attempt)
 {
   struct az_job_task *tasks = g_new0 (struct az_job_task, n_tasks);
   struct az_submit job = { .job = (char *)id, .team = (char *)"t", .service = (char *)"s" };
@@ -395,7 +399,8 @@
     tasks[i].payload = (az_payload){ 4, (char *)"work" };
   job.tasks.tasks_len = n_tasks;
   job.tasks.tasks_val = tasks;
-  az_entry_core_submit (entry->core, request, &job, first);
+  job.attempt = attempt;
+  az_entry_core_submit (entry->core, request, &job, attempt == 1);
   az_entry_core_flush (entry->core);
   g_free (tasks);
 }
@@ -403,7 +408,7 @@
 void
 test_entry_submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks)
 {
-  submit (entry, request, id, n_tasks, false);
+  submit (entry, request, id, n_tasks, 0);
 }
 
 void
@@ -412,7 +417,16 @@
                          const char *id,
                          uint32_t n_tasks)
 {
-  submit (entry, request, id, n_tasks, true);
+  submit (entry, request, id, n_tasks, 1);
+}
+
+void
+test_entry_submit_attempt (struct test_entry *entry,
+                           uint32_t request,
+                           const char *id,
+                           uint32_t attempt)
+{
+  submit (entry, request, id, 1, attempt);
 }
 
 uint32_t
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -127,6 +127,13 @@
 test_entry_id (const struct test_entry *entry, int64_t age_ms, const char *token);
 void
 test_entry_submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks);
+
+/** test_entry_submit_attempt - a job of one task, numbered by its caller */
+void
+test_entry_submit_attempt (struct test_entry *entry,
+                           uint32_t request,
+                           const char *id,
+                           uint32_t attempt);
 void
 test_entry_submit_first (struct test_entry *entry,
                          uint32_t request,
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -140,7 +140,7 @@
   struct sim_job *job;
   int node;
   uint32_t life;
-  bool first_attempt;
+  uint32_t attempt; /* of the caller, from 1 */
   bool is_fetch;
   bool delivered;
   bool answered;
--- a/tests/sim_callers.c
+++ b/tests/sim_callers.c
@@ -19,7 +19,7 @@
 static void
 fill_submit (const struct sim_job *job, struct az_submit *submit)
 {
-  *submit = (struct az_submit){ (char *)job->id, "t", "s", job->deadline_ms, { 0 } };
+  *submit = (struct az_submit){ (char *)job->id, "t", "s", job->deadline_ms, { 0 }, 0 };
   submit->tasks.tasks_len = job->n_tasks;
   submit->tasks.tasks_val = g_new0 (struct az_job_task, job->n_tasks);
   for (uint32_t i = 0; i < job->n_tasks; i++)
@@ -48,7 +48,8 @@
       return;
     }
   fill_submit (request->job, &submit);
-  az_entry_core_submit (node->entry, handle, &submit, request->first_attempt);
+  submit.attempt = request->attempt;
+  az_entry_core_submit (node->entry, handle, &submit, request->attempt == 1);
   free_submit (&submit);
 }
 
@@ -82,7 +83,7 @@
   uint32_t handle = sim->requests->len + 1;
 
   request.is_fetch = is_fetch;
-  request.first_attempt = job->submissions == 0;
+  request.attempt = job->submissions + 1;
   g_array_append_val (sim->requests, request);
   sim_schedule (sim, sim->now + sim_between (sim, 1, 4), node, arrive, GUINT_TO_POINTER (handle),
                 NULL);
--- a/tests/test_entry_jobs.c
+++ b/tests/test_entry_jobs.c
@@ -126,17 +126,41 @@
   struct test_entry *entry = test_entry_start ();
   char *id = g_strdup (test_entry_id (entry, 0, "abcdefgh"));
 
-  test_entry_submit (entry, 7, id, 1);
+  test_entry_submit_attempt (entry, 7, id, 1);
   test_entry_advance (entry, 5100);
   test_entry_assert_answer (entry, 7, AZ_OUTCOME_NOT_RUN, "deadline_passed");
   test_entry_agent (entry, 1, 11, "agent-1");
-  test_entry_submit (entry, 8, id, 1);
+  test_entry_submit_attempt (entry, 8, id, 2);
   test_entry_finish (entry, 0, AZ_STATUS_OK);
   test_entry_assert_answer (entry, 8, AZ_OUTCOME_DONE, "");
   g_free (id);
   test_entry_destroy (entry);
 }
 
+/* Guards against a start by an earlier submission that was delayed on its way, after a later one
+ * was answered "not run"; a later one still runs. */
+static void
+test_not_run_closes_earlier_submissions (void **state)
+{
+  struct test_entry *entry = test_entry_start ();
+  char *id = g_strdup (test_entry_id (entry, 0, "abcdefgh"));
+
+  test_entry_submit_attempt (entry, 7, id, 3);
+  test_entry_advance (entry, 5100);
+  test_entry_assert_answer (entry, 7, AZ_OUTCOME_NOT_RUN, "deadline_passed");
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit_attempt (entry, 8, id, 1);
+  test_entry_submit_attempt (entry, 9, id, 3);
+  test_entry_submit_attempt (entry, 10, id, 0);
+  for (uint32_t request = 8; request <= 10; request++)
+    test_entry_assert_answer (entry, request, AZ_OUTCOME_NOT_RUN, "deadline_passed");
+  assert_int_equal (test_entry_n_started (entry), 0);
+  test_entry_submit_attempt (entry, 11, id, 4);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  g_free (id);
+  test_entry_destroy (entry);
+}
+
 /* Guards against "not run" for a job of which some tasks have finished. */
 static void
 test_deadline_after_some_tasks_is_failed (void **state)
@@ -426,6 +450,7 @@
     cmocka_unit_test (test_crossed_results_are_dropped),
     cmocka_unit_test (test_deadline_with_open_task_is_unknown),
     cmocka_unit_test (test_deadline_without_start_is_not_run),
+    cmocka_unit_test (test_not_run_closes_earlier_submissions),
     cmocka_unit_test (test_deadline_after_some_tasks_is_failed),
     cmocka_unit_test (test_cancel_before_start_is_not_run),
     cmocka_unit_test (test_cancel_waits_for_fates),
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -56,7 +56,7 @@
   { AZ_PEER_STATE, BODY (peer_state, 1, 3, 4, TRUE, { 1, claims }) },
   { AZ_PEER_STATE_ACK, BODY (peer_state_ack, 1, 3, 4, TRUE) },
   { AZ_CONFIG, BODY (config, 3, PAYLOAD, { 4, { 1, roster }, { AZ_PARTITIONS, partitions } }) },
-  { AZ_SUBMIT, BODY (submit, JOB, (char *)"team", (char *)"service", 2000, { 2, job_tasks }) },
+  { AZ_SUBMIT, BODY (submit, JOB, (char *)"team", (char *)"service", 2000, { 2, job_tasks }, 3) },
   { AZ_ANSWER, BODY (answer, JOB, AZ_OUTCOME_DONE, (char *)"", (char *)"", { 1, task_results }) },
   { AZ_CANCEL_JOB, BODY (cancel_job, JOB) },
 };
@@ -216,7 +216,8 @@
 test_stated_lengths_allocate_nothing (void **state)
 {
   GByteArray *record = encode (&samples[AZ_SUBMIT]);
-  size_t count_offset = record->len - (2 * 8 + 8) - 4;
+  /* Behind the count: two tasks, then the attempt. */
+  size_t count_offset = record->len - 4 - (2 * 8 + 8) - 4;
   struct mallinfo2 before;
 
   put (record, count_offset, AZ_MAX_TASKS);
@@ -296,7 +297,7 @@
 {
   char *large = g_malloc0 (AZ_MAX_PAYLOAD);
   struct az_job_task tasks[129];
-  struct az_message message = { AZ_SUBMIT, BODY (submit, JOB, NULL, NULL, 0, { 129, tasks }) };
+  struct az_message message = { AZ_SUBMIT, BODY (submit, JOB, NULL, NULL, 0, { 129, tasks }, 0) };
   GByteArray *out = g_byte_array_new ();
 
   for (size_t i = 0; i < G_N_ELEMENTS (tasks); i++)
