--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -257,10 +257,11 @@
 /* What this entry knows of a partition that it owns. */
 struct az_entry_owned
 {
-  int64_t horizon_ms; /* nothing is known of older ids without a record */
-  int64_t from_ms;    /* -1 if not owned */
-  bool is_pending;    /* until the table version is confirmed */
-  bool is_direct;     /* the version before named the previous owner as owner */
+  int64_t horizon_ms;          /* nothing is known of older ids without a record */
+  int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
+  int64_t from_ms;             /* -1 if not owned */
+  bool is_pending;             /* until the table version is confirmed */
+  bool is_direct;              /* the version before named the previous owner as owner */
 };
 
 /* The last reading of the store and the write that may be under way. */
