--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -54,7 +54,8 @@
   int64_t id_time_ms;
   uint32_t partition;
   enum az_entry_role role;
-  bool first_attempt;
+  bool first_attempt; /* no submission but the caller's first is known */
+  uint32_t attempt;   /* highest of the caller that is known, 0 if not stated */
   bool cancelled;
   uint32_t team;
   uint32_t group;
@@ -257,12 +258,13 @@
 struct az_entry_owned
 {
   int64_t horizon_ms;          /* nothing is known of older ids without a record */
-  int64_t handover_horizon_ms; /* the horizon as set when the version was confirmed */
-  int64_t known_from_ms;  /* except of those from here, from an earlier interval of this entry, */
+  int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
+  int64_t known_from_ms;  /* but ids from here are known, from an earlier interval of its own, */
   int64_t known_until_ms; /* to here, exclusive */
   int64_t ended_ms;       /* end of its interval, while another entry is the owner */
   int64_t from_ms;        /* -1 if not owned */
   bool is_pending;        /* until the table version is confirmed */
+  bool is_direct;         /* the version before named the previous owner as owner */
 };
 
 /* The last reading of the store and the write that may be under way. */
@@ -337,6 +339,8 @@
   GQueue delayed; /* struct az_entry_delayed */
   struct az_entry_heap *timers;
   uint32_t next_attempt;
+  GHashTable *closed; /* id -> attempts of it that are not run */
+  GQueue closed_order;
   GHashTable *unanswered; /* id -> struct timespec until which it is remembered */
   GHashTable *recoveries; /* id -> struct az_entry_recovery */
   size_t recovery_bytes;
