Require half of all roster members for "accepted"

Members that joined with the present table version do not count, so after three entries have joined one by one, two count and one of them was enough. The table stays at that version. The other two entries are a majority of the roster, own partitions, and can give each other evidence of freshness without knowing the revision, which would break the rule on withdrawal.

Acceptance now needs half, rounded up, of the counted members and also half of all members. The first meets every majority of the roster before this version, the second every majority of the present one.

--- a/src/ctl/acceptance.c
+++ b/src/ctl/acceptance.c
@@ -26,10 +26,21 @@
     }
 }
 
+static bool
+is_half (uint32_t confirmed, uint32_t members)
+{
+  return members > 0 && confirmed >= (members + 1) / 2;
+}
+
+/*
+ * Half of the older members meets every majority of the roster before this table version, which
+ * entries that don't know the version go by; half of all members meets every majority of the
+ * present roster. The older members alone would not do: of three members of which one has just
+ * joined, a single one is half of the older, and the other two are a majority.
+ */
 bool
 az_ctl_is_accepted (const struct az_ctl_acceptance *acceptance)
 {
-  uint32_t needed = (acceptance->counted + 1) / 2;
-
-  return needed > 0 && acceptance->counted_confirmed >= needed;
+  return is_half (acceptance->counted_confirmed, acceptance->counted)
+         && is_half (acceptance->confirmed, acceptance->members);
 }
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -102,7 +102,8 @@
                          uint64_t revision,
                          struct az_ctl_acceptance *acceptance);
 
-/** az_ctl_is_accepted - at least half, rounded up, of the counted members confirm */
+/** az_ctl_is_accepted - at least half, rounded up, of the counted members and of all members
+ * confirm */
 bool
 az_ctl_is_accepted (const struct az_ctl_acceptance *acceptance);
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -91,6 +91,18 @@
         old.revision = 1
         self.assertEqual(self.publish()[0], 0)
 
+    def test_old_members_alone_are_not_enough(self):
+        """Guards against acceptance by one of two old members while the other and a new one are a
+        majority that can start tasks without knowing the revision."""
+        entries = [self.add_entry(11 + i, 0) for i in range(3)]
+        self.set_roster(3, [(entries[i], 11 + i, i + 1) for i in range(3)])
+        entries[0].revision = 1
+        code, out, _ = self.publish()
+        self.assertEqual(code, 5)
+        self.assertIn("1 of 3 entries", out)
+        entries[2].revision = 1
+        self.assertEqual(self.publish()[0], 0)
+
     def test_first_table_counts_its_member(self):
         """Guards against a first entry that can never accept anything."""
         self.set_roster(1, [(self.add_entry(11, 7), 11, 1)])
