Tie writes of the owner table to the configuration the entry knows

Acceptance relies on whoever knows a newer roster also knowing every revision accepted under the older one. The entry program wrote the table without regard to the configuration, so a publication between its last read and the write left the new version in the hands of an entry that did not know the revision. It also read both documents at the same time, so it could get a new table with an old configuration.

The write now compares the index of the configuration in the same transaction; a conflict is handled as one of the table.

The new test lets a publication overtake the table write of a joining entry: the write must be refused and made again. Another test covers the second SIGTERM of an entry that waits for its handover.

--- a/src/entry/program.h
+++ b/src/entry/program.h
@@ -25,7 +25,6 @@
   uint64_t watched_index;
   struct timespec watch_sent;
   struct timespec read_sent;
-  unsigned pending_reads;
   bool has_failed;
   uint64_t config_index; /* modify index of the document that the core has */
   uint64_t owners_index;
--- a/src/entry/program_store.c
+++ b/src/entry/program_store.c
@@ -77,11 +77,9 @@
             const struct az_store_answer *answer,
             struct az_store_value *to)
 {
-  struct az_entry_poll *poll = &program->poll;
-
   clear_value (to);
   if (answer->result != AZ_STORE_OK)
-    poll->has_failed = true;
+    program->poll.has_failed = true;
   else if (answer->n_values > 0)
     {
       const struct az_store_value *value = &answer->values[0];
@@ -90,8 +88,6 @@
       to->key = g_strdup (value->key);
       to->value = g_memdup2 (value->value, value->length + 1);
     }
-  if (--poll->pending_reads == 0)
-    finish_read (program, answer->error);
 }
 
 static void
@@ -100,6 +96,7 @@
   struct az_entry_program *program = context;
 
   take_value (program, answer, &program->poll.config);
+  finish_read (program, answer->error);
 }
 
 static void
@@ -108,17 +105,21 @@
   struct az_entry_program *program = context;
 
   take_value (program, answer, &program->poll.owners);
+  if (program->poll.has_failed || program->is_stopped)
+    finish_read (program, answer->error);
+  else
+    az_store_client_get (program->store, AZ_STORE_KEY_CONFIG, false, on_config, program);
 }
 
+/* The configuration is read after the table, so that it is at least as new: an entry that knows a
+ * table version must know every revision that was published before it. */
 static void
 read_documents (struct az_entry_program *program)
 {
   struct az_entry_poll *poll = &program->poll;
 
   poll->has_failed = false;
-  poll->pending_reads = 2;
   poll->read_sent = az_clock_now (az_clock_system ());
-  az_store_client_get (program->store, AZ_STORE_KEY_CONFIG, false, on_config, program);
   az_store_client_get (program->store, AZ_STORE_KEY_OWNERS, false, on_owners, program);
 }
 
--- a/src/entry/program_table.c
+++ b/src/entry/program_table.c
@@ -22,12 +22,11 @@
 {
   struct az_entry_program *program = context;
   g_autofree char *document = az_owner_table_print (table);
-  const struct az_store_write write = {
-    .key = AZ_STORE_KEY_OWNERS,
-    .value = document,
-    .length = strlen (document),
-    .expected_index = expected_index,
+  /* The comparison keeps every published revision known to whoever knows this table version. */
+  const struct az_store_write writes[] = {
+    { AZ_STORE_KEY_OWNERS, document, strlen (document), expected_index },
+    { AZ_STORE_KEY_CONFIG, NULL, 0, program->poll.config_index },
   };
 
-  az_store_client_write (program->store, &write, 1, on_written, program);
+  az_store_client_write (program->store, writes, G_N_ELEMENTS (writes), on_written, program);
 }
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -12,12 +12,7 @@
 IN_FORCE_S = 6
 
 
-class PublicationTest(CtlTestCase):
-    def setUp(self):
-        super().setUp()
-        self.entries = [self.start_entry(domain) for domain in ("north", "south", "west")]
-        self.wait_until(lambda: len(self.roster()) == 3, 20)
-
+class EntryTestCase(CtlTestCase):
     def start_entry(self, domain):
         entry = Program("azurerock-entry", {
             "instance": f"entry-{domain}", "domain": domain, "store": self.store.address,
@@ -34,13 +29,18 @@
 
     def roster(self):
         answer = self.call("GET", "/v1/kv/azurerock/owners")
-        if answer.status != 200:
-            return []
-        return self.decode(answer)["roster"]
+        return [] if answer.status != 200 else self.decode(answer)["roster"]
 
     def status(self, entry):
         return call(entry.values["http_address"], "GET", "/v1/status").json()
 
+
+class PublicationTest(EntryTestCase):
+    def setUp(self):
+        super().setUp()
+        self.entries = [self.start_entry(domain) for domain in ("north", "south", "west")]
+        self.wait_until(lambda: len(self.roster()) == 3, 20)
+
     def publish(self, directory, *arguments):
         started = time.monotonic()
         code, out, err = self.ctl("publish", directory, *arguments)
@@ -83,6 +83,36 @@
         self.assertLess(elapsed, IN_FORCE_S)
 
 
+class SingleEntryTest(EntryTestCase):
+    def test_table_and_configuration(self):
+        """Guards against a table version written by an entry that doesn't know the newest
+        revision: its peers would take evidence from a roster that has not accepted it."""
+        first = self.start_entry("north")
+        self.wait_until(lambda: len(self.roster()) == 1)
+        self.wait_until(lambda: self.status(first)["revision"] == 0)
+        self.set_faults(delay_ms=300)
+        before = self.stats()["txn"]
+        self.start_entry("south")
+        self.wait_until(lambda: self.stats()["txn"] == before + 1)
+        self.set_faults(delay_ms=0)
+        code, out, err = self.ctl("publish", self.copy_example(), "--wait", "5")
+        self.assertEqual(code, 0, out + err)
+        self.wait_until(lambda: len(self.roster()) == 2)
+        # The joining entry's first write, the publication, and the second write.
+        self.assertEqual(self.stats()["txn"], before + 3)
+
+    def test_second_signal(self):
+        """Guards against a stop that can't be cut short while it waits for the handover."""
+        entry = self.start_entry("north")
+        self.start_entry("south")
+        self.wait_until(lambda: len(self.roster()) == 2)
+        entry.process.send_signal(signal.SIGTERM)
+        self.wait_until(lambda: any("stopping on signal" in line for line in entry.lines))
+        self.assertIsNone(entry.process.poll())
+        entry.process.send_signal(signal.SIGTERM)
+        self.assertEqual(entry.process.wait(3), 1)
+
+
 class ExampleSettingsTest(unittest.TestCase):
     def test_settings_are_valid(self):
         """Guards against example settings that their programs reject."""
