--- a/Makefile
+++ b/Makefile
@@ -81,6 +81,14 @@
 smoke: all
 	python3 tests/smoke.py --build $(BUILD)
 
+.PHONY: demo
+demo:
+	./demo
+
+.PHONY: model
+model:
+	model/run.sh
+
 .PHONY: asan
 asan:
 	$(MAKE) unit BUILD=build-asan CFLAGS="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
--- a/src/entry/board.c
+++ b/src/entry/board.c
@@ -31,6 +31,7 @@
   g_free (pool->name);
   g_array_unref (pool->groups);
   g_array_unref (pool->agents);
+  az_ejector_destroy (pool->ejector);
   g_free (pool);
 }
 
@@ -65,6 +66,7 @@
   board->jobs = az_table_rows_create (sizeof (struct az_entry_job));
   board->jobs_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   board->requests = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  az_entry_unanswered_create (board);
   board->recoveries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_recovery);
   board->store.sessions = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   board->store.missing = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -106,7 +108,6 @@
   board->next_attempt = 1;
   create_tables (board);
   board->queue = az_team_queue_create ();
-  board->ejector = az_ejector_create (clock);
   az_entry_board_update_time (board);
   return board;
 }
@@ -158,6 +159,7 @@
   g_hash_table_destroy (board->agents_by_instance);
   g_hash_table_destroy (board->jobs_by_id);
   g_hash_table_destroy (board->requests);
+  g_hash_table_destroy (board->unanswered);
   g_hash_table_destroy (board->recoveries);
   g_hash_table_destroy (board->store.sessions);
   g_hash_table_destroy (board->store.missing);
@@ -181,7 +183,6 @@
   free_jobs (board);
   free_tables (board);
   az_team_queue_destroy (board->queue);
-  az_ejector_destroy (board->ejector);
   if (board->retry_budget)
     az_retry_budget_destroy (board->retry_budget);
   if (board->configuration)
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -137,7 +137,6 @@
   bool connecting;
   bool in_roster;
   struct timespec retry_at;
-  struct timespec down_since;
   uint64_t revision;
   uint64_t table_version;
   bool restored;
@@ -171,6 +170,8 @@
   struct az_policy policy;
   GArray *pools; /* uint32_t, upstreams of the service */
   struct az_run_time *run_times;
+  int64_t least_run_us; /* 0 while there are too few observations */
+  int64_t p10_run_us;
   uint64_t waiting;
   GQueue arrivals; /* job handles in arrival order, for the age of the oldest */
 };
@@ -190,8 +191,10 @@
   uint32_t top; /* no bucket above this one is filled */
   uint32_t usable;
   uint64_t connected_slots; /* of agents in service */
+  uint64_t n_open;          /* tasks whose START went to an agent of the pool */
   GArray *agents;           /* uint32_t handles of connected agents */
-  bool has_demand;          /* agents were told of waiting tasks */
+  struct az_ejector *ejector;
+  bool has_demand; /* agents were told of waiting tasks */
 };
 
 struct az_entry_team
@@ -254,7 +257,8 @@
 struct az_entry_owned
 {
   int64_t horizon_ms; /* nothing is known of older ids without a record */
-  int64_t from_ms;    /* -1 if not owned */
+  int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
+  int64_t from_ms;             /* -1 if not owned */
   bool is_pending;    /* until the table version is confirmed */
 };
 
@@ -330,6 +334,7 @@
   GQueue delayed; /* struct az_entry_delayed */
   struct az_entry_heap *timers;
   uint32_t next_attempt;
+  GHashTable *unanswered; /* id -> struct timespec until which it is remembered */
   GHashTable *recoveries; /* id -> struct az_entry_recovery */
   size_t recovery_bytes;
 
@@ -341,7 +346,6 @@
   GHashTable *team_by_name;
 
   struct az_team_queue *queue;
-  struct az_ejector *ejector;
   struct az_retry_budget *retry_budget;
   uint32_t retry_percent;
   GArray *dirty; /* handles of agents with a batch */
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -30,11 +30,9 @@
   const struct az_entry_group *group = az_entry_board_group (board, job->group);
   int64_t remaining_us = az_time_diff_us (job->deadline, board->now);
 
-  if (remaining_us <= 0)
-    return true;
-  if (az_entry_job_has_started (job) || az_run_time_count (group->run_times) < 20)
-    return false;
-  return remaining_us < az_run_time_quantile_us (group->run_times, 100);
+  if (az_entry_job_has_started (job))
+    return remaining_us <= 0;
+  return remaining_us <= group->p10_run_us;
 }
 
 static void
@@ -65,6 +63,7 @@
   task->attempt = open.attempt;
   task->agent = agent->handle;
   job->n_open++;
+  az_entry_board_pool (board, agent->pool)->n_open++;
   g_array_append_val (agent->open, open);
   if (!agent->batch->len)
     g_array_append_val (board->dirty, agent->handle);
