--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -397,6 +397,8 @@
 void
 az_agent_drain_begin (struct az_agent_board *board);
 bool
+az_agent_is_stopping (const struct az_agent_board *board);
+bool
 az_agent_is_drained (const struct az_agent_board *board);
 
 #endif
--- a/src/agent/drain.c
+++ b/src/agent/drain.c
@@ -5,10 +5,18 @@
  * that only waits for its acknowledgement. Its connections were retried several times by then. */
 #define ABSENT_MS 10000
 
+bool
+az_agent_is_stopping (const struct az_agent_board *board)
+{
+  return board->stopping && !board->guards.no_stopping_check;
+}
+
 void
 az_agent_drain_begin (struct az_agent_board *board)
 {
   board->stopping = true;
+  if (!az_agent_is_stopping (board))
+    return;
   az_agent_grants_revoke_all (board);
   for (uint32_t handle = az_table_rows_next (board->entries, 0); handle;
        handle = az_table_rows_next (board->entries, handle))
--- a/src/agent/grants.c
+++ b/src/agent/grants.c
@@ -21,7 +21,7 @@
 bool
 az_agent_may_grant (const struct az_agent_board *board)
 {
-  if (board->stopping || board->unhealthy || !az_agent_in_service (board))
+  if (az_agent_is_stopping (board) || board->unhealthy || !az_agent_in_service (board))
     return false;
   if (az_agent_records_full (board))
     return false;
--- a/src/agent/guards.h
+++ b/src/agent/guards.h
@@ -21,7 +21,6 @@
   bool accept_old_view;        /* a VIEW of a lower revision replaces a newer one */
   bool fate_ignores_records;   /* QUERY answers "not started" without looking at records */
   bool unknown_is_not_started; /* an upstream task of unknown fate is reported as refused */
-  bool accept_closed;          /* a message of a connection that was replaced is still handled */
 };
 
 #endif
--- a/src/agent/heartbeat.c
+++ b/src/agent/heartbeat.c
@@ -24,7 +24,7 @@
   heartbeat->revision = board->view.revision;
   heartbeat->table_version = board->owners.table_version;
   heartbeat->running = az_table_rows_count (board->running);
-  heartbeat->stopping = board->stopping;
+  heartbeat->stopping = az_agent_is_stopping (board);
   entry->last_heartbeat = now;
   if (!entry->awaiting)
     entry->awaiting_since = now;
--- a/src/agent/start.c
+++ b/src/agent/start.c
@@ -51,7 +51,7 @@
     return AZ_REFUSAL_DUPLICATE;
   if (!off->no_fence_check && az_agent_is_fenced (board, id))
     return AZ_REFUSAL_FENCED;
-  if (!off->no_stopping_check && board->stopping)
+  if (az_agent_is_stopping (board))
     return AZ_REFUSAL_STOPPING;
   if (!off->no_service_check && !az_agent_in_service (board))
     return AZ_REFUSAL_WITHDRAWN;
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -137,7 +137,7 @@
 
   if (!job || job->answer)
     return;
-  if (job->n_ok == job->n_tasks)
+  if (job->n_ok == job->n_tasks || (job->n_ok && board->guards.answer_partial))
     answer_done (board, handle, job);
   else if (job->n_failed)
     az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, job->failure, "a task failed");
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -10,6 +10,7 @@
 #include "azurerock/run_time.h"
 #include "azurerock/table.h"
 #include "azurerock/team_queue.h"
+#include "entry/guards.h"
 #include "entry/heap.h"
 
 /*
@@ -290,6 +291,7 @@
 
 struct az_entry_board
 {
+  struct az_entry_guards guards;
   struct az_entry_settings settings;
   uint64_t incarnation;
   const struct az_clock *clock;
--- a/src/entry/results.c
+++ b/src/entry/results.c
@@ -33,17 +33,32 @@
   uint32_t team;
 };
 
-/* Matches by incarnation of the agent, job, task and attempt; false for anything else. */
+/* Matches by incarnation of the agent, job, task and attempt; NULL for anything else. */
+static const struct az_entry_open *
+match_open (struct az_entry_board *board,
+            const struct az_entry_agent *agent,
+            const struct az_attempt *id)
+{
+  const struct az_entry_open *open = find_open (agent, id->attempt);
+  const struct az_entry_job *job = open ? az_entry_board_job (board, open->job) : NULL;
+
+  if (board->guards.match_by_position && agent->open->len)
+    return &g_array_index (agent->open, struct az_entry_open, 0);
+  if (!open || open->task != id->task || (job && g_strcmp0 (job->id, id->job) != 0))
+    return NULL;
+  return open;
+}
+
 static bool
 close_attempt (struct az_entry_board *board,
                struct az_entry_agent *agent,
                const struct az_attempt *id,
                struct closed *closed)
 {
-  const struct az_entry_open *open = find_open (agent, id->attempt);
+  const struct az_entry_open *open = match_open (board, agent, id);
   struct az_entry_job *job = open ? az_entry_board_job (board, open->job) : NULL;
 
-  if (!open || open->task != id->task || (job && g_strcmp0 (job->id, id->job) != 0))
+  if (!open)
     {
       az_entry_count (board, board->count.duplicate, 1);
       return false;
--- a/src/entry/submit.c
+++ b/src/entry/submit.c
@@ -117,6 +117,13 @@
     }
   if (refuse_unknown (board, submit, origin, id_time_ms))
     return;
+  /* The table may be old: another entry may own the id by now and have run the job. */
+  if (!az_entry_is_fresh (board) && !origin->first_attempt)
+    {
+      az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_UNKNOWN, "no_fresh_evidence",
+                       "no evidence that this entry still owns the id");
+      return;
+    }
   code = az_entry_refusal (board, submit, &team, &group, &text);
   if (board->stopping && !az_entry_has_live_peer (board))
     az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_NOT_RUN, "stopping",
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -73,7 +73,10 @@
 
       sim->store_cut_until[i] = 0;
       for (int k = 0; k < SIM_N_ENTRIES + SIM_N_AGENTS; k++)
-        sim->cut_until[i][k] = 0;
+        {
+          sim->cut_until[i][k] = 0;
+          sim->stall_until[i][k] = 0;
+        }
       if (!node->alive)
         sim_node_start (sim, node);
       if (!sim_node_is_frozen (node))
@@ -92,7 +95,7 @@
 }
 
 static struct sim *
-create (uint64_t seed, const struct az_agent_guards *guards, int trace)
+create (uint64_t seed, const struct sim_guards *guards, int trace)
 {
   struct sim *sim = g_new0 (struct sim, 1);
   int64_t faults_end;
@@ -148,7 +151,7 @@
 }
 
 char *
-sim_run (uint64_t seed, const struct az_agent_guards *guards, struct sim *totals)
+sim_run (uint64_t seed, const struct sim_guards *guards, struct sim *totals)
 {
   struct sim *sim = create (seed, guards, totals ? totals->trace : 0);
   char *violation;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -4,6 +4,7 @@
 #include "agent/guards.h"
 #include "azurerock/agent_core.h"
 #include "azurerock/entry_core.h"
+#include "entry/guards.h"
 
 /*
  * Simulation of a whole system on a virtual clock: several entry cores and agent cores, their
@@ -21,6 +22,40 @@
 struct sim;
 struct sim_node;
 
+/* Each schedule draws the kinds of faults it has, so that each kind occurs alone and in
+ * combination with each other. */
+enum sim_fault
+{
+  SIM_FAULT_CRASH_ENTRY,
+  SIM_FAULT_CRASH_AGENT,
+  SIM_FAULT_STOP_ENTRY,
+  SIM_FAULT_STOP_AGENT,
+  SIM_FAULT_FREEZE_ENTRY,
+  SIM_FAULT_FREEZE_AGENT,
+  SIM_FAULT_CUT,
+  SIM_FAULT_ISOLATE,
+  SIM_FAULT_PARTITION,
+  SIM_FAULT_STALL,
+  SIM_FAULT_STORE_DOWN,
+  SIM_FAULT_STORE_SLOW,
+  SIM_FAULT_STORE_LOSES,
+  SIM_FAULT_PUBLISH,
+  SIM_FAULT_UPSTREAM,
+  SIM_N_FAULTS,
+};
+
+/**
+ * struct sim_guards - what a test has turned off
+ * @faults: bits of the faults to inject; 0 draws them from the seed
+ */
+struct sim_guards
+{
+  struct az_agent_guards agent;
+  struct az_entry_guards entry;
+  bool entry_always_fresh; /* entries dispatch without fresh evidence */
+  uint32_t faults;
+};
+
 enum sim_kind
 {
   SIM_ENTRY,
@@ -65,6 +100,7 @@
   int64_t frozen_until;
   GQueue inbox;
   bool stopping;
+  int64_t started_at;
   int64_t stopped_at;
   uint64_t revision; /* highest that this process was seen to have */
   struct az_clock clock;
@@ -126,6 +162,7 @@
   char id[64];
   uint32_t n_tasks;
   uint32_t deadline_ms;
+  bool is_purchase; /* a second start is a violation of R6 */
   uint32_t submissions;
   uint32_t request;
   bool not_run;
@@ -163,10 +200,11 @@
   GHashTable *jobs_by_id;
   GArray *requests; /* struct sim_request; a handle is an index + 1 */
   int64_t cut_until[SIM_N_ENTRIES + SIM_N_AGENTS][SIM_N_ENTRIES + SIM_N_AGENTS];
+  int64_t stall_until[SIM_N_ENTRIES + SIM_N_AGENTS][SIM_N_ENTRIES + SIM_N_AGENTS];
   int64_t store_cut_until[SIM_N_ENTRIES + SIM_N_AGENTS];
   bool quiet;   /* no more faults: everything heals */
   bool no_load; /* no more jobs */
-  struct az_agent_guards guards;
+  struct sim_guards guards;
   char *violation;
   int trace; /* 1: events, 2: also messages */
   uint32_t n_done, n_failed, n_not_run, n_unknown, n_starts;
@@ -177,7 +215,7 @@
 
 /** sim_run - one schedule; returns NULL, or the first violation found (free with g_free()) */
 char *
-sim_run (uint64_t seed, const struct az_agent_guards *guards, struct sim *totals);
+sim_run (uint64_t seed, const struct sim_guards *guards, struct sim *totals);
 void
 sim_violation (struct sim *sim, const char *rule, const char *format, ...) G_GNUC_PRINTF (3, 4);
 void
--- a/tests/sim_callers.c
+++ b/tests/sim_callers.c
@@ -36,7 +36,7 @@
   struct sim_request *request = request_of (sim, handle);
   struct az_submit submit;
 
-  /* The caller has closed its connection, or this is another process. */
+  /* The caller has closed its connection. */
   if (request->abandoned)
     return;
   request->delivered = true;
@@ -173,6 +173,9 @@
               (int64_t)(SIM_WALL_MS + (sim->now + clock_error) / SIM_MS), sim->jobs->len);
   job->n_tasks = sim_chance (sim, 0.5) ? 1 : (uint32_t)g_rand_int_range (sim->random, 2, 7);
   job->deadline_ms = (uint32_t)g_rand_int_range (sim->random, 800, 4000);
+  if (sim_chance (sim, 0.1))
+    job->deadline_ms *= 2;
+  job->is_purchase = sim_chance (sim, 0.5);
   job->starts = g_new0 (uint8_t, job->n_tasks);
   g_ptr_array_add (sim->jobs, job);
   g_hash_table_insert (sim->jobs_by_id, job->id, job);
--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -1,25 +1,5 @@
 #include "sim.h"
 
-/* Each schedule draws the kinds of faults it has, so that each kind occurs alone and in
- * combination with each other. */
-enum fault
-{
-  FAULT_CRASH_ENTRY,
-  FAULT_CRASH_AGENT,
-  FAULT_STOP_ENTRY,
-  FAULT_STOP_AGENT,
-  FAULT_FREEZE_ENTRY,
-  FAULT_FREEZE_AGENT,
-  FAULT_CUT,
-  FAULT_ISOLATE,
-  FAULT_STORE_DOWN,
-  FAULT_STORE_SLOW,
-  FAULT_STORE_LOSES,
-  FAULT_PUBLISH,
-  FAULT_UPSTREAM,
-  N_FAULTS,
-};
-
 struct plan
 {
   uint32_t kinds;
@@ -89,6 +69,35 @@
     sim->store_cut_until[node] = sim->now + duration;
 }
 
+/* Two regions lose each other; the store is in one of them. */
+static void
+partition (struct sim *sim)
+{
+  uint32_t side = g_rand_int (sim->random);
+  int64_t duration = sim_between (sim, 1000, 9000);
+
+  for (int a = 0; a < SIM_N_ENTRIES + SIM_N_AGENTS; a++)
+    for (int b = 0; b < a; b++)
+      if ((side >> a & 1) != (side >> b & 1))
+        cut_pair (sim, a, b, duration);
+  for (int a = 0; a < SIM_N_ENTRIES + SIM_N_AGENTS; a++)
+    if (side >> a & 1)
+      sim->store_cut_until[a] = sim->now + duration;
+}
+
+/* Packets are lost and sent again for a while: messages arrive late, but in order. */
+static void
+stall (struct sim *sim)
+{
+  int a = sim_random_node (sim, SIM_ENTRY)->index;
+  int b = sim_random_node (sim, sim_chance (sim, 0.3) ? SIM_ENTRY : SIM_AGENT)->index;
+
+  sim_trace (sim, "stall between %s and %s", sim->nodes[a].instance, sim->nodes[b].instance);
+  sim->stall_until[a][b] = sim->now + sim_between (sim, 200, 6000);
+  if (sim_chance (sim, 0.5))
+    sim->stall_until[b][a] = sim->stall_until[a][b];
+}
+
 static void
 heal_store (struct sim *sim, struct sim_node *world, void *data)
 {
@@ -135,48 +144,54 @@
 }
 
 static void
-inject_node (struct sim *sim, enum fault fault)
+inject_node (struct sim *sim, enum sim_fault fault)
 {
   struct sim_node *entry = sim_random_node (sim, SIM_ENTRY);
   struct sim_node *agent = sim_random_node (sim, SIM_AGENT);
 
-  if (fault == FAULT_CRASH_ENTRY)
+  if (fault == SIM_FAULT_CRASH_ENTRY)
     crash (sim, entry);
-  else if (fault == FAULT_CRASH_AGENT)
+  else if (fault == SIM_FAULT_CRASH_AGENT)
     crash (sim, agent);
-  else if (fault == FAULT_STOP_ENTRY)
+  else if (fault == SIM_FAULT_STOP_ENTRY)
     sim_node_stop (sim, entry);
-  else if (fault == FAULT_STOP_AGENT)
+  else if (fault == SIM_FAULT_STOP_AGENT)
     sim_node_stop (sim, agent);
-  else if (fault == FAULT_FREEZE_ENTRY)
+  else if (fault == SIM_FAULT_FREEZE_ENTRY)
     freeze (sim, entry);
-  else if (fault == FAULT_FREEZE_AGENT)
+  else if (fault == SIM_FAULT_FREEZE_AGENT)
     freeze (sim, agent);
   else
     break_upstream (sim, agent);
 }
 
 static void
-inject (struct sim *sim, enum fault fault)
+inject (struct sim *sim, enum sim_fault fault)
 {
   switch (fault)
     {
-    case FAULT_CUT:
+    case SIM_FAULT_CUT:
       cut (sim);
       break;
-    case FAULT_ISOLATE:
+    case SIM_FAULT_ISOLATE:
       isolate (sim);
       break;
-    case FAULT_STORE_DOWN:
+    case SIM_FAULT_PARTITION:
+      partition (sim);
+      break;
+    case SIM_FAULT_STALL:
+      stall (sim);
+      break;
+    case SIM_FAULT_STORE_DOWN:
       store_fault (sim, &sim->store.down, "down");
       break;
-    case FAULT_STORE_SLOW:
+    case SIM_FAULT_STORE_SLOW:
       store_fault (sim, &sim->store.slow, "slow");
       break;
-    case FAULT_STORE_LOSES:
+    case SIM_FAULT_STORE_LOSES:
       store_fault (sim, &sim->store.loses_answers, "loses answers");
       break;
-    case FAULT_PUBLISH:
+    case SIM_FAULT_PUBLISH:
       sim_operator_publish (sim);
       break;
     default:
@@ -188,13 +203,13 @@
 next_fault (struct sim *sim, struct sim_node *world, void *data)
 {
   const struct plan *plan = data;
-  enum fault fault = (enum fault)g_rand_int_range (sim->random, 0, N_FAULTS);
+  enum sim_fault fault = (enum sim_fault)g_rand_int_range (sim->random, 0, SIM_N_FAULTS);
 
   (void)world;
   if (sim->quiet)
     return;
   while (!(plan->kinds >> fault & 1))
-    fault = (fault + 1) % N_FAULTS;
+    fault = (fault + 1) % SIM_N_FAULTS;
   inject (sim, fault);
   sim_schedule (sim, sim->now + sim_between (sim, 10, plan->pause_ms), NULL, next_fault,
                 g_memdup2 (plan, sizeof *plan), g_free);
@@ -203,11 +218,13 @@
 void
 sim_faults_create (struct sim *sim)
 {
-  struct plan plan = { 1u << FAULT_PUBLISH, 0 };
+  struct plan plan = { 1u << SIM_FAULT_PUBLISH, 0 };
   int n_kinds = g_rand_int_range (sim->random, 1, 7);
 
   for (int i = 0; i < n_kinds; i++)
-    plan.kinds |= 1u << g_rand_int_range (sim->random, 0, N_FAULTS);
+    plan.kinds |= 1u << g_rand_int_range (sim->random, 0, SIM_N_FAULTS);
+  if (sim->guards.faults)
+    plan.kinds = sim->guards.faults;
   plan.pause_ms = g_rand_int_range (sim->random, 200, 3000);
   sim_schedule (sim, sim->now + sim_between (sim, 500, 6000), NULL, next_fault,
                 g_memdup2 (&plan, sizeof plan), g_free);
--- a/tests/sim_network.c
+++ b/tests/sim_network.c
@@ -66,10 +66,11 @@
 
 /* Order is kept within a connection. */
 static int64_t
-arrival (struct sim *sim, struct sim_end *to)
+arrival (struct sim *sim, const struct sim_end *from, struct sim_end *to)
 {
-  int64_t at = sim->now + delay (sim);
+  int64_t at = MAX (sim->now, sim->stall_until[from->node][to->node]);
 
+  at += delay (sim);
   to->last_delivery = MAX (to->last_delivery + 1, at);
   return to->last_delivery;
 }
@@ -77,7 +78,7 @@
 void
 sim_send (struct sim *sim, struct sim_node *node, uint32_t handle, const struct az_message *message)
 {
-  struct sim_end *from = end_of (sim, handle);
+  const struct sim_end *from = end_of (sim, handle);
   struct sim_end *to = end_of (sim, handle ^ 1);
   struct delivery *delivery;
 
@@ -87,7 +88,7 @@
   delivery = g_new0 (struct delivery, 1);
   delivery->handle = handle ^ 1;
   delivery->message = message_copy (message);
-  delivery->at = arrival (sim, to);
+  delivery->at = arrival (sim, from, to);
   if (sim->nodes[to->node].life != to->life)
     {
       free_delivery (delivery);
--- a/tests/sim_nodes.c
+++ b/tests/sim_nodes.c
@@ -89,8 +89,11 @@
   settings.domain = node->domain;
   settings.rpc_address = node->address;
   settings.http_address = node->http_address;
+  if (node->sim->guards.entry_always_fresh)
+    settings.freshness_limit_ms = INT32_MAX;
   node->entry = az_entry_core_create (&settings, node->incarnation, &node->clock, node->random, &io,
                                       node->counters, NULL);
+  node->entry->board->guards = node->sim->guards.entry;
   sim_store_attach (node->sim, node);
 }
 
@@ -108,7 +111,7 @@
   settings.slots = SIM_SLOTS;
   node->agent = az_agent_core_create (&settings, node->incarnation, &node->clock, node->random, &io,
                                       node->counters, NULL);
-  az_agent_core_board (node->agent)->guards = node->sim->guards;
+  az_agent_core_board (node->agent)->guards = node->sim->guards.agent;
   sim_upstream_attach (node);
   for (int i = 0; i < SIM_N_ENTRIES; i++)
     az_agent_core_add_seed (node->agent, node->sim->nodes[i].address);
@@ -142,6 +145,7 @@
   node->alive = true;
   node->stopping = false;
   node->frozen_until = 0;
+  node->started_at = sim->now;
   node->revision = 0;
   node->incarnation = (uint64_t)g_rand_int (sim->random) << 32 | g_rand_int (sim->random);
   node->random = g_rand_new_with_seed (g_rand_int (sim->random));
--- a/tests/sim_operator.c
+++ b/tests/sim_operator.c
@@ -48,20 +48,28 @@
   return false;
 }
 
+/* At least half of the members that were there before the newest version and at least half of all
+ * members: the first part intersects the majorities of the roster before, the second those of the
+ * roster now. */
 static bool
 is_accepted (struct sim *sim, uint64_t revision)
 {
   const struct az_table *table = &sim->store.table;
-  uint32_t counted = 0;
+  uint32_t n_members = table->roster.roster_len;
   uint32_t confirmed = 0;
+  uint32_t n_counted = 0;
+  uint32_t counted_confirmed = 0;
 
-  for (u_int i = 0; i < table->roster.roster_len; i++)
-    if (table->roster.roster_val[i].joined < table->table_version)
-      {
-        counted++;
-        confirmed += confirms (sim, &table->roster.roster_val[i], revision);
-      }
-  return counted && confirmed >= (counted + 1) / 2;
+  for (u_int i = 0; i < n_members; i++)
+    {
+      bool is_confirming = confirms (sim, &table->roster.roster_val[i], revision);
+      bool is_counted = table->roster.roster_val[i].joined < table->table_version;
+
+      confirmed += is_confirming;
+      n_counted += is_counted;
+      counted_confirmed += is_counted && is_confirming;
+    }
+  return n_members && confirmed >= (n_members + 1) / 2 && counted_confirmed >= (n_counted + 1) / 2;
 }
 
 static void
--- a/tests/sim_rules.c
+++ b/tests/sim_rules.c
@@ -53,7 +53,8 @@
   sim_trace (sim, "start %s/%u attempt %u at %s", id->job, id->task, id->attempt, agent->instance);
   job->started++;
   if (++job->starts[id->task] > 1)
-    sim_violation (sim, "R1", "second start of %s/%u, at %s", id->job, id->task, agent->instance);
+    sim_violation (sim, job->is_purchase ? "R6" : "R1", "second start of %s/%u, at %s", id->job,
+                   id->task, agent->instance);
   if (job->not_run && !job->doubled)
     sim_violation (sim, "R5", "start of %s/%u after \"not run\"", id->job, id->task);
   if (agent->stopping && sim->now > agent->stopped_at + WITHDRAW_MS * SIM_MS)
@@ -144,6 +145,9 @@
     {
       struct sim_node *node = &sim->nodes[i];
 
+      /* A process that was just replaced has until then to read the configuration. */
+      if (sim->now < node->started_at + IN_FORCE_MS * SIM_MS)
+        continue;
       if (node->alive && sim_node_revision (node) != published)
         sim_violation (sim, "R9", "%s ends with revision %d of %d", node->instance,
                        (int)sim_node_revision (node), (int)published);
