Eject a worker whose failures are the first reports

A worker that fails at once reports before the others finish their first tasks. The ejector had nothing to compare with and waited for a report of another member: one entry sent 110 tasks in 75 ms to it (11 agents, 60% load, tasks of 50 to 300 ms, one upstream with fail_all).

Members without reports now count as never failing. The cap still bounds what a bad job can eject before others report; a wrong ejection costs one second of one member. Waiting for a minimum of reports of others was ruled out: it is what the code did.

--- a/src/policy/ejector.c
+++ b/src/policy/ejector.c
@@ -186,13 +186,15 @@
   member->probing = false;
 }
 
+/* Members without any report count as never failing: a worker that fails at once reports long
+ * before the others finish their first tasks, and would get every task until then. */
 static bool
 fails_more_than_others (const struct az_ejector *ejector, const struct member *member)
 {
   uint64_t other_failures = ejector->failures - member->failures;
   uint64_t other_reports = ejector->reports - member->window->len;
 
-  if (member->failures < ejector->policy.failures || !other_reports)
+  if (member->failures < ejector->policy.failures)
     return false;
   return (uint64_t)member->failures * other_reports
          >= RATE_FACTOR * other_failures * member->window->len;
--- a/tests/test_policy_ejector.c
+++ b/tests/test_policy_ejector.c
@@ -50,6 +50,19 @@
   az_ejector_destroy (ejector);
 }
 
+/* Guards against a worker that fails at once and gets every task until others finish their first
+ * one: a fleet lost 110 tasks in 75 ms to it. */
+static void
+test_first_reports_are_failures (void **state)
+{
+  struct az_ejector *ejector = create_ejector (MEMBERS);
+
+  for (int i = 0; i < 5; i++)
+    az_ejector_report (ejector, 1, false);
+  assert_true (az_ejector_is_ejected (ejector, 1));
+  az_ejector_destroy (ejector);
+}
+
 /* Guards against the ejection of healthy members by a job whose tasks fail everywhere. */
 static void
 test_nobody_is_ejected_when_all_fail (void **state)
@@ -188,6 +201,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_one_member_that_fails_everything),
+    cmocka_unit_test (test_first_reports_are_failures),
     cmocka_unit_test (test_nobody_is_ejected_when_all_fail),
     cmocka_unit_test (test_cap_when_members_fail_in_turn),
     cmocka_unit_test (test_cap_when_members_leave),
