Measure the performance targets with real processes

All scenarios share one fleet, because the entries own ids only 4 s after they joined; before that the first entry runs every job. The work around a withdrawal is compared with a central queue over the same jobs that loses the same slots. A fluid model was tried first and ruled out, because it credits the ideal with work that tasks of one slot can't do.

--- a/Makefile
+++ b/Makefile
@@ -81,6 +81,14 @@
 smoke: all
 	python3 tests/smoke.py --build $(BUILD)
 
+.PHONY: bench
+bench: all
+	python3 bench/run.py --build $(BUILD)
+
+.PHONY: bench-full
+bench-full: all
+	python3 bench/run.py --build $(BUILD) --full
+
 .PHONY: asan
 asan:
 	$(MAKE) unit BUILD=build-asan CFLAGS="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
--- a/src/load/report.c
+++ b/src/load/report.c
@@ -120,35 +120,71 @@
   return work;
 }
 
-/* Tasks and their run time in jobs answered "done", by the time of the answer. */
+static void
+add_to_bin (GArray *bins, int64_t time_us, int64_t value)
+{
+  guint bin = (guint)(MAX (time_us, 0) / BIN_US);
+
+  if (bin >= bins->len)
+    g_array_set_size (bins, bin + 1);
+  g_array_index (bins, int64_t, bin) += value;
+}
+
 static json_t *
-print_work (const struct az_load *load)
+print_bins (GArray *bins, double unit)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < bins->len; i++)
+    json_array_append_new (list, json_real ((double)g_array_index (bins, int64_t, i) / unit));
+  g_array_unref (bins);
+  return list;
+}
+
+/* Seconds of run time of all jobs by the time of submission, and of jobs answered "done" by the
+ * time of the answer. */
+static void
+print_work (const struct az_load *load, json_t *report)
 {
+  GArray *offered = g_array_new (FALSE, TRUE, sizeof (int64_t));
+  GArray *done = g_array_new (FALSE, TRUE, sizeof (int64_t));
   GArray *tasks = g_array_new (FALSE, TRUE, sizeof (int64_t));
-  GArray *work = g_array_new (FALSE, TRUE, sizeof (int64_t));
-  json_t *bins = json_array ();
 
   for (guint i = 0; i < load->jobs->len; i++)
     {
       const struct az_load_job *job = load->jobs->pdata[i];
-      guint bin = (guint)(job->answered_us / BIN_US);
+      int64_t work = work_of (load, job);
 
+      add_to_bin (offered, job->sent_us, work);
       if (job->outcome != AZ_LOAD_DONE)
         continue;
-      if (bin >= work->len)
-        {
-          g_array_set_size (work, bin + 1);
-          g_array_set_size (tasks, bin + 1);
-        }
-      g_array_index (work, int64_t, bin) += work_of (load, job);
-      g_array_index (tasks, int64_t, bin) += drawn_job (load, job)->n_tasks;
+      add_to_bin (done, job->answered_us, work);
+      add_to_bin (tasks, job->answered_us, drawn_job (load, job)->n_tasks);
+    }
+  json_object_set_new (report, "offered_s_per_100ms", print_bins (offered, 1e6));
+  json_object_set_new (report, "done_s_per_100ms", print_bins (done, 1e6));
+  json_object_set_new (report, "done_tasks_per_100ms", print_bins (tasks, 1));
+}
+
+/* For each job the time of submission in microseconds, then its task times in milliseconds. */
+static json_t *
+print_jobs (const struct az_load *load)
+{
+  json_t *jobs = json_array ();
+
+  for (guint i = 0; i < load->jobs->len; i++)
+    {
+      const struct az_load_job *job = load->jobs->pdata[i];
+      const struct az_workload_job *drawn = drawn_job (load, job);
+      json_t *row = json_array ();
+
+      json_array_append_new (row, json_integer (job->sent_us));
+      for (uint32_t task = 0; task < drawn->n_tasks; task++)
+        json_array_append_new (
+            row, json_integer (load->workload->runs_us[drawn->first_task + task] / 1000));
+      json_array_append_new (jobs, row);
     }
-  for (guint i = 0; i < work->len; i++)
-    json_array_append_new (bins, json_pack ("[I, f]", g_array_index (tasks, int64_t, i),
-                                            (double)g_array_index (work, int64_t, i) / 1e6));
-  g_array_unref (work);
-  g_array_unref (tasks);
-  return bins;
+  return jobs;
 }
 
 static json_t *
@@ -197,7 +233,11 @@
                       "codes", print_codes (load), "mismatches", load->mismatches, "conflicts",
                       load->conflicts, "resubmitted", load->resubmitted, "cancelled",
                       load->cancelled, "response", print_response (&responses));
-  json_object_set_new (report, "work_per_100ms", print_work (load));
+  json_object_set_new (report, "start_mono_us",
+                       json_integer (az_time_to_ns (load->started) / 1000));
+  print_work (load, report);
+  if (load->settings->list_jobs)
+    json_object_set_new (report, "jobs", print_jobs (load));
   if (load->settings->sample_busy)
     json_object_set_new (report, "busy_slots_per_100ms", print_busy (load));
   if (load->settings->metrics->len)
--- a/src/load/settings.c
+++ b/src/load/settings.c
@@ -66,6 +66,8 @@
   { "seed", AZ_SETTING_INTEGER, FIELD (seed), false, 0, G_MAXUINT32, "seed of all choices" },
   { "sample_busy", AZ_SETTING_BOOLEAN, FIELD (sample_busy), false, 0, 0,
     "read running tasks from the metrics addresses every 100 ms" },
+  { "list_jobs", AZ_SETTING_BOOLEAN, FIELD (list_jobs), false, 0, 0,
+    "write the time and the task times of every job into the report" },
 };
 
 const size_t az_load_schema_length = G_N_ELEMENTS (az_load_schema);
--- a/src/load/settings.h
+++ b/src/load/settings.h
@@ -42,6 +42,7 @@
   int64_t lost_retries;
   int64_t seed;
   bool sample_busy;
+  bool list_jobs;
 };
 
 extern const struct az_setting az_load_schema[];
