--- a/bench/run.py
+++ b/bench/run.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 
-import fleet as fleets
+import processes
 import plots
 import scenarios
 
@@ -66,7 +66,7 @@
     """Runs all scenarios on one fleet, since starting one takes 6 s. Returns those not measured."""
     failed = []
     with tempfile.TemporaryDirectory() as directory:
-        fleet = fleets.Fleet(options.build, directory)
+        fleet = processes.Fleet(options.build, directory)
         try:
             fleet.start_all()
             fleet.publish()
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -3,7 +3,7 @@
 import json
 import time
 
-import fleet as fleets
+import processes
 
 BIN_US = 100000
 
@@ -221,7 +221,7 @@
     for i in range(50):
         port = fleet.entry_http[i % fleet.n_entries]
         begin = time.monotonic()
-        status, body = fleets.request(port, "POST", "/v1/jobs", json.dumps({"id": "bad"}))
+        status, body = processes.request(port, "POST", "/v1/jobs", json.dumps({"id": "bad"}))
         times.append((time.monotonic() - begin) * 1000)
         if status != 400 or json.loads(body)["outcome"] != "not_run":
             raise RuntimeError("refusal: %s" % body)
