--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,14 @@
 bench-full: all
 	python3 bench/run.py --build $(BUILD) --full
 
+.PHONY: demo
+demo:
+	./demo
+
+.PHONY: model
+model:
+	model/run.sh
+
 .PHONY: asan
 asan:
 	$(MAKE) unit BUILD=build-asan CFLAGS="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -162,6 +162,10 @@
 };
 
 /* core.c */
+
+/* az_agent_core_board - state of a core, for tests */
+struct az_agent_board *
+az_agent_core_board (struct az_agent_core *core);
 struct timespec
 az_agent_now (const struct az_agent_board *board);
 void
@@ -393,6 +397,8 @@
 void
 az_agent_drain_begin (struct az_agent_board *board);
 bool
+az_agent_is_stopping (const struct az_agent_board *board);
+bool
 az_agent_is_drained (const struct az_agent_board *board);
 
 #endif
--- a/src/agent/guards.h
+++ b/src/agent/guards.h
@@ -3,8 +3,6 @@
 
 #include <stdbool.h>
 
-struct az_agent_core;
-
 /**
  * struct az_agent_guards - checks that a test has turned off; all false outside tests
  *
@@ -23,11 +21,6 @@
   bool accept_old_view;        /* a VIEW of a lower revision replaces a newer one */
   bool fate_ignores_records;   /* QUERY answers "not started" without looking at records */
   bool unknown_is_not_started; /* an upstream task of unknown fate is reported as refused */
-  bool accept_closed;          /* a message of a connection that was replaced is still handled */
 };
 
-/** az_agent_core_guards - the switches of one core, for tests */
-struct az_agent_guards *
-az_agent_core_guards (struct az_agent_core *core);
-
 #endif
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -67,6 +67,21 @@
       }
 }
 
+static void
+close_attempts (struct az_entry_board *board, const struct az_entry_job *job, const char *code)
+{
+  struct az_entry_closing closing = {
+    .id = job->id,
+    .service = job->request->service,
+    .id_time_ms = job->id_time_ms,
+    .partition = job->partition,
+    .attempt = job->attempt,
+    .is_first = job->first_attempt,
+  };
+
+  az_entry_closed_add (board, &closing, code);
+}
+
 /* A job that did not run leaves no record: the caller may submit it again. */
 static void
 keep_or_remove (struct az_entry_board *board, uint32_t handle)
@@ -98,6 +113,8 @@
       drop_waiting (board, handle, job);
       if (job->n_open && !job->cancelled)
         az_entry_cancel_open (board, job);
+      if (outcome == AZ_OUTCOME_NOT_RUN)
+        close_attempts (board, job, code);
     }
   job->answer = create_answer (job, outcome, code, text);
   if (outcome == AZ_OUTCOME_DONE)
@@ -137,7 +154,7 @@
 
   if (!job || job->answer)
     return;
-  if (job->n_ok == job->n_tasks)
+  if (job->n_ok == job->n_tasks || (job->n_ok && board->guards.answer_partial))
     answer_done (board, handle, job);
   else if (job->n_failed)
     az_entry_job_answer (board, handle, AZ_OUTCOME_FAILED, job->failure, "a task failed");
@@ -166,8 +183,11 @@
 expire_forwarded (struct az_entry_board *board, uint32_t handle, const struct az_entry_job *job)
 {
   if (job->was_forwarded)
-    az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
-                         "the owner did not answer before the deadline");
+    {
+      az_entry_unanswered_add (board, job);
+      az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                           "the owner did not answer before the deadline");
+    }
   else
     az_entry_job_answer (board, handle,
                          job->first_attempt ? AZ_OUTCOME_NOT_RUN : AZ_OUTCOME_UNKNOWN,
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -10,6 +10,7 @@
 #include "azurerock/run_time.h"
 #include "azurerock/table.h"
 #include "azurerock/team_queue.h"
+#include "entry/guards.h"
 #include "entry/heap.h"
 
 /*
@@ -54,7 +55,8 @@
   int64_t id_time_ms;
   uint32_t partition;
   enum az_entry_role role;
-  bool first_attempt;
+  bool first_attempt; /* no submission but the caller's first is known */
+  uint32_t attempt;   /* highest of the caller that is known, 0 if not stated */
   bool cancelled;
   uint32_t team;
   uint32_t group;
@@ -137,7 +139,6 @@
   bool connecting;
   bool in_roster;
   struct timespec retry_at;
-  struct timespec down_since;
   uint64_t revision;
   uint64_t table_version;
   bool restored;
@@ -171,6 +172,8 @@
   struct az_policy policy;
   GArray *pools; /* uint32_t, upstreams of the service */
   struct az_run_time *run_times;
+  int64_t least_run_us; /* 0 while there are too few observations */
+  int64_t p10_run_us;
   uint64_t waiting;
   GQueue arrivals; /* job handles in arrival order, for the age of the oldest */
 };
@@ -190,8 +193,10 @@
   uint32_t top; /* no bucket above this one is filled */
   uint32_t usable;
   uint64_t connected_slots; /* of agents in service */
+  uint64_t n_open;          /* tasks whose START went to an agent of the pool */
   GArray *agents;           /* uint32_t handles of connected agents */
-  bool has_demand;          /* agents were told of waiting tasks */
+  struct az_ejector *ejector;
+  bool has_demand; /* agents were told of waiting tasks */
 };
 
 struct az_entry_team
@@ -253,9 +258,14 @@
 /* What this entry knows of a partition that it owns. */
 struct az_entry_owned
 {
-  int64_t horizon_ms; /* nothing is known of older ids without a record */
-  int64_t from_ms;    /* -1 if not owned */
-  bool is_pending;    /* until the table version is confirmed */
+  int64_t horizon_ms;          /* nothing is known of older ids without a record */
+  int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
+  int64_t known_from_ms;  /* but ids from here are known, from an earlier interval of its own, */
+  int64_t known_until_ms; /* to here, exclusive */
+  int64_t ended_ms;       /* end of its interval, while another entry is the owner */
+  int64_t from_ms;        /* -1 if not owned */
+  bool is_pending;        /* until the table version is confirmed */
+  bool is_direct;         /* the version before named the previous owner as owner */
 };
 
 /* The last reading of the store and the write that may be under way. */
@@ -286,6 +296,7 @@
 
 struct az_entry_board
 {
+  struct az_entry_guards guards;
   struct az_entry_settings settings;
   uint64_t incarnation;
   const struct az_clock *clock;
@@ -330,6 +341,9 @@
   GQueue delayed; /* struct az_entry_delayed */
   struct az_entry_heap *timers;
   uint32_t next_attempt;
+  GHashTable *closed; /* id -> attempts of it that are not run */
+  GQueue closed_order;
+  GHashTable *unanswered; /* id -> struct timespec until which it is remembered */
   GHashTable *recoveries; /* id -> struct az_entry_recovery */
   size_t recovery_bytes;
 
@@ -341,7 +355,6 @@
   GHashTable *team_by_name;
 
   struct az_team_queue *queue;
-  struct az_ejector *ejector;
   struct az_retry_budget *retry_budget;
   uint32_t retry_percent;
   GArray *dirty; /* handles of agents with a batch */
--- a/src/entry/connections.c
+++ b/src/entry/connections.c
@@ -32,7 +32,7 @@
   if (link->kind == AZ_ENTRY_LINK_AGENT)
     az_entry_agent_closed (board, link->handle);
   else if (link->kind == AZ_ENTRY_LINK_PEER)
-    az_entry_peer_closed (board, link->handle);
+    az_entry_peer_closed (board, link->handle, connection);
   else if (link->outgoing)
     az_entry_peer_unreachable (board, link->address);
   g_hash_table_remove (board->links, GUINT_TO_POINTER (connection));
@@ -82,12 +82,20 @@
 
 static const char *
 receive_from_peer (struct az_entry_board *board,
-                   struct az_entry_peer *peer,
+                   uint32_t connection,
+                   uint32_t handle,
                    const struct az_message *message)
 {
-  struct az_entry_origin origin = { .peer = peer->incarnation };
+  struct az_entry_peer *peer = az_entry_board_peer (board, handle);
+  struct az_entry_origin origin = { 0 };
   uint32_t job;
 
+  if (!peer)
+    return "a peer that left the roster";
+  origin.peer = peer->incarnation;
+  /* The later connection of two was closed; the other one still carries messages. */
+  if (!peer->connection)
+    peer->connection = connection;
   switch (message->proc)
     {
     case AZ_PEER_STATE:
@@ -100,6 +108,7 @@
       az_entry_received_config (board, &message->az_message_u.config);
       return NULL;
     case AZ_SUBMIT:
+      origin.first_attempt = message->az_message_u.submit.attempt == 1;
       az_entry_submit (board, &message->az_message_u.submit, &origin);
       return NULL;
     case AZ_ANSWER:
@@ -107,7 +116,8 @@
       return NULL;
     case AZ_CANCEL_JOB:
       job = az_entry_job_find (board, message->az_message_u.cancel_job.job);
-      if (job)
+      /* A forwarder holds no tasks and waits for the owner's answer. */
+      if (job && az_entry_board_job (board, job)->role == AZ_ENTRY_ROLE_OWNER)
         az_entry_job_cancel (board, job);
       return NULL;
     default:
@@ -149,7 +159,7 @@
     case AZ_ENTRY_LINK_AGENT:
       return receive_from_agent (board, az_entry_board_agent (board, link->handle), message);
     case AZ_ENTRY_LINK_PEER:
-      return receive_from_peer (board, az_entry_board_peer (board, link->handle), message);
+      return receive_from_peer (board, connection, link->handle, message);
     default:
       return receive_first (board, connection, message);
     }
--- a/src/entry/forward.c
+++ b/src/entry/forward.c
@@ -22,6 +22,10 @@
 
   message.az_message_u.submit = *job->request;
   message.az_message_u.submit.deadline_ms = (uint32_t)MAX (remaining_ms - FORWARD_MARGIN_MS, 1);
+  /* "First" must hold for every caller that waits here. */
+  message.az_message_u.submit.attempt = job->attempt == 1 && !job->first_attempt ? 0 : job->attempt;
+  if (job->sent_on)
+    az_entry_unanswered_add (board, job);
   job->sent_on = peer->connection;
   if (!job->was_forwarded)
     az_entry_count (board, board->count.forwarded, 1);
@@ -65,6 +69,9 @@
       become_owner (board, handle);
       return;
     }
+  /* Its caller may have submitted the job elsewhere and been told "not run" since. */
+  if (!job->waiters->len && !job->peers->len)
+    return;
   peer = az_entry_peer_find (board, job->owner);
   if (peer && peer->connection && job->sent_on != peer->connection)
     send_submit (board, job, peer);
@@ -147,6 +154,12 @@
       offer_again (board, handle);
       return;
     }
+  if (answer->outcome == AZ_OUTCOME_NOT_RUN && az_entry_unanswered_has (board, answer->job))
+    {
+      az_entry_job_answer (board, handle, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
+                           "an earlier submission of the id may still run");
+      return;
+    }
   az_entry_job_deliver (board, handle, answer);
   if (az_entry_job_find (board, answer->job) == handle)
     az_entry_job_remove (board, handle);
--- a/src/entry/results.c
+++ b/src/entry/results.c
@@ -33,17 +33,32 @@
   uint32_t team;
 };
 
-/* Matches by incarnation of the agent, job, task and attempt; false for anything else. */
+/* Matches by incarnation of the agent, job, task and attempt; NULL for anything else. */
+static const struct az_entry_open *
+match_open (struct az_entry_board *board,
+            const struct az_entry_agent *agent,
+            const struct az_attempt *id)
+{
+  const struct az_entry_open *open = find_open (agent, id->attempt);
+  const struct az_entry_job *job = open ? az_entry_board_job (board, open->job) : NULL;
+
+  if (board->guards.match_by_position && agent->open->len)
+    return &g_array_index (agent->open, struct az_entry_open, 0);
+  if (!open || open->task != id->task || (job && g_strcmp0 (job->id, id->job) != 0))
+    return NULL;
+  return open;
+}
+
 static bool
 close_attempt (struct az_entry_board *board,
                struct az_entry_agent *agent,
                const struct az_attempt *id,
                struct closed *closed)
 {
-  const struct az_entry_open *open = find_open (agent, id->attempt);
+  const struct az_entry_open *open = match_open (board, agent, id);
   struct az_entry_job *job = open ? az_entry_board_job (board, open->job) : NULL;
 
-  if (!open || open->task != id->task || (job && g_strcmp0 (job->id, id->job) != 0))
+  if (!open)
     {
       az_entry_count (board, board->count.duplicate, 1);
       return false;
@@ -51,6 +66,7 @@
   *closed = (struct closed){ open->job, job, NULL, open->task, open->team };
   g_array_remove_index_fast (
       agent->open, (guint)(open - (const struct az_entry_open *)(void *)agent->open->data));
+  az_entry_board_pool (board, agent->pool)->n_open--;
   if (job)
     job->n_open--;
   if (job && job->answer)
@@ -66,13 +82,14 @@
          const struct closed *closed,
          const struct az_result_task *result)
 {
+  struct az_ejector *ejector = az_entry_board_pool (board, agent->pool)->ejector;
   bool is_wanted = closed->job && !closed->job->cancelled;
 
   /* How a task ends after CANCEL says nothing about the agent. */
   if (is_wanted && (result->status == AZ_STATUS_OK || result->status == AZ_STATUS_FAILED))
-    az_ejector_report (board->ejector, agent->handle, result->status == AZ_STATUS_OK);
+    az_ejector_report (ejector, agent->handle, result->status == AZ_STATUS_OK);
   else
-    az_ejector_cancelled (board->ejector, agent->handle);
+    az_ejector_cancelled (ejector, agent->handle);
   if (result->status == AZ_STATUS_OK && closed->job)
     az_run_time_add (az_entry_board_group (board, closed->job->group)->run_times, result->run_us);
 }
@@ -207,7 +224,7 @@
   az_entry_count (board, board->count.refused, 1);
   if (!close_attempt (board, agent, &refused->id, &closed))
     return;
-  az_ejector_cancelled (board->ejector, agent->handle);
+  az_ejector_cancelled (az_entry_board_pool (board, agent->pool)->ejector, agent->handle);
   if (is_lasting (refused->reason))
     agent->blocked_until = az_time_add_ms (board->now, REFUSAL_PAUSE_MS);
   /* A record of the task at the agent means that an earlier attempt may have started. */
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -174,11 +174,15 @@
       "{\"kind\":\"domain\",\"name\":\"b\",\"region\":\"r\"},"
       "{\"kind\":\"upstream\",\"name\":\"u\",\"domains\":[\"a\",\"b\"],\"slots\":4,"
       "\"connections\":8},"
+      "{\"kind\":\"upstream\",\"name\":\"v\",\"domains\":[\"a\"],\"slots\":4,"
+      "\"connections\":8},"
+      "{\"kind\":\"service\",\"name\":\"w\",\"upstreams\":[\"v\"],\"policy\":\"p\"},"
       "{\"kind\":\"policy\",\"name\":\"p\",\"max_tasks_per_job\":100,\"max_payload_bytes\":1000,"
       "\"result_retention_ms\":%d,\"deadline_default_ms\":%d},"
       "{\"kind\":\"service\",\"name\":\"s\",\"upstreams\":[\"u\"],\"policy\":\"p\"},"
       "{\"kind\":\"service\",\"name\":\"other\",\"upstreams\":[\"u\"],\"policy\":\"p\"},"
-      "{\"kind\":\"team\",\"name\":\"t\",\"quota_slots\":%u,\"weight\":1,\"services\":[\"s\"],"
+      "{\"kind\":\"team\",\"name\":\"t\",\"quota_slots\":%u,\"weight\":1,\"services\":[\"s\",\"w\"]"
+      ","
       "\"max_queued_tasks\":%u}]}",
       (int)revision, (int)revision, fields->withdrawn ? "false" : "true",
       (int)(fields->retention_ms ? fields->retention_ms : 60000),
@@ -292,13 +296,23 @@
                   uint32_t connection,
                   uint64_t incarnation,
                   const char *instance)
+{
+  test_entry_agent_of (entry, connection, incarnation, instance, "u");
+}
+
+void
+test_entry_agent_of (struct test_entry *entry,
+                     uint32_t connection,
+                     uint64_t incarnation,
+                     const char *instance,
+                     const char *upstream)
 {
   struct az_message message = { .proc = AZ_HELLO };
   struct az_hello *hello = &message.az_message_u.hello;
 
   hello->incarnation = incarnation;
   hello->instance = (char *)instance;
-  hello->upstream = (char *)"u";
+  hello->upstream = (char *)upstream;
   hello->domain = (char *)"a";
   hello->slots = 4;
   az_entry_core_opened (entry->core, connection, false, "127.0.0.1:9");
@@ -372,7 +386,11 @@
 }
 
 static void
-submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks, bool first)
+submit (struct test_entry *entry,
+        uint32_t request,
+        const char *id,
+        uint32_t n_tasks,
+        uint32_t attempt)
 {
   struct az_job_task *tasks = g_new0 (struct az_job_task, n_tasks);
   struct az_submit job = { .job = (char *)id, .team = (char *)"t", .service = (char *)"s" };
@@ -381,7 +399,8 @@
     tasks[i].payload = (az_payload){ 4, (char *)"work" };
   job.tasks.tasks_len = n_tasks;
   job.tasks.tasks_val = tasks;
-  az_entry_core_submit (entry->core, request, &job, first);
+  job.attempt = attempt;
+  az_entry_core_submit (entry->core, request, &job, attempt == 1);
   az_entry_core_flush (entry->core);
   g_free (tasks);
 }
@@ -389,7 +408,7 @@
 void
 test_entry_submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks)
 {
-  submit (entry, request, id, n_tasks, false);
+  submit (entry, request, id, n_tasks, 0);
 }
 
 void
@@ -398,7 +417,16 @@
                          const char *id,
                          uint32_t n_tasks)
 {
-  submit (entry, request, id, n_tasks, true);
+  submit (entry, request, id, n_tasks, 1);
+}
+
+void
+test_entry_submit_attempt (struct test_entry *entry,
+                           uint32_t request,
+                           const char *id,
+                           uint32_t attempt)
+{
+  submit (entry, request, id, 1, attempt);
 }
 
 uint32_t
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -98,6 +98,12 @@
                   uint64_t incarnation,
                   const char *instance);
 void
+test_entry_agent_of (struct test_entry *entry,
+                     uint32_t connection,
+                     uint64_t incarnation,
+                     const char *instance,
+                     const char *upstream);
+void
 test_entry_grant (struct test_entry *entry, uint32_t connection, uint64_t first_id, uint32_t count);
 
 /** test_entry_table - table of @n members (TEST_SELF, TEST_PEER, ...); all partitions of @owner */
@@ -121,6 +127,13 @@
 test_entry_id (const struct test_entry *entry, int64_t age_ms, const char *token);
 void
 test_entry_submit (struct test_entry *entry, uint32_t request, const char *id, uint32_t n_tasks);
+
+/** test_entry_submit_attempt - a job of one task, numbered by its caller */
+void
+test_entry_submit_attempt (struct test_entry *entry,
+                           uint32_t request,
+                           const char *id,
+                           uint32_t attempt);
 void
 test_entry_submit_first (struct test_entry *entry,
                          uint32_t request,
--- a/tests/test_entry_owners.c
+++ b/tests/test_entry_owners.c
@@ -143,6 +143,33 @@
   test_entry_destroy (entry);
 }
 
+/* Guards against a gap after a planned stop: the former owner reports the table a second before its
+ * interval ends, so ids of the new interval run from the first millisecond on. */
+static void
+test_planned_handover_has_no_gap (void **state)
+{
+  struct test_entry *entry = join_cluster (3, TEST_PEER);
+  int64_t from_ms = az_clock_wall_ms (&entry->clock) + AZ_HANDOVER_MS;
+  struct az_table table;
+
+  test_entry_table (&table, 4, 3, TEST_SELF);
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    {
+      table.partitions.partitions_val[p].previous = TEST_PEER;
+      table.partitions.partitions_val[p].from_ms = (uint64_t)from_ms;
+    }
+  test_entry_read_table (entry, &table, all, 3);
+  az_owner_table_clear (&table);
+  test_entry_agent (entry, 1, 11, "agent-1");
+  read_for (entry, 1000, all, 3);
+  test_entry_peer_ack (entry, 20, 1, 4, true);
+  read_for (entry, AZ_HANDOVER_MS - 1000, all, 3);
+  test_entry_grant (entry, 1, 6000, 4);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "ijklmnop"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  test_entry_destroy (entry);
+}
+
 /* Guards against a caller that hears "unknown" although agents hold all results of its job. */
 static void
 test_records_of_agents_answer_older_jobs (void **state)
@@ -279,10 +306,48 @@
   test_entry_assert_answer (entry, 7, AZ_OUTCOME_DONE, "");
   assert_false (az_entry_core_is_drained (entry->core));
   read_for (entry, 1000, both, 2);
+  assert_false (az_entry_core_is_drained (entry->core));
+  read_for (entry, AZ_CONFIRMATION_MARGIN_MS, both, 2);
   assert_true (az_entry_core_is_drained (entry->core));
   test_entry_destroy (entry);
 }
 
+static void
+read_moved_table (struct test_entry *entry, uint64_t version, uint64_t owner, int64_t from_ms)
+{
+  struct az_table table;
+
+  test_entry_table (&table, version, 2, owner);
+  for (uint32_t p = 0; p < AZ_PARTITIONS; p++)
+    {
+      table.partitions.partitions_val[p].previous = TEST_SELF;
+      table.partitions.partitions_val[p].from_ms = (uint64_t)from_ms;
+    }
+  test_entry_read_table (entry, &table, both, 2);
+  az_owner_table_clear (&table);
+  test_entry_peer_ack (entry, 20, 1, version, true);
+}
+
+/* Guards against "outcome unknown" for ids that were this entry's all along, when another entry
+ * stops before the interval that it took from this one has begun; and against running an id that
+ * the other entry may have run in between. */
+static void
+test_interval_that_returns_before_it_began (void **state)
+{
+  struct test_entry *entry = join_cluster (2, TEST_SELF);
+  int64_t wall_ms = TEST_WALL_MS + (int64_t)(entry->now_ns / 1000000);
+
+  read_moved_table (entry, 4, TEST_PEER, wall_ms + 3000);
+  read_moved_table (entry, 5, TEST_SELF, wall_ms + 6000);
+  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
+  assert_int_equal (test_entry_n_started (entry), 1);
+  read_for (entry, 4000, both, 2);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "abcdefgi"), 1);
+  test_entry_assert_answer (entry, 8, AZ_OUTCOME_UNKNOWN, "outcome_unknown");
+  test_entry_destroy (entry);
+}
+
 /* Guards against a stop that waits for a successor that doesn't exist. */
 static void
 test_last_entry_stops_alone (void **state)
@@ -340,10 +405,12 @@
     cmocka_unit_test (test_takeover_needs_missing_session),
     cmocka_unit_test (test_next_version_needs_confirmation),
     cmocka_unit_test (test_ids_before_horizon_are_unknown),
+    cmocka_unit_test (test_planned_handover_has_no_gap),
     cmocka_unit_test (test_records_of_agents_answer_older_jobs),
     cmocka_unit_test (test_replacement_takes_its_place_unconfirmed),
     cmocka_unit_test (test_joining_entry_takes_its_share),
     cmocka_unit_test (test_planned_stop_hands_over),
+    cmocka_unit_test (test_interval_that_returns_before_it_began),
     cmocka_unit_test (test_last_entry_stops_alone),
     cmocka_unit_test (test_dead_member_is_removed_later),
     cmocka_unit_test (test_state_never_goes_back),
