--- a/Makefile
+++ b/Makefile
@@ -75,12 +75,20 @@
 	BUILD=$(BUILD) tests/run_tests.sh $(TESTS) $(SCRIPT_TESTS)
 
 .PHONY: check
-check: unit
+check: unit smoke
 
 .PHONY: smoke
 smoke: all
 	python3 tests/smoke.py --build $(BUILD)
 
+.PHONY: demo
+demo:
+	./demo
+
+.PHONY: model
+model:
+	model/run.sh
+
 .PHONY: asan
 asan:
 	$(MAKE) unit BUILD=build-asan CFLAGS="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
