--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 	BUILD=$(BUILD) tests/run_tests.sh $(TESTS) $(SCRIPT_TESTS)
 
 .PHONY: check
-check: unit
+check: unit smoke
 
 .PHONY: smoke
 smoke: all
