End simultaneous planned stops of entries

Entries that stopped at the same time handed their partitions to each other without end: the heir was the live member with the fewest partitions, which is the one that has just handed over its own.

An heir is now a live member that owns partitions. A live member without any is stopping or takes its share by itself. Only the first handover of a stop may fall back to a member without partitions, so the exchange ends. A stopping flag in the roster or in PEER_STATE was weighed; it changes the store document or the protocol and isn't needed.

The unit test fails without the fix.

--- a/src/entry/plans.c
+++ b/src/entry/plans.c
@@ -136,8 +136,12 @@
   return true;
 }
 
+/* A live member without partitions is stopping, or it takes its share by itself. */
 static uint64_t
-least_loaded (const struct az_entry_board *board, const struct az_table *table, uint64_t except)
+least_loaded (const struct az_entry_board *board,
+              const struct az_table *table,
+              uint64_t except,
+              uint32_t min_owned)
 {
   uint64_t best = 0;
   uint32_t best_owned = UINT32_MAX;
@@ -147,7 +151,8 @@
       uint64_t member = table->roster.roster_val[i].incarnation;
       uint32_t owned = count_owned (table, member);
 
-      if (member == except || !az_entry_is_live (board, member) || owned >= best_owned)
+      if (member == except || !az_entry_is_live (board, member) || owned < min_owned
+          || owned >= best_owned)
         continue;
       best = member;
       best_owned = owned;
@@ -155,6 +160,17 @@
   return best;
 }
 
+static uint64_t
+choose_heir (const struct az_entry_board *board, const struct az_table *table, uint64_t except)
+{
+  uint64_t heir = least_loaded (board, table, except, 1);
+
+  /* Members that stop at once would otherwise hand partitions to each other forever. */
+  if (heir || board->handed_over)
+    return heir;
+  return least_loaded (board, table, except, 0);
+}
+
 bool
 az_entry_plan_takeover (const struct az_entry_board *board, struct az_table *table)
 {
@@ -166,7 +182,7 @@
 
       if (az_entry_is_live (board, partition->owner))
         continue;
-      az_entry_plan_move (board, partition, least_loaded (board, table, partition->owner));
+      az_entry_plan_move (board, partition, choose_heir (board, table, partition->owner));
       changed = true;
     }
   return changed;
@@ -227,7 +243,7 @@
   for (uint32_t p = 0; p < table->partitions.partitions_len; p++)
     {
       struct az_partition *partition = &table->partitions.partitions_val[p];
-      uint64_t heir = least_loaded (board, table, board->incarnation);
+      uint64_t heir = choose_heir (board, table, board->incarnation);
 
       if (partition->owner != board->incarnation || !heir)
         continue;
--- a/src/entry/roster.c
+++ b/src/entry/roster.c
@@ -118,6 +118,8 @@
 az_entry_table_written (struct az_entry_board *board, enum az_table_write result)
 {
   board->store.write_pending = false;
+  if (result == AZ_TABLE_WRITE_OK && board->stopping)
+    board->handed_over = true;
   /* The next read of the store shows the table, whoever wrote it; until then the index that a
    * write would expect is not known. */
   if (result != AZ_TABLE_WRITE_OK)
--- a/tests/test_entry_owners.c
+++ b/tests/test_entry_owners.c
@@ -310,6 +310,31 @@
   test_entry_destroy (entry);
 }
 
+/* Guards against two entries that stop at once and hand the partitions to each other forever. */
+static void
+test_simultaneous_stops_end (void **state)
+{
+  struct test_entry *entry = join_cluster (2, 0);
+  const uint64_t self[] = { TEST_SELF };
+  struct az_table table;
+
+  az_entry_core_stop (entry->core);
+  test_entry_read (entry, both, 2);
+  test_entry_advance (entry, 200);
+  assert_true (entry->wrote);
+  test_entry_commit (entry, both, 2);
+  test_entry_table (&table, 5, 2, TEST_SELF);
+  test_entry_read_table (entry, &table, both, 2);
+  az_owner_table_clear (&table);
+  test_entry_peer_ack (entry, 20, 1, 5, true);
+  entry->wrote = false;
+  read_for (entry, 2000, both, 2);
+  assert_false (entry->wrote);
+  read_for (entry, 6000, self, 1);
+  assert_true (az_entry_core_is_drained (entry->core));
+  test_entry_destroy (entry);
+}
+
 /* Guards against a stop that waits for a successor that doesn't exist. */
 static void
 test_last_entry_stops_alone (void **state)
@@ -372,6 +397,7 @@
     cmocka_unit_test (test_replacement_takes_its_place_unconfirmed),
     cmocka_unit_test (test_joining_entry_takes_its_share),
     cmocka_unit_test (test_planned_stop_hands_over),
+    cmocka_unit_test (test_simultaneous_stops_end),
     cmocka_unit_test (test_last_entry_stops_alone),
     cmocka_unit_test (test_dead_member_is_removed_later),
     cmocka_unit_test (test_state_never_goes_back),
