--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -260,9 +260,12 @@
 {
   int64_t horizon_ms;          /* nothing is known of older ids without a record */
   int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
-  int64_t from_ms;             /* -1 if not owned */
-  bool is_pending;             /* until the table version is confirmed */
-  bool is_direct;              /* the version before named the previous owner as owner */
+  int64_t known_from_ms;  /* but ids from here are known, from an earlier interval of its own, */
+  int64_t known_until_ms; /* to here, exclusive */
+  int64_t ended_ms;       /* end of its interval, while another entry is the owner */
+  int64_t from_ms;        /* -1 if not owned */
+  bool is_pending;        /* until the table version is confirmed */
+  bool is_direct;         /* the version before named the previous owner as owner */
 };
 
 /* The last reading of the store and the write that may be under way. */
