--- a/Makefile
+++ b/Makefile
@@ -81,6 +81,14 @@
 smoke: all
 	python3 tests/smoke.py --build $(BUILD)
 
+.PHONY: bench
+bench: all
+	python3 bench/run.py --build $(BUILD)
+
+.PHONY: bench-full
+bench-full: all
+	python3 bench/run.py --build $(BUILD) --full
+
 .PHONY: demo
 demo:
 	./demo
