--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -309,7 +309,7 @@
   int64_t wall_ms;
   bool stopping;
   bool handed_over; /* this stop has moved partitions once */
-  bool restored; /* this entry's state counts towards a majority */
+  bool restored;    /* this entry's state counts towards a majority */
   bool has_table;
 
   /* configuration in force */
