--- a/tests/history_check.py
+++ b/tests/history_check.py
@@ -59,9 +59,9 @@
             if results:
                 yield Violation("R2", at, "%s: %s with %d results" % (
                     job, response["outcome"], len(results)), keys)
-        elif len(results or []) != call["tasks"]:
+        elif len(results or []) != call["tasks"] or "" in results:
             yield Violation("R2", at, "%s: %d of %d results" % (
-                job, len(results or []), call["tasks"]), keys)
+                job, sum(map(bool, results or [])), call["tasks"]), keys)
         elif results != ["%s/%d" % (job, i) for i in range(call["tasks"])]:
             yield Violation("R4", at, "%s: results of another request" % job, keys)
         if response["outcome"] in ("done", "failed"):
--- a/tests/test_history_check.py
+++ b/tests/test_history_check.py
@@ -100,6 +100,11 @@
         self.log.find("response", call=1)["results"] = ["j1/0"]
         self.assert_finds("R2")
 
+    def test_empty_result(self):
+        """Guards against a partial answer of full length that passes for a foreign one."""
+        self.log.find("response", call=1)["results"] = ["j1/0", ""]
+        self.assert_finds("R2")
+
     def test_results_of_a_failed_job(self):
         self.log.find("response", call=1).update(outcome="failed", code="cancelled")
         self.assert_finds("R2")
