--- a/tests/history_check.py
+++ b/tests/history_check.py
@@ -59,9 +59,9 @@
             if results:
                 yield Violation("R2", at, "%s: %s with %d results" % (
                     job, response["outcome"], len(results)), keys)
-        elif len(results or []) != call["tasks"]:
+        elif len(results or []) != call["tasks"] or "" in results:
             yield Violation("R2", at, "%s: %d of %d results" % (
-                job, len(results or []), call["tasks"]), keys)
+                job, sum(map(bool, results or [])), call["tasks"]), keys)
         elif results != ["%s/%d" % (job, i) for i in range(call["tasks"])]:
             yield Violation("R4", at, "%s: results of another request" % job, keys)
         if response["outcome"] in ("done", "failed"):
@@ -229,6 +229,8 @@
     codes = collections.Counter("%s:%s" % (r["outcome"], r.get("code"))
                                 for r in history.by_kind["response"] if r.get("code"))
     faults = collections.Counter(f.kind for f in history.faults)
+    # All processes that live at the end are stopped too.
+    faults["planned stop"] = sum(life.sigterm != float("inf") for life in history.lives)
     print("%d calls for %d jobs, %d starts, %d publications (%d accepted)" % (
         len(history.calls), len(history.calls_of), len(history.starts),
         len(history.published), len(history.by_kind["accepted"])))
