--- a/tests/test_simulation.c
+++ b/tests/test_simulation.c
@@ -1,3 +1,4 @@
+#include "azurerock/log.h"
 #include "sim.h"
 #include "testing.h"
 #include <stdio.h>
@@ -98,5 +99,6 @@
     cmocka_unit_test (test_schedules),
   };
 
+  az_log_open ("simulation", LOG_ERR);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_simulation_guards.c
+++ b/tests/test_simulation_guards.c
@@ -1,3 +1,4 @@
+#include "azurerock/log.h"
 #include "sim.h"
 #include "testing.h"
 
@@ -111,5 +112,6 @@
     cmocka_unit_test (test_r9_in_force),
   };
 
+  az_log_open ("simulation", LOG_ERR);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
