--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -240,6 +240,8 @@
 az_agent_evidence_age_ms (const struct az_agent_board *board, struct timespec now);
 
 /* heartbeat.c */
+uint64_t
+az_agent_entry_weight (const struct az_agent_board *board, const struct az_agent_entry *entry);
 void
 az_agent_heartbeat_send (struct az_agent_board *board, struct az_agent_entry *entry);
 void
--- a/src/agent/grant_choice.c
+++ b/src/agent/grant_choice.c
@@ -39,6 +39,18 @@
   return choice;
 }
 
+/* Equal entries come in another order at each agent: with more entries than slots, the same few
+ * would otherwise hold the grants of every agent. */
+static bool
+is_poorer (const struct az_agent_board *board,
+           const struct az_agent_entry *entry,
+           const struct az_agent_entry *best)
+{
+  if (entry->idle != best->idle)
+    return entry->idle < best->idle;
+  return az_agent_entry_weight (board, entry) > az_agent_entry_weight (board, best);
+}
+
 static uint32_t
 choose_by_idle (const struct az_agent_board *board, uint32_t preferred)
 {
@@ -50,7 +62,7 @@
     {
       const struct az_agent_entry *entry = az_agent_entry_get (board, handle);
 
-      if (!entry->incarnation || (best && entry->idle >= best->idle))
+      if (!entry->incarnation || (best && !is_poorer (board, entry, best)))
         continue;
       best = entry;
       choice = handle;
--- a/src/agent/heartbeat.c
+++ b/src/agent/heartbeat.c
@@ -34,8 +34,8 @@
 
 /* Rendezvous hashing: each entry is home to its share of the agents, and the loss of an entry
  * moves only its own. */
-static uint64_t
-home_weight (const struct az_agent_board *board, const struct az_agent_entry *entry)
+uint64_t
+az_agent_entry_weight (const struct az_agent_board *board, const struct az_agent_entry *entry)
 {
   const char *instance = board->settings.instance;
 
@@ -53,9 +53,9 @@
     {
       const struct az_agent_entry *entry = az_agent_entry_get (board, handle);
 
-      if (!entry->incarnation || (home && home_weight (board, entry) <= best))
+      if (!entry->incarnation || (home && az_agent_entry_weight (board, entry) <= best))
         continue;
-      best = home_weight (board, entry);
+      best = az_agent_entry_weight (board, entry);
       home = handle;
     }
   return home;
