--- a/src/agent/demand.c
+++ b/src/agent/demand.c
@@ -30,7 +30,7 @@
 
 /* Entry with the most idle grants above what it needs itself. */
 static uint32_t
-richest_entry (const struct az_agent_board *board, uint64_t asked)
+most_idle_entry (const struct az_agent_board *board, uint64_t asked)
 {
   uint32_t choice = 0;
   uint32_t most = 0;
@@ -49,7 +49,8 @@
   return choice;
 }
 
-/* Asks the richest entries until enough is on its way back or every entry was asked. */
+/* Asks the entries with the most idle grants until enough is on its way back or every entry was
+ * asked. */
 static void
 recall_for_need (struct az_agent_board *board)
 {
@@ -59,7 +60,7 @@
 
   while (wanted > pending)
     {
-      uint32_t entry = richest_entry (board, asked);
+      uint32_t entry = most_idle_entry (board, asked);
 
       if (!entry)
         break;
--- a/src/agent/grant_choice.c
+++ b/src/agent/grant_choice.c
@@ -42,9 +42,9 @@
 /* Equal entries come in another order at each agent: with more entries than slots, the same few
  * would otherwise hold the grants of every agent. */
 static bool
-is_poorer (const struct az_agent_board *board,
-           const struct az_agent_entry *entry,
-           const struct az_agent_entry *best)
+has_fewer_idle (const struct az_agent_board *board,
+                const struct az_agent_entry *entry,
+                const struct az_agent_entry *best)
 {
   if (entry->idle != best->idle)
     return entry->idle < best->idle;
@@ -62,7 +62,7 @@
     {
       const struct az_agent_entry *entry = az_agent_entry_get (board, handle);
 
-      if (!entry->incarnation || (best && !is_poorer (board, entry, best)))
+      if (!entry->incarnation || (best && !has_fewer_idle (board, entry, best)))
         continue;
       best = entry;
       choice = handle;
--- a/src/entry/plans.c
+++ b/src/entry/plans.c
@@ -162,13 +162,13 @@
 }
 
 static uint64_t
-choose_heir (const struct az_entry_board *board, const struct az_table *table, uint64_t except)
+choose_successor (const struct az_entry_board *board, const struct az_table *table, uint64_t except)
 {
-  uint64_t heir = least_loaded (board, table, except, 1);
+  uint64_t successor = least_loaded (board, table, except, 1);
 
   /* Members that stop at once would otherwise hand partitions to each other forever. */
-  if (heir || board->handed_over)
-    return heir;
+  if (successor || board->handed_over)
+    return successor;
   return least_loaded (board, table, except, 0);
 }
 
@@ -183,7 +183,7 @@
 
       if (az_entry_is_live (board, partition->owner))
         continue;
-      az_entry_plan_move (board, partition, choose_heir (board, table, partition->owner));
+      az_entry_plan_move (board, partition, choose_successor (board, table, partition->owner));
       changed = true;
     }
   return changed;
@@ -256,11 +256,11 @@
   for (uint32_t p = 0; p < table->partitions.partitions_len; p++)
     {
       struct az_partition *partition = &table->partitions.partitions_val[p];
-      uint64_t heir = choose_heir (board, table, board->incarnation);
+      uint64_t successor = choose_successor (board, table, board->incarnation);
 
-      if (partition->owner != board->incarnation || !heir || is_settling (board, partition))
+      if (partition->owner != board->incarnation || !successor || is_settling (board, partition))
         continue;
-      az_entry_plan_move (board, partition, heir);
+      az_entry_plan_move (board, partition, successor);
       changed = true;
     }
   return changed;
