--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,13 @@
 CFLAGS ?= -O2 -g
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   -Wno-unused-parameter -Wformat=2
-ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(WARNINGS) $(SANITIZE) $(EXTRA_CFLAGS) -Iinclude -Isrc \
+ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(WARNINGS) $(SANITIZE) $(EXTRA_CFLAGS) -Iinclude -Isrc -I. \
   $(PKG_CFLAGS) -DH2O_USE_LIBUV=1 -D_GNU_SOURCE -MMD -MP
 
-PROGRAMS = azurerock-entry azurerock-agent azurerock-ctl azurerock-load \
+PROGRAMS = azurerock-entry azurerock-agent azurerock-gateway azurerock-sidecar azurerock-ctl azurerock-load \
   azurerock-standin-store azurerock-standin-upstream
 MAINS = $(wildcard src/*/main.c src/standin/*_main.c)
-LIB_SOURCES = $(filter-out $(MAINS),$(wildcard src/*/*.c)) src/proto/gen/azurerock_xdr.c
+LIB_SOURCES = $(filter-out $(MAINS),$(wildcard src/*/*.c platform/*.c)) src/proto/gen/azurerock_xdr.c
 LIB_OBJECTS = $(LIB_SOURCES:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libazurerock.a
 TEST_SOURCES = $(wildcard tests/test_*.c)
@@ -26,10 +26,12 @@
 BENCHES = $(BENCH_SOURCES:bench/%.c=$(BUILD)/bench/%)
 MODEL_SOURCES = $(wildcard bench/model/*.c)
 MODEL_OBJECTS = $(MODEL_SOURCES:%.c=$(BUILD)/%.o)
-FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] tests/*.[ch] bench/*.[ch] bench/model/*.[ch]))
+FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] bench/model/*.[ch]))
 
 main_entry = src/entry/main.c
 main_agent = src/agent/main.c
+main_gateway = src/gateway/main.c
+main_sidecar = src/sidecar/main.c
 main_ctl = src/ctl/main.c
 main_load = src/load/main.c
 main_standin-store = src/standin/store_main.c
@@ -136,9 +138,9 @@
 lint:
 	clang-format --dry-run --Werror $(FORMATTED)
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr --enable=warning,portability \
-	  --suppress=missingInclude --suppress=*:src/proto/gen/* -Iinclude -Isrc src
-	@printf "%s\n" $(filter-out src/proto/gen/%,$(wildcard src/*/*.c)) | \
-	  xargs -P 6 -I{} clang-tidy --quiet {} -- -std=gnu11 -Iinclude -Isrc $(PKG_CFLAGS) -DH2O_USE_LIBUV=1 -D_GNU_SOURCE
+	  --suppress=missingInclude --suppress=*:src/proto/gen/* -Iinclude -Isrc -I. src platform
+	@printf "%s\n" $(filter-out src/proto/gen/%,$(wildcard src/*/*.c platform/*.c)) | \
+	  xargs -P 6 -I{} clang-tidy --quiet {} -- -std=gnu11 -Iinclude -Isrc -I. $(PKG_CFLAGS) -DH2O_USE_LIBUV=1 -D_GNU_SOURCE
 
 .PHONY: clean
 clean:
--- a/include/azurerock/http_server.h
+++ b/include/azurerock/http_server.h
@@ -16,6 +16,7 @@
   const char *method;
   const char *path;  /* without query */
   const char *query; /* after '?', or "" */
+  const char *host;  /* that the request was sent to, with a port if it names one */
   const char *body;
   size_t body_length;
 };
@@ -77,6 +78,15 @@
 void
 az_http_server_abort (struct az_http_server *server, uint32_t handle);
 
+/** az_http_server_close_after_responses - goes on serving, but ends each connection with its next
+ * response, so that callers turn to other instances */
+void
+az_http_server_close_after_responses (struct az_http_server *server);
+
+/** az_http_server_n_connections - open connections of callers */
+size_t
+az_http_server_n_connections (const struct az_http_server *server);
+
 /** az_http_server_stop_accepting - closes the listener; open connections are answered and then
  * closed */
 void
--- a/include/azurerock/settings.h
+++ b/include/azurerock/settings.h
@@ -11,6 +11,7 @@
   AZ_SETTING_STRING,  /* char *, allocated */
   AZ_SETTING_ADDRESS, /* char *, allocated: "ip:port" */
   AZ_SETTING_INTEGER, /* int64_t within minimum and maximum */
+  AZ_SETTING_NUMBER,  /* double within minimum and maximum */
   AZ_SETTING_BOOLEAN, /* bool */
   AZ_SETTING_STRINGS, /* GPtrArray * of char * */
 };
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,14 +1,33 @@
 #include "azurerock/log.h"
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
 #define LINE_MAX_BYTES 2048
+#define BUFFER_BYTES 65536
+
+/* A pipe that is ready for writing takes this much at once. */
+#define WRITE_BYTES 4096
 
 static const char *program_name = "azurerock";
 static int least_urgent_level = LOG_INFO;
+static bool is_buffered;
+static char buffer[BUFFER_BYTES];
+static size_t n_buffered;
+static unsigned long n_dropped;
+
+static const struct
+{
+  const char *name;
+  int level;
+} levels[] = {
+  { "error", LOG_ERR }, { "warning", LOG_WARNING }, { "notice", LOG_NOTICE },
+  { "info", LOG_INFO }, { "debug", LOG_DEBUG },
+};
 
 void
 az_log_open (const char *program, int level)
@@ -17,36 +36,104 @@
   least_urgent_level = level;
 }
 
+void
+az_log_buffer (void)
+{
+  is_buffered = true;
+}
+
 int
 az_log_parse_level (const char *name)
 {
-  static const struct
-  {
-    const char *name;
-    int level;
-  } levels[] = {
-    { "error", LOG_ERR }, { "warning", LOG_WARNING }, { "notice", LOG_NOTICE },
-    { "info", LOG_INFO }, { "debug", LOG_DEBUG },
-  };
-
   for (size_t i = 0; i < sizeof levels / sizeof levels[0]; i++)
     if (!strcmp (name, levels[i].name))
       return levels[i].level;
   return -1;
 }
 
+static const char *
+level_name (int level)
+{
+  for (size_t i = 0; i < sizeof levels / sizeof levels[0]; i++)
+    if (levels[i].level == level)
+      return levels[i].name;
+  return "other";
+}
+
 static size_t
 format_prefix (char *line, size_t size, int level)
 {
   struct timespec now;
   struct tm utc;
   char time_text[32];
+  long ms;
 
   clock_gettime (CLOCK_REALTIME, &now);
+  ms = now.tv_nsec / 1000000;
   gmtime_r (&now.tv_sec, &utc);
   strftime (time_text, sizeof time_text, "%Y-%m-%dT%H:%M:%S", &utc);
-  return (size_t)snprintf (line, size, "<%d>%s.%03ldZ %s[%ld]: ", LOG_DAEMON | level, time_text,
-                           now.tv_nsec / 1000000, program_name, (long)getpid ());
+  if (is_buffered)
+    return (size_t)snprintf (line, size, "time=%s.%03ldZ level=%s program=%s pid=%ld ", time_text,
+                             ms, level_name (level), program_name, (long)getpid ());
+  return (size_t)snprintf (line, size, "<%d>%s.%03ldZ %s[%ld]: ", LOG_DAEMON | level, time_text, ms,
+                           program_name, (long)getpid ());
+}
+
+static void
+append (const char *line, size_t length)
+{
+  if (n_buffered + length > sizeof buffer)
+    az_log_flush ();
+  if (n_buffered + length > sizeof buffer)
+    {
+      n_dropped++;
+      return;
+    }
+  memcpy (buffer + n_buffered, line, length);
+  n_buffered += length;
+}
+
+static void
+report_dropped (void)
+{
+  unsigned long dropped = n_dropped;
+
+  if (dropped == 0 || n_buffered + LINE_MAX_BYTES > sizeof buffer)
+    return;
+  n_dropped = 0;
+  az_log (LOG_WARNING, "event=log-lines-dropped count=%lu reason=\"the reader is slow\"", dropped);
+}
+
+/* Whole lines that one write takes without blocking; a longer line goes in parts. */
+static size_t
+next_part (void)
+{
+  size_t part = n_buffered < WRITE_BYTES ? n_buffered : WRITE_BYTES;
+  const char *end;
+
+  if (part == n_buffered)
+    return part;
+  end = memrchr (buffer, '\n', part);
+  return end ? (size_t)(end - buffer) + 1 : part;
+}
+
+void
+az_log_flush (void)
+{
+  struct pollfd output = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  while (n_buffered > 0 && poll (&output, 1, 0) == 1 && (output.revents & POLLOUT))
+    {
+      ssize_t written = write (STDOUT_FILENO, buffer, next_part ());
+
+      if (written <= 0)
+        break;
+      n_buffered -= (size_t)written;
+      memmove (buffer, buffer + written, n_buffered);
+    }
+  if (output.revents & (POLLERR | POLLNVAL))
+    n_buffered = 0;
+  report_dropped ();
 }
 
 void
@@ -68,6 +155,11 @@
   if (length > sizeof line - 2)
     length = sizeof line - 2;
   line[length++] = '\n';
+  if (is_buffered)
+    {
+      append (line, length);
+      return;
+    }
   /* One write keeps lines of several processes on one terminal apart. */
   if (write (STDERR_FILENO, line, length) < 0)
     return;
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -17,11 +17,9 @@
 print_settings_help (const struct az_program *program)
 {
   static const char *const types[] = {
-    [AZ_SETTING_STRING] = "string",
-    [AZ_SETTING_ADDRESS] = "address \"ip:port\"",
-    [AZ_SETTING_INTEGER] = "integer",
-    [AZ_SETTING_BOOLEAN] = "boolean",
-    [AZ_SETTING_STRINGS] = "array of strings",
+    [AZ_SETTING_STRING] = "string",   [AZ_SETTING_ADDRESS] = "address \"ip:port\"",
+    [AZ_SETTING_INTEGER] = "integer", [AZ_SETTING_NUMBER] = "number",
+    [AZ_SETTING_BOOLEAN] = "boolean", [AZ_SETTING_STRINGS] = "array of strings",
   };
 
   for (size_t i = 0; i < program->n_schema; i++)
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -92,6 +92,25 @@
     *to = number;
 }
 
+static void
+read_number (GString *findings,
+             const char *origin,
+             const struct az_setting *setting,
+             const json_t *value,
+             double *to)
+{
+  double number = json_number_value (value);
+
+  if (!json_is_number (value))
+    report (findings, origin, setting->name, "must be a number");
+  else if (number < (double)setting->minimum || number > (double)setting->maximum)
+    report (findings, origin, setting->name,
+            "%g is out of range: must be %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, number,
+            setting->minimum, setting->maximum);
+  else
+    *to = number;
+}
+
 static void
 read_strings (GString *findings,
               const char *origin,
@@ -132,6 +151,9 @@
     case AZ_SETTING_INTEGER:
       read_integer (findings, origin, setting, value, (int64_t *)to);
       break;
+    case AZ_SETTING_NUMBER:
+      read_number (findings, origin, setting, value, (double *)to);
+      break;
     case AZ_SETTING_BOOLEAN:
       if (json_is_boolean (value))
         *(bool *)to = json_is_true (value);
--- /dev/null
+++ b/src/dispatch/upstream_call.c
@@ -0,0 +1,44 @@
+#include "azurerock/upstream_call.h"
+#include <string.h>
+
+void
+az_upstream_lists_clear (struct az_upstream_lists *lists)
+{
+  for (size_t i = 0; i < lists->n_active; i++)
+    g_free (lists->active[i].task);
+  for (size_t i = 0; i < lists->n_ended; i++)
+    g_free (lists->ended[i].task);
+  g_free (lists->active);
+  g_free (lists->ended);
+  memset (lists, 0, sizeof *lists);
+}
+
+void
+az_upstream_announcement_clear (struct az_upstream_announcement *announcement)
+{
+  g_free (announcement->instance);
+  g_free (announcement->service);
+  g_free (announcement->address);
+  g_free (announcement->domain);
+  g_clear_pointer (&announcement->labels, g_ptr_array_unref);
+  memset (announcement, 0, sizeof *announcement);
+}
+
+const char *
+az_upstream_result_name (enum az_upstream_result result)
+{
+  static const char *const names[] = {
+    [AZ_UPSTREAM_OK] = "ok",
+    [AZ_UPSTREAM_FENCED] = "fenced",
+    [AZ_UPSTREAM_OLD] = "old-attempt",
+    [AZ_UPSTREAM_LATE] = "late",
+    [AZ_UPSTREAM_NO_ROOM] = "no-room",
+    [AZ_UPSTREAM_UNHEALTHY] = "unhealthy",
+    [AZ_UPSTREAM_OTHER_INSTANCE] = "other-instance",
+    [AZ_UPSTREAM_INVALID] = "invalid",
+    [AZ_UPSTREAM_NOT_SENT] = "not-sent",
+    [AZ_UPSTREAM_UNANSWERED] = "unanswered",
+  };
+
+  return names[result];
+}
--- /dev/null
+++ b/src/gateway/admission.c
@@ -0,0 +1,147 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+/* A queue of which less was served lately is spared, whatever its jobs are worth. */
+#define SERVED_FLOOR 0.65
+#define SPARED_FACTOR 4.0
+
+#define RETRY_AFTER_MS 1000
+
+/*
+ * Which jobs are refused when not all can be served in time. Each queue's traffic counts the same,
+ * whatever its rate: a job is worth the share of its queue's traffic that it makes up, and what
+ * has the least worth for its work is given up first. Sizes within a queue count the same, so that
+ * large jobs aren't singled out.
+ */
+static double
+worth_per_work (const struct queue *queue)
+{
+  double worth = 1 / MAX (queue->rate * queue->mean_work, 1e-6);
+
+  return queue->served < SERVED_FLOOR ? worth * SPARED_FACTOR : worth;
+}
+
+/* Cores that this gateway may count on: all that is open, by its share of what is in use. */
+static double
+count_cores (const struct az_gateway *gateway, const char *service)
+{
+  double capacity = 0;
+  double used = 0;
+  double own = 0;
+
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      const struct upstream *upstream = gateway->upstreams->pdata[i];
+
+      if (!upstream->is_open || strcmp (upstream->service, service) != 0
+          || az_gateway_is_probe_only (gateway, upstream))
+        continue;
+      capacity += upstream->capacity.cpu_milli;
+      used += upstream->capacity.cpu_milli - upstream->free.cpu_milli;
+      own += upstream->used_milli;
+    }
+  return capacity / 1000 * (used > 0 ? CLAMP (own / used, 0.1, 1) : 1);
+}
+
+static void
+refuse (struct az_gateway *gateway, struct job *job, const char *reason)
+{
+  az_gateway_count_outcome (job->queue, true);
+  az_gateway_end_job (gateway, job, AZ_JOB_NOT_RUN, RETRY_AFTER_MS, reason);
+}
+
+/* The refusable job of the least worth among the first @n; the youngest of equals, which has
+ * waited least. */
+static struct job *
+find_least (const GPtrArray *jobs, guint n)
+{
+  struct job *least = NULL;
+
+  for (guint i = 0; i < n; i++)
+    {
+      struct job *job = jobs->pdata[i];
+
+      if (!job || !job->refusable)
+        continue;
+      if (!least || worth_per_work (job->queue) < worth_per_work (least->queue)
+          || (job->queue == least->queue && job->arrived_us > least->arrived_us))
+        least = job;
+    }
+  return least;
+}
+
+void
+az_gateway_refuse_excess (struct az_gateway *gateway, GPtrArray *jobs)
+{
+  double ahead = 0;
+
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      struct job *job = jobs->pdata[i];
+      double work;
+      double cores;
+      double slack_s;
+
+      if (!job || job->n_waiting == 0)
+        continue;
+      work = az_gateway_job_work (gateway, job, true);
+      cores = count_cores (gateway, job->queue->service);
+      slack_s = (double)(job->objective_us - job->run_us - gateway->now_us) / 1e6;
+      ahead += work;
+      /* Time until the last of its tasks starts, against the time that it has. */
+      while (cores <= 0 || (ahead - work / 2) / cores > slack_s)
+        {
+          struct job *least = find_least (jobs, i + 1);
+          guint index;
+
+          if (!least)
+            break;
+          g_ptr_array_find (jobs, least, &index);
+          jobs->pdata[index] = NULL;
+          ahead -= az_gateway_job_work (gateway, least, true);
+          refuse (gateway, least, "no room in time");
+          if (least == job)
+            break;
+        }
+    }
+}
+
+static bool
+fits_capacity (const struct az_job_step *step, const struct upstream *upstream)
+{
+  return az_resources_fit (&step->need, &upstream->capacity)
+         && (!step->required_label
+             || g_ptr_array_find_with_equal_func (upstream->labels, step->required_label,
+                                                  g_str_equal, NULL));
+}
+
+const char *
+az_gateway_unservable (struct az_gateway *gateway, const struct job *job, bool *is_hopeless)
+{
+  bool any_open = false;
+
+  *is_hopeless = false;
+  for (size_t i = 0; i < job->request.n_steps; i++)
+    {
+      bool is_known = false;
+      bool fits = false;
+
+      for (guint u = 0; u < gateway->upstreams->len; u++)
+        {
+          const struct upstream *upstream = gateway->upstreams->pdata[u];
+
+          if (strcmp (upstream->service, job->queue->service) != 0)
+            continue;
+          is_known = true;
+          any_open |= upstream->is_open;
+          fits |= fits_capacity (&job->request.steps[i], upstream);
+        }
+      if (is_known && !fits)
+        {
+          *is_hopeless = true;
+          return "no upstream is large enough";
+        }
+    }
+  return any_open ? NULL : "no upstream is open";
+}
--- /dev/null
+++ b/src/gateway/board.h
@@ -0,0 +1,300 @@
+#ifndef AZUREROCK_GATEWAY_BOARD_H
+#define AZUREROCK_GATEWAY_BOARD_H
+
+#include "azurerock/ejector.h"
+#include "azurerock/gateway.h"
+#include "azurerock/resources.h"
+#include "azurerock/table.h"
+#include "dispatch/time_us.h"
+#include <glib.h>
+
+/** struct session - connection to a sidecar or to another gateway */
+struct session
+{
+  uint32_t handle;
+  char *address; /* that we connected to, or NULL */
+  char *instance;
+  char *peer_address; /* of a gateway, from its hello */
+  uint32_t upstream;  /* of a sidecar */
+  int64_t heard_us;
+  int64_t pulsed_us;
+};
+
+/** struct sent_room - room that a run message takes until a report has counted it */
+struct sent_room
+{
+  uint32_t number;
+  struct az_resources amount;
+};
+
+/** struct upstream - one upstream instance, known by the instance name of its sidecar */
+struct upstream
+{
+  uint32_t handle;
+  char *instance;
+  char *domain;
+  uint32_t session; /* 0 while there is none */
+  uint64_t life;
+  bool is_open;
+  char *service;
+  GPtrArray *labels;
+  struct az_resources capacity;
+  struct az_resources reported; /* free as last reported */
+  struct az_resources free;     /* less what was sent since */
+  GArray *sent;                 /* struct sent_room */
+  uint32_t n_sent;              /* run messages in this session */
+  uint32_t n_tasks;
+  uint32_t used_milli; /* by this gateway's tasks */
+  double speed;        /* 1: as fast as tasks of their estimate usually are */
+  uint32_t n_slow;     /* slow tasks in a row */
+  int64_t probed_us;
+};
+
+enum task_state
+{
+  TASK_WAITING,
+  TASK_SENT,
+  TASK_UNSETTLED, /* its session is lost; may run until @gone_us */
+  TASK_DONE,
+};
+
+struct task
+{
+  enum task_state state;
+  uint32_t upstream; /* handle; of the present or last run */
+  uint32_t attempt;
+  uint32_t n_failed;
+  uint32_t n_moved;
+  bool is_stopping;
+  bool is_slow_counted;
+  int64_t sent_us;
+  int64_t gone_us;
+};
+
+struct step
+{
+  uint32_t first; /* index of its first task in the job */
+  uint32_t n_waiting;
+  uint32_t n_done;
+};
+
+/**
+ * struct job - one job of a caller
+ * @run_us: expected time of its longest chain of tasks
+ * @objective_us: an answer until then is in time
+ * @refusable: no order to start one of its tasks has left
+ */
+struct job
+{
+  uint64_t number;
+  char *id;
+  GArray *callers; /* uint32_t */
+  struct queue *queue;
+  struct az_job_request request;
+  uint32_t priority;
+  uint32_t attempts;
+  int64_t arrived_us;
+  int64_t deadline_us;
+  int64_t objective_us;
+  int64_t run_us;
+  struct step *steps;
+  struct task *tasks;
+  uint32_t n_tasks;
+  uint32_t n_waiting;
+  uint32_t n_live; /* sent or unsettled */
+  uint32_t n_done;
+  bool refusable;
+  bool has_run;   /* a task has, or may have, started */
+  bool is_ending; /* answered; waits for its last tasks */
+};
+
+/** struct queue - what was learned of the jobs of one route */
+struct queue
+{
+  char *name;
+  char *service;
+  double run_ratio;   /* run time of a task / its estimate */
+  double rate;        /* arrivals per second, smoothed */
+  double mean_work;   /* core-seconds of a job */
+  double served;      /* share of recent jobs that were not refused */
+  int64_t arrived_us; /* of the last job */
+};
+
+struct evidence
+{
+  uint64_t revision;
+  int64_t known_us; /* when it was current; 0: never */
+  GPtrArray *domains;
+  int64_t relayed_us;
+};
+
+struct az_gateway
+{
+  struct az_gateway_settings settings;
+  uint64_t incarnation;
+  const struct az_clock *clock;
+  struct az_gateway_io io;
+  struct az_counters *counters;
+  int64_t now_us;
+  GHashTable *sessions; /* handle -> struct session * */
+  GPtrArray *upstreams; /* struct upstream *; handle - 1 is the index */
+  GHashTable *gateways; /* address -> time of the next attempt to connect, int64_t * */
+  GHashTable *jobs;     /* number -> struct job * */
+  GHashTable *job_ids;  /* id -> struct job *, those that aren't ending */
+  GHashTable *callers;  /* caller -> struct job * */
+  GHashTable *queues;   /* route name -> struct queue * */
+  struct az_ejector *ejector;
+  struct az_catalog *catalog;
+  uint64_t catalog_revision;
+  GBytes *catalog_text;
+  struct evidence evidence;
+  uint64_t last_job;
+  uint32_t waiting_milli;
+  bool needs_placing;
+  uint32_t c_jobs;
+  uint32_t c_completed;
+  uint32_t c_failed;
+  uint32_t c_refused;
+  uint32_t c_expired;
+  uint32_t c_given_up;
+  uint32_t c_retried;
+  uint32_t c_moved;
+};
+
+/* sessions.c */
+struct session *
+az_gateway_session (const struct az_gateway *gateway, uint32_t handle);
+void
+az_gateway_expire_sessions (struct az_gateway *gateway);
+void
+az_gateway_pulse (struct az_gateway *gateway);
+
+/* members.c */
+void
+az_gateway_connect_members (struct az_gateway *gateway);
+void
+az_gateway_tell_members (struct az_gateway *gateway, uint32_t session);
+
+/* evidence.c */
+void
+az_gateway_relay (struct az_gateway *gateway, uint32_t session);
+void
+az_gateway_relay_withdrawn (struct az_gateway *gateway);
+bool
+az_gateway_is_withdrawn (const struct az_gateway *gateway, const char *domain);
+
+/* upstreams.c */
+struct upstream *
+az_gateway_upstream (const struct az_gateway *gateway, uint32_t handle);
+struct upstream *
+az_gateway_find_upstream (struct az_gateway *gateway, const char *instance, const char *domain);
+void
+az_gateway_take_upstream (struct az_gateway *gateway,
+                          struct upstream *upstream,
+                          const struct az_node_upstream *told);
+void
+az_gateway_take_room (struct upstream *upstream, const struct az_node_report *report);
+void
+az_gateway_reserve (struct upstream *upstream, const struct az_resources *need, uint32_t n_tasks);
+
+/* health.c */
+
+/** az_gateway_is_probe_only - slower than the others: gets single tasks until it is faster */
+bool
+az_gateway_is_probe_only (const struct az_gateway *gateway, const struct upstream *upstream);
+void
+az_gateway_learn_run (struct az_gateway *gateway,
+                      struct job *job,
+                      const struct az_job_step *step,
+                      struct upstream *upstream,
+                      int64_t run_us);
+void
+az_gateway_learn_slow (struct az_gateway *gateway,
+                       struct upstream *upstream,
+                       int64_t expected_us,
+                       int64_t projected_us);
+
+/* jobs.c */
+void
+az_gateway_end_job (struct az_gateway *gateway,
+                    struct job *job,
+                    enum az_job_outcome outcome,
+                    int64_t retry_after_ms,
+                    const char *reason);
+
+/** az_gateway_release_job - frees an ending job without live tasks */
+void
+az_gateway_release_job (struct az_gateway *gateway, struct job *job);
+void
+az_gateway_expire_jobs (struct az_gateway *gateway);
+bool
+az_gateway_is_step_ready (const struct job *job, size_t step);
+
+/* tasks.c */
+void
+az_gateway_take_event (struct az_gateway *gateway,
+                       struct upstream *upstream,
+                       const struct az_task_event *event);
+void
+az_gateway_lose_tasks (struct az_gateway *gateway, struct upstream *upstream, const char *reason);
+void
+az_gateway_settle_tasks (struct az_gateway *gateway, const struct upstream *upstream);
+void
+az_gateway_expire_unsettled (struct az_gateway *gateway, struct job *job);
+void
+az_gateway_stop_job_tasks (struct az_gateway *gateway, struct job *job);
+
+/* progress.c */
+void
+az_gateway_take_progress (struct az_gateway *gateway,
+                          struct upstream *upstream,
+                          const struct az_task_progress *progress);
+
+/* place.c */
+
+/** az_gateway_place - sends waiting tasks to upstreams, in the order of @jobs */
+void
+az_gateway_place (struct az_gateway *gateway, GPtrArray *jobs);
+
+/** az_gateway_best_upstream - where a task would end soonest, or NULL if no room is left */
+struct upstream *
+az_gateway_best_upstream (struct az_gateway *gateway,
+                          const struct job *job,
+                          size_t step,
+                          uint32_t avoid);
+
+/** az_gateway_expected_us - run time of a task of the step on @upstream (NULL: a usual one) */
+int64_t
+az_gateway_expected_us (const struct az_gateway *gateway,
+                        const struct job *job,
+                        size_t step,
+                        const struct upstream *upstream);
+
+/* queue.c */
+struct queue *
+az_gateway_queue (struct az_gateway *gateway, const struct az_route *route);
+void
+az_gateway_count_arrival (struct az_gateway *gateway, struct job *job);
+void
+az_gateway_count_outcome (struct queue *queue, bool is_refused);
+
+/** az_gateway_order - the jobs with waiting tasks, in the order in which they are to start */
+GPtrArray *
+az_gateway_order (struct az_gateway *gateway);
+
+/** az_gateway_job_work - core-seconds of the tasks of a job that wait */
+double
+az_gateway_job_work (const struct az_gateway *gateway, const struct job *job, bool only_waiting);
+
+/* admission.c */
+
+/** az_gateway_refuse_excess - refuses those of the ordered jobs that can't be served in time */
+void
+az_gateway_refuse_excess (struct az_gateway *gateway, GPtrArray *jobs);
+
+/** az_gateway_unservable - why a new job can't be served at all, or NULL; *@is_hopeless tells
+ * that it never can */
+const char *
+az_gateway_unservable (struct az_gateway *gateway, const struct job *job, bool *is_hopeless);
+
+#endif
--- /dev/null
+++ b/src/gateway/evidence.c
@@ -0,0 +1,151 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+#define RELAY_EVERY_MS 700
+
+static void
+send_catalog (struct az_gateway *gateway, const struct session *session)
+{
+  struct az_message message = { .proc = AZ_NODE_CATALOG };
+  gsize length;
+
+  if (!gateway->catalog_text || session->upstream)
+    return;
+  message.az_message_u.node_catalog.revision = gateway->catalog_revision;
+  message.az_message_u.node_catalog.text.text_val
+      = (char *)g_bytes_get_data (gateway->catalog_text, &length);
+  message.az_message_u.node_catalog.text.text_len = (u_int)length;
+  gateway->io.send (gateway->io.context, session->handle, &message);
+}
+
+static void
+send_withdrawn (struct az_gateway *gateway, const struct session *session)
+{
+  struct az_message message = { .proc = AZ_NODE_WITHDRAWN };
+  const struct evidence *evidence = &gateway->evidence;
+
+  if (evidence->known_us == 0)
+    return;
+  message.az_message_u.node_withdrawn = (struct az_node_withdrawn){
+    .revision = evidence->revision,
+    .age_ms = (u_int)MIN ((gateway->now_us - evidence->known_us) / AZ_US_PER_MS, UINT32_MAX),
+    .domains = { evidence->domains->len, (az_name *)evidence->domains->pdata },
+  };
+  gateway->io.send (gateway->io.context, session->handle, &message);
+}
+
+void
+az_gateway_relay (struct az_gateway *gateway, uint32_t handle)
+{
+  const struct session *session = az_gateway_session (gateway, handle);
+
+  send_catalog (gateway, session);
+  send_withdrawn (gateway, session);
+}
+
+static void
+relay_to_all (struct az_gateway *gateway,
+              void (*send) (struct az_gateway *gateway, const struct session *session))
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, gateway->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    send (gateway, value);
+}
+
+bool
+az_gateway_set_catalog (struct az_gateway *gateway,
+                        struct az_catalog *catalog,
+                        uint64_t revision,
+                        const char *text,
+                        size_t length)
+{
+  const struct az_catalog *present = gateway->catalog;
+
+  if (present && catalog->version <= present->version)
+    {
+      az_catalog_destroy (catalog);
+      return false;
+    }
+  gateway->now_us = az_now_us (gateway->clock);
+  az_log (LOG_NOTICE,
+          "event=configuration version=%" G_GUINT64_FORMAT " former=%" G_GUINT64_FORMAT
+          " revision=%" G_GUINT64_FORMAT " routes=%zu",
+          catalog->version, present ? present->version : 0, revision, catalog->n_routes);
+  az_catalog_destroy (gateway->catalog);
+  if (gateway->catalog_text)
+    g_bytes_unref (gateway->catalog_text);
+  gateway->catalog = catalog;
+  gateway->catalog_revision = revision;
+  gateway->catalog_text = g_bytes_new (text, length);
+  relay_to_all (gateway, send_catalog);
+  return true;
+}
+
+const struct az_catalog *
+az_gateway_catalog (const struct az_gateway *gateway)
+{
+  return gateway->catalog;
+}
+
+bool
+az_gateway_is_withdrawn (const struct az_gateway *gateway, const char *domain)
+{
+  for (guint i = 0; i < gateway->evidence.domains->len; i++)
+    if (!strcmp (gateway->evidence.domains->pdata[i], domain))
+      return true;
+  return false;
+}
+
+static bool
+is_same_set (const struct evidence *evidence, const char *const *domains, size_t n_domains)
+{
+  if (evidence->domains->len != n_domains)
+    return false;
+  for (size_t i = 0; i < n_domains; i++)
+    if (!g_ptr_array_find_with_equal_func (evidence->domains, domains[i], g_str_equal, NULL))
+      return false;
+  return true;
+}
+
+void
+az_gateway_set_withdrawn (struct az_gateway *gateway,
+                          uint64_t revision,
+                          int64_t age_ms,
+                          const char *const *domains,
+                          size_t n_domains)
+{
+  struct evidence *evidence = &gateway->evidence;
+  int64_t known_us;
+
+  gateway->now_us = az_now_us (gateway->clock);
+  known_us = gateway->now_us - age_ms * AZ_US_PER_MS;
+  if (revision < evidence->revision)
+    return;
+  evidence->revision = revision;
+  evidence->known_us = MAX (evidence->known_us, known_us);
+  if (is_same_set (evidence, domains, n_domains))
+    return;
+  g_ptr_array_set_size (evidence->domains, 0);
+  for (size_t i = 0; i < n_domains; i++)
+    g_ptr_array_add (evidence->domains, g_strdup (domains[i]));
+  az_log (LOG_NOTICE,
+          "event=withdrawal domains=%zu first=%s revision=%" G_GUINT64_FORMAT
+          " age_ms=%" G_GINT64_FORMAT,
+          n_domains, n_domains ? domains[0] : "-", revision, age_ms);
+  gateway->needs_placing = true;
+  evidence->relayed_us = gateway->now_us;
+  relay_to_all (gateway, send_withdrawn);
+}
+
+void
+az_gateway_relay_withdrawn (struct az_gateway *gateway)
+{
+  if (gateway->now_us - gateway->evidence.relayed_us < RELAY_EVERY_MS * AZ_US_PER_MS)
+    return;
+  gateway->evidence.relayed_us = gateway->now_us;
+  relay_to_all (gateway, send_withdrawn);
+}
--- /dev/null
+++ b/src/gateway/jobs.c
@@ -0,0 +1,302 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+/* Without a deadline of its own a caller is taken to wait so long. */
+#define WAIT_DEFAULT_MS 10000
+
+static void
+free_job (struct az_gateway *gateway, struct job *job)
+{
+  g_hash_table_remove (gateway->jobs, &job->number);
+  az_job_request_clear (&job->request);
+  g_array_unref (job->callers);
+  g_free (job->steps);
+  g_free (job->tasks);
+  g_free (job->id);
+  g_free (job);
+}
+
+bool
+az_gateway_is_step_ready (const struct job *job, size_t step_index)
+{
+  const struct az_job_step *step = &job->request.steps[step_index];
+
+  for (size_t i = 0; i < step->n_after; i++)
+    if (job->steps[step->after[i]].n_done < job->request.steps[step->after[i]].n_tasks)
+      return false;
+  return true;
+}
+
+/* Steps come after those that they wait for, so one pass suffices. */
+static int64_t
+longest_chain_us (const struct az_gateway *gateway, const struct job *job)
+{
+  g_autofree int64_t *end_us = g_new0 (int64_t, job->request.n_steps + 1);
+  int64_t longest_us = 0;
+
+  for (size_t i = 0; i < job->request.n_steps; i++)
+    {
+      const struct az_job_step *step = &job->request.steps[i];
+
+      for (size_t k = 0; k < step->n_after; k++)
+        end_us[i] = MAX (end_us[i], end_us[step->after[k]]);
+      end_us[i] += az_gateway_expected_us (gateway, job, i, NULL);
+      longest_us = MAX (longest_us, end_us[i]);
+    }
+  return longest_us;
+}
+
+static void
+lay_out_tasks (struct job *job)
+{
+  job->steps = g_new0 (struct step, job->request.n_steps);
+  for (size_t i = 0; i < job->request.n_steps; i++)
+    {
+      job->steps[i].first = job->n_tasks;
+      job->steps[i].n_waiting = job->request.steps[i].n_tasks;
+      job->n_tasks += job->request.steps[i].n_tasks;
+    }
+  job->tasks = g_new0 (struct task, job->n_tasks);
+  job->n_waiting = job->n_tasks;
+}
+
+static struct job *
+create_job (struct az_gateway *gateway,
+            const struct az_route *route,
+            const char *id,
+            struct az_job_request *request,
+            int64_t wait_ms)
+{
+  struct job *job = g_new0 (struct job, 1);
+
+  job->number = ++gateway->last_job;
+  job->id = g_ascii_strdown (id, -1);
+  job->callers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  job->queue = az_gateway_queue (gateway, route);
+  job->request = *request;
+  memset (request, 0, sizeof *request);
+  job->priority = route->priority;
+  job->attempts = MAX (route->attempts, 1);
+  job->arrived_us = gateway->now_us;
+  job->deadline_us = gateway->now_us + (wait_ms > 0 ? wait_ms : WAIT_DEFAULT_MS) * AZ_US_PER_MS;
+  job->refusable = true;
+  lay_out_tasks (job);
+  job->run_us = longest_chain_us (gateway, job);
+  job->objective_us = gateway->now_us + (int64_t)(route->slack_factor * (double)job->run_us)
+                      + route->objective_ms * AZ_US_PER_MS;
+  g_hash_table_insert (gateway->jobs, &job->number, job);
+  g_hash_table_insert (gateway->job_ids, job->id, job);
+  az_gateway_count_arrival (gateway, job);
+  return job;
+}
+
+static void
+add_caller (struct az_gateway *gateway, struct job *job, uint32_t caller)
+{
+  g_array_append_val (job->callers, caller);
+  g_hash_table_insert (gateway->callers, GUINT_TO_POINTER (caller), job);
+}
+
+void
+az_gateway_submit (struct az_gateway *gateway,
+                   uint32_t caller,
+                   const struct az_route *route,
+                   const char *id,
+                   struct az_job_request *request,
+                   int64_t wait_ms)
+{
+  g_autofree char *key = g_ascii_strdown (id, -1);
+  struct job *job = g_hash_table_lookup (gateway->job_ids, key);
+  const char *reason;
+  bool is_hopeless;
+
+  gateway->now_us = az_now_us (gateway->clock);
+  if (job)
+    {
+      az_log (LOG_INFO, "event=submit job=%s outcome=joined", key);
+      az_job_request_clear (request);
+      add_caller (gateway, job, caller);
+      return;
+    }
+  job = create_job (gateway, route, id, request, wait_ms);
+  add_caller (gateway, job, caller);
+  az_counters_add (gateway->counters, gateway->c_jobs, 1);
+  az_log (LOG_INFO,
+          "event=submit job=%s queue=%s tasks=%u cpu=%u estimate_ms=%u wait_ms=%" G_GINT64_FORMAT
+          " objective_ms=%" G_GINT64_FORMAT,
+          key, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
+          job->request.steps[0].estimate_ms, wait_ms,
+          (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
+  reason = az_gateway_unservable (gateway, job, &is_hopeless);
+  if (reason)
+    az_gateway_end_job (gateway, job, is_hopeless ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 1000, reason);
+  gateway->needs_placing = true;
+}
+
+static void
+count (struct az_gateway *gateway, enum az_job_outcome outcome)
+{
+  switch (outcome)
+    {
+    case AZ_JOB_COMPLETED:
+      az_counters_add (gateway->counters, gateway->c_completed, 1);
+      break;
+    case AZ_JOB_FAILED:
+      az_counters_add (gateway->counters, gateway->c_failed, 1);
+      break;
+    case AZ_JOB_NOT_RUN:
+      az_counters_add (gateway->counters, gateway->c_refused, 1);
+      break;
+    }
+}
+
+static void
+drop_waiting (struct job *job)
+{
+  job->n_waiting = 0;
+  for (size_t i = 0; i < job->request.n_steps; i++)
+    job->steps[i].n_waiting = 0;
+}
+
+void
+az_gateway_end_job (struct az_gateway *gateway,
+                    struct job *job,
+                    enum az_job_outcome outcome,
+                    int64_t retry_after_ms,
+                    const char *reason)
+{
+  static const char *const names[] = { "completed", "failed", "not-run" };
+  const struct az_job_answer answer
+      = { .outcome = outcome, .retry_after_ms = retry_after_ms, .reason = reason };
+
+  if (job->is_ending)
+    return;
+  job->is_ending = true;
+  count (gateway, outcome);
+  az_log (LOG_INFO,
+          "event=answer job=%s outcome=%s after_ms=%" G_GINT64_FORMAT
+          " objective_ms=%" G_GINT64_FORMAT " done=%u of=%u live=%u reason=\"%s\"",
+          job->id, names[outcome], (gateway->now_us - job->arrived_us) / AZ_US_PER_MS,
+          (job->objective_us - job->arrived_us) / AZ_US_PER_MS, job->n_done, job->n_tasks,
+          job->n_live, reason);
+  g_hash_table_remove (gateway->job_ids, job->id);
+  for (guint i = 0; i < job->callers->len; i++)
+    {
+      uint32_t caller = g_array_index (job->callers, uint32_t, i);
+
+      g_hash_table_remove (gateway->callers, GUINT_TO_POINTER (caller));
+      gateway->io.answer (gateway->io.context, caller, &answer);
+    }
+  g_array_set_size (job->callers, 0);
+  az_gateway_stop_job_tasks (gateway, job);
+  drop_waiting (job);
+}
+
+void
+az_gateway_release_job (struct az_gateway *gateway, struct job *job)
+{
+  if (job->is_ending && job->n_live == 0)
+    free_job (gateway, job);
+}
+
+void
+az_gateway_caller_gone (struct az_gateway *gateway, uint32_t caller)
+{
+  struct job *job = g_hash_table_lookup (gateway->callers, GUINT_TO_POINTER (caller));
+
+  if (!job)
+    return;
+  gateway->now_us = az_now_us (gateway->clock);
+  g_hash_table_remove (gateway->callers, GUINT_TO_POINTER (caller));
+  for (guint i = 0; i < job->callers->len; i++)
+    if (g_array_index (job->callers, uint32_t, i) == caller)
+      g_array_remove_index_fast (job->callers, i--);
+  if (job->callers->len > 0)
+    return;
+  az_counters_add (gateway->counters, gateway->c_given_up, 1);
+  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 0,
+                      "the caller has gone");
+  az_gateway_release_job (gateway, job);
+}
+
+bool
+az_gateway_cancel (struct az_gateway *gateway, const char *id)
+{
+  g_autofree char *key = g_ascii_strdown (id, -1);
+  struct job *job = g_hash_table_lookup (gateway->job_ids, key);
+
+  if (!job)
+    return false;
+  gateway->now_us = az_now_us (gateway->clock);
+  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 0, "cancelled");
+  az_gateway_release_job (gateway, job);
+  return true;
+}
+
+size_t
+az_gateway_pending (const struct az_gateway *gateway, const char *route)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iterator, gateway->jobs);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct job *job = value;
+
+      n += !job->is_ending && !job->has_run && !strcmp (job->queue->name, route);
+    }
+  return n;
+}
+
+size_t
+az_gateway_n_jobs (const struct az_gateway *gateway)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iterator, gateway->jobs);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    n += !((const struct job *)value)->is_ending;
+  return n;
+}
+
+static void
+expire_job (struct az_gateway *gateway, struct job *job)
+{
+  if (!job->is_ending && gateway->now_us >= job->deadline_us)
+    {
+      az_counters_add (gateway->counters, gateway->c_expired, 1);
+      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 1000,
+                          "deadline passed");
+    }
+  az_gateway_expire_unsettled (gateway, job);
+  az_gateway_release_job (gateway, job);
+}
+
+void
+az_gateway_expire_jobs (struct az_gateway *gateway)
+{
+  g_autoptr (GList) jobs = g_hash_table_get_values (gateway->jobs);
+
+  for (GList *link = jobs; link; link = link->next)
+    expire_job (gateway, link->data);
+}
+
+void
+az_gateway_abandon (struct az_gateway *gateway)
+{
+  g_autoptr (GList) jobs = g_hash_table_get_values (gateway->jobs);
+
+  gateway->now_us = az_now_us (gateway->clock);
+  for (GList *link = jobs; link; link = link->next)
+    {
+      struct job *job = link->data;
+
+      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 100,
+                          "the process stops");
+    }
+}
--- /dev/null
+++ b/src/gateway/main.c
@@ -0,0 +1,49 @@
+#include "azurerock/program.h"
+#include "gateway/program.h"
+
+#define FIELD(name) offsetof (struct az_gateway_options, name)
+
+static const struct az_setting schema[] = {
+  { "instance", AZ_SETTING_STRING, FIELD (instance), true, 1, AZ_MAX_NAME,
+    "name of this instance, unique among running ones" },
+  { "domain", AZ_SETTING_STRING, FIELD (domain), true, 1, AZ_MAX_NAME,
+    "failure domain of this instance" },
+  { "jobs_address", AZ_SETTING_ADDRESS, FIELD (jobs_address), true, 0, 0,
+    "where callers send jobs" },
+  { "ready_address", AZ_SETTING_ADDRESS, FIELD (ready_address), true, 0, 0,
+    "where the balancer asks whether this instance takes connections" },
+  { "metrics_address", AZ_SETTING_ADDRESS, FIELD (metrics_address), false, 0, 0,
+    "address of /metrics" },
+  { "peer_address", AZ_SETTING_ADDRESS, FIELD (peer_address), true, 0, 0,
+    "where sidecars and other gateways connect" },
+  { "store_address", AZ_SETTING_ADDRESS, FIELD (store_address), true, 0, 0,
+    "address of the platform's metadata store" },
+  { "seeds", AZ_SETTING_STRINGS, FIELD (seeds), false, 0, 0, "addresses whose hosts run gateways" },
+  { "seed_port", AZ_SETTING_INTEGER, FIELD (seed_port), true, 1, 65535,
+    "port of the peer address of gateways" },
+  { "grace_s", AZ_SETTING_NUMBER, FIELD (grace_s), false, 0, 3600,
+    "time from SIGTERM until the process is killed" },
+  { "remote_factor", AZ_SETTING_NUMBER, FIELD (remote_factor), false, 1, 100,
+    "run time of a task away from the label that it prefers, as a multiple" },
+  { "body_max", AZ_SETTING_INTEGER, FIELD (body_max), false, 1024, 16777216,
+    "longest body of a request, in bytes" },
+};
+
+int
+main (int argc, char **argv)
+{
+  struct az_gateway_options options = { .grace_s = 5, .remote_factor = 1.5, .body_max = 1048576 };
+  const struct az_program program = {
+    .name = "azurerock-gateway",
+    .summary = "Takes jobs from callers and places their tasks on upstreams",
+    .schema = schema,
+    .n_schema = G_N_ELEMENTS (schema),
+    .settings = &options,
+  };
+  int exit_code = AZ_EXIT_SUCCESS;
+
+  if (az_program_start (&program, &argc, &argv, &exit_code))
+    exit_code = az_gateway_program_run (&options);
+  az_settings_clear (schema, G_N_ELEMENTS (schema), &options);
+  return exit_code;
+}
--- /dev/null
+++ b/src/gateway/members.c
@@ -0,0 +1,84 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+#define RECONNECT_MS 1000
+
+void
+az_gateway_know (struct az_gateway *gateway, const char *address)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (!strcmp (address, gateway->settings.address)
+      || g_hash_table_contains (gateway->gateways, address)
+      || g_hash_table_size (gateway->gateways) >= AZ_MAX_ENTRIES)
+    return;
+  g_hash_table_insert (gateway->gateways, g_strdup (address), g_new0 (int64_t, 1));
+  az_log (LOG_NOTICE, "event=gateway-learned address=%s", address);
+  g_hash_table_iter_init (&iterator, gateway->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    az_gateway_tell_members (gateway, ((struct session *)value)->handle);
+}
+
+void
+az_gateway_tell_members (struct az_gateway *gateway, uint32_t session)
+{
+  struct az_message message = { .proc = AZ_NODE_GATEWAYS };
+  char *addresses[AZ_MAX_ENTRIES];
+  GHashTableIter iterator;
+  gpointer key;
+  u_int n = 0;
+
+  g_hash_table_iter_init (&iterator, gateway->gateways);
+  while (n < AZ_MAX_ENTRIES && g_hash_table_iter_next (&iterator, &key, NULL))
+    addresses[n++] = key;
+  message.az_message_u.node_gateways.addresses.addresses_len = n;
+  message.az_message_u.node_gateways.addresses.addresses_val = addresses;
+  gateway->io.send (gateway->io.context, session, &message);
+}
+
+static bool
+is_connected (const struct az_gateway *gateway, const char *address)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, gateway->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct session *session = value;
+
+      if (!g_strcmp0 (session->address, address) || !g_strcmp0 (session->peer_address, address))
+        return true;
+    }
+  return false;
+}
+
+void
+az_gateway_connect_members (struct az_gateway *gateway)
+{
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, gateway->gateways);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      int64_t *retry_us = value;
+
+      if (gateway->now_us < *retry_us || is_connected (gateway, key))
+        continue;
+      *retry_us = gateway->now_us + RECONNECT_MS * AZ_US_PER_MS;
+      gateway->io.connect (gateway->io.context, key);
+    }
+}
+
+void
+az_gateway_refused (struct az_gateway *gateway, const char *address)
+{
+  int64_t *retry_us = g_hash_table_lookup (gateway->gateways, address);
+
+  if (retry_us)
+    *retry_us = az_now_us (gateway->clock) + RECONNECT_MS * AZ_US_PER_MS;
+}
--- /dev/null
+++ b/src/gateway/place.c
@@ -0,0 +1,280 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+/* Slow and ejected upstreams get one task at a time, so often. */
+#define PROBE_EVERY_MS 200
+
+int64_t
+az_gateway_expected_us (const struct az_gateway *gateway,
+                        const struct job *job,
+                        size_t step_index,
+                        const struct upstream *upstream)
+{
+  const struct az_job_step *step = &job->request.steps[step_index];
+  double run_us = MAX (step->estimate_ms, 1) * 1000.0 * job->queue->run_ratio;
+
+  if (!upstream)
+    return (int64_t)run_us;
+  run_us /= upstream->speed;
+  if (step->preferred_label
+      && !g_ptr_array_find_with_equal_func (upstream->labels, step->preferred_label, g_str_equal,
+                                            NULL))
+    run_us *= gateway->settings.remote_factor;
+  return (int64_t)run_us;
+}
+
+static uint32_t
+count_on (const struct job *job, size_t step_index, const struct upstream *upstream)
+{
+  const struct step *step = &job->steps[step_index];
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < job->request.steps[step_index].n_tasks; i++)
+    {
+      const struct task *task = &job->tasks[step->first + i];
+
+      if (task->state != TASK_WAITING && task->upstream == upstream->handle)
+        count++;
+    }
+  return count;
+}
+
+static bool
+is_eligible (const struct az_gateway *gateway,
+             const struct job *job,
+             size_t step_index,
+             const struct upstream *upstream)
+{
+  const struct az_job_step *step = &job->request.steps[step_index];
+
+  if (!upstream->is_open || !upstream->session
+      || strcmp (upstream->service, job->queue->service) != 0
+      || az_gateway_is_withdrawn (gateway, upstream->domain)
+      || !az_resources_fit (&step->need, &upstream->free))
+    return false;
+  if (step->required_label
+      && !g_ptr_array_find_with_equal_func (upstream->labels, step->required_label, g_str_equal,
+                                            NULL))
+    return false;
+  return step->spread_max == 0 || count_on (job, step_index, upstream) < step->spread_max;
+}
+
+/* A task that is small against what its job may still wait for is the one to probe with. */
+static bool
+may_probe (const struct az_gateway *gateway, const struct job *job, const struct upstream *upstream)
+{
+  return upstream->n_tasks == 0 && job->n_done == 0
+         && gateway->now_us - upstream->probed_us >= PROBE_EVERY_MS * AZ_US_PER_MS;
+}
+
+/* In microseconds: run time, distance, and a little for what is in use, so that work spreads. */
+static int64_t
+cost (const struct az_gateway *gateway,
+      const struct job *job,
+      size_t step_index,
+      const struct upstream *upstream)
+{
+  int64_t run_us = az_gateway_expected_us (gateway, job, step_index, upstream);
+  int64_t slack_us = job->objective_us - gateway->now_us - run_us;
+  int64_t result = run_us;
+
+  /* In time anywhere: distance decides, not speed. */
+  if (slack_us > run_us / 4)
+    result = 0;
+  if (strcmp (upstream->domain, gateway->settings.domain) != 0)
+    result += gateway->settings.cross_domain_ms * AZ_US_PER_MS;
+  if (upstream->capacity.cpu_milli > 0)
+    result += 1000 - 1000 * (int64_t)upstream->free.cpu_milli / upstream->capacity.cpu_milli;
+  return result;
+}
+
+struct upstream *
+az_gateway_best_upstream (struct az_gateway *gateway,
+                          const struct job *job,
+                          size_t step_index,
+                          uint32_t avoid)
+{
+  struct upstream *best = NULL;
+  int64_t best_cost = INT64_MAX;
+
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      struct upstream *upstream = gateway->upstreams->pdata[i];
+      int64_t upstream_cost;
+
+      if (upstream->handle == avoid || !is_eligible (gateway, job, step_index, upstream))
+        continue;
+      if (az_gateway_is_probe_only (gateway, upstream)
+          || az_ejector_is_ejected (gateway->ejector, upstream->handle))
+        continue;
+      upstream_cost = cost (gateway, job, step_index, upstream);
+      if (upstream_cost < best_cost)
+        {
+          best = upstream;
+          best_cost = upstream_cost;
+        }
+    }
+  return best;
+}
+
+static struct upstream *
+find_probe (struct az_gateway *gateway, const struct job *job, size_t step_index)
+{
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      struct upstream *upstream = gateway->upstreams->pdata[i];
+      bool is_ejected = az_ejector_is_ejected (gateway->ejector, upstream->handle);
+
+      if (!is_ejected && !az_gateway_is_probe_only (gateway, upstream))
+        continue;
+      if (!may_probe (gateway, job, upstream) || !is_eligible (gateway, job, step_index, upstream))
+        continue;
+      if (is_ejected && !az_ejector_may_start (gateway->ejector, upstream->handle))
+        continue;
+      upstream->probed_us = gateway->now_us;
+      return upstream;
+    }
+  return NULL;
+}
+
+static struct upstream *
+choose (struct az_gateway *gateway, const struct job *job, size_t step_index, uint32_t avoid)
+{
+  struct upstream *upstream = find_probe (gateway, job, step_index);
+
+  if (!upstream)
+    upstream = az_gateway_best_upstream (gateway, job, step_index, avoid);
+  if (!upstream && avoid)
+    upstream = az_gateway_best_upstream (gateway, job, step_index, 0);
+  return upstream;
+}
+
+static void
+assign (struct az_gateway *gateway,
+        struct job *job,
+        size_t step_index,
+        uint32_t index,
+        struct upstream *upstream)
+{
+  const struct az_resources *need = &job->request.steps[step_index].need;
+  struct task *task = &job->tasks[job->steps[step_index].first + index];
+
+  az_ejector_started (gateway->ejector, upstream->handle);
+  task->state = TASK_SENT;
+  task->upstream = upstream->handle;
+  task->attempt++;
+  task->sent_us = gateway->now_us;
+  task->is_stopping = false;
+  task->is_slow_counted = false;
+  job->steps[step_index].n_waiting--;
+  job->n_waiting--;
+  job->n_live++;
+  job->refusable = false;
+  job->has_run = true;
+  upstream->n_tasks++;
+  upstream->used_milli += need->cpu_milli;
+  az_resources_take (&upstream->free, need);
+}
+
+/* Sends the tasks of the step that were just assigned to one upstream, in one message. */
+static void
+send_run (struct az_gateway *gateway,
+          struct job *job,
+          size_t step_index,
+          struct upstream *upstream,
+          GArray *tasks)
+{
+  const struct az_job_step *step = &job->request.steps[step_index];
+  struct az_message message = { .proc = AZ_NODE_RUN };
+  char name[AZ_MAX_NAME];
+
+  g_snprintf (name, sizeof name, "%s.0.%zu", job->id, step_index);
+  message.az_message_u.node_run = (struct az_node_run){
+    .job = job->number,
+    .step = (u_int)step_index,
+    .name = name,
+    .specification = { (u_int)strlen (job->request.specification), job->request.specification },
+    .need = step->need,
+    .deadline_ms = (u_int)MAX ((job->deadline_us - gateway->now_us) / AZ_US_PER_MS, 0),
+    .tasks = { tasks->len, (struct az_run_task *)(void *)tasks->data },
+  };
+  az_gateway_reserve (upstream, &step->need, tasks->len);
+  az_log (LOG_INFO,
+          "event=place job=%s step=%zu tasks=%u upstream=%s waited_ms=%" G_GINT64_FORMAT
+          " free_cpu=%u speed=%.2f left_ms=%" G_GINT64_FORMAT,
+          job->id, step_index, tasks->len, upstream->instance,
+          (gateway->now_us - job->arrived_us) / AZ_US_PER_MS, upstream->free.cpu_milli,
+          upstream->speed, (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
+  gateway->io.send (gateway->io.context, upstream->session, &message);
+}
+
+static gint
+compare_by_upstream (gconstpointer left, gconstpointer right, gpointer data)
+{
+  const struct task *tasks = data;
+  uint32_t a = tasks[((const struct az_run_task *)left)->index].upstream;
+  uint32_t b = tasks[((const struct az_run_task *)right)->index].upstream;
+
+  return a < b ? -1 : a > b;
+}
+
+/* Groups what was assigned by upstream. */
+static void
+send_assigned (struct az_gateway *gateway, struct job *job, size_t step_index, GArray *assigned)
+{
+  struct task *tasks = &job->tasks[job->steps[step_index].first];
+  g_autoptr (GArray) group = g_array_new (FALSE, FALSE, sizeof (struct az_run_task));
+
+  g_array_sort_with_data (assigned, compare_by_upstream, tasks);
+  for (guint i = 0; i < assigned->len; i++)
+    {
+      struct az_run_task row = g_array_index (assigned, struct az_run_task, i);
+      uint32_t upstream = tasks[row.index].upstream;
+
+      g_array_append_val (group, row);
+      if (i + 1 < assigned->len
+          && tasks[g_array_index (assigned, struct az_run_task, i + 1).index].upstream == upstream)
+        continue;
+      send_run (gateway, job, step_index, az_gateway_upstream (gateway, upstream), group);
+      g_array_set_size (group, 0);
+    }
+}
+
+static void
+place_step (struct az_gateway *gateway, struct job *job, size_t step_index)
+{
+  g_autoptr (GArray) assigned = g_array_new (FALSE, FALSE, sizeof (struct az_run_task));
+  const struct step *step = &job->steps[step_index];
+
+  for (uint32_t i = 0; i < job->request.steps[step_index].n_tasks && step->n_waiting > 0; i++)
+    {
+      struct task *task = &job->tasks[step->first + i];
+      struct upstream *upstream;
+      struct az_run_task row = { .index = i };
+
+      if (task->state != TASK_WAITING)
+        continue;
+      upstream = choose (gateway, job, step_index, task->upstream);
+      if (!upstream)
+        break;
+      assign (gateway, job, step_index, i, upstream);
+      row.attempt = task->attempt;
+      g_array_append_val (assigned, row);
+    }
+  if (assigned->len > 0)
+    send_assigned (gateway, job, step_index, assigned);
+}
+
+void
+az_gateway_place (struct az_gateway *gateway, GPtrArray *jobs)
+{
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      struct job *job = jobs->pdata[i];
+
+      for (size_t step = 0; step < job->request.n_steps; step++)
+        if (job->steps[step].n_waiting > 0 && az_gateway_is_step_ready (job, step))
+          place_step (gateway, job, step);
+    }
+}
--- /dev/null
+++ b/src/gateway/program.h
@@ -0,0 +1,98 @@
+#ifndef AZUREROCK_GATEWAY_PROGRAM_H
+#define AZUREROCK_GATEWAY_PROGRAM_H
+
+#include "azurerock/counters.h"
+#include "azurerock/gateway.h"
+#include "azurerock/http_server.h"
+#include "azurerock/rpc.h"
+#include "dispatch/metadata_client.h"
+#include "dispatch/node_loop.h"
+#include <glib.h>
+
+/** struct az_gateway_options - the settings file; times in its units */
+struct az_gateway_options
+{
+  char *instance;
+  char *domain;
+  char *jobs_address;
+  char *ready_address;
+  char *metrics_address;
+  char *peer_address;
+  char *store_address;
+  GPtrArray *seeds;
+  int64_t seed_port;
+  double grace_s;
+  double remote_factor;
+  int64_t body_max;
+};
+
+/** struct az_store_view - what the program knows of the store */
+struct az_store_view
+{
+  GHashTable *withdrawn; /* set of domains */
+  GHashTable *reading;   /* the set that a range read builds up */
+  uint64_t read_revision;
+  uint64_t revision; /* 0: not read yet */
+  int64_t asked_us;
+  uint64_t lease;
+  bool is_reachable;
+  uv_timer_t retry;
+  uv_timer_t member;
+};
+
+struct az_gateway_program
+{
+  const char *settings_path;
+  struct az_gateway_options *options;
+  uv_loop_t *loop;
+  struct az_node_loop node;
+  struct az_rpc *rpc;
+  struct az_http_server *jobs;
+  struct az_http_server *ready;
+  struct az_http_server *metrics;
+  struct az_counters *counters;
+  struct az_metadata_client *store;
+  struct az_store_view view;
+  struct az_gateway *gateway;
+  bool is_stopping;
+  bool is_closed;
+  int64_t stop_us;
+};
+
+/* program_jobs.c: callers */
+bool
+az_gateway_program_open_jobs (struct az_gateway_program *program, GError **error);
+void
+az_gateway_program_answer (void *context, uint32_t caller, const struct az_job_answer *answer);
+
+/* program_status.c: readiness and metrics */
+bool
+az_gateway_program_open_status (struct az_gateway_program *program, GError **error);
+
+/* program_rpc.c: sidecars and other gateways */
+bool
+az_gateway_program_open_rpc (struct az_gateway_program *program, GError **error);
+void
+az_gateway_program_send (void *context, uint32_t session, const struct az_message *message);
+void
+az_gateway_program_close (void *context, uint32_t session, const char *reason);
+void
+az_gateway_program_connect (void *context, const char *address);
+void
+az_gateway_program_know_seeds (struct az_gateway_program *program);
+
+/* program_store.c: configuration, withdrawals and members in the store */
+void
+az_gateway_program_open_store (struct az_gateway_program *program);
+void
+az_gateway_program_close_store (struct az_gateway_program *program);
+void
+az_gateway_program_take_catalog (struct az_gateway_program *program,
+                                 uint64_t revision,
+                                 const char *text,
+                                 size_t length);
+
+int
+az_gateway_program_run (struct az_gateway_options *options);
+
+#endif
--- /dev/null
+++ b/src/gateway/program_jobs.c
@@ -0,0 +1,138 @@
+#include "azurerock/log.h"
+#include "gateway/program.h"
+#include "platform/job.h"
+#include <string.h>
+
+/* After a signal to stop, jobs are taken for this share of the time that the stop may last. */
+#define TAKE_WHILE_STOPPING 0.55
+
+static void
+respond (struct az_gateway_program *program, uint32_t caller, int status, char *body)
+{
+  az_http_server_respond (program->jobs, caller, status, "application/json", body ? body : "",
+                          body ? strlen (body) : 0);
+  g_free (body);
+}
+
+static void
+respond_not_run (struct az_gateway_program *program, uint32_t caller, int64_t retry_after_ms)
+{
+  char seconds[24];
+
+  /* The header counts whole seconds. */
+  g_snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT, (retry_after_ms + 999) / 1000);
+  az_http_server_set_header (program->jobs, caller, "retry-after", seconds);
+  respond (program, caller, 503, NULL);
+}
+
+void
+az_gateway_program_answer (void *context, uint32_t caller, const struct az_job_answer *answer)
+{
+  struct az_gateway_program *program = context;
+
+  switch (answer->outcome)
+    {
+    case AZ_JOB_COMPLETED:
+      respond (program, caller, 200, platform_encode_state (true));
+      break;
+    case AZ_JOB_FAILED:
+      respond (program, caller, 200, platform_encode_state (false));
+      break;
+    case AZ_JOB_NOT_RUN:
+      respond_not_run (program, caller, answer->retry_after_ms);
+      break;
+    }
+}
+
+static bool
+takes_jobs (const struct az_gateway_program *program)
+{
+  double stopping_s = (double)((int64_t)(uv_hrtime () / 1000) - program->stop_us) / 1e6;
+
+  return !program->is_stopping || stopping_s < program->options->grace_s * TAKE_WHILE_STOPPING;
+}
+
+static void
+submit (struct az_gateway_program *program,
+        const struct az_http_request *request,
+        const struct az_route *route,
+        const char *id)
+{
+  const char *deadline
+      = az_http_server_header (program->jobs, request->handle, PLATFORM_DEADLINE_HEADER);
+  int64_t wait_ms = deadline ? g_ascii_strtoll (deadline, NULL, 10) : route->timeout_ms;
+  struct az_job_request job;
+
+  if (!platform_decode_job (request->body, request->body_length, &job))
+    {
+      az_log (LOG_INFO, "event=refuse job=%s outcome=400 reason=malformed", id);
+      respond (program, request->handle, 400, NULL);
+      return;
+    }
+  if (job.unsupported || !takes_jobs (program))
+    {
+      az_log (LOG_INFO, "event=refuse job=%s outcome=503 reason=%s", id,
+              job.unsupported ? job.unsupported : "stopping");
+      az_job_request_clear (&job);
+      respond_not_run (program, request->handle, 1000);
+      return;
+    }
+  az_gateway_submit (program->gateway, request->handle, route, id, &job, wait_ms);
+}
+
+static void
+cancel (struct az_gateway_program *program, uint32_t caller, const char *id)
+{
+  respond (program, caller, az_gateway_cancel (program->gateway, id) ? 200 : 410, NULL);
+}
+
+static void
+on_request (void *context, const struct az_http_request *request)
+{
+  struct az_gateway_program *program = context;
+  const struct az_catalog *catalog = az_gateway_catalog (program->gateway);
+  const struct az_route *route;
+  const char *id;
+
+  if (!catalog)
+    {
+      respond_not_run (program, request->handle, 1000);
+      return;
+    }
+  route = az_catalog_find (catalog, request->host, request->path);
+  if (!route)
+    {
+      respond (program, request->handle, 404, NULL);
+      return;
+    }
+  id = request->path + strlen (route->prefix);
+  if (!strcmp (request->method, "GET") && !id[0])
+    respond (program, request->handle, 200,
+             platform_encode_pending (az_gateway_pending (program->gateway, route->name)));
+  else if (!platform_is_job_id (id))
+    respond (program, request->handle, 404, NULL);
+  else if (!strcmp (request->method, "POST"))
+    submit (program, request, route, id);
+  else if (!strcmp (request->method, "DELETE"))
+    cancel (program, request->handle, id);
+  else
+    respond (program, request->handle, 410, NULL);
+}
+
+static void
+on_gone (void *context, uint32_t handle)
+{
+  struct az_gateway_program *program = context;
+
+  az_gateway_caller_gone (program->gateway, handle);
+}
+
+bool
+az_gateway_program_open_jobs (struct az_gateway_program *program, GError **error)
+{
+  const struct az_http_handlers handlers = { on_request, on_gone, program };
+
+  program->jobs = az_http_server_create (program->loop, program->options->jobs_address,
+                                         (size_t)program->options->body_max, &handlers, error);
+  return program->jobs != NULL;
+}
--- /dev/null
+++ b/src/gateway/program_run.c
@@ -0,0 +1,155 @@
+#include "azurerock/log.h"
+#include "azurerock/program.h"
+#include "gateway/program.h"
+
+#define TICK_MS 20
+
+/* A sidecar ends a session after this silence; both sides use the same bound. */
+#define SESSION_MS 450
+
+/* What ran in a lost session has ended: the session's silence, a stop there, or the lease. */
+#define LOSS_MS 900
+
+/* Share of the time for a stop after which open jobs are given up. */
+#define ABANDON_SHARE 0.83
+
+/* The balancer notices after two seconds that no more connections are wanted. */
+#define STOP_MIN_S 2.6
+
+static void
+on_flush (void *context)
+{
+  struct az_gateway_program *program = context;
+
+  if (program->is_closed)
+    return;
+  az_gateway_flush (program->gateway);
+  az_rpc_flush (program->rpc);
+}
+
+static void
+close_program (struct az_gateway_program *program)
+{
+  program->is_closed = true;
+  az_gateway_abandon (program->gateway);
+  az_http_server_stop_accepting (program->jobs);
+  az_http_server_destroy (program->jobs);
+  az_http_server_destroy (program->ready);
+  az_http_server_destroy (program->metrics);
+  az_gateway_program_close_store (program);
+  az_rpc_destroy (program->rpc);
+  az_node_loop_close (&program->node);
+  az_program_release_signals ();
+}
+
+static void
+on_tick (void *context)
+{
+  struct az_gateway_program *program = context;
+  double stopping_s = (double)((int64_t)(uv_hrtime () / 1000) - program->stop_us) / 1e6;
+  bool is_idle;
+
+  az_gateway_tick (program->gateway);
+  if (!program->is_stopping)
+    return;
+  is_idle = az_gateway_n_jobs (program->gateway) == 0
+            && az_http_server_n_connections (program->jobs) == 0;
+  if (stopping_s > program->options->grace_s * ABANDON_SHARE
+      || (is_idle && stopping_s > STOP_MIN_S))
+    close_program (program);
+}
+
+static void
+on_hangup (void *context)
+{
+  struct az_gateway_program *program = context;
+
+  /* Addresses are those of the process; only the seeds may change in its life. */
+  az_log (LOG_NOTICE, "event=reload outcome=seeds-read");
+  az_gateway_program_know_seeds (program);
+}
+
+static void
+on_stop (void *context)
+{
+  struct az_gateway_program *program = context;
+
+  program->is_stopping = true;
+  program->stop_us = (int64_t)(uv_hrtime () / 1000);
+  az_log (LOG_NOTICE, "event=stopping jobs=%zu", az_gateway_n_jobs (program->gateway));
+  az_http_server_close_after_responses (program->jobs);
+}
+
+static void
+create_core (struct az_gateway_program *program)
+{
+  const struct az_gateway_options *options = program->options;
+  const struct az_gateway_io io = {
+    .send = az_gateway_program_send,
+    .close = az_gateway_program_close,
+    .connect = az_gateway_program_connect,
+    .answer = az_gateway_program_answer,
+    .context = program,
+  };
+  const struct az_gateway_settings settings = {
+    .instance = options->instance,
+    .domain = options->domain,
+    .address = options->peer_address,
+    .session_ms = SESSION_MS,
+    .loss_ms = LOSS_MS,
+    .cross_domain_ms = 4,
+    .remote_factor = options->remote_factor,
+  };
+
+  program->counters = az_counters_create ();
+  program->gateway = az_gateway_create (&settings, az_random_incarnation (), az_clock_system (),
+                                        &io, program->counters);
+}
+
+static bool
+open_program (struct az_gateway_program *program, GError **error)
+{
+  create_core (program);
+  if (!az_gateway_program_open_status (program, error)
+      || !az_gateway_program_open_jobs (program, error)
+      || !az_gateway_program_open_rpc (program, error))
+    return false;
+  az_gateway_program_know_seeds (program);
+  az_gateway_program_open_store (program);
+  program->node = (struct az_node_loop){
+    .loop = program->loop,
+    .flush = on_flush,
+    .tick = on_tick,
+    .hangup = on_hangup,
+    .context = program,
+  };
+  az_node_loop_open (&program->node, TICK_MS);
+  az_program_on_stop (program->loop, on_stop, program);
+  return true;
+}
+
+int
+az_gateway_program_run (struct az_gateway_options *options)
+{
+  struct az_gateway_program program = { .options = options, .loop = uv_default_loop () };
+  g_autoptr (GError) error = NULL;
+  int exit_code = AZ_EXIT_SUCCESS;
+
+  az_log_buffer ();
+  if (open_program (&program, &error))
+    {
+      az_log (LOG_NOTICE, "event=start instance=%s domain=%s jobs=%s peers=%s", options->instance,
+              options->domain, options->jobs_address, options->peer_address);
+      uv_run (program.loop, UV_RUN_DEFAULT);
+      az_log (LOG_NOTICE, "event=stop instance=%s", options->instance);
+    }
+  else
+    {
+      az_log (LOG_ERR, "event=start outcome=failed reason=\"%s\"", error->message);
+      exit_code = AZ_EXIT_FAILURE;
+    }
+  az_gateway_destroy (program.gateway);
+  az_counters_destroy (program.counters);
+  az_log_flush ();
+  return exit_code;
+}
--- /dev/null
+++ b/src/gateway/program_store.c
@@ -0,0 +1,282 @@
+#include "azurerock/log.h"
+#include "dispatch/members.h"
+#include "gateway/program.h"
+#include "platform/operator.h"
+#include <string.h>
+
+/* An answer to a watch is proof that nothing was withdrawn until then, so it may not wait long. */
+#define WATCH_MS 1200
+#define RETRY_MS 150
+
+#define LEASE_MS 15000
+#define MEMBER_EVERY_MS 4000
+#define MEMBER_RETRY_MS 1500
+
+/* An answer may be this old on its arrival. */
+#define ANSWER_AGE_MAX_US 300000
+
+static void
+read_all (struct az_gateway_program *program, const char *after);
+
+static void
+watch (struct az_gateway_program *program);
+
+static int64_t
+now_us (void)
+{
+  return (int64_t)(uv_hrtime () / 1000);
+}
+
+static void
+on_retry (uv_timer_t *timer)
+{
+  struct az_gateway_program *program = timer->data;
+
+  if (program->view.revision > 0)
+    watch (program);
+  else
+    read_all (program, NULL);
+}
+
+static void
+retry (struct az_gateway_program *program)
+{
+  if (!program->is_closed)
+    uv_timer_start (&program->view.retry, on_retry, RETRY_MS, 0);
+}
+
+static void
+set_reachable (struct az_gateway_program *program, bool is_reachable)
+{
+  if (program->view.is_reachable != is_reachable)
+    az_log (LOG_NOTICE, "event=store outcome=%s revision=%" G_GUINT64_FORMAT,
+            is_reachable ? "regained" : "lost", program->view.revision);
+  program->view.is_reachable = is_reachable;
+}
+
+void
+az_gateway_program_take_catalog (struct az_gateway_program *program,
+                                 uint64_t revision,
+                                 const char *text,
+                                 size_t length)
+{
+  size_t n_unreadable;
+  struct az_catalog *catalog = platform_decode_catalog (text, length, &n_unreadable);
+
+  if (!catalog)
+    {
+      az_log (LOG_WARNING,
+              "event=configuration-ignored revision=%" G_GUINT64_FORMAT " reason=unreadable",
+              revision);
+      return;
+    }
+  if (n_unreadable > 0)
+    az_log (LOG_WARNING,
+            "event=routes-ignored count=%zu revision=%" G_GUINT64_FORMAT " reason=unreadable",
+            n_unreadable, revision);
+  az_gateway_set_catalog (program->gateway, catalog, revision, text, length);
+}
+
+static void
+take_item (struct az_gateway_program *program,
+           GHashTable *withdrawn,
+           const struct az_metadata_item *item)
+{
+  const char *domain = platform_withdrawn_domain (item->key);
+
+  if (domain && item->value)
+    g_hash_table_add (withdrawn, g_strdup (domain));
+  else if (domain)
+    g_hash_table_remove (withdrawn, domain);
+  else if (item->value && !strcmp (item->key, PLATFORM_CONFIGURATION_KEY))
+    az_gateway_program_take_catalog (program, item->revision, item->value, item->length);
+}
+
+static void
+tell_withdrawn (struct az_gateway_program *program, int64_t age_us)
+{
+  guint n_domains;
+  g_autofree gpointer *domains
+      = g_hash_table_get_keys_as_array (program->view.withdrawn, &n_domains);
+
+  az_gateway_set_withdrawn (program->gateway, program->view.revision, age_us / 1000,
+                            (const char *const *)domains, n_domains);
+}
+
+static void
+watched (void *context, struct az_metadata_answer *answer)
+{
+  struct az_gateway_program *program = context;
+  struct az_store_view *view = &program->view;
+
+  if (program->is_closed)
+    return;
+  if (answer->result == AZ_METADATA_HISTORY_GONE)
+    {
+      az_log (LOG_NOTICE, "event=store-history-gone revision=%" G_GUINT64_FORMAT, view->revision);
+      view->revision = 0;
+      read_all (program, NULL);
+      return;
+    }
+  set_reachable (program, answer->result == AZ_METADATA_OK);
+  if (answer->result != AZ_METADATA_OK)
+    {
+      retry (program);
+      return;
+    }
+  for (size_t i = 0; i < answer->n_items; i++)
+    take_item (program, view->withdrawn, &answer->items[i]);
+  view->revision = MAX (view->revision, answer->revision);
+  tell_withdrawn (program, MIN (now_us () - view->asked_us, ANSWER_AGE_MAX_US));
+  watch (program);
+}
+
+static void
+watch (struct az_gateway_program *program)
+{
+  program->view.asked_us = now_us ();
+  az_metadata_watch (program->store, PLATFORM_OPERATOR_PREFIX, program->view.revision, WATCH_MS,
+                     watched, program);
+}
+
+static void
+all_read (void *context, struct az_metadata_answer *answer)
+{
+  struct az_gateway_program *program = context;
+  struct az_store_view *view = &program->view;
+
+  if (program->is_closed)
+    return;
+  set_reachable (program, answer->result == AZ_METADATA_OK);
+  if (answer->result != AZ_METADATA_OK)
+    {
+      retry (program);
+      return;
+    }
+  for (size_t i = 0; i < answer->n_items; i++)
+    take_item (program, view->reading, &answer->items[i]);
+  /* Pages are no snapshot: what changed after the first one is watched for. */
+  if (view->read_revision == 0)
+    view->read_revision = answer->revision;
+  if (answer->has_more && answer->n_items > 0)
+    {
+      read_all (program, answer->items[answer->n_items - 1].key);
+      return;
+    }
+  g_hash_table_unref (view->withdrawn);
+  view->withdrawn = g_steal_pointer (&view->reading);
+  view->revision = view->read_revision;
+  tell_withdrawn (program, now_us () - view->asked_us);
+  watch (program);
+}
+
+static void
+read_all (struct az_gateway_program *program, const char *after)
+{
+  struct az_store_view *view = &program->view;
+
+  if (!after)
+    {
+      g_clear_pointer (&view->reading, g_hash_table_unref);
+      view->reading = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      view->read_revision = 0;
+      view->asked_us = now_us ();
+    }
+  az_metadata_range (program->store, PLATFORM_OPERATOR_PREFIX, after, all_read, program);
+}
+
+static void
+on_member_timer (uv_timer_t *timer);
+
+static void
+arm_member (struct az_gateway_program *program, uint64_t ms)
+{
+  if (!program->is_closed)
+    uv_timer_start (&program->view.member, on_member_timer, ms, 0);
+}
+
+static void
+renewed (void *context, struct az_metadata_answer *answer)
+{
+  struct az_gateway_program *program = context;
+
+  if (answer->result == AZ_METADATA_NOT_FOUND)
+    program->view.lease = 0;
+  arm_member (program, answer->result == AZ_METADATA_OK ? MEMBER_EVERY_MS : MEMBER_RETRY_MS);
+}
+
+static void
+registered (void *context, struct az_metadata_answer *answer)
+{
+  struct az_gateway_program *program = context;
+
+  if (answer->result != AZ_METADATA_OK)
+    program->view.lease = 0;
+  arm_member (program, answer->result == AZ_METADATA_OK ? MEMBER_EVERY_MS : MEMBER_RETRY_MS);
+}
+
+static void
+leased (void *context, struct az_metadata_answer *answer)
+{
+  struct az_gateway_program *program = context;
+  g_autofree char *key = g_strconcat (AZ_MEMBERS_PREFIX, program->options->instance, NULL);
+
+  if (program->is_closed || answer->result != AZ_METADATA_OK || answer->lease == 0)
+    {
+      arm_member (program, MEMBER_RETRY_MS);
+      return;
+    }
+  program->view.lease = answer->lease;
+  az_metadata_write (program->store, key, program->options->peer_address, answer->lease, registered,
+                     program);
+}
+
+static void
+members_read (void *context, struct az_metadata_answer *answer)
+{
+  struct az_gateway_program *program = context;
+
+  if (program->is_closed)
+    return;
+  for (size_t i = 0; i < answer->n_items; i++)
+    if (answer->items[i].value)
+      az_gateway_know (program->gateway, answer->items[i].value);
+}
+
+static void
+on_member_timer (uv_timer_t *timer)
+{
+  struct az_gateway_program *program = timer->data;
+
+  if (program->view.lease)
+    az_metadata_renew (program->store, program->view.lease, renewed, program);
+  else
+    az_metadata_lease (program->store, LEASE_MS, leased, program);
+}
+
+void
+az_gateway_program_open_store (struct az_gateway_program *program)
+{
+  struct az_store_view *view = &program->view;
+
+  view->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  uv_timer_init (program->loop, &view->retry);
+  uv_timer_init (program->loop, &view->member);
+  view->retry.data = view->member.data = program;
+  program->store = az_metadata_client_create (program->loop, program->options->store_address);
+  read_all (program, NULL);
+  az_metadata_range (program->store, AZ_MEMBERS_PREFIX, NULL, members_read, program);
+  on_member_timer (&view->member);
+}
+
+void
+az_gateway_program_close_store (struct az_gateway_program *program)
+{
+  struct az_store_view *view = &program->view;
+
+  az_metadata_client_destroy (program->store);
+  uv_close ((uv_handle_t *)&view->retry, NULL);
+  uv_close ((uv_handle_t *)&view->member, NULL);
+  g_hash_table_unref (view->withdrawn);
+  g_clear_pointer (&view->reading, g_hash_table_unref);
+}
--- /dev/null
+++ b/src/gateway/progress.c
@@ -0,0 +1,82 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+
+/* A task whose run is projected to take this many times the expected time shows a slow upstream. */
+#define SLOW_FACTOR 2.2
+
+/* A task is moved when it would end so much sooner elsewhere, its start there included. */
+#define MOVE_GAIN 1.5
+#define MOVE_COST_MS 30
+#define MOVES_MAX 2
+
+static void
+stop_one (struct az_gateway *gateway,
+          const struct job *job,
+          const struct upstream *upstream,
+          const struct az_task_progress *progress)
+{
+  struct az_message message = { .proc = AZ_NODE_STOP };
+  u_int index = progress->index;
+
+  message.az_message_u.node_stop = (struct az_node_stop){
+    .job = job->number,
+    .step = progress->step,
+    .indexes = { 1, &index },
+  };
+  gateway->io.send (gateway->io.context, upstream->session, &message);
+}
+
+static bool
+is_better_elsewhere (struct az_gateway *gateway,
+                     const struct job *job,
+                     const struct az_task_progress *progress,
+                     const struct upstream *here)
+{
+  struct upstream *other = az_gateway_best_upstream (gateway, job, progress->step, here->handle);
+  int64_t left_ms = progress->projected_ms == UINT32_MAX
+                        ? INT32_MAX
+                        : (int64_t)progress->projected_ms - progress->elapsed_ms;
+  int64_t run_ms;
+
+  if (!other)
+    return false;
+  run_ms = az_gateway_expected_us (gateway, job, progress->step, other) / AZ_US_PER_MS;
+  if (gateway->now_us + run_ms * AZ_US_PER_MS > job->deadline_us)
+    return false;
+  return (double)left_ms > (double)run_ms * MOVE_GAIN + MOVE_COST_MS;
+}
+
+void
+az_gateway_take_progress (struct az_gateway *gateway,
+                          struct upstream *upstream,
+                          const struct az_task_progress *progress)
+{
+  struct job *job = g_hash_table_lookup (gateway->jobs, &progress->job);
+  struct task *task;
+  int64_t expected_us;
+
+  if (!job || job->is_ending || progress->step >= job->request.n_steps
+      || progress->index >= job->request.steps[progress->step].n_tasks)
+    return;
+  task = &job->tasks[job->steps[progress->step].first + progress->index];
+  if (task->state != TASK_SENT || task->upstream != upstream->handle || task->is_stopping)
+    return;
+  expected_us = az_gateway_expected_us (gateway, job, progress->step, NULL);
+  if ((double)progress->projected_ms * AZ_US_PER_MS < (double)expected_us * SLOW_FACTOR)
+    return;
+  if (!task->is_slow_counted)
+    az_gateway_learn_slow (gateway, upstream, expected_us,
+                           (int64_t)MIN (progress->projected_ms, 1000000) * AZ_US_PER_MS);
+  task->is_slow_counted = true;
+  if (task->n_moved >= MOVES_MAX || !is_better_elsewhere (gateway, job, progress, upstream))
+    return;
+  task->n_moved++;
+  task->is_stopping = true;
+  az_counters_add (gateway->counters, gateway->c_moved, 1);
+  az_log (LOG_INFO,
+          "event=move job=%s task=%u.%u upstream=%s elapsed_ms=%u projected_ms=%u "
+          "expected_ms=%" G_GINT64_FORMAT,
+          job->id, progress->step, progress->index, upstream->instance, progress->elapsed_ms,
+          progress->projected_ms, expected_us / AZ_US_PER_MS);
+  stop_one (gateway, job, upstream, progress);
+}
--- /dev/null
+++ b/src/gateway/sessions.c
@@ -0,0 +1,205 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+#define PULSE_BUSY_MS 100
+#define PULSE_IDLE_MS 400
+
+/* A session without tasks is given up later: nothing depends on it. */
+#define IDLE_SESSION_FACTOR 4
+
+struct session *
+az_gateway_session (const struct az_gateway *gateway, uint32_t handle)
+{
+  return g_hash_table_lookup (gateway->sessions, GUINT_TO_POINTER (handle));
+}
+
+void
+az_gateway_session_opened (struct az_gateway *gateway, uint32_t handle, const char *outgoing)
+{
+  struct az_message hello = { .proc = AZ_NODE_HELLO };
+  struct session *session = g_new0 (struct session, 1);
+
+  gateway->now_us = az_now_us (gateway->clock);
+  session->handle = handle;
+  session->address = g_strdup (outgoing);
+  session->heard_us = gateway->now_us;
+  g_hash_table_insert (gateway->sessions, GUINT_TO_POINTER (handle), session);
+  hello.az_message_u.node_hello = (struct az_node_hello){
+    .incarnation = gateway->incarnation,
+    .instance = (char *)gateway->settings.instance,
+    .domain = (char *)gateway->settings.domain,
+    .address = (char *)gateway->settings.address,
+  };
+  gateway->io.send (gateway->io.context, handle, &hello);
+  az_gateway_tell_members (gateway, handle);
+  az_gateway_relay (gateway, handle);
+}
+
+void
+az_gateway_session_closed (struct az_gateway *gateway, uint32_t handle, const char *reason)
+{
+  struct session *session = az_gateway_session (gateway, handle);
+  struct upstream *upstream;
+
+  if (!session)
+    return;
+  gateway->now_us = az_now_us (gateway->clock);
+  upstream = az_gateway_upstream (gateway, session->upstream);
+  az_log (LOG_NOTICE, "event=session-lost peer=%s silent_ms=%" G_GINT64_FORMAT " reason=\"%s\"",
+          session->instance ? session->instance : "-",
+          (gateway->now_us - session->heard_us) / AZ_US_PER_MS, reason);
+  if (upstream && upstream->session == handle)
+    {
+      upstream->session = 0;
+      upstream->is_open = false;
+      az_gateway_lose_tasks (gateway, upstream, reason);
+    }
+  g_hash_table_remove (gateway->sessions, GUINT_TO_POINTER (handle));
+}
+
+static void
+take_hello (struct az_gateway *gateway, struct session *session, const struct az_node_hello *hello)
+{
+  struct upstream *upstream;
+
+  if (hello->incarnation == gateway->incarnation)
+    {
+      gateway->io.close (gateway->io.context, session->handle, "connected to itself");
+      return;
+    }
+  g_free (session->instance);
+  session->instance = g_strdup (hello->instance);
+  az_log (LOG_NOTICE, "event=session-opened peer=%s domain=%s", hello->instance, hello->domain);
+  if (hello->address[0])
+    {
+      g_free (session->peer_address);
+      session->peer_address = g_strdup (hello->address);
+      az_gateway_know (gateway, hello->address);
+      return;
+    }
+  upstream = az_gateway_find_upstream (gateway, hello->instance, hello->domain);
+  if (upstream->session && upstream->session != session->handle)
+    {
+      uint32_t former = upstream->session;
+
+      az_gateway_session_closed (gateway, former, "replaced by a newer session");
+      gateway->io.close (gateway->io.context, former, "replaced");
+    }
+  session->upstream = upstream->handle;
+  upstream->session = session->handle;
+  upstream->n_sent = 0;
+  g_array_set_size (upstream->sent, 0);
+}
+
+static void
+take_report (struct az_gateway *gateway,
+             struct upstream *upstream,
+             const struct az_node_report *report)
+{
+  az_gateway_take_room (upstream, report);
+  gateway->needs_placing = true;
+  for (u_int i = 0; i < report->events.events_len; i++)
+    az_gateway_take_event (gateway, upstream, &report->events.events_val[i]);
+  for (u_int i = 0; i < report->progress.progress_len; i++)
+    az_gateway_take_progress (gateway, upstream, &report->progress.progress_val[i]);
+}
+
+static void
+take_withdrawn (struct az_gateway *gateway, const struct az_node_withdrawn *withdrawn)
+{
+  az_gateway_set_withdrawn (gateway, withdrawn->revision, withdrawn->age_ms,
+                            (const char *const *)withdrawn->domains.domains_val,
+                            withdrawn->domains.domains_len);
+}
+
+static void
+take_members (struct az_gateway *gateway, const struct az_node_gateways *members)
+{
+  for (u_int i = 0; i < members->addresses.addresses_len; i++)
+    az_gateway_know (gateway, members->addresses.addresses_val[i]);
+}
+
+void
+az_gateway_received (struct az_gateway *gateway, uint32_t handle, const struct az_message *message)
+{
+  struct session *session = az_gateway_session (gateway, handle);
+  struct upstream *upstream;
+
+  if (!session)
+    return;
+  gateway->now_us = az_now_us (gateway->clock);
+  session->heard_us = gateway->now_us;
+  upstream = az_gateway_upstream (gateway, session->upstream);
+  switch (message->proc)
+    {
+    case AZ_NODE_HELLO:
+      take_hello (gateway, session, &message->az_message_u.node_hello);
+      break;
+    case AZ_NODE_GATEWAYS:
+      take_members (gateway, &message->az_message_u.node_gateways);
+      break;
+    case AZ_NODE_WITHDRAWN:
+      take_withdrawn (gateway, &message->az_message_u.node_withdrawn);
+      break;
+    case AZ_NODE_UPSTREAM:
+      if (upstream)
+        az_gateway_take_upstream (gateway, upstream, &message->az_message_u.node_upstream);
+      break;
+    case AZ_NODE_REPORT:
+      if (upstream)
+        take_report (gateway, upstream, &message->az_message_u.node_report);
+      break;
+    default:
+      break;
+    }
+}
+
+static bool
+has_tasks (const struct az_gateway *gateway, const struct session *session)
+{
+  const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
+
+  return upstream && upstream->n_tasks > 0;
+}
+
+void
+az_gateway_expire_sessions (struct az_gateway *gateway)
+{
+  g_autoptr (GList) sessions = g_hash_table_get_values (gateway->sessions);
+
+  for (GList *link = sessions; link; link = link->next)
+    {
+      struct session *session = link->data;
+      uint32_t handle = session->handle;
+      int64_t limit_ms = gateway->settings.session_ms;
+
+      if (!has_tasks (gateway, session))
+        limit_ms *= IDLE_SESSION_FACTOR;
+      if (gateway->now_us - session->heard_us <= limit_ms * AZ_US_PER_MS)
+        continue;
+      az_gateway_session_closed (gateway, handle, "silent");
+      gateway->io.close (gateway->io.context, handle, "silent");
+    }
+}
+
+void
+az_gateway_pulse (struct az_gateway *gateway)
+{
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+  GHashTableIter iterator;
+  gpointer value;
+
+  pulse.az_message_u.node_pulse.waiting_cpu_milli = gateway->waiting_milli;
+  g_hash_table_iter_init (&iterator, gateway->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct session *session = value;
+      int64_t every_ms = has_tasks (gateway, session) ? PULSE_BUSY_MS : PULSE_IDLE_MS;
+
+      if (gateway->now_us - session->pulsed_us < every_ms * AZ_US_PER_MS)
+        continue;
+      session->pulsed_us = gateway->now_us;
+      gateway->io.send (gateway->io.context, session->handle, &pulse);
+    }
+}
--- /dev/null
+++ b/src/gateway/upstreams.c
@@ -0,0 +1,103 @@
+#include "azurerock/log.h"
+#include "gateway/board.h"
+#include <string.h>
+
+struct upstream *
+az_gateway_upstream (const struct az_gateway *gateway, uint32_t handle)
+{
+  if (handle == 0 || handle > gateway->upstreams->len)
+    return NULL;
+  return gateway->upstreams->pdata[handle - 1];
+}
+
+struct upstream *
+az_gateway_find_upstream (struct az_gateway *gateway, const char *instance, const char *domain)
+{
+  struct upstream *upstream;
+
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      upstream = gateway->upstreams->pdata[i];
+      if (!strcmp (upstream->instance, instance))
+        return upstream;
+    }
+  upstream = g_new0 (struct upstream, 1);
+  upstream->instance = g_strdup (instance);
+  upstream->domain = g_strdup (domain);
+  upstream->service = g_strdup ("");
+  upstream->labels = g_ptr_array_new_with_free_func (g_free);
+  upstream->sent = g_array_new (FALSE, FALSE, sizeof (struct sent_room));
+  upstream->speed = 1;
+  g_ptr_array_add (gateway->upstreams, upstream);
+  upstream->handle = gateway->upstreams->len;
+  az_ejector_add (gateway->ejector, upstream->handle);
+  return upstream;
+}
+
+static void
+begin_life (struct az_gateway *gateway,
+            struct upstream *upstream,
+            const struct az_node_upstream *told)
+{
+  upstream->life = told->life;
+  upstream->speed = 1;
+  upstream->n_slow = 0;
+  az_ejector_remove (gateway->ejector, upstream->handle);
+  az_ejector_add (gateway->ejector, upstream->handle);
+  g_free (upstream->service);
+  upstream->service = g_strdup (told->service);
+  g_ptr_array_set_size (upstream->labels, 0);
+  for (u_int i = 0; i < told->labels.labels_len; i++)
+    g_ptr_array_add (upstream->labels, g_strdup (told->labels.labels_val[i]));
+}
+
+void
+az_gateway_take_upstream (struct az_gateway *gateway,
+                          struct upstream *upstream,
+                          const struct az_node_upstream *told)
+{
+  if (upstream->life != told->life || strcmp (upstream->service, told->service) != 0)
+    begin_life (gateway, upstream, told);
+  upstream->capacity = told->capacity;
+  if (upstream->is_open != told->open)
+    az_log (LOG_NOTICE, "event=upstream instance=%s life=%" G_GUINT64_FORMAT " open=%s cpu=%u",
+            upstream->instance, upstream->life, told->open ? "yes" : "no",
+            upstream->capacity.cpu_milli);
+  upstream->is_open = told->open;
+  /* A sidecar opens a session only when nothing of this gateway's former ones is left. */
+  if (told->open)
+    az_gateway_settle_tasks (gateway, upstream);
+  gateway->needs_placing = true;
+}
+
+static void
+count_free (struct upstream *upstream)
+{
+  upstream->free = upstream->reported;
+  for (guint i = 0; i < upstream->sent->len; i++)
+    az_resources_take (&upstream->free,
+                       &g_array_index (upstream->sent, struct sent_room, i).amount);
+}
+
+void
+az_gateway_take_room (struct upstream *upstream, const struct az_node_report *report)
+{
+  guint counted = 0;
+
+  while (counted < upstream->sent->len
+         && g_array_index (upstream->sent, struct sent_room, counted).number <= report->received)
+    counted++;
+  g_array_remove_range (upstream->sent, 0, counted);
+  upstream->reported = report->free;
+  count_free (upstream);
+}
+
+void
+az_gateway_reserve (struct upstream *upstream, const struct az_resources *need, uint32_t n_tasks)
+{
+  struct sent_room room = { .number = ++upstream->n_sent };
+
+  for (uint32_t i = 0; i < n_tasks; i++)
+    az_resources_add (&room.amount, need);
+  g_array_append_val (upstream->sent, room);
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -30,6 +30,7 @@
   struct az_table_rows *requests; /* rows are struct pending */
   GHashTable *callers;
   char *local_address;
+  bool closes_connections;
   bool stopped; /* the listener is closed or closing */
   bool listener_closed;
   bool destroyed;
@@ -105,7 +106,7 @@
 
   az_http_caller_set_request (pending->caller, 0);
   az_table_rows_remove (server->requests, handle);
-  if (server->stopped)
+  if (server->stopped || server->closes_connections)
     request->http1_is_persistent = 0;
   request->res.status = status;
   request->res.reason = status < 300 ? "OK" : "Error";
@@ -178,6 +179,7 @@
     .method = copy_text (request, request->method.base, request->method.len),
     .path = copy_text (request, request->path.base, path_length),
     .query = "",
+    .host = copy_text (request, request->authority.base, request->authority.len),
     .body = request->entity.base ? request->entity.base : "",
     .body_length = request->entity.len,
   };
@@ -370,6 +372,18 @@
     call (caller);
 }
 
+void
+az_http_server_close_after_responses (struct az_http_server *server)
+{
+  server->closes_connections = true;
+}
+
+size_t
+az_http_server_n_connections (const struct az_http_server *server)
+{
+  return g_hash_table_size (server->callers);
+}
+
 void
 az_http_server_stop_accepting (struct az_http_server *server)
 {
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -278,6 +278,123 @@
 	az_job_id job;
 };
 
+/*
+ * Dispatch by resources: gateways hold jobs, sidecars own the room of their upstream instance.
+ * Both sides begin with NODE_HELLO. A connection is a session: what a gateway started through it
+ * ends with it.
+ */
+const AZ_MAX_SPECIFICATION = 8192;
+const AZ_MAX_LABELS = 32;
+const AZ_MAX_RUN = 4096;
+
+typedef opaque az_specification<AZ_MAX_SPECIFICATION>;
+
+struct az_resources {
+	unsigned int cpu_milli;
+	unsigned int memory_mb;
+	unsigned int accelerators;
+};
+
+/* address is where a gateway accepts connections; a sidecar leaves it empty. */
+struct az_node_hello {
+	unsigned hyper incarnation;
+	az_name instance;
+	az_name domain;
+	az_address address;
+};
+
+struct az_node_gateways {
+	az_address addresses<AZ_MAX_ENTRIES>;
+};
+
+/* A published configuration as the store holds it, relayed between gateways. */
+struct az_node_catalog {
+	unsigned hyper revision;
+	opaque text<AZ_MAX_CONFIG>;
+};
+
+/* Withdrawn failure domains as of a revision of the store that was current age_ms ago. */
+struct az_node_withdrawn {
+	unsigned hyper revision;
+	unsigned int age_ms;
+	az_name domains<AZ_MAX_ENTRIES>;
+};
+
+/* life numbers the incarnations of the upstream; open tells whether it takes starts. */
+struct az_node_upstream {
+	unsigned hyper life;
+	bool open;
+	az_name service;
+	az_name labels<AZ_MAX_LABELS>;
+	az_resources capacity;
+};
+
+struct az_run_task {
+	unsigned int index;
+	unsigned int attempt;
+};
+
+/* name is that of the step; a task's name is name.index. job is the gateway's number of the job. */
+struct az_node_run {
+	unsigned hyper job;
+	unsigned int step;
+	az_name name;
+	az_specification specification;
+	az_resources need;
+	unsigned int deadline_ms;
+	az_run_task tasks<AZ_MAX_RUN>;
+};
+
+/* All tasks of the step if indexes is empty. */
+struct az_node_stop {
+	unsigned hyper job;
+	unsigned int step;
+	unsigned int indexes<AZ_MAX_RUN>;
+};
+
+/* How a task that was sent to a sidecar has ended. */
+enum az_task_end {
+	AZ_TASK_DONE = 0,
+	AZ_TASK_FAILED = 1,
+	AZ_TASK_STOPPED = 2,
+	AZ_TASK_LOST = 3,
+	AZ_TASK_NO_ROOM = 4,
+	AZ_TASK_CLOSED = 5,
+	AZ_TASK_UNHEALTHY = 6
+};
+
+struct az_task_event {
+	unsigned hyper job;
+	unsigned int step;
+	unsigned int index;
+	unsigned int attempt;
+	az_task_end how;
+	unsigned int run_ms;
+};
+
+/* projected_ms is the whole run time that the progress so far leads to; all ones for a task that
+ * stands still. */
+struct az_task_progress {
+	unsigned hyper job;
+	unsigned int step;
+	unsigned int index;
+	unsigned int elapsed_ms;
+	unsigned int projected_ms;
+};
+
+/* received counts the run messages of this connection that free takes into account. */
+struct az_node_report {
+	unsigned int received;
+	az_resources free;
+	az_task_event events<AZ_MAX_RUN>;
+	az_task_progress progress<AZ_MAX_RUN>;
+};
+
+/* Renews the session; waiting_cpu_milli is what the gateway has no room for. */
+struct az_node_pulse {
+	unsigned int waiting_cpu_milli;
+};
+
 enum az_proc {
 	AZ_PROC_NULL = 0,
 	AZ_HELLO = 1,
@@ -304,7 +421,16 @@
 	AZ_CONFIG = 22,
 	AZ_SUBMIT = 23,
 	AZ_ANSWER = 24,
-	AZ_CANCEL_JOB = 25
+	AZ_CANCEL_JOB = 25,
+	AZ_NODE_HELLO = 26,
+	AZ_NODE_GATEWAYS = 27,
+	AZ_NODE_CATALOG = 28,
+	AZ_NODE_WITHDRAWN = 29,
+	AZ_NODE_UPSTREAM = 30,
+	AZ_NODE_RUN = 31,
+	AZ_NODE_STOP = 32,
+	AZ_NODE_REPORT = 33,
+	AZ_NODE_PULSE = 34
 };
 
 union az_message switch (az_proc proc) {
@@ -360,4 +486,22 @@
 	az_answer answer;
 case AZ_CANCEL_JOB:
 	az_cancel_job cancel_job;
+case AZ_NODE_HELLO:
+	az_node_hello node_hello;
+case AZ_NODE_GATEWAYS:
+	az_node_gateways node_gateways;
+case AZ_NODE_CATALOG:
+	az_node_catalog node_catalog;
+case AZ_NODE_WITHDRAWN:
+	az_node_withdrawn node_withdrawn;
+case AZ_NODE_UPSTREAM:
+	az_node_upstream node_upstream;
+case AZ_NODE_RUN:
+	az_node_run node_run;
+case AZ_NODE_STOP:
+	az_node_stop node_stop;
+case AZ_NODE_REPORT:
+	az_node_report node_report;
+case AZ_NODE_PULSE:
+	az_node_pulse node_pulse;
 };
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -368,6 +368,147 @@
 	az_job_id job;
 };
 typedef struct az_cancel_job az_cancel_job;
+#define AZ_MAX_SPECIFICATION 8192
+#define AZ_MAX_LABELS 32
+#define AZ_MAX_RUN 4096
+
+typedef struct {
+	u_int az_specification_len;
+	char *az_specification_val;
+} az_specification;
+
+struct az_resources {
+	u_int cpu_milli;
+	u_int memory_mb;
+	u_int accelerators;
+};
+typedef struct az_resources az_resources;
+
+struct az_node_hello {
+	u_quad_t incarnation;
+	az_name instance;
+	az_name domain;
+	az_address address;
+};
+typedef struct az_node_hello az_node_hello;
+
+struct az_node_gateways {
+	struct {
+		u_int addresses_len;
+		az_address *addresses_val;
+	} addresses;
+};
+typedef struct az_node_gateways az_node_gateways;
+
+struct az_node_catalog {
+	u_quad_t revision;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+typedef struct az_node_catalog az_node_catalog;
+
+struct az_node_withdrawn {
+	u_quad_t revision;
+	u_int age_ms;
+	struct {
+		u_int domains_len;
+		az_name *domains_val;
+	} domains;
+};
+typedef struct az_node_withdrawn az_node_withdrawn;
+
+struct az_node_upstream {
+	u_quad_t life;
+	bool_t open;
+	az_name service;
+	struct {
+		u_int labels_len;
+		az_name *labels_val;
+	} labels;
+	az_resources capacity;
+};
+typedef struct az_node_upstream az_node_upstream;
+
+struct az_run_task {
+	u_int index;
+	u_int attempt;
+};
+typedef struct az_run_task az_run_task;
+
+struct az_node_run {
+	u_quad_t job;
+	u_int step;
+	az_name name;
+	az_specification specification;
+	az_resources need;
+	u_int deadline_ms;
+	struct {
+		u_int tasks_len;
+		az_run_task *tasks_val;
+	} tasks;
+};
+typedef struct az_node_run az_node_run;
+
+struct az_node_stop {
+	u_quad_t job;
+	u_int step;
+	struct {
+		u_int indexes_len;
+		u_int *indexes_val;
+	} indexes;
+};
+typedef struct az_node_stop az_node_stop;
+
+enum az_task_end {
+	AZ_TASK_DONE = 0,
+	AZ_TASK_FAILED = 1,
+	AZ_TASK_STOPPED = 2,
+	AZ_TASK_LOST = 3,
+	AZ_TASK_NO_ROOM = 4,
+	AZ_TASK_CLOSED = 5,
+	AZ_TASK_UNHEALTHY = 6,
+};
+typedef enum az_task_end az_task_end;
+
+struct az_task_event {
+	u_quad_t job;
+	u_int step;
+	u_int index;
+	u_int attempt;
+	az_task_end how;
+	u_int run_ms;
+};
+typedef struct az_task_event az_task_event;
+
+struct az_task_progress {
+	u_quad_t job;
+	u_int step;
+	u_int index;
+	u_int elapsed_ms;
+	u_int projected_ms;
+};
+typedef struct az_task_progress az_task_progress;
+
+struct az_node_report {
+	u_int received;
+	az_resources free;
+	struct {
+		u_int events_len;
+		az_task_event *events_val;
+	} events;
+	struct {
+		u_int progress_len;
+		az_task_progress *progress_val;
+	} progress;
+};
+typedef struct az_node_report az_node_report;
+
+struct az_node_pulse {
+	u_int waiting_cpu_milli;
+};
+typedef struct az_node_pulse az_node_pulse;
 
 enum az_proc {
 	AZ_PROC_NULL = 0,
@@ -396,6 +537,15 @@
 	AZ_SUBMIT = 23,
 	AZ_ANSWER = 24,
 	AZ_CANCEL_JOB = 25,
+	AZ_NODE_HELLO = 26,
+	AZ_NODE_GATEWAYS = 27,
+	AZ_NODE_CATALOG = 28,
+	AZ_NODE_WITHDRAWN = 29,
+	AZ_NODE_UPSTREAM = 30,
+	AZ_NODE_RUN = 31,
+	AZ_NODE_STOP = 32,
+	AZ_NODE_REPORT = 33,
+	AZ_NODE_PULSE = 34,
 };
 typedef enum az_proc az_proc;
 
@@ -427,6 +577,15 @@
 		az_submit submit;
 		az_answer answer;
 		az_cancel_job cancel_job;
+		az_node_hello node_hello;
+		az_node_gateways node_gateways;
+		az_node_catalog node_catalog;
+		az_node_withdrawn node_withdrawn;
+		az_node_upstream node_upstream;
+		az_node_run node_run;
+		az_node_stop node_stop;
+		az_node_report node_report;
+		az_node_pulse node_pulse;
 	} az_message_u;
 };
 typedef struct az_message az_message;
@@ -478,6 +637,21 @@
 extern  bool_t xdr_az_task_result (XDR *, az_task_result*);
 extern  bool_t xdr_az_answer (XDR *, az_answer*);
 extern  bool_t xdr_az_cancel_job (XDR *, az_cancel_job*);
+extern  bool_t xdr_az_specification (XDR *, az_specification*);
+extern  bool_t xdr_az_resources (XDR *, az_resources*);
+extern  bool_t xdr_az_node_hello (XDR *, az_node_hello*);
+extern  bool_t xdr_az_node_gateways (XDR *, az_node_gateways*);
+extern  bool_t xdr_az_node_catalog (XDR *, az_node_catalog*);
+extern  bool_t xdr_az_node_withdrawn (XDR *, az_node_withdrawn*);
+extern  bool_t xdr_az_node_upstream (XDR *, az_node_upstream*);
+extern  bool_t xdr_az_run_task (XDR *, az_run_task*);
+extern  bool_t xdr_az_node_run (XDR *, az_node_run*);
+extern  bool_t xdr_az_node_stop (XDR *, az_node_stop*);
+extern  bool_t xdr_az_task_end (XDR *, az_task_end*);
+extern  bool_t xdr_az_task_event (XDR *, az_task_event*);
+extern  bool_t xdr_az_task_progress (XDR *, az_task_progress*);
+extern  bool_t xdr_az_node_report (XDR *, az_node_report*);
+extern  bool_t xdr_az_node_pulse (XDR *, az_node_pulse*);
 extern  bool_t xdr_az_proc (XDR *, az_proc*);
 extern  bool_t xdr_az_message (XDR *, az_message*);
 
@@ -526,6 +700,21 @@
 extern bool_t xdr_az_task_result ();
 extern bool_t xdr_az_answer ();
 extern bool_t xdr_az_cancel_job ();
+extern bool_t xdr_az_specification ();
+extern bool_t xdr_az_resources ();
+extern bool_t xdr_az_node_hello ();
+extern bool_t xdr_az_node_gateways ();
+extern bool_t xdr_az_node_catalog ();
+extern bool_t xdr_az_node_withdrawn ();
+extern bool_t xdr_az_node_upstream ();
+extern bool_t xdr_az_run_task ();
+extern bool_t xdr_az_node_run ();
+extern bool_t xdr_az_node_stop ();
+extern bool_t xdr_az_task_end ();
+extern bool_t xdr_az_task_event ();
+extern bool_t xdr_az_task_progress ();
+extern bool_t xdr_az_node_report ();
+extern bool_t xdr_az_node_pulse ();
 extern bool_t xdr_az_proc ();
 extern bool_t xdr_az_message ();
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -654,6 +654,319 @@
 	return TRUE;
 }
 
+bool_t
+xdr_az_specification (XDR *xdrs, az_specification *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->az_specification_val, (u_int *) &objp->az_specification_len, AZ_MAX_SPECIFICATION))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_resources (XDR *xdrs, az_resources *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_hello (XDR *xdrs, az_node_hello *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_az_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_az_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_az_address (xdrs, &objp->address))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_gateways (XDR *xdrs, az_node_gateways *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, AZ_MAX_ENTRIES,
+		sizeof (az_address), (xdrproc_t) xdr_az_address))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_catalog (XDR *xdrs, az_node_catalog *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, AZ_MAX_CONFIG))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_withdrawn (XDR *xdrs, az_node_withdrawn *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, AZ_MAX_ENTRIES,
+		sizeof (az_name), (xdrproc_t) xdr_az_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_upstream (XDR *xdrs, az_node_upstream *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->life))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->open))
+		 return FALSE;
+	 if (!xdr_az_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, AZ_MAX_LABELS,
+		sizeof (az_name), (xdrproc_t) xdr_az_name))
+		 return FALSE;
+	 if (!xdr_az_resources (xdrs, &objp->capacity))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_run_task (XDR *xdrs, az_run_task *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_run (XDR *xdrs, az_node_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_az_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_az_specification (xdrs, &objp->specification))
+		 return FALSE;
+	 if (!xdr_az_resources (xdrs, &objp->need))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, AZ_MAX_RUN,
+		sizeof (az_run_task), (xdrproc_t) xdr_az_run_task))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_stop (XDR *xdrs, az_node_stop *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->indexes.indexes_val, (u_int *) &objp->indexes.indexes_len, AZ_MAX_RUN,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_task_end (XDR *xdrs, az_task_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_task_event (XDR *xdrs, az_task_event *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->index);
+		IXDR_PUT_U_LONG(buf, objp->attempt);
+		}
+		 if (!xdr_az_task_end (xdrs, &objp->how))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->run_ms))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+
+		} else {
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->index = IXDR_GET_U_LONG(buf);
+		objp->attempt = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_az_task_end (xdrs, &objp->how))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->run_ms))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_az_task_end (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_task_progress (XDR *xdrs, az_task_progress *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->elapsed_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->projected_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->index);
+			IXDR_PUT_U_LONG(buf, objp->elapsed_ms);
+			IXDR_PUT_U_LONG(buf, objp->projected_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->elapsed_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->projected_ms))
+				 return FALSE;
+		} else {
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->index = IXDR_GET_U_LONG(buf);
+			objp->elapsed_ms = IXDR_GET_U_LONG(buf);
+			objp->projected_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->elapsed_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->projected_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_report (XDR *xdrs, az_node_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->received))
+		 return FALSE;
+	 if (!xdr_az_resources (xdrs, &objp->free))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->events.events_val, (u_int *) &objp->events.events_len, AZ_MAX_RUN,
+		sizeof (az_task_event), (xdrproc_t) xdr_az_task_event))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->progress.progress_val, (u_int *) &objp->progress.progress_len, AZ_MAX_RUN,
+		sizeof (az_task_progress), (xdrproc_t) xdr_az_task_progress))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_pulse (XDR *xdrs, az_node_pulse *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_az_proc (XDR *xdrs, az_proc *objp)
 {
@@ -774,6 +1087,42 @@
 		 if (!xdr_az_cancel_job (xdrs, &objp->az_message_u.cancel_job))
 			 return FALSE;
 		break;
+	case AZ_NODE_HELLO:
+		 if (!xdr_az_node_hello (xdrs, &objp->az_message_u.node_hello))
+			 return FALSE;
+		break;
+	case AZ_NODE_GATEWAYS:
+		 if (!xdr_az_node_gateways (xdrs, &objp->az_message_u.node_gateways))
+			 return FALSE;
+		break;
+	case AZ_NODE_CATALOG:
+		 if (!xdr_az_node_catalog (xdrs, &objp->az_message_u.node_catalog))
+			 return FALSE;
+		break;
+	case AZ_NODE_WITHDRAWN:
+		 if (!xdr_az_node_withdrawn (xdrs, &objp->az_message_u.node_withdrawn))
+			 return FALSE;
+		break;
+	case AZ_NODE_UPSTREAM:
+		 if (!xdr_az_node_upstream (xdrs, &objp->az_message_u.node_upstream))
+			 return FALSE;
+		break;
+	case AZ_NODE_RUN:
+		 if (!xdr_az_node_run (xdrs, &objp->az_message_u.node_run))
+			 return FALSE;
+		break;
+	case AZ_NODE_STOP:
+		 if (!xdr_az_node_stop (xdrs, &objp->az_message_u.node_stop))
+			 return FALSE;
+		break;
+	case AZ_NODE_REPORT:
+		 if (!xdr_az_node_report (xdrs, &objp->az_message_u.node_report))
+			 return FALSE;
+		break;
+	case AZ_NODE_PULSE:
+		 if (!xdr_az_node_pulse (xdrs, &objp->az_message_u.node_pulse))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/proto/message.c
+++ b/src/proto/message.c
@@ -60,6 +60,15 @@
   [AZ_SUBMIT] = { "SUBMIT", (xdrproc_t)xdr_az_submit },
   [AZ_ANSWER] = { "ANSWER", (xdrproc_t)xdr_az_answer },
   [AZ_CANCEL_JOB] = { "CANCEL_JOB", (xdrproc_t)xdr_az_cancel_job },
+  [AZ_NODE_HELLO] = { "NODE_HELLO", (xdrproc_t)xdr_az_node_hello },
+  [AZ_NODE_GATEWAYS] = { "NODE_GATEWAYS", (xdrproc_t)xdr_az_node_gateways },
+  [AZ_NODE_CATALOG] = { "NODE_CATALOG", (xdrproc_t)xdr_az_node_catalog },
+  [AZ_NODE_WITHDRAWN] = { "NODE_WITHDRAWN", (xdrproc_t)xdr_az_node_withdrawn },
+  [AZ_NODE_UPSTREAM] = { "NODE_UPSTREAM", (xdrproc_t)xdr_az_node_upstream },
+  [AZ_NODE_RUN] = { "NODE_RUN", (xdrproc_t)xdr_az_node_run },
+  [AZ_NODE_STOP] = { "NODE_STOP", (xdrproc_t)xdr_az_node_stop },
+  [AZ_NODE_REPORT] = { "NODE_REPORT", (xdrproc_t)xdr_az_node_report },
+  [AZ_NODE_PULSE] = { "NODE_PULSE", (xdrproc_t)xdr_az_node_pulse },
 };
 
 static const struct procedure *
@@ -244,6 +253,10 @@
   if (message->proc == AZ_RECORDS)
     for (u_int i = 0; i < records->records.records_len; i++)
       valid &= is_status (records->records.records_val[i].status);
+  if (message->proc == AZ_NODE_REPORT)
+    for (u_int i = 0; i < message->az_message_u.node_report.events.events_len; i++)
+      valid &= (unsigned)message->az_message_u.node_report.events.events_val[i].how
+               <= AZ_TASK_UNHEALTHY;
   if (message->proc == AZ_ANSWER)
     valid &= (unsigned)message->az_message_u.answer.outcome <= AZ_OUTCOME_UNKNOWN;
   return valid;
--- /dev/null
+++ b/src/sidecar/board.h
@@ -0,0 +1,188 @@
+#ifndef AZUREROCK_SIDECAR_BOARD_H
+#define AZUREROCK_SIDECAR_BOARD_H
+
+#include "azurerock/resources.h"
+#include "azurerock/sidecar.h"
+#include "azurerock/table.h"
+#include "dispatch/time_us.h"
+#include "sidecar/lease.h"
+#include <glib.h>
+
+enum task_state
+{
+  TASK_STARTING,  /* the order to start is out */
+  TASK_RUNNING,   /* the upstream has accepted it */
+  TASK_UNCERTAIN, /* the order to start has no answer */
+};
+
+/**
+ * struct task - one task that runs, or may run, at the upstream
+ * @session: 0 once the session is gone; nobody is told of its end then
+ * @owner: instance of the gateway; NULL for what an earlier life of this process started
+ * @life: number of the upstream's life that it was sent to
+ * @stop_sent: an order to stop is out
+ * @is_stop_proven: the upstream took the order to stop: the attempt won't start any more
+ * @seen_hold: a hold with a higher number that lists no trace of it proves that it is gone
+ * @listed_hold: number of the last hold that listed it as running
+ * @order_end_us: from then on the upstream refuses the order to start, if it comes late
+ * @gone_us: from then on it can't run, whatever the upstream answers
+ */
+struct task
+{
+  uint32_t session;
+  char *owner;
+  uint64_t life;
+  uint64_t job;
+  uint32_t step;
+  uint32_t index;
+  char *name;
+  uint32_t attempt;
+  uint32_t n_retries;
+  struct az_resources need;
+  GBytes *specification;
+  enum task_state state;
+  bool stop_wanted;
+  bool stop_sent;
+  bool is_stop_proven;
+  uint64_t seen_hold;
+  uint64_t listed_hold;
+  int64_t started_us;
+  int64_t order_end_us;
+  int64_t gone_us;
+  uint32_t percent;
+  int64_t percent_us; /* when @percent last changed */
+  int64_t told_us;    /* when its progress was last reported */
+};
+
+/** struct session - the connection of one gateway */
+struct session
+{
+  uint32_t handle;
+  char *gateway; /* instance, NULL before its hello */
+  int64_t heard_us;
+  int64_t reported_us;
+  uint32_t received; /* run messages */
+  uint32_t n_tasks;
+  uint32_t waiting_cpu_milli;
+  bool is_open_told;
+  uint64_t life_told;
+  uint32_t free_told_milli;
+  GArray *events;   /* struct az_task_event */
+  GArray *progress; /* struct az_task_progress */
+};
+
+/** struct life - one incarnation of the upstream */
+struct life
+{
+  uint64_t number; /* 0: none announced yet */
+  char *instance;
+  char *service;
+  char *address;
+  int64_t born_ms;
+  uint64_t sequence;
+  bool is_draining;
+  bool has_left;
+  bool is_fenced; /* it has seen our fence, and nothing of an earlier life of ours runs */
+  struct az_resources capacity;
+  GPtrArray *labels;
+};
+
+struct hold_state
+{
+  uint64_t number; /* of the last hold sent */
+  bool in_flight;
+  unsigned n_failed; /* in a row */
+  int64_t sent_us;
+  int64_t retry_us;
+  uint64_t seen;
+};
+
+struct withdrawal
+{
+  uint64_t revision;
+  int64_t known_us; /* when the news was current; 0: never */
+  bool is_withdrawn;
+};
+
+struct az_sidecar
+{
+  struct az_sidecar_settings settings;
+  uint64_t incarnation;
+  const struct az_clock *clock;
+  struct az_sidecar_io io;
+  struct az_counters *counters;
+  uint32_t n_started;
+  uint32_t n_refused;
+  uint32_t n_lost;
+  uint32_t n_stopped;
+  int64_t now_us;
+  GHashTable *sessions; /* handle -> struct session * */
+  struct az_table_rows *tasks;
+  GHashTable *task_names; /* name -> handle */
+  struct life life;
+  struct az_lease lease;
+  struct hold_state hold;
+  struct withdrawal withdrawal;
+  struct az_resources used;
+  uint64_t fence;
+  uint64_t fence_step;
+  bool is_stopping;
+};
+
+/* sessions.c */
+struct session *
+az_sidecar_session (const struct az_sidecar *sidecar, uint32_t handle);
+void
+az_sidecar_expire_sessions (struct az_sidecar *sidecar);
+
+/* tasks.c */
+struct task *
+az_sidecar_task (const struct az_sidecar *sidecar, uint32_t handle);
+uint32_t
+az_sidecar_find_task (const struct az_sidecar *sidecar, const char *name);
+void
+az_sidecar_run (struct az_sidecar *sidecar, struct session *session, const struct az_node_run *run);
+void
+az_sidecar_stop_tasks (struct az_sidecar *sidecar,
+                       uint32_t session,
+                       const struct az_node_stop *stop);
+void
+az_sidecar_want_stop (struct az_sidecar *sidecar, uint32_t handle);
+
+/** az_sidecar_adopt - a task of an earlier life of this process was found running: stops it */
+void
+az_sidecar_adopt (struct az_sidecar *sidecar, const char *name, uint32_t attempt);
+
+/** az_sidecar_end_task - tells the gateway and frees the room */
+void
+az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how);
+void
+az_sidecar_expire_tasks (struct az_sidecar *sidecar);
+bool
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner);
+
+/* life.c */
+bool
+az_sidecar_is_open (const struct az_sidecar *sidecar);
+const char *
+az_sidecar_closed_reason (const struct az_sidecar *sidecar);
+
+/* hold.c */
+void
+az_sidecar_hold_again (struct az_sidecar *sidecar);
+void
+az_sidecar_raise_fence (struct az_sidecar *sidecar);
+
+/* reports.c */
+struct az_resources
+az_sidecar_free (const struct az_sidecar *sidecar);
+void
+az_sidecar_queue_event (struct az_sidecar *sidecar,
+                        struct session *session,
+                        const struct az_task_event *event);
+void
+az_sidecar_queue_progress (struct session *session, const struct az_task_progress *progress);
+void
+az_sidecar_report (struct az_sidecar *sidecar, struct session *session);
+
+#endif
--- /dev/null
+++ b/src/sidecar/core.c
@@ -0,0 +1,96 @@
+#include "azurerock/log.h"
+#include "sidecar/board.h"
+
+static void
+free_session (gpointer value)
+{
+  struct session *session = value;
+
+  g_array_unref (session->events);
+  g_array_unref (session->progress);
+  g_free (session->gateway);
+  g_free (session);
+}
+
+struct az_sidecar *
+az_sidecar_create (const struct az_sidecar_settings *settings,
+                   uint64_t incarnation,
+                   const struct az_clock *clock,
+                   const struct az_sidecar_io *io,
+                   struct az_counters *counters)
+{
+  struct az_sidecar *sidecar = g_new0 (struct az_sidecar, 1);
+
+  sidecar->settings = *settings;
+  sidecar->incarnation = incarnation;
+  sidecar->clock = clock;
+  sidecar->io = *io;
+  sidecar->counters = counters;
+  sidecar->n_started = az_counters_register (counters, "azurerock_sidecar_starts_total",
+                                             "Tasks that were ordered to start");
+  sidecar->n_refused = az_counters_register (counters, "azurerock_sidecar_refusals_total",
+                                             "Tasks refused for want of room or a closed upstream");
+  sidecar->n_lost = az_counters_register (counters, "azurerock_sidecar_lost_total",
+                                          "Tasks whose end was not seen at the upstream");
+  sidecar->n_stopped = az_counters_register (counters, "azurerock_sidecar_stopped_total",
+                                             "Tasks that were stopped");
+  sidecar->now_us = az_now_us (clock);
+  sidecar->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
+  sidecar->tasks = az_table_rows_create (sizeof (struct task *));
+  sidecar->task_names = g_hash_table_new (g_str_hash, g_str_equal);
+  /* Above the fence of every earlier life, unless the clock was set back meanwhile. */
+  sidecar->fence = (uint64_t)az_clock_wall_ms (clock);
+  sidecar->fence_step = 10000;
+  return sidecar;
+}
+
+void
+az_sidecar_destroy (struct az_sidecar *sidecar)
+{
+  uint32_t handle;
+
+  if (!sidecar)
+    return;
+  while ((handle = az_table_rows_next (sidecar->tasks, 0)))
+    az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+  g_hash_table_unref (sidecar->sessions);
+  g_hash_table_unref (sidecar->task_names);
+  az_table_rows_destroy (sidecar->tasks);
+  g_free (sidecar->life.instance);
+  g_free (sidecar->life.service);
+  g_free (sidecar->life.address);
+  if (sidecar->life.labels)
+    g_ptr_array_unref (sidecar->life.labels);
+  g_free (sidecar);
+}
+
+void
+az_sidecar_tick (struct az_sidecar *sidecar)
+{
+  sidecar->now_us = az_now_us (sidecar->clock);
+  az_sidecar_expire_sessions (sidecar);
+  az_sidecar_expire_tasks (sidecar);
+  az_sidecar_hold_again (sidecar);
+}
+
+void
+az_sidecar_stop (struct az_sidecar *sidecar)
+{
+  sidecar->is_stopping = true;
+  az_log (LOG_NOTICE, "event=stopping tasks=%u", az_table_rows_count (sidecar->tasks));
+}
+
+void
+az_sidecar_abandon (struct az_sidecar *sidecar)
+{
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    az_sidecar_want_stop (sidecar, handle);
+}
+
+bool
+az_sidecar_is_idle (const struct az_sidecar *sidecar)
+{
+  return az_table_rows_count (sidecar->tasks) == 0;
+}
--- /dev/null
+++ b/src/sidecar/hold.c
@@ -0,0 +1,216 @@
+#include "azurerock/log.h"
+#include "sidecar/board.h"
+
+/* With tasks, the answer waits less, so that progress is known and the lease renewed often. */
+#define WAIT_BUSY_MS 150
+#define WAIT_IDLE_MS 500
+#define RETRY_MS 40
+
+/* An earlier life of this process used a higher fence, for example before its clock was set back.
+ * The steps double, so that a few orders reach it. */
+#define FENCE_STEP 10000
+
+void
+az_sidecar_raise_fence (struct az_sidecar *sidecar)
+{
+  sidecar->fence += sidecar->fence_step;
+  sidecar->fence_step *= 2;
+  az_log (LOG_NOTICE, "event=fence-raised fence=%" G_GUINT64_FORMAT, sidecar->fence);
+}
+
+static int64_t
+choose_wait_ms (const struct az_sidecar *sidecar)
+{
+  if (!sidecar->life.is_fenced || sidecar->hold.n_failed > 0)
+    return 0;
+  return az_table_rows_count (sidecar->tasks) > 0 ? WAIT_BUSY_MS : WAIT_IDLE_MS;
+}
+
+/* The upstream may carry out a renewal whose answer is lost, so the bounds move when it is sent. */
+static void
+renew_tasks (struct az_sidecar *sidecar, int64_t lease_end_clock_ms)
+{
+  int64_t gone_us = az_lease_gone_us (&sidecar->lease, lease_end_clock_ms)
+                    + sidecar->settings.stop_ms * AZ_US_PER_MS;
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    {
+      struct task *task = az_sidecar_task (sidecar, handle);
+
+      if (task->life == sidecar->life.number)
+        task->gone_us = MAX (task->gone_us, gone_us);
+    }
+}
+
+void
+az_sidecar_hold_again (struct az_sidecar *sidecar)
+{
+  struct hold_state *hold = &sidecar->hold;
+  bool renews = sidecar->lease.is_known && sidecar->life.is_fenced;
+  struct az_upstream_hold call = {
+    .instance = sidecar->life.instance,
+    .fence = sidecar->fence,
+    .seen = hold->seen,
+    .wait_ms = choose_wait_ms (sidecar),
+  };
+
+  if (hold->in_flight || sidecar->life.number == 0 || sidecar->now_us < hold->retry_us)
+    return;
+  if (renews && az_table_rows_count (sidecar->tasks) > 0)
+    {
+      call.lease_end_clock_ms
+          = az_lease_end_clock (&sidecar->lease, sidecar->settings.lease_ms, sidecar->now_us);
+      renew_tasks (sidecar, call.lease_end_clock_ms);
+    }
+  hold->in_flight = true;
+  hold->number++;
+  hold->sent_us = sidecar->now_us;
+  sidecar->io.hold (sidecar->io.context, hold->number, &call);
+}
+
+static void
+take_ends (struct az_sidecar *sidecar, const struct az_upstream_lists *lists)
+{
+  for (size_t i = 0; i < lists->n_ended; i++)
+    {
+      const struct az_upstream_ended *ended = &lists->ended[i];
+      uint32_t handle = az_sidecar_find_task (sidecar, ended->task);
+      const struct task *task = az_sidecar_task (sidecar, handle);
+
+      sidecar->hold.seen = MAX (sidecar->hold.seen, ended->number);
+      if (task && task->attempt == ended->attempt && task->life == sidecar->life.number)
+        az_sidecar_end_task (sidecar, handle, ended->how);
+    }
+}
+
+#define PROGRESS_AFTER_MS 100
+#define PROGRESS_EVERY_MS 140
+#define STANDSTILL_MS 250
+
+static void
+tell_progress (struct az_sidecar *sidecar, struct task *task)
+{
+  struct session *session = az_sidecar_session (sidecar, task->session);
+  int64_t elapsed_us = sidecar->now_us - task->started_us;
+  struct az_task_progress progress = {
+    .job = task->job,
+    .step = task->step,
+    .index = task->index,
+    .elapsed_ms = (u_int)(elapsed_us / AZ_US_PER_MS),
+    .projected_ms = UINT32_MAX,
+  };
+
+  if (!session || elapsed_us < PROGRESS_AFTER_MS * AZ_US_PER_MS
+      || sidecar->now_us - task->told_us < PROGRESS_EVERY_MS * AZ_US_PER_MS)
+    return;
+  if (task->percent == 0 && elapsed_us < STANDSTILL_MS * AZ_US_PER_MS)
+    return;
+  if (task->percent > 0 && sidecar->now_us - task->percent_us < STANDSTILL_MS * AZ_US_PER_MS)
+    progress.projected_ms
+        = (u_int)MIN (elapsed_us * 100 / task->percent / AZ_US_PER_MS, UINT32_MAX - 1);
+  task->told_us = sidecar->now_us;
+  az_sidecar_queue_progress (session, &progress);
+}
+
+static void
+take_active (struct az_sidecar *sidecar, const struct az_upstream_lists *lists, uint64_t number)
+{
+  for (size_t i = 0; i < lists->n_active; i++)
+    {
+      const struct az_upstream_active *active = &lists->active[i];
+      uint32_t handle = az_sidecar_find_task (sidecar, active->task);
+      struct task *task = az_sidecar_task (sidecar, handle);
+
+      if (!task)
+        {
+          az_sidecar_adopt (sidecar, active->task, active->attempt);
+          continue;
+        }
+      if (task->attempt != active->attempt || task->life != sidecar->life.number)
+        continue;
+      task->listed_hold = number;
+      if (active->percent != task->percent)
+        task->percent_us = sidecar->now_us;
+      task->percent = active->percent;
+      tell_progress (sidecar, task);
+    }
+}
+
+/* Whether a hold that doesn't list the task proves that it is gone: its start or stop was answered
+ * before the hold was sent, or the order to start was too old by then to be carried out. */
+static bool
+is_settled_by (const struct az_sidecar *sidecar, const struct task *task, uint64_t number)
+{
+  if (task->listed_hold == number)
+    return false;
+  if (task->seen_hold != UINT64_MAX)
+    return task->seen_hold < number;
+  return task->state == TASK_UNCERTAIN && task->order_end_us < sidecar->hold.sent_us;
+}
+
+static void
+take_missing (struct az_sidecar *sidecar, uint64_t number)
+{
+  uint32_t handle = az_table_rows_next (sidecar->tasks, 0);
+
+  while (handle)
+    {
+      uint32_t next = az_table_rows_next (sidecar->tasks, handle);
+      struct task *task = az_sidecar_task (sidecar, handle);
+
+      if (task->life == sidecar->life.number && is_settled_by (sidecar, task, number))
+        az_sidecar_end_task (sidecar, handle,
+                             task->is_stop_proven ? AZ_TASK_STOPPED : AZ_TASK_LOST);
+      handle = next;
+    }
+}
+
+static void
+take_lists (struct az_sidecar *sidecar, uint64_t number, const struct az_upstream_lists *lists)
+{
+  az_lease_observe (&sidecar->lease, lists->answer.clock_ms, sidecar->now_us);
+  take_ends (sidecar, lists);
+  take_active (sidecar, lists, number);
+  take_missing (sidecar, number);
+  if (!sidecar->life.is_fenced && lists->n_active == 0)
+    {
+      sidecar->life.is_fenced = true;
+      az_log (LOG_NOTICE, "event=upstream-open instance=%s fence=%" G_GUINT64_FORMAT,
+              sidecar->life.instance, sidecar->fence);
+    }
+  if (lists->n_unreadable > 0)
+    az_log (LOG_WARNING, "event=rows-ignored count=%zu reason=unreadable", lists->n_unreadable);
+}
+
+void
+az_sidecar_hold_answered (struct az_sidecar *sidecar,
+                          uint64_t number,
+                          const struct az_upstream_lists *lists)
+{
+  struct hold_state *hold = &sidecar->hold;
+
+  sidecar->now_us = az_now_us (sidecar->clock);
+  if (number != hold->number || !hold->in_flight)
+    return;
+  hold->in_flight = false;
+  switch (lists->answer.result)
+    {
+    case AZ_UPSTREAM_OK:
+      hold->n_failed = 0;
+      take_lists (sidecar, number, lists);
+      break;
+    case AZ_UPSTREAM_FENCED:
+      az_sidecar_raise_fence (sidecar);
+      break;
+    default:
+      hold->n_failed++;
+      hold->retry_us = sidecar->now_us + RETRY_MS * AZ_US_PER_MS;
+      if (hold->n_failed <= 2)
+        az_log (LOG_WARNING, "event=hold-failed instance=%s outcome=%s in_a_row=%u tasks=%u",
+                sidecar->life.instance, az_upstream_result_name (lists->answer.result),
+                hold->n_failed, az_table_rows_count (sidecar->tasks));
+      break;
+    }
+  az_sidecar_hold_again (sidecar);
+}
--- /dev/null
+++ b/src/sidecar/life.c
@@ -0,0 +1,147 @@
+#include "azurerock/log.h"
+#include "sidecar/board.h"
+#include <string.h>
+
+/* Failed holds in a row after which the upstream counts as silent. */
+#define SILENT_AFTER 2
+
+const char *
+az_sidecar_closed_reason (const struct az_sidecar *sidecar)
+{
+  const struct withdrawal *withdrawal = &sidecar->withdrawal;
+
+  if (sidecar->is_stopping)
+    return "stopping";
+  if (sidecar->life.number == 0 || sidecar->life.has_left)
+    return "no-upstream";
+  if (sidecar->life.is_draining)
+    return "upstream-draining";
+  if (withdrawal->is_withdrawn)
+    return "domain-withdrawn";
+  if (!sidecar->life.is_fenced || !sidecar->lease.is_known)
+    return "upstream-not-fenced";
+  if (sidecar->hold.n_failed >= SILENT_AFTER)
+    return "upstream-silent";
+  return NULL;
+}
+
+bool
+az_sidecar_is_open (const struct az_sidecar *sidecar)
+{
+  return !az_sidecar_closed_reason (sidecar);
+}
+
+const char *
+az_sidecar_upstream_address (const struct az_sidecar *sidecar)
+{
+  return sidecar->life.address;
+}
+
+/* An upstream at the same address has taken the place of the former one, which is gone with its
+ * tasks. One at another address may run beside it until the former one's leases have ended. */
+static void
+end_former_life (struct az_sidecar *sidecar, bool is_replaced)
+{
+  uint32_t handle = az_table_rows_next (sidecar->tasks, 0);
+
+  while (handle)
+    {
+      uint32_t next = az_table_rows_next (sidecar->tasks, handle);
+      struct task *task = az_sidecar_task (sidecar, handle);
+
+      if (is_replaced)
+        az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+      else
+        {
+          /* Its room is not that of the new life. */
+          az_resources_take (&sidecar->used, &task->need);
+          task->need = (struct az_resources){ 0 };
+        }
+      handle = next;
+    }
+}
+
+static void
+clear_life (struct life *life)
+{
+  g_free (life->instance);
+  g_free (life->service);
+  g_free (life->address);
+  g_clear_pointer (&life->labels, g_ptr_array_unref);
+}
+
+static void
+begin_life (struct az_sidecar *sidecar, const struct az_upstream_announcement *announcement)
+{
+  struct life *life = &sidecar->life;
+  bool is_replaced = !life->address || !strcmp (life->address, announcement->address);
+
+  if (life->number > 0)
+    end_former_life (sidecar, is_replaced);
+  clear_life (life);
+  *life = (struct life){
+    .number = life->number + 1,
+    .instance = g_strdup (announcement->instance),
+    .service = g_strdup (announcement->service),
+    .address = g_strdup (announcement->address),
+    .born_ms = announcement->born_ms,
+    .labels = g_ptr_array_new_with_free_func (g_free),
+  };
+  sidecar->lease.is_known = false;
+  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1 };
+  az_log (LOG_NOTICE,
+          "event=upstream-life instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
+          " cpu=%u",
+          life->instance, life->service, life->address, life->born_ms,
+          announcement->capacity.cpu_milli);
+}
+
+static bool
+is_newer_life (const struct life *life, const struct az_upstream_announcement *announcement)
+{
+  if (life->number == 0)
+    return true;
+  if (!strcmp (life->instance, announcement->instance))
+    return announcement->born_ms > life->born_ms;
+  return announcement->born_ms >= life->born_ms || life->has_left;
+}
+
+bool
+az_sidecar_announced (struct az_sidecar *sidecar,
+                      const struct az_upstream_announcement *announcement)
+{
+  struct life *life = &sidecar->life;
+
+  sidecar->now_us = az_now_us (sidecar->clock);
+  if (is_newer_life (life, announcement))
+    begin_life (sidecar, announcement);
+  else if (strcmp (life->instance, announcement->instance) != 0
+           || announcement->born_ms != life->born_ms || announcement->sequence <= life->sequence)
+    {
+      az_log (LOG_INFO,
+              "event=announcement-ignored instance=%s born_ms=%" G_GINT64_FORMAT
+              " sequence=%" G_GUINT64_FORMAT " present=%s",
+              announcement->instance, announcement->born_ms, announcement->sequence,
+              life->instance);
+      return false;
+    }
+  if (announcement->is_draining && !life->is_draining)
+    az_log (LOG_NOTICE, "event=upstream-draining instance=%s", life->instance);
+  life->sequence = announcement->sequence;
+  life->is_draining = announcement->is_draining;
+  life->capacity = announcement->capacity;
+  g_ptr_array_set_size (life->labels, 0);
+  for (guint i = 0; i < announcement->labels->len; i++)
+    g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
+  az_sidecar_hold_again (sidecar);
+  return true;
+}
+
+void
+az_sidecar_left (struct az_sidecar *sidecar, const char *instance)
+{
+  if (sidecar->life.number == 0 || strcmp (sidecar->life.instance, instance) != 0)
+    return;
+  sidecar->life.has_left = true;
+  az_log (LOG_NOTICE, "event=upstream-left instance=%s", instance);
+}
--- /dev/null
+++ b/src/sidecar/program.h
@@ -0,0 +1,88 @@
+#ifndef AZUREROCK_SIDECAR_PROGRAM_H
+#define AZUREROCK_SIDECAR_PROGRAM_H
+
+#include "azurerock/counters.h"
+#include "azurerock/http_client.h"
+#include "azurerock/http_server.h"
+#include "azurerock/rpc.h"
+#include "azurerock/sidecar.h"
+#include "dispatch/metadata_client.h"
+#include "dispatch/node_loop.h"
+#include <glib.h>
+
+/** struct az_sidecar_options - the settings file; times in its units */
+struct az_sidecar_options
+{
+  char *instance;
+  char *domain;
+  char *registry_address;
+  char *metrics_address;
+  char *store_address;
+  GPtrArray *seeds;
+  int64_t seed_port;
+  double grace_s;
+  double stop_ms;
+  double lease_max_ms;
+};
+
+struct az_sidecar_program
+{
+  struct az_sidecar_options *options;
+  uv_loop_t *loop;
+  struct az_node_loop node;
+  struct az_rpc *rpc;
+  struct az_http_server *registry;
+  struct az_http_server *metrics;
+  struct az_http_client *upstream;
+  char *upstream_address;
+  struct az_counters *counters;
+  struct az_metadata_client *store;
+  struct az_sidecar *sidecar;
+  GHashTable *gateways; /* address -> struct gateway_link * */
+  uint32_t n_sessions;
+  int64_t alone_us; /* since when there has been no session */
+  int64_t members_us;
+  int64_t news_us;
+  GHashTable *withdrawn; /* set that a read of the store builds up */
+  bool is_asking_news;
+  bool is_asking_members;
+  bool is_stopping;
+  bool is_abandoned;
+  bool is_closed;
+  int64_t stop_us;
+};
+
+/* program_upstream.c */
+void
+az_sidecar_program_start (void *context, uint32_t task, const struct az_upstream_start *start);
+void
+az_sidecar_program_stop (void *context, uint32_t task, const struct az_upstream_stop *stop);
+void
+az_sidecar_program_hold (void *context, uint64_t number, const struct az_upstream_hold *hold);
+
+/* program_registry.c */
+bool
+az_sidecar_program_open_registry (struct az_sidecar_program *program, GError **error);
+
+/* program_rpc.c */
+void
+az_sidecar_program_send (void *context, uint32_t session, const struct az_message *message);
+void
+az_sidecar_program_close (void *context, uint32_t session, const char *reason);
+void
+az_sidecar_program_open_rpc (struct az_sidecar_program *program);
+void
+az_sidecar_program_know (struct az_sidecar_program *program, const char *address);
+void
+az_sidecar_program_know_seeds (struct az_sidecar_program *program);
+void
+az_sidecar_program_connect (struct az_sidecar_program *program);
+
+/* program_store.c */
+void
+az_sidecar_program_ask_store (struct az_sidecar_program *program);
+
+int
+az_sidecar_program_run (struct az_sidecar_options *options);
+
+#endif
--- /dev/null
+++ b/src/sidecar/program_rpc.c
@@ -0,0 +1,159 @@
+#include "azurerock/log.h"
+#include "dispatch/seeds.h"
+#include "sidecar/program.h"
+
+#define RECONNECT_FIRST_MS 100
+#define RECONNECT_MAX_MS 1000
+
+/** struct gateway_link - a gateway that this process keeps a session with */
+struct gateway_link
+{
+  uint32_t session; /* 0 while there is none */
+  bool is_connecting;
+  int64_t retry_us;
+  int64_t wait_ms;
+};
+
+static int64_t
+now_us (void)
+{
+  return (int64_t)(uv_hrtime () / 1000);
+}
+
+void
+az_sidecar_program_send (void *context, uint32_t session, const struct az_message *message)
+{
+  struct az_sidecar_program *program = context;
+
+  az_rpc_send (program->rpc, session, message);
+}
+
+void
+az_sidecar_program_close (void *context, uint32_t session, const char *reason)
+{
+  struct az_sidecar_program *program = context;
+
+  az_rpc_close (program->rpc, session, reason);
+}
+
+static void
+on_opened (void *context, uint32_t connection, bool outgoing, const char *address)
+{
+  struct az_sidecar_program *program = context;
+  struct gateway_link *link = g_hash_table_lookup (program->gateways, address);
+
+  (void)outgoing;
+  if (link)
+    {
+      link->session = connection;
+      link->is_connecting = false;
+      link->wait_ms = RECONNECT_FIRST_MS;
+    }
+  program->n_sessions++;
+  az_sidecar_session_opened (program->sidecar, connection);
+}
+
+static void
+on_received (void *context, uint32_t connection, const struct az_message *message)
+{
+  struct az_sidecar_program *program = context;
+  const struct az_node_gateways *gateways = &message->az_message_u.node_gateways;
+
+  if (message->proc == AZ_NODE_GATEWAYS)
+    for (u_int i = 0; i < gateways->addresses.addresses_len; i++)
+      az_sidecar_program_know (program, gateways->addresses.addresses_val[i]);
+  az_sidecar_received (program->sidecar, connection, message);
+}
+
+static void
+try_later (struct gateway_link *link)
+{
+  link->session = 0;
+  link->is_connecting = false;
+  link->retry_us = now_us () + link->wait_ms * 1000;
+  link->wait_ms = MIN (link->wait_ms * 2, RECONNECT_MAX_MS);
+}
+
+static void
+on_closed (void *context, uint32_t connection, const char *reason)
+{
+  struct az_sidecar_program *program = context;
+  GHashTableIter iterator;
+  gpointer value;
+
+  az_sidecar_session_closed (program->sidecar, connection, reason);
+  g_hash_table_iter_init (&iterator, program->gateways);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (((struct gateway_link *)value)->session == connection)
+      try_later (value);
+  if (--program->n_sessions == 0)
+    program->alone_us = now_us ();
+}
+
+static void
+on_refused (void *context, const char *address, const char *reason)
+{
+  struct az_sidecar_program *program = context;
+  struct gateway_link *link = g_hash_table_lookup (program->gateways, address);
+
+  (void)reason;
+  if (link)
+    try_later (link);
+}
+
+void
+az_sidecar_program_open_rpc (struct az_sidecar_program *program)
+{
+  const struct az_rpc_handlers handlers
+      = { on_opened, on_received, on_closed, on_refused, program };
+
+  program->rpc = az_rpc_create (program->loop, &handlers);
+  program->gateways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  program->alone_us = now_us ();
+}
+
+void
+az_sidecar_program_know (struct az_sidecar_program *program, const char *address)
+{
+  struct gateway_link *link;
+
+  if (g_hash_table_contains (program->gateways, address)
+      || g_hash_table_size (program->gateways) >= AZ_MAX_ENTRIES)
+    return;
+  link = g_new0 (struct gateway_link, 1);
+  link->wait_ms = RECONNECT_FIRST_MS;
+  g_hash_table_insert (program->gateways, g_strdup (address), link);
+  az_log (LOG_NOTICE, "event=gateway-learned address=%s", address);
+}
+
+void
+az_sidecar_program_know_seeds (struct az_sidecar_program *program)
+{
+  const GPtrArray *seeds = program->options->seeds;
+
+  for (guint i = 0; seeds && i < seeds->len; i++)
+    {
+      g_autofree char *address = az_seed_address (seeds->pdata[i], program->options->seed_port);
+
+      az_sidecar_program_know (program, address);
+    }
+}
+
+void
+az_sidecar_program_connect (struct az_sidecar_program *program)
+{
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, program->gateways);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      struct gateway_link *link = value;
+
+      if (link->session || link->is_connecting || now_us () < link->retry_us)
+        continue;
+      link->is_connecting = true;
+      az_rpc_connect (program->rpc, key);
+    }
+}
--- /dev/null
+++ b/src/sidecar/program_run.c
@@ -0,0 +1,165 @@
+#include "azurerock/log.h"
+#include "azurerock/program.h"
+#include "sidecar/program.h"
+
+#define TICK_MS 25
+
+/* A gateway ends a session after this silence; both sides use the same bound. */
+#define SESSION_MS 450
+
+/* Bounds the time after which what a silent upstream ran is known to have ended. */
+#define LEASE_MS 700
+
+/* News of withdrawals that gateways relay are renewed about every second. */
+#define EVIDENCE_MS 2500
+
+/* Share of the time for a stop after which running tasks are stopped. */
+#define ABANDON_SHARE 0.8
+#define EXIT_SHARE 0.88
+
+static void
+on_flush (void *context)
+{
+  struct az_sidecar_program *program = context;
+
+  if (program->is_closed)
+    return;
+  az_sidecar_flush (program->sidecar);
+  az_rpc_flush (program->rpc);
+}
+
+static void
+close_program (struct az_sidecar_program *program)
+{
+  az_sidecar_flush (program->sidecar);
+  program->is_closed = true;
+  az_http_server_stop_accepting (program->registry);
+  az_http_server_destroy (program->registry);
+  az_http_server_destroy (program->metrics);
+  az_http_client_destroy (program->upstream);
+  az_metadata_client_destroy (program->store);
+  az_rpc_destroy (program->rpc);
+  az_node_loop_close (&program->node);
+  az_program_release_signals ();
+}
+
+static void
+continue_stop (struct az_sidecar_program *program)
+{
+  double stopping_s = (double)((int64_t)(uv_hrtime () / 1000) - program->stop_us) / 1e6;
+
+  if (stopping_s > program->options->grace_s * ABANDON_SHARE && !program->is_abandoned)
+    {
+      program->is_abandoned = true;
+      az_sidecar_abandon (program->sidecar);
+    }
+  if (az_sidecar_is_idle (program->sidecar) || stopping_s > program->options->grace_s * EXIT_SHARE)
+    close_program (program);
+}
+
+static void
+on_tick (void *context)
+{
+  struct az_sidecar_program *program = context;
+
+  az_sidecar_tick (program->sidecar);
+  az_sidecar_program_connect (program);
+  az_sidecar_program_ask_store (program);
+  if (program->is_stopping)
+    continue_stop (program);
+}
+
+static void
+on_hangup (void *context)
+{
+  struct az_sidecar_program *program = context;
+
+  /* Addresses are those of the process; only the seeds may change in its life. */
+  az_log (LOG_NOTICE, "event=reload outcome=seeds-read");
+  az_sidecar_program_know_seeds (program);
+}
+
+static void
+on_stop (void *context)
+{
+  struct az_sidecar_program *program = context;
+
+  program->is_stopping = true;
+  program->stop_us = (int64_t)(uv_hrtime () / 1000);
+  az_sidecar_stop (program->sidecar);
+}
+
+static void
+create_core (struct az_sidecar_program *program)
+{
+  const struct az_sidecar_options *options = program->options;
+  const struct az_sidecar_io io = {
+    .send = az_sidecar_program_send,
+    .close = az_sidecar_program_close,
+    .start = az_sidecar_program_start,
+    .stop = az_sidecar_program_stop,
+    .hold = az_sidecar_program_hold,
+    .context = program,
+  };
+  const struct az_sidecar_settings settings = {
+    .instance = options->instance,
+    .domain = options->domain,
+    .lease_ms = MIN (LEASE_MS, (int64_t)options->lease_max_ms),
+    .session_ms = SESSION_MS,
+    .stop_ms = (int64_t)options->stop_ms,
+    .evidence_ms = EVIDENCE_MS,
+  };
+
+  program->counters = az_counters_create ();
+  program->sidecar = az_sidecar_create (&settings, az_random_incarnation (), az_clock_system (),
+                                        &io, program->counters);
+}
+
+static bool
+open_program (struct az_sidecar_program *program, GError **error)
+{
+  create_core (program);
+  if (!az_sidecar_program_open_registry (program, error))
+    return false;
+  az_sidecar_program_open_rpc (program);
+  az_sidecar_program_know_seeds (program);
+  program->store = az_metadata_client_create (program->loop, program->options->store_address);
+  program->node = (struct az_node_loop){
+    .loop = program->loop,
+    .flush = on_flush,
+    .tick = on_tick,
+    .hangup = on_hangup,
+    .context = program,
+  };
+  az_node_loop_open (&program->node, TICK_MS);
+  az_program_on_stop (program->loop, on_stop, program);
+  return true;
+}
+
+int
+az_sidecar_program_run (struct az_sidecar_options *options)
+{
+  struct az_sidecar_program program = { .options = options, .loop = uv_default_loop () };
+  g_autoptr (GError) error = NULL;
+  int exit_code = AZ_EXIT_SUCCESS;
+
+  az_log_buffer ();
+  if (open_program (&program, &error))
+    {
+      az_log (LOG_NOTICE, "event=start instance=%s domain=%s registry=%s", options->instance,
+              options->domain, options->registry_address);
+      uv_run (program.loop, UV_RUN_DEFAULT);
+      az_log (LOG_NOTICE, "event=stop instance=%s", options->instance);
+    }
+  else
+    {
+      az_log (LOG_ERR, "event=start outcome=failed reason=\"%s\"", error->message);
+      exit_code = AZ_EXIT_FAILURE;
+    }
+  az_sidecar_destroy (program.sidecar);
+  az_counters_destroy (program.counters);
+  g_clear_pointer (&program.gateways, g_hash_table_unref);
+  g_free (program.upstream_address);
+  az_log_flush ();
+  return exit_code;
+}
--- /dev/null
+++ b/src/sidecar/sessions.c
@@ -0,0 +1,134 @@
+#include "azurerock/log.h"
+#include "sidecar/board.h"
+#include <string.h>
+
+/* A session without tasks is given up later: nothing depends on it. */
+#define IDLE_SESSION_FACTOR 4
+
+struct session *
+az_sidecar_session (const struct az_sidecar *sidecar, uint32_t handle)
+{
+  return g_hash_table_lookup (sidecar->sessions, GUINT_TO_POINTER (handle));
+}
+
+void
+az_sidecar_session_opened (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct az_message hello = { .proc = AZ_NODE_HELLO };
+  struct session *session = g_new0 (struct session, 1);
+
+  sidecar->now_us = az_now_us (sidecar->clock);
+  session->handle = handle;
+  session->heard_us = sidecar->now_us;
+  session->events = g_array_new (FALSE, FALSE, sizeof (struct az_task_event));
+  session->progress = g_array_new (FALSE, FALSE, sizeof (struct az_task_progress));
+  g_hash_table_insert (sidecar->sessions, GUINT_TO_POINTER (handle), session);
+  hello.az_message_u.node_hello = (struct az_node_hello){
+    .incarnation = sidecar->incarnation,
+    .instance = (char *)sidecar->settings.instance,
+    .domain = (char *)sidecar->settings.domain,
+    .address = (char *)"",
+  };
+  sidecar->io.send (sidecar->io.context, handle, &hello);
+}
+
+static void
+stop_session_tasks (struct az_sidecar *sidecar, uint32_t session)
+{
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    {
+      struct task *task = az_sidecar_task (sidecar, handle);
+
+      if (task->session != session)
+        continue;
+      task->session = 0;
+      az_sidecar_want_stop (sidecar, handle);
+    }
+}
+
+void
+az_sidecar_session_closed (struct az_sidecar *sidecar, uint32_t handle, const char *reason)
+{
+  struct session *session = az_sidecar_session (sidecar, handle);
+
+  if (!session)
+    return;
+  sidecar->now_us = az_now_us (sidecar->clock);
+  az_log (LOG_NOTICE,
+          "event=session-lost gateway=%s tasks_stopped=%u silent_ms=%" G_GINT64_FORMAT
+          " reason=\"%s\"",
+          session->gateway ? session->gateway : "-", session->n_tasks,
+          (sidecar->now_us - session->heard_us) / AZ_US_PER_MS, reason);
+  stop_session_tasks (sidecar, handle);
+  g_hash_table_remove (sidecar->sessions, GUINT_TO_POINTER (handle));
+}
+
+static void
+take_hello (struct session *session, const struct az_node_hello *hello)
+{
+  g_free (session->gateway);
+  session->gateway = g_strdup (hello->instance);
+  az_log (LOG_NOTICE, "event=session-opened gateway=%s domain=%s", hello->instance, hello->domain);
+}
+
+static void
+take_withdrawn (struct az_sidecar *sidecar, const struct az_node_withdrawn *withdrawn)
+{
+  az_sidecar_withdrawn (sidecar, withdrawn->revision, withdrawn->age_ms,
+                        (const char *const *)withdrawn->domains.domains_val,
+                        withdrawn->domains.domains_len);
+}
+
+void
+az_sidecar_received (struct az_sidecar *sidecar, uint32_t handle, const struct az_message *message)
+{
+  struct session *session = az_sidecar_session (sidecar, handle);
+
+  if (!session)
+    return;
+  sidecar->now_us = az_now_us (sidecar->clock);
+  session->heard_us = sidecar->now_us;
+  switch (message->proc)
+    {
+    case AZ_NODE_HELLO:
+      take_hello (session, &message->az_message_u.node_hello);
+      break;
+    case AZ_NODE_WITHDRAWN:
+      take_withdrawn (sidecar, &message->az_message_u.node_withdrawn);
+      break;
+    case AZ_NODE_PULSE:
+      session->waiting_cpu_milli = message->az_message_u.node_pulse.waiting_cpu_milli;
+      break;
+    case AZ_NODE_RUN:
+      session->received++;
+      az_sidecar_run (sidecar, session, &message->az_message_u.node_run);
+      break;
+    case AZ_NODE_STOP:
+      az_sidecar_stop_tasks (sidecar, handle, &message->az_message_u.node_stop);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+az_sidecar_expire_sessions (struct az_sidecar *sidecar)
+{
+  g_autoptr (GList) sessions = g_hash_table_get_values (sidecar->sessions);
+
+  for (GList *link = sessions; link; link = link->next)
+    {
+      struct session *session = link->data;
+      uint32_t handle = session->handle;
+      int64_t limit_ms = sidecar->settings.session_ms;
+
+      if (session->n_tasks == 0)
+        limit_ms *= IDLE_SESSION_FACTOR;
+      if (sidecar->now_us - session->heard_us <= limit_ms * AZ_US_PER_MS)
+        continue;
+      az_sidecar_session_closed (sidecar, handle, "gateway is silent");
+      sidecar->io.close (sidecar->io.context, handle, "silent");
+    }
+}
--- /dev/null
+++ b/src/sidecar/tasks.c
@@ -0,0 +1,354 @@
+#include "azurerock/log.h"
+#include "sidecar/board.h"
+#include <string.h>
+
+/* An order with an attempt that the upstream has passed is sent again with a higher one. */
+#define RETRIES_MAX 6
+
+/* What an earlier life of this process started holds a lease of at most a second. */
+#define ADOPTED_LEASE_MAX_MS 1100
+
+struct task *
+az_sidecar_task (const struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task **row = az_table_rows_get (sidecar->tasks, handle);
+
+  return row ? *row : NULL;
+}
+
+uint32_t
+az_sidecar_find_task (const struct az_sidecar *sidecar, const char *name)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (sidecar->task_names, name));
+}
+
+static uint32_t
+add_task (struct az_sidecar *sidecar, const char *name)
+{
+  struct task *task = g_new0 (struct task, 1);
+  struct task **row;
+  uint32_t handle = az_table_rows_add (sidecar->tasks, (void **)&row);
+
+  *row = task;
+  task->name = g_strdup (name);
+  task->life = sidecar->life.number;
+  task->seen_hold = UINT64_MAX;
+  task->gone_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
+  task->order_end_us = task->gone_us;
+  g_hash_table_replace (sidecar->task_names, task->name, GUINT_TO_POINTER (handle));
+  return handle;
+}
+
+static void
+refuse (struct az_sidecar *sidecar,
+        struct session *session,
+        const struct az_node_run *run,
+        const struct az_run_task *row,
+        enum az_task_end how,
+        const char *reason)
+{
+  const struct az_task_event event = {
+    .job = run->job,
+    .step = run->step,
+    .index = row->index,
+    .attempt = row->attempt,
+    .how = how,
+  };
+
+  az_counters_add (sidecar->counters, sidecar->n_refused, 1);
+  az_log (LOG_INFO, "event=refuse task=%s.%u attempt=%u reason=%s used_cpu=%u need_cpu=%u",
+          run->name, row->index, row->attempt, reason, sidecar->used.cpu_milli,
+          run->need.cpu_milli);
+  az_sidecar_queue_event (sidecar, session, &event);
+}
+
+static void
+send_start (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+  const struct az_upstream_start start = {
+    .instance = sidecar->life.instance,
+    .task = task->name,
+    .attempt = task->attempt,
+    .specification = g_bytes_get_data (task->specification, NULL),
+    .lease_end_clock_ms
+    = az_lease_end_clock (&sidecar->lease, sidecar->settings.lease_ms, sidecar->now_us),
+    .fence = sidecar->fence,
+  };
+
+  task->state = TASK_STARTING;
+  task->started_us = task->percent_us = sidecar->now_us;
+  task->order_end_us = az_lease_gone_us (&sidecar->lease, start.lease_end_clock_ms);
+  task->gone_us
+      = MAX (task->gone_us, task->order_end_us + sidecar->settings.stop_ms * AZ_US_PER_MS);
+  sidecar->io.start (sidecar->io.context, handle, &start);
+}
+
+static void
+start_task (struct az_sidecar *sidecar,
+            struct session *session,
+            const struct az_node_run *run,
+            const struct az_run_task *row,
+            const char *name,
+            GBytes *specification)
+{
+  uint32_t handle = add_task (sidecar, name);
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  task->session = session->handle;
+  task->owner = g_strdup (session->gateway);
+  task->job = run->job;
+  task->step = run->step;
+  task->index = row->index;
+  task->attempt = row->attempt;
+  task->need = run->need;
+  task->specification = g_bytes_ref (specification);
+  session->n_tasks++;
+  az_resources_add (&sidecar->used, &run->need);
+  az_counters_add (sidecar->counters, sidecar->n_started, 1);
+  send_start (sidecar, handle);
+}
+
+void
+az_sidecar_run (struct az_sidecar *sidecar, struct session *session, const struct az_node_run *run)
+{
+  g_autofree char *text = g_strndup (run->specification.az_specification_val,
+                                     run->specification.az_specification_len);
+  g_autoptr (GBytes) specification = g_bytes_new (text, strlen (text) + 1);
+  const char *closed = az_sidecar_closed_reason (sidecar);
+
+  for (u_int i = 0; i < run->tasks.tasks_len; i++)
+    {
+      const struct az_run_task *row = &run->tasks.tasks_val[i];
+      struct az_resources free = az_sidecar_free (sidecar);
+      char name[AZ_MAX_NAME + 16];
+
+      g_snprintf (name, sizeof name, "%s.%u", run->name, row->index);
+      if (closed)
+        refuse (sidecar, session, run, row, AZ_TASK_CLOSED, closed);
+      else if (az_sidecar_find_task (sidecar, name))
+        refuse (sidecar, session, run, row, AZ_TASK_CLOSED, "earlier-run-present");
+      else if (!az_resources_fit (&run->need, &free))
+        refuse (sidecar, session, run, row, AZ_TASK_NO_ROOM, "no-room");
+      else
+        start_task (sidecar, session, run, row, name, specification);
+    }
+}
+
+static void
+send_stop (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+  const struct az_upstream_stop stop = {
+    .instance = sidecar->life.instance,
+    .task = task->name,
+    .attempt = task->attempt,
+    .fence = sidecar->fence,
+  };
+
+  task->stop_sent = true;
+  sidecar->io.stop (sidecar->io.context, handle, &stop);
+}
+
+void
+az_sidecar_want_stop (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  if (task->stop_wanted)
+    return;
+  task->stop_wanted = true;
+  if (task->life == sidecar->life.number && !task->stop_sent)
+    send_stop (sidecar, handle);
+}
+
+void
+az_sidecar_stop_tasks (struct az_sidecar *sidecar,
+                       uint32_t session,
+                       const struct az_node_stop *stop)
+{
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    {
+      struct task *task = az_sidecar_task (sidecar, handle);
+      bool is_named = stop->indexes.indexes_len == 0;
+
+      if (task->session != session || task->job != stop->job || task->step != stop->step)
+        continue;
+      for (u_int i = 0; i < stop->indexes.indexes_len && !is_named; i++)
+        is_named = stop->indexes.indexes_val[i] == task->index;
+      if (is_named)
+        az_sidecar_want_stop (sidecar, handle);
+    }
+}
+
+void
+az_sidecar_adopt (struct az_sidecar *sidecar, const char *name, uint32_t attempt)
+{
+  uint32_t handle = add_task (sidecar, name);
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  task->attempt = attempt;
+  task->state = TASK_RUNNING;
+  task->seen_hold = sidecar->hold.number;
+  az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u outcome=stopping", name, attempt);
+  az_sidecar_want_stop (sidecar, handle);
+}
+
+void
+az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+  struct session *session = az_sidecar_session (sidecar, task->session);
+  struct az_task_event event = {
+    .job = task->job,
+    .step = task->step,
+    .index = task->index,
+    .attempt = task->attempt,
+    .how = how,
+    .run_ms = (u_int)((sidecar->now_us - task->started_us) / AZ_US_PER_MS),
+  };
+
+  if (how == AZ_TASK_LOST)
+    az_counters_add (sidecar->counters, sidecar->n_lost, 1);
+  if (how == AZ_TASK_STOPPED)
+    az_counters_add (sidecar->counters, sidecar->n_stopped, 1);
+  if (how != AZ_TASK_DONE)
+    az_log (LOG_INFO, "event=task-end task=%s attempt=%u how=%d run_ms=%u told=%s", task->name,
+            task->attempt, (int)how, event.run_ms, session ? session->gateway : "nobody");
+  az_resources_take (&sidecar->used, &task->need);
+  if (session)
+    {
+      session->n_tasks--;
+      az_sidecar_queue_event (sidecar, session, &event);
+    }
+  if (az_sidecar_find_task (sidecar, task->name) == handle)
+    g_hash_table_remove (sidecar->task_names, task->name);
+  az_table_rows_remove (sidecar->tasks, handle);
+  if (task->specification)
+    g_bytes_unref (task->specification);
+  g_free (task->owner);
+  g_free (task->name);
+  g_free (task);
+}
+
+static void
+retry_start (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  if (++task->n_retries > RETRIES_MAX || task->stop_wanted)
+    {
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
+      return;
+    }
+  send_start (sidecar, handle);
+}
+
+void
+az_sidecar_start_answered (struct az_sidecar *sidecar,
+                           uint32_t handle,
+                           const struct az_upstream_answer *answer)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  sidecar->now_us = az_now_us (sidecar->clock);
+  if (!task || task->state != TASK_STARTING)
+    return;
+  if (answer->clock_ms >= 0 && task->life == sidecar->life.number)
+    az_lease_observe (&sidecar->lease, answer->clock_ms, sidecar->now_us);
+  if (answer->result != AZ_UPSTREAM_OK)
+    az_log (LOG_INFO, "event=start task=%s attempt=%u outcome=%s", task->name, task->attempt,
+            az_upstream_result_name (answer->result));
+  switch (answer->result)
+    {
+    case AZ_UPSTREAM_OK:
+      task->state = TASK_RUNNING;
+      task->seen_hold = sidecar->hold.number;
+      break;
+    case AZ_UPSTREAM_OLD:
+      task->attempt += 1u << MIN (task->n_retries, 10);
+      retry_start (sidecar, handle);
+      break;
+    case AZ_UPSTREAM_FENCED:
+      az_sidecar_raise_fence (sidecar);
+      retry_start (sidecar, handle);
+      break;
+    case AZ_UPSTREAM_NO_ROOM:
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_NO_ROOM);
+      break;
+    case AZ_UPSTREAM_UNHEALTHY:
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_UNHEALTHY);
+      break;
+    case AZ_UPSTREAM_LATE:
+    case AZ_UPSTREAM_OTHER_INSTANCE:
+    case AZ_UPSTREAM_INVALID:
+    case AZ_UPSTREAM_NOT_SENT:
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
+      break;
+    case AZ_UPSTREAM_UNANSWERED:
+      /* Only a stop of the same attempt, or the end of the lease, proves that it won't run. */
+      task->state = TASK_UNCERTAIN;
+      az_sidecar_want_stop (sidecar, handle);
+      break;
+    }
+}
+
+void
+az_sidecar_stop_answered (struct az_sidecar *sidecar,
+                          uint32_t handle,
+                          const struct az_upstream_answer *answer)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  sidecar->now_us = az_now_us (sidecar->clock);
+  if (!task)
+    return;
+  task->stop_sent = false;
+  if (answer->result == AZ_UPSTREAM_OK)
+    {
+      task->is_stop_proven = true;
+      task->seen_hold = sidecar->hold.number;
+      return;
+    }
+  az_log (LOG_INFO, "event=stop task=%s attempt=%u outcome=%s", task->name, task->attempt,
+          az_upstream_result_name (answer->result));
+  if (answer->result == AZ_UPSTREAM_FENCED)
+    az_sidecar_raise_fence (sidecar);
+}
+
+/* Repeats orders to stop that had no success, and gives up what can't run any more. */
+void
+az_sidecar_expire_tasks (struct az_sidecar *sidecar)
+{
+  uint32_t handle = az_table_rows_next (sidecar->tasks, 0);
+
+  while (handle)
+    {
+      struct task *task = az_sidecar_task (sidecar, handle);
+      uint32_t next = az_table_rows_next (sidecar->tasks, handle);
+      bool is_present = task->life == sidecar->life.number;
+
+      if (sidecar->now_us >= task->gone_us)
+        az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+      else if (task->stop_wanted && !task->stop_sent && !task->is_stop_proven && is_present)
+        send_stop (sidecar, handle);
+      handle = next;
+    }
+}
+
+bool
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner)
+{
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    {
+      const struct task *task = az_sidecar_task (sidecar, handle);
+
+      if (task->session == 0 && (!task->owner || !g_strcmp0 (task->owner, owner)))
+        return true;
+    }
+  return false;
+}
