Find restarted peers sooner and answer given-up jobs with 504

Cause: after all machines had lost power, sidecars tried to connect while the gateways' machines were still dark.

Change: attempts to connect between nodes end after 240 ms and are repeated within 250 ms. A gateway is ready once an upstream is open, and holds new jobs while upstreams reconnect for as long as they can still be in time. A job that is given up after a task has started is answered 504, not with the state "failed".

The second attempt to connect also helps each single restart.

--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -30,8 +30,9 @@
 enum az_job_outcome
 {
   AZ_JOB_COMPLETED,
-  AZ_JOB_FAILED,  /* a task has failed for good, or the time ran out after one had started */
-  AZ_JOB_NOT_RUN, /* no task has started, none will */
+  AZ_JOB_FAILED,     /* a task has failed for good, or the job can never run */
+  AZ_JOB_NOT_RUN,    /* no task has started, none will */
+  AZ_JOB_UNFINISHED, /* given up after a task had, or may have, started; all of it is stopped */
 };
 
 /** struct az_job_answer - @retry_after_ms tells callers of jobs that were not run when to return */
@@ -79,6 +80,10 @@
 const struct az_catalog *
 az_gateway_catalog (const struct az_gateway *gateway);
 
+/** az_gateway_can_place - whether the configuration is known and an upstream takes tasks */
+bool
+az_gateway_can_place (const struct az_gateway *gateway);
+
 /** az_gateway_set_withdrawn - all withdrawn domains, as the store held them @age_ms ago */
 void
 az_gateway_set_withdrawn (struct az_gateway *gateway,
--- a/include/azurerock/rpc.h
+++ b/include/azurerock/rpc.h
@@ -27,6 +27,10 @@
 struct az_rpc *
 az_rpc_create (uv_loop_t *loop, const struct az_rpc_handlers *handlers);
 
+/** az_rpc_set_connect_timeout - attempts to connect end after this time; 2 s unless set */
+void
+az_rpc_set_connect_timeout (struct az_rpc *rpc, uint64_t timeout_ms);
+
 /** az_rpc_destroy - closes all; run the loop until its handles are gone */
 void
 az_rpc_destroy (struct az_rpc *rpc);
--- a/src/dispatch/node_loop.h
+++ b/src/dispatch/node_loop.h
@@ -4,6 +4,10 @@
 #include <stdbool.h>
 #include <uv.h>
 
+/** The system repeats a lost packet of a new connection only after a second, so a peer that starts
+ * meanwhile is found sooner by another attempt. */
+#define AZ_NODE_CONNECT_TIMEOUT_MS 240
+
 /**
  * struct az_node_loop - turns of the event loop of a gateway or sidecar
  * @flush: before the loop waits and after it has waited: sends what the turn decided
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -8,6 +8,9 @@
 
 #define RETRY_AFTER_MS 1000
 
+/* After a start or the loss of all upstreams, sessions are back within this time or not soon. */
+#define RECONNECT_MS 1500
+
 /*
  * Which jobs are refused when not all can be served in time. Each queue's traffic counts the same,
  * whatever its rate: a job is worth the share of its queue's traffic that it makes up, and what
@@ -90,7 +93,7 @@
       slack_s = (double)(job->objective_us - job->run_us - gateway->now_us) / 1e6;
       ahead += work;
       /* Time until the last of its tasks starts, against the time that it has. */
-      while (cores <= 0 || (ahead - work / 2) / cores > slack_s)
+      while (cores <= 0 ? slack_s < 0 : (ahead - work / 2) / cores > slack_s)
         {
           struct job *least = find_least (jobs, i + 1);
           guint index;
@@ -143,5 +146,9 @@
           return "no upstream is large enough";
         }
     }
-  return any_open ? NULL : "no upstream is open";
+  if (any_open)
+    gateway->open_us = gateway->now_us;
+  if (gateway->now_us - gateway->open_us < RECONNECT_MS * AZ_US_PER_MS)
+    return NULL;
+  return "no upstream is open";
 }
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -150,11 +150,13 @@
   struct evidence evidence;
   uint64_t last_job;
   uint32_t waiting_milli;
+  int64_t open_us; /* when an upstream was last seen open, at first the start */
   bool needs_placing;
   uint32_t c_jobs;
   uint32_t c_completed;
   uint32_t c_failed;
   uint32_t c_refused;
+  uint32_t c_unfinished;
   uint32_t c_expired;
   uint32_t c_given_up;
   uint32_t c_retried;
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -50,6 +50,8 @@
     { &gateway->c_completed, "azurerock_gateway_completed_total", "Jobs with all tasks done" },
     { &gateway->c_failed, "azurerock_gateway_failed_total", "Jobs answered as failed" },
     { &gateway->c_refused, "azurerock_gateway_refused_total", "Jobs answered as not run" },
+    { &gateway->c_unfinished, "azurerock_gateway_unfinished_total",
+      "Jobs given up after a task had started" },
     { &gateway->c_expired, "azurerock_gateway_expired_total", "Jobs whose deadline passed" },
     { &gateway->c_given_up, "azurerock_gateway_given_up_total", "Jobs whose caller has gone" },
     { &gateway->c_retried, "azurerock_gateway_retries_total", "Tasks that had to be sent again" },
@@ -75,6 +77,7 @@
   gateway->io = *io;
   gateway->counters = counters;
   gateway->now_us = az_now_us (clock);
+  gateway->open_us = gateway->now_us;
   gateway->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
   gateway->upstreams = g_ptr_array_new_with_free_func (free_upstream);
   gateway->gateways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -148,6 +148,9 @@
     case AZ_JOB_NOT_RUN:
       az_counters_add (gateway->counters, gateway->c_refused, 1);
       break;
+    case AZ_JOB_UNFINISHED:
+      az_counters_add (gateway->counters, gateway->c_unfinished, 1);
+      break;
     }
 }
 
@@ -166,7 +169,7 @@
                     int64_t retry_after_ms,
                     const char *reason)
 {
-  static const char *const names[] = { "completed", "failed", "not-run" };
+  static const char *const names[] = { "completed", "failed", "not-run", "unfinished" };
   const struct az_job_answer answer
       = { .outcome = outcome, .retry_after_ms = retry_after_ms, .reason = reason };
 
@@ -215,7 +218,7 @@
   if (job->callers->len > 0)
     return;
   az_counters_add (gateway->counters, gateway->c_given_up, 1);
-  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 0,
+  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
                       "the caller has gone");
   az_gateway_release_job (gateway, job);
 }
@@ -229,7 +232,7 @@
   if (!job)
     return false;
   gateway->now_us = az_now_us (gateway->clock);
-  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 0, "cancelled");
+  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0, "cancelled");
   az_gateway_release_job (gateway, job);
   return true;
 }
@@ -270,7 +273,7 @@
   if (!job->is_ending && gateway->now_us >= job->deadline_us)
     {
       az_counters_add (gateway->counters, gateway->c_expired, 1);
-      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 1000,
+      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 1000,
                           "deadline passed");
     }
   az_gateway_expire_unsettled (gateway, job);
@@ -296,7 +299,7 @@
     {
       struct job *job = link->data;
 
-      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 100,
+      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 100,
                           "the process stops");
     }
 }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -2,7 +2,7 @@
 #include "gateway/board.h"
 #include <string.h>
 
-#define RECONNECT_MS 1000
+#define RECONNECT_MS 500
 
 void
 az_gateway_know (struct az_gateway *gateway, const char *address)
--- a/src/gateway/program_jobs.c
+++ b/src/gateway/program_jobs.c
@@ -41,6 +41,9 @@
     case AZ_JOB_NOT_RUN:
       respond_not_run (program, caller, answer->retry_after_ms);
       break;
+    case AZ_JOB_UNFINISHED:
+      respond (program, caller, 504, NULL);
+      break;
     }
 }
 
--- a/src/gateway/program_status.c
+++ b/src/gateway/program_status.c
@@ -12,7 +12,7 @@
 static bool
 is_ready (const struct az_gateway_program *program)
 {
-  return !program->is_stopping && az_gateway_catalog (program->gateway);
+  return !program->is_stopping && az_gateway_can_place (program->gateway);
 }
 
 static void
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -34,6 +34,15 @@
   return upstream;
 }
 
+bool
+az_gateway_can_place (const struct az_gateway *gateway)
+{
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    if (((const struct upstream *)gateway->upstreams->pdata[i])->is_open)
+      return gateway->catalog != NULL;
+  return false;
+}
+
 static void
 begin_life (struct az_gateway *gateway,
             struct upstream *upstream,
--- a/src/net/rpc.c
+++ b/src/net/rpc.c
@@ -5,11 +5,12 @@
 #include <string.h>
 
 #define BACKLOG 1024
-#define CONNECT_CHECK_MS 500
-
 /* The system would retry for two minutes, so that a healed partition is noticed late. */
 #define CONNECT_TIMEOUT_MS 2000
 
+/* The attempts are checked that often within their timeout. */
+#define CONNECT_CHECKS 4
+
 GQuark
 az_rpc_error_quark (void)
 {
@@ -66,11 +67,20 @@
 
       handle = az_table_rows_next (rpc->connections, handle);
       if (connection->state == AZ_RPC_CONNECTING
-          && uv_now (rpc->loop) - connection->connect_started_ms > CONNECT_TIMEOUT_MS)
+          && uv_now (rpc->loop) - connection->connect_started_ms > rpc->connect_timeout_ms)
         az_rpc_connection_close (connection, "connection attempt timed out");
     }
 }
 
+void
+az_rpc_set_connect_timeout (struct az_rpc *rpc, uint64_t timeout_ms)
+{
+  uint64_t check_ms = MAX (timeout_ms / CONNECT_CHECKS, 1);
+
+  rpc->connect_timeout_ms = timeout_ms;
+  uv_timer_start (&rpc->connect_timer, check_connecting, check_ms, check_ms);
+}
+
 struct az_rpc *
 az_rpc_create (uv_loop_t *loop, const struct az_rpc_handlers *handlers)
 {
@@ -90,7 +100,7 @@
   rpc->open_handles = 4;
   uv_prepare_start (&rpc->prepare, before_wait);
   uv_check_start (&rpc->check, after_wait);
-  uv_timer_start (&rpc->connect_timer, check_connecting, CONNECT_CHECK_MS, CONNECT_CHECK_MS);
+  az_rpc_set_connect_timeout (rpc, CONNECT_TIMEOUT_MS);
   uv_unref ((uv_handle_t *)&rpc->prepare);
   uv_unref ((uv_handle_t *)&rpc->check);
   uv_unref ((uv_handle_t *)&rpc->connect_timer);
--- a/src/net/rpc_connection.h
+++ b/src/net/rpc_connection.h
@@ -30,6 +30,7 @@
   uv_prepare_t prepare;
   uv_check_t check;
   uv_timer_t connect_timer;
+  uint64_t connect_timeout_ms;
   char *local_address;
   char *scratch; /* bytes of one read; connections keep only what is left of it */
   unsigned open_handles;
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -3,7 +3,7 @@
 #include "sidecar/program.h"
 
 #define RECONNECT_FIRST_MS 100
-#define RECONNECT_MAX_MS 1000
+#define RECONNECT_MAX_MS 250
 
 /** struct gateway_link - a gateway that this process keeps a session with */
 struct gateway_link
@@ -108,6 +108,7 @@
       = { on_opened, on_received, on_closed, on_refused, program };
 
   program->rpc = az_rpc_create (program->loop, &handlers);
+  az_rpc_set_connect_timeout (program->rpc, AZ_NODE_CONNECT_TIMEOUT_MS);
   program->gateways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   program->alone_us = now_us ();
 }
