--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 CFLAGS ?= -O2 -g
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   -Wno-unused-parameter -Wformat=2
-ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(WARNINGS) $(SANITIZE) $(EXTRA_CFLAGS) -Iinclude -Isrc -I. \
+ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(WARNINGS) $(SANITIZE) $(EXTRA_CFLAGS) -Iinclude -Isrc -I. -Ibench \
   $(PKG_CFLAGS) -DH2O_USE_LIBUV=1 -D_GNU_SOURCE -MMD -MP
 
 PROGRAMS = azurerock-entry azurerock-agent azurerock-gateway azurerock-sidecar azurerock-ctl azurerock-load \
@@ -24,9 +24,10 @@
 HELPER_OBJECTS = $(HELPER_SOURCES:%.c=$(BUILD)/%.o)
 BENCH_SOURCES = $(wildcard bench/*.c)
 BENCHES = $(BENCH_SOURCES:bench/%.c=$(BUILD)/bench/%)
-MODEL_SOURCES = $(wildcard bench/model/*.c)
+MODEL_SOURCES = $(wildcard bench/model/*.c bench/emulator/*.c)
 MODEL_OBJECTS = $(MODEL_SOURCES:%.c=$(BUILD)/%.o)
-FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] bench/model/*.[ch]))
+EMULATOR_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/emulator/*.c))
+FORMATTED = $(filter-out src/proto/gen/%,$(wildcard include/azurerock/*.h src/*/*.[ch] platform/*.[ch] tests/*.[ch] bench/*.[ch] bench/model/*.[ch] bench/emulator/*.[ch]))
 
 main_entry = src/entry/main.c
 main_agent = src/agent/main.c
@@ -64,7 +65,7 @@
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(MODEL_OBJECTS) $(LIB)
 	$(CC) $(ALL_CFLAGS) $^ $(PKG_LIBS) -o $@
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(HELPER_OBJECTS) $(LIB)
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(HELPER_OBJECTS) $(EMULATOR_OBJECTS) $(LIB)
 	$(CC) $(ALL_CFLAGS) $^ $(PKG_LIBS) $(shell pkg-config --libs cmocka) -o $@
 
 .PHONY: generate
--- /dev/null
+++ b/bench/emulator/load.c
@@ -0,0 +1,162 @@
+#include "emulator/world.h"
+#include <math.h>
+
+#define START_US 1500000
+#define MEAN_CPU_MILLI 3100.0
+#define SLACK_FACTOR 1.6
+#define OBJECTIVE_US 60000
+#define LARGE_SHARE 0.1
+
+double
+emu_upstream_cores (const struct emulator_scenario *scenario, unsigned upstream)
+{
+  return upstream % 3 == 2 ? scenario->cores * 1.5 : scenario->cores;
+}
+
+double
+emu_upstream_speed (unsigned upstream)
+{
+  static const double speeds[] = { 1.0, 0.8, 1.25, 0.9, 1.1 };
+
+  return speeds[upstream % G_N_ELEMENTS (speeds)];
+}
+
+static double
+draw_normal (GRand *random)
+{
+  double a = g_rand_double_range (random, 1e-9, 1);
+  double b = g_rand_double (random);
+
+  return sqrt (-2 * log (a)) * cos (2 * G_PI * b);
+}
+
+/* Log-normal with mean 1. */
+static double
+draw_factor (GRand *random, double spread)
+{
+  return exp (spread * draw_normal (random) - spread * spread / 2);
+}
+
+static double
+burst_factor (const struct emulator_scenario *scenario, double at_s)
+{
+  double factor = 1;
+
+  for (unsigned i = 0; i < scenario->n_troubles; i++)
+    {
+      const struct emulator_trouble *trouble = &scenario->troubles[i];
+
+      if (trouble->kind == EMULATOR_BURST && at_s >= trouble->from_s && at_s < trouble->to_s)
+        factor *= trouble->factor;
+    }
+  return factor;
+}
+
+static struct emu_job
+draw_job (const struct emulator_scenario *scenario, unsigned kind, int64_t at_us, GRand *random)
+{
+  const struct emulator_kind *row = &scenario->kinds[kind];
+  double run_us = row->mean_ms * 1000 * MIN (draw_factor (random, 0.4), 4);
+  double n_tasks = row->mean_tasks * draw_factor (random, 0.4);
+  double mean_core_s = row->mean_ms / 1000 * row->mean_tasks * MEAN_CPU_MILLI / 1000;
+  struct emu_job job = {
+    .kind = kind,
+    .arrives_us = at_us,
+    .gateway = (unsigned)g_rand_int_range (random, 0, (gint)scenario->n_gateways),
+    .n_tasks = (unsigned)CLAMP (n_tasks + 0.5, 1, row->max_tasks),
+    .cpu_milli = MIN (MEAN_CPU_MILLI * draw_factor (random, 0.2), 4700),
+    .estimate_ms = (int64_t)MAX (run_us / 1000 * draw_factor (random, 0.4), 1),
+  };
+
+  job.work_us = g_new (int64_t, job.n_tasks);
+  for (unsigned i = 0; i < job.n_tasks; i++)
+    {
+      job.work_us[i] = (int64_t)(run_us * draw_factor (random, 0.15));
+      job.longest_us = MAX (job.longest_us, job.work_us[i]);
+      job.core_s += (double)job.work_us[i] / 1e6 * job.cpu_milli / 1000;
+    }
+  job.objective_us = (int64_t)(SLACK_FACTOR * (double)job.longest_us) + OBJECTIVE_US;
+  job.deadline_us = MAX (1500000, 3 * job.objective_us);
+  job.worth = row->worth * MIN (0.3 + 0.7 * job.core_s / mean_core_s, 4);
+  return job;
+}
+
+static gint
+compare_arrival (gconstpointer a, gconstpointer b)
+{
+  const struct emu_job *left = a;
+  const struct emu_job *right = b;
+
+  return left->arrives_us < right->arrives_us ? -1 : left->arrives_us > right->arrives_us;
+}
+
+static gint
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return left < right ? -1 : left > right;
+}
+
+static void
+mark_large (GArray *jobs, unsigned kind)
+{
+  g_autoptr (GArray) work = g_array_new (FALSE, FALSE, sizeof (double));
+  double limit;
+
+  for (guint i = 0; i < jobs->len; i++)
+    if (g_array_index (jobs, struct emu_job, i).kind == kind)
+      g_array_append_val (work, g_array_index (jobs, struct emu_job, i).core_s);
+  if (work->len == 0)
+    return;
+  g_array_sort (work, compare_doubles);
+  limit = g_array_index (work, double, (guint)((1 - LARGE_SHARE) * work->len));
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      struct emu_job *job = &g_array_index (jobs, struct emu_job, i);
+
+      if (job->kind == kind)
+        job->is_large = job->core_s >= limit;
+    }
+}
+
+struct emu_load *
+emu_load_create (const struct emulator_scenario *scenario, uint32_t seed)
+{
+  struct emu_load *load = g_new0 (struct emu_load, 1);
+  GRand *random = g_rand_new_with_seed (seed);
+
+  load->jobs = g_array_new (FALSE, FALSE, sizeof (struct emu_job));
+  for (unsigned kind = 0; kind < EMULATOR_KINDS; kind++)
+    {
+      double at_s = 0;
+
+      while (scenario->kinds[kind].per_s > 0)
+        {
+          double wave = 1 + 0.15 * sin (2 * G_PI * at_s / 11);
+          double rate
+              = scenario->kinds[kind].per_s * scenario->load * wave * burst_factor (scenario, at_s);
+          struct emu_job job;
+
+          at_s += -log (g_rand_double_range (random, 1e-9, 1)) / rate;
+          if (at_s >= scenario->length_s)
+            break;
+          job = draw_job (scenario, kind, START_US + (int64_t)(at_s * 1e6), random);
+          g_array_append_val (load->jobs, job);
+        }
+      mark_large (load->jobs, kind);
+    }
+  g_array_sort (load->jobs, compare_arrival);
+  g_rand_free (random);
+  return load;
+}
+
+void
+emu_load_destroy (struct emu_load *load)
+{
+  for (guint i = 0; i < load->jobs->len; i++)
+    g_free (g_array_index (load->jobs, struct emu_job, i).work_us);
+  g_array_unref (load->jobs);
+  g_free (load);
+}
--- /dev/null
+++ b/bench/emulator/scenarios.c
@@ -0,0 +1,30 @@
+#include "emulator/emulator.h"
+
+struct emulator_scenario
+emulator_theatre (double load)
+{
+  return (struct emulator_scenario){
+    .n_gateways = 3,
+    .n_upstreams = 11,
+    .n_domains = 3,
+    .cores = 32,
+    .length_s = 20,
+    .load = load,
+    .cross_ms = 0.9,
+    .kinds = {
+      { "hold", 34.4 * 1.1, 60, 8, 32, 0, 0.0291 },
+      { "release", 100 * 1.1, 200, 2, 8, 1, 0.01 },
+      { "buy", 6.25 * 1.1, 900, 4, 16, 2, 0.16 },
+    },
+  };
+}
+
+struct emulator_scenario
+emulator_theatre_grown (double load)
+{
+  struct emulator_scenario scenario = emulator_theatre (load * 6);
+
+  scenario.n_gateways = 12;
+  scenario.n_upstreams = 68;
+  return scenario;
+}
--- /dev/null
+++ b/bench/emulator/world.h
@@ -0,0 +1,138 @@
+#ifndef AZUREROCK_BENCH_EMULATOR_WORLD_H
+#define AZUREROCK_BENCH_EMULATOR_WORLD_H
+
+#include "azurerock/catalog.h"
+#include "azurerock/clock.h"
+#include "azurerock/counters.h"
+#include "azurerock/gateway.h"
+#include "azurerock/sidecar.h"
+#include "emulator/emulator.h"
+
+#define LOCAL_US 150
+
+/** struct emu_job - a job of the load, with the truth about its tasks */
+struct emu_job
+{
+  unsigned kind;
+  int64_t arrives_us;
+  unsigned gateway;
+  unsigned n_tasks;
+  double cpu_milli;
+  int64_t estimate_ms;
+  int64_t *work_us; /* per task, on an upstream of speed 1 */
+  int64_t longest_us;
+  int64_t objective_us; /* after the arrival */
+  int64_t deadline_us;  /* after the arrival */
+  double worth;
+  double core_s;
+  bool is_large;
+  bool is_answered;
+};
+
+/** struct emu_load - all jobs of a run, in the order of their arrival */
+struct emu_load
+{
+  GArray *jobs; /* struct emu_job */
+};
+
+struct emu_load *
+emu_load_create (const struct emulator_scenario *scenario, uint32_t seed);
+void
+emu_load_destroy (struct emu_load *load);
+double
+emu_upstream_cores (const struct emulator_scenario *scenario, unsigned upstream);
+
+/** emu_upstream_speed - of the hardware, without troubles */
+double
+emu_upstream_speed (unsigned upstream);
+
+/* Results. */
+struct emu_tally
+{
+  struct emulator_result result;
+  GArray *window_owed;
+  GArray *window_earned;
+  double refused_ms;
+  unsigned n_refused;
+};
+
+void
+emu_tally_init (struct emu_tally *tally, const struct emulator_scenario *scenario);
+
+/** emu_tally_count - @answered_us after the arrival; an unfinished job counts like a failed one */
+void
+emu_tally_count (struct emu_tally *tally,
+                 struct emu_job *job,
+                 enum az_job_outcome outcome,
+                 int64_t answered_us);
+struct emulator_result
+emu_tally_finish (struct emu_tally *tally, const struct emu_load *load);
+
+/* Events in virtual time. */
+struct emu_events;
+
+struct emu_events *
+emu_events_create (void);
+void
+emu_events_destroy (struct emu_events *events);
+int64_t
+emu_now_us (const struct emu_events *events);
+
+/** emu_at - calls @call at @time_us; @data is freed with g_free() afterwards */
+void
+emu_at (struct emu_events *events,
+        int64_t time_us,
+        void (*call) (void *context, void *data),
+        void *context,
+        void *data);
+bool
+emu_next (struct emu_events *events, int64_t until_us);
+
+/* Simulated upstreams. */
+struct emu_upstream;
+
+/** struct emu_upstream_owner - @news: lists of tasks may have changed for a hold that waits */
+struct emu_upstream_owner
+{
+  void (*news) (void *context, unsigned upstream);
+  void *context;
+};
+
+struct emu_upstream *
+emu_upstream_create (struct emu_events *events,
+                     unsigned index,
+                     double cores,
+                     double speed,
+                     const struct emu_upstream_owner *owner);
+void
+emu_upstream_destroy (struct emu_upstream *upstream);
+
+/** emu_upstream_start - @key names the task among all jobs */
+enum az_upstream_result
+emu_upstream_start (struct emu_upstream *upstream,
+                    const struct az_upstream_start *start,
+                    double cpu_milli,
+                    int64_t work_us,
+                    bool fails);
+void
+emu_upstream_stop (struct emu_upstream *upstream, const struct az_upstream_stop *stop);
+
+/** emu_upstream_lists - what a hold is told; ends up to @seen are forgotten */
+void
+emu_upstream_lists (struct emu_upstream *upstream, uint64_t seen, struct az_upstream_lists *lists);
+bool
+emu_upstream_has_news (const struct emu_upstream *upstream, uint64_t seen);
+
+/** emu_upstream_set_rate - share of its speed at which tasks go on */
+void
+emu_upstream_set_rate (struct emu_upstream *upstream, double rate);
+void
+emu_upstream_set_down (struct emu_upstream *upstream, bool is_down);
+bool
+emu_upstream_is_down (const struct emu_upstream *upstream);
+bool
+emu_upstream_runs (const struct emu_upstream *upstream, const char *task);
+double
+emu_upstream_wasted_core_s (const struct emu_upstream *upstream);
+
+#endif
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -232,7 +232,8 @@
   if (!job)
     return false;
   gateway->now_us = az_now_us (gateway->clock);
-  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0, "cancelled");
+  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
+                      "cancelled");
   az_gateway_release_job (gateway, job);
   return true;
 }
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -100,7 +100,9 @@
 
   for (guint i = 0; i < gateway->upstreams->len; i++)
     {
-      struct upstream *upstream = gateway->upstreams->pdata[i];
+      /* Each gateway begins elsewhere, so that they don't all choose the same of equals. */
+      guint at = (guint)((gateway->incarnation + i) % gateway->upstreams->len);
+      struct upstream *upstream = gateway->upstreams->pdata[at];
       int64_t upstream_cost;
 
       if (upstream->handle == avoid || !is_eligible (gateway, job, step_index, upstream))
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -47,7 +47,8 @@
 az_sidecar_hold_again (struct az_sidecar *sidecar)
 {
   struct hold_state *hold = &sidecar->hold;
-  bool renews = sidecar->lease.is_known && sidecar->life.is_fenced;
+  /* A silent upstream isn't renewed: its tasks must come to a known end. */
+  bool renews = sidecar->lease.is_known && sidecar->life.is_fenced && hold->n_failed == 0;
   struct az_upstream_hold call = {
     .instance = sidecar->life.instance,
     .fence = sidecar->fence,
--- /dev/null
+++ b/tests/gateway_rig.c
@@ -0,0 +1,272 @@
+#include "gateway_rig.h"
+#include <string.h>
+
+#define TICK_MS 20
+#define CORES 32000
+#define TASK_CPU 4000
+
+static void
+monotonic (void *context, struct timespec *now)
+{
+  const struct gateway_rig *rig = context;
+
+  *now = az_time_from_ns (rig->now_ms * 1000000);
+}
+
+static void
+take_run (struct gateway_rig *rig, uint32_t session, const struct az_node_run *message)
+{
+  rig->received[session]++;
+  for (u_int i = 0; i < message->tasks.tasks_len; i++)
+    {
+      const struct gateway_run run = { .session = session,
+                                       .job = message->job,
+                                       .index = message->tasks.tasks_val[i].index,
+                                       .attempt = message->tasks.tasks_val[i].attempt };
+
+      rig->used[session] += message->need.cpu_milli;
+      g_array_append_val (rig->runs, run);
+    }
+}
+
+static void
+take_message (void *context, uint32_t session, const struct az_message *message)
+{
+  struct gateway_rig *rig = context;
+  const struct az_node_stop *stop = &message->az_message_u.node_stop;
+
+  if (message->proc == AZ_NODE_RUN)
+    take_run (rig, session, &message->az_message_u.node_run);
+  if (message->proc == AZ_NODE_STOP)
+    {
+      const struct gateway_run row = {
+        .session = session,
+        .job = stop->job,
+        .index = stop->indexes.indexes_len ? stop->indexes.indexes_val[0] : UINT32_MAX,
+      };
+
+      g_array_append_val (rig->stops, row);
+    }
+}
+
+static void
+take_close (void *context, uint32_t session, const char *reason)
+{
+  struct gateway_rig *rig = context;
+
+  (void)session;
+  (void)reason;
+  rig->n_closed++;
+}
+
+static void
+take_connect (void *context, const char *address)
+{
+  struct gateway_rig *rig = context;
+
+  g_ptr_array_add (rig->connects, g_strdup (address));
+}
+
+static void
+take_answer (void *context, uint32_t caller, const struct az_job_answer *answer)
+{
+  struct gateway_rig *rig = context;
+  const struct gateway_answer row
+      = { .caller = caller, .outcome = answer->outcome, .after_ms = rig->now_ms - 1000 };
+
+  g_array_append_val (rig->answers, row);
+}
+
+struct az_catalog *
+gateway_rig_catalog (uint64_t version)
+{
+  struct az_catalog *catalog = g_new0 (struct az_catalog, 1);
+  static const char *const names[] = { "fast", "big" };
+
+  catalog->version = version;
+  catalog->routes = g_new0 (struct az_route, G_N_ELEMENTS (names));
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    catalog->routes[catalog->n_routes++] = (struct az_route){
+      .name = g_strdup (names[i]),
+      .host = g_strdup ("host"),
+      .prefix = g_strdup_printf ("/%s/", names[i]),
+      .service = g_strdup ("service"),
+      .attempts = 3,
+      .slack_factor = 1.6,
+      .objective_ms = 60,
+      .timeout_ms = 1500,
+    };
+  return catalog;
+}
+
+struct gateway_rig *
+gateway_rig_create (unsigned n_upstreams)
+{
+  static const struct az_gateway_settings settings = {
+    .instance = "g1",
+    .domain = "d1",
+    .address = "127.0.0.1:9",
+    .session_ms = 450,
+    .loss_ms = 900,
+    .cross_domain_ms = 4,
+    .remote_factor = 1.5,
+  };
+  struct gateway_rig *rig = g_new0 (struct gateway_rig, 1);
+  const struct az_gateway_io io = { take_message, take_close, take_connect, take_answer, rig };
+
+  rig->now_ms = 1000;
+  rig->clock = (struct az_clock){ monotonic, monotonic, rig };
+  rig->counters = az_counters_create ();
+  rig->runs = g_array_new (FALSE, FALSE, sizeof (struct gateway_run));
+  rig->stops = g_array_new (FALSE, FALSE, sizeof (struct gateway_run));
+  rig->answers = g_array_new (FALSE, FALSE, sizeof (struct gateway_answer));
+  rig->connects = g_ptr_array_new_with_free_func (g_free);
+  rig->core = az_gateway_create (&settings, 5, &rig->clock, &io, rig->counters);
+  az_gateway_set_catalog (rig->core, gateway_rig_catalog (1), 1, "{}", 2);
+  for (unsigned i = 1; i <= n_upstreams; i++)
+    {
+      g_autofree char *instance = g_strdup_printf ("s%u", i);
+
+      gateway_rig_open_upstream (rig, i, instance, "d1", true);
+    }
+  return rig;
+}
+
+void
+gateway_rig_destroy (struct gateway_rig *rig)
+{
+  az_gateway_destroy (rig->core);
+  az_counters_destroy (rig->counters);
+  g_array_unref (rig->runs);
+  g_array_unref (rig->stops);
+  g_array_unref (rig->answers);
+  g_ptr_array_unref (rig->connects);
+  g_free (rig);
+}
+
+static void
+report (struct gateway_rig *rig,
+        uint32_t session,
+        struct az_task_event *event,
+        struct az_task_progress *progress)
+{
+  struct az_message message = { .proc = AZ_NODE_REPORT };
+
+  message.az_message_u.node_report = (struct az_node_report){
+    .received = rig->received[session],
+    .free = { .cpu_milli = CORES - rig->used[session], .memory_mb = 65536 },
+    .events = { event ? 1 : 0, event },
+    .progress = { progress ? 1 : 0, progress },
+  };
+  az_gateway_received (rig->core, session, &message);
+  az_gateway_flush (rig->core);
+}
+
+void
+gateway_rig_open_upstream (struct gateway_rig *rig,
+                           uint32_t session,
+                           const char *instance,
+                           const char *domain,
+                           bool is_open)
+{
+  struct az_message message = { .proc = AZ_NODE_HELLO };
+
+  message.az_message_u.node_hello = (struct az_node_hello){
+    .incarnation = 100 + session,
+    .instance = (char *)instance,
+    .domain = (char *)domain,
+    .address = (char *)"",
+  };
+  az_gateway_session_opened (rig->core, session, NULL);
+  az_gateway_received (rig->core, session, &message);
+  message = (struct az_message){ .proc = AZ_NODE_UPSTREAM };
+  message.az_message_u.node_upstream = (struct az_node_upstream){
+    .life = 1,
+    .open = is_open,
+    .service = (char *)"service",
+    .capacity = { .cpu_milli = CORES, .memory_mb = 65536 },
+  };
+  rig->received[session] = 0;
+  rig->used[session] = 0;
+  az_gateway_received (rig->core, session, &message);
+  report (rig, session, NULL, NULL);
+}
+
+void
+gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks)
+{
+  const struct az_catalog *catalog = az_gateway_catalog (rig->core);
+  g_autofree char *path = g_strdup_printf ("/%s/", route);
+  g_autofree char *id = g_strdup_printf (GATEWAY_RIG_ID, caller);
+  struct az_job_request request = { .specification = g_strdup ("spec"), .n_steps = 1 };
+
+  request.steps = g_new0 (struct az_job_step, 1);
+  request.steps[0] = (struct az_job_step){ .n_tasks = n_tasks,
+                                           .need = { .cpu_milli = TASK_CPU, .memory_mb = 64 },
+                                           .estimate_ms = 100 };
+  az_gateway_submit (rig->core, caller, az_catalog_find (catalog, "host", path), id, &request,
+                     1500);
+  az_gateway_flush (rig->core);
+}
+
+const struct gateway_run *
+gateway_rig_run (const struct gateway_rig *rig, guint run)
+{
+  return &g_array_index (rig->runs, struct gateway_run, run);
+}
+
+void
+gateway_rig_end (struct gateway_rig *rig, guint run, enum az_task_end how, uint32_t run_ms)
+{
+  struct gateway_run ended = *gateway_rig_run (rig, run);
+  struct az_task_event event = {
+    .job = ended.job,
+    .index = ended.index,
+    .attempt = ended.attempt,
+    .how = how,
+    .run_ms = run_ms,
+  };
+
+  rig->used[ended.session] -= TASK_CPU;
+  report (rig, ended.session, &event, NULL);
+}
+
+void
+gateway_rig_progress (struct gateway_rig *rig,
+                      guint run,
+                      uint32_t elapsed_ms,
+                      uint32_t projected_ms)
+{
+  const struct gateway_run *row = gateway_rig_run (rig, run);
+  struct az_task_progress progress = {
+    .job = row->job,
+    .index = row->index,
+    .elapsed_ms = elapsed_ms,
+    .projected_ms = projected_ms,
+  };
+
+  report (rig, row->session, NULL, &progress);
+}
+
+void
+gateway_rig_pass (struct gateway_rig *rig, int64_t ms, uint32_t silent)
+{
+  for (int64_t passed = 0; passed < ms; passed += TICK_MS)
+    {
+      rig->now_ms += TICK_MS;
+      for (uint32_t session = 1; session < G_N_ELEMENTS (rig->received); session++)
+        if (!(silent & (1u << session)))
+          report (rig, session, NULL, NULL);
+      az_gateway_tick (rig->core);
+      az_gateway_flush (rig->core);
+    }
+}
+
+int
+gateway_rig_outcome (const struct gateway_rig *rig, uint32_t caller)
+{
+  for (guint i = 0; i < rig->answers->len; i++)
+    if (g_array_index (rig->answers, struct gateway_answer, i).caller == caller)
+      return (int)g_array_index (rig->answers, struct gateway_answer, i).outcome;
+  return -1;
+}
--- /dev/null
+++ b/tests/gateway_rig.h
@@ -0,0 +1,82 @@
+#ifndef AZUREROCK_TESTS_GATEWAY_RIG_H
+#define AZUREROCK_TESTS_GATEWAY_RIG_H
+
+#include "azurerock/gateway.h"
+#include <glib.h>
+
+/* A gateway core with a virtual clock; sidecars and callers are played by the test. */
+
+#define GATEWAY_RIG_ID "00000000000000%02x"
+
+struct gateway_run
+{
+  uint32_t session;
+  uint64_t job;
+  uint32_t index;
+  uint32_t attempt;
+};
+
+struct gateway_answer
+{
+  uint32_t caller;
+  enum az_job_outcome outcome;
+  int64_t after_ms; /* since the rig was created */
+};
+
+struct gateway_rig
+{
+  int64_t now_ms;
+  struct az_clock clock;
+  struct az_counters *counters;
+  struct az_gateway *core;
+  GArray *runs;    /* struct gateway_run */
+  GArray *stops;   /* struct gateway_run; index UINT32_MAX for all tasks */
+  GArray *answers; /* struct gateway_answer */
+  GPtrArray *connects;
+  unsigned n_closed;
+  uint32_t received[16]; /* run messages per session */
+  uint32_t used[16];     /* thousandths of a core that the test's upstreams have in use */
+};
+
+/** gateway_rig_create - with @n_upstreams open upstreams of 32 cores at sessions 1, 2, ... in
+ * domain "d1" */
+struct gateway_rig *
+gateway_rig_create (unsigned n_upstreams);
+void
+gateway_rig_destroy (struct gateway_rig *rig);
+
+void
+gateway_rig_open_upstream (struct gateway_rig *rig,
+                           uint32_t session,
+                           const char *instance,
+                           const char *domain,
+                           bool is_open);
+
+/** gateway_rig_submit - a job of tasks of 4 cores and 100 ms in the queue @route ("fast", "big") */
+void
+gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks);
+
+/** gateway_rig_end - the upstream tells how the run has ended */
+void
+gateway_rig_end (struct gateway_rig *rig, guint run, enum az_task_end how, uint32_t run_ms);
+void
+gateway_rig_progress (struct gateway_rig *rig,
+                      guint run,
+                      uint32_t elapsed_ms,
+                      uint32_t projected_ms);
+
+/** gateway_rig_pass - lets time pass; sidecars stay alive unless @silent (a bit per session) */
+void
+gateway_rig_pass (struct gateway_rig *rig, int64_t ms, uint32_t silent);
+const struct gateway_run *
+gateway_rig_run (const struct gateway_rig *rig, guint run);
+
+/** gateway_rig_outcome - of @caller's job, or -1 */
+int
+gateway_rig_outcome (const struct gateway_rig *rig, uint32_t caller);
+
+/** gateway_rig_route - the route in a catalog, for callers of az_gateway_submit() */
+struct az_catalog *
+gateway_rig_catalog (uint64_t version);
+
+#endif
--- /dev/null
+++ b/tests/sidecar_rig.c
@@ -0,0 +1,308 @@
+#include "sidecar_rig.h"
+#include <string.h>
+
+#define TICK_MS 25
+#define CORES 32000
+
+static void
+monotonic (void *context, struct timespec *now)
+{
+  const struct sidecar_rig *rig = context;
+
+  *now = az_time_from_ns (rig->now_ms * 1000000);
+}
+
+static void
+wall (void *context, struct timespec *now)
+{
+  const struct sidecar_rig *rig = context;
+
+  *now = az_time_from_ns (rig->wall_ms * 1000000);
+}
+
+static void
+take_message (void *context, uint32_t session, const struct az_message *message)
+{
+  struct sidecar_rig *rig = context;
+  const struct az_node_report *report = &message->az_message_u.node_report;
+
+  (void)session;
+  if (message->proc == AZ_NODE_UPSTREAM)
+    rig->is_open = message->az_message_u.node_upstream.open;
+  if (message->proc != AZ_NODE_REPORT)
+    return;
+  rig->free_milli = report->free.cpu_milli;
+  g_array_append_vals (rig->events, report->events.events_val, report->events.events_len);
+}
+
+static void
+take_close (void *context, uint32_t session, const char *reason)
+{
+  struct sidecar_rig *rig = context;
+
+  (void)session;
+  (void)reason;
+  rig->n_closed++;
+}
+
+static void
+take_start (void *context, uint32_t task, const struct az_upstream_start *start)
+{
+  struct sidecar_rig *rig = context;
+  const struct sidecar_order order = { .task = task,
+                                       .name = g_strdup (start->task),
+                                       .attempt = start->attempt,
+                                       .lease_end_clock_ms = start->lease_end_clock_ms,
+                                       .fence = start->fence };
+
+  g_array_append_val (rig->starts, order);
+}
+
+static void
+take_stop (void *context, uint32_t task, const struct az_upstream_stop *stop)
+{
+  struct sidecar_rig *rig = context;
+  const struct sidecar_order order = {
+    .task = task, .name = g_strdup (stop->task), .attempt = stop->attempt, .fence = stop->fence
+  };
+
+  g_array_append_val (rig->stops, order);
+}
+
+static void
+take_hold (void *context, uint64_t number, const struct az_upstream_hold *hold)
+{
+  struct sidecar_rig *rig = context;
+
+  rig->hold = number;
+  rig->n_holds++;
+  rig->hold_lease_end_clock_ms = hold->lease_end_clock_ms;
+  rig->hold_fence = hold->fence;
+  rig->hold_seen = hold->seen;
+}
+
+static void
+clear_order (void *data)
+{
+  g_free (((struct sidecar_order *)data)->name);
+}
+
+struct sidecar_rig *
+sidecar_rig_create_bare (void)
+{
+  static const struct az_sidecar_settings settings = {
+    .instance = "s1",
+    .domain = "d1",
+    .lease_ms = 700,
+    .session_ms = 450,
+    .stop_ms = 50,
+    .evidence_ms = 2500,
+  };
+  struct sidecar_rig *rig = g_new0 (struct sidecar_rig, 1);
+  const struct az_sidecar_io io
+      = { take_message, take_close, take_start, take_stop, take_hold, rig };
+
+  rig->now_ms = 1000;
+  rig->wall_ms = 1700000000000;
+  rig->clock = (struct az_clock){ monotonic, wall, rig };
+  rig->counters = az_counters_create ();
+  rig->starts = g_array_new (FALSE, FALSE, sizeof (struct sidecar_order));
+  rig->stops = g_array_new (FALSE, FALSE, sizeof (struct sidecar_order));
+  g_array_set_clear_func (rig->starts, clear_order);
+  g_array_set_clear_func (rig->stops, clear_order);
+  rig->events = g_array_new (FALSE, FALSE, sizeof (struct az_task_event));
+  rig->core = az_sidecar_create (&settings, 7, &rig->clock, &io, rig->counters);
+  return rig;
+}
+
+struct sidecar_rig *
+sidecar_rig_create (void)
+{
+  struct sidecar_rig *rig = sidecar_rig_create_bare ();
+
+  sidecar_rig_open_session (rig, 1, "g1");
+  sidecar_rig_open_session (rig, 2, "g2");
+  sidecar_rig_announce (rig, "i1", 100, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_flush (rig->core);
+  return rig;
+}
+
+void
+sidecar_rig_destroy (struct sidecar_rig *rig)
+{
+  az_sidecar_destroy (rig->core);
+  az_counters_destroy (rig->counters);
+  g_array_unref (rig->starts);
+  g_array_unref (rig->stops);
+  g_array_unref (rig->events);
+  g_free (rig);
+}
+
+void
+sidecar_rig_open_session (struct sidecar_rig *rig, uint32_t session, const char *gateway)
+{
+  struct az_message hello = { .proc = AZ_NODE_HELLO };
+
+  hello.az_message_u.node_hello.instance = (char *)gateway;
+  hello.az_message_u.node_hello.domain = (char *)"d1";
+  hello.az_message_u.node_hello.address = (char *)"127.0.0.1:9";
+  az_sidecar_session_opened (rig->core, session);
+  az_sidecar_received (rig->core, session, &hello);
+}
+
+bool
+sidecar_rig_announce (struct sidecar_rig *rig,
+                      const char *instance,
+                      int64_t born_ms,
+                      uint64_t sequence,
+                      bool is_draining)
+{
+  g_autoptr (GPtrArray) labels = g_ptr_array_new ();
+  const struct az_upstream_announcement announcement = {
+    .instance = (char *)instance,
+    .service = (char *)"service",
+    .address = (char *)"127.0.0.1:1",
+    .domain = (char *)"d1",
+    .born_ms = born_ms,
+    .sequence = sequence,
+    .is_draining = is_draining,
+    .capacity = { .cpu_milli = CORES, .memory_mb = 65536 },
+    .labels = labels,
+    .clock_ms = -1,
+  };
+
+  return az_sidecar_announced (rig->core, &announcement);
+}
+
+void
+sidecar_rig_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index)
+{
+  struct az_message message = { .proc = AZ_NODE_RUN };
+  struct az_run_task row = { .index = index, .attempt = 1 };
+
+  message.az_message_u.node_run = (struct az_node_run){
+    .job = job,
+    .name = (char *)"job.0.0",
+    .specification = { 4, (char *)"spec" },
+    .need = { .cpu_milli = 4000, .memory_mb = 64 },
+    .deadline_ms = 1500,
+    .tasks = { 1, &row },
+  };
+  az_sidecar_received (rig->core, session, &message);
+  az_sidecar_flush (rig->core);
+}
+
+static struct az_upstream_answer
+answer_of (const struct sidecar_rig *rig, enum az_upstream_result result)
+{
+  return (struct az_upstream_answer){
+    .result = result,
+    .clock_ms = result == AZ_UPSTREAM_UNANSWERED ? -1 : rig->now_ms,
+  };
+}
+
+void
+sidecar_rig_answer_start (struct sidecar_rig *rig, guint order, enum az_upstream_result result)
+{
+  const struct az_upstream_answer answer = answer_of (rig, result);
+
+  az_sidecar_start_answered (rig->core, sidecar_rig_start (rig, order)->task, &answer);
+  az_sidecar_flush (rig->core);
+}
+
+void
+sidecar_rig_answer_stop (struct sidecar_rig *rig, guint order, enum az_upstream_result result)
+{
+  const struct az_upstream_answer answer = answer_of (rig, result);
+
+  az_sidecar_stop_answered (rig->core, g_array_index (rig->stops, struct sidecar_order, order).task,
+                            &answer);
+  az_sidecar_flush (rig->core);
+}
+
+void
+sidecar_rig_answer_hold (struct sidecar_rig *rig, const char *active, const char *done)
+{
+  g_auto (GStrv) active_names = g_strsplit (active, " ", -1);
+  g_auto (GStrv) done_names = g_strsplit (done, " ", -1);
+  struct az_upstream_lists lists = { .answer = answer_of (rig, AZ_UPSTREAM_OK) };
+
+  lists.active = g_new0 (struct az_upstream_active, g_strv_length (active_names) + 1);
+  lists.ended = g_new0 (struct az_upstream_ended, g_strv_length (done_names) + 1);
+  for (char **name = active_names; *name; name++)
+    lists.active[lists.n_active++]
+        = (struct az_upstream_active){ .task = g_strdup (*name), .attempt = 1, .percent = 50 };
+  for (char **name = done_names; *name; name++)
+    {
+      lists.ended[lists.n_ended] = (struct az_upstream_ended){
+        .number = rig->hold_seen + lists.n_ended + 1,
+        .task = g_strdup (*name),
+        .attempt = 1,
+        .how = AZ_TASK_DONE,
+      };
+      lists.n_ended++;
+    }
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  az_upstream_lists_clear (&lists);
+  az_sidecar_flush (rig->core);
+}
+
+void
+sidecar_rig_fail_hold (struct sidecar_rig *rig, enum az_upstream_result result)
+{
+  struct az_upstream_lists lists = { .answer = answer_of (rig, result) };
+
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  az_sidecar_flush (rig->core);
+}
+
+static void
+tick (struct sidecar_rig *rig)
+{
+  rig->now_ms += TICK_MS;
+  rig->wall_ms += TICK_MS;
+  az_sidecar_tick (rig->core);
+  az_sidecar_flush (rig->core);
+}
+
+void
+sidecar_rig_pass (struct sidecar_rig *rig, int64_t ms)
+{
+  for (int64_t passed = 0; passed < ms; passed += TICK_MS)
+    tick (rig);
+}
+
+void
+sidecar_rig_pulse (struct sidecar_rig *rig, uint32_t session)
+{
+  const struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  az_sidecar_received (rig->core, session, &pulse);
+}
+
+void
+sidecar_rig_pass_held (struct sidecar_rig *rig, int64_t ms, const char *active)
+{
+  for (int64_t passed = 0; passed < ms; passed += TICK_MS)
+    {
+      sidecar_rig_pulse (rig, 1);
+      sidecar_rig_pulse (rig, 2);
+      tick (rig);
+      sidecar_rig_answer_hold (rig, active, "");
+    }
+}
+
+const struct sidecar_order *
+sidecar_rig_start (const struct sidecar_rig *rig, guint order)
+{
+  return &g_array_index (rig->starts, struct sidecar_order, order);
+}
+
+int
+sidecar_rig_last_event (const struct sidecar_rig *rig)
+{
+  if (rig->events->len == 0)
+    return -1;
+  return (int)g_array_index (rig->events, struct az_task_event, rig->events->len - 1).how;
+}
--- /dev/null
+++ b/tests/sidecar_rig.h
@@ -0,0 +1,91 @@
+#ifndef AZUREROCK_TESTS_SIDECAR_RIG_H
+#define AZUREROCK_TESTS_SIDECAR_RIG_H
+
+#include "azurerock/sidecar.h"
+#include <glib.h>
+
+/* A sidecar core with a virtual clock and an upstream that the test plays. */
+
+struct sidecar_order
+{
+  uint32_t task;
+  char *name;
+  uint32_t attempt;
+  int64_t lease_end_clock_ms;
+  uint64_t fence;
+};
+
+struct sidecar_rig
+{
+  int64_t now_ms;
+  int64_t wall_ms;
+  struct az_clock clock;
+  struct az_counters *counters;
+  struct az_sidecar *core;
+  GArray *starts; /* struct sidecar_order */
+  GArray *stops;
+  GArray *events; /* struct az_task_event, all sessions */
+  uint64_t hold;  /* number of the last hold */
+  unsigned n_holds;
+  int64_t hold_lease_end_clock_ms;
+  uint64_t hold_fence;
+  uint64_t hold_seen;
+  bool is_open; /* as last told to any session */
+  unsigned n_closed;
+  uint32_t free_milli; /* as last reported */
+};
+
+/** sidecar_rig_create - with sessions 1 and 2 of gateways "g1" and "g2", and an upstream of 32
+ * cores that is open */
+struct sidecar_rig *
+sidecar_rig_create (void);
+
+/** sidecar_rig_create_bare - without sessions and upstream */
+struct sidecar_rig *
+sidecar_rig_create_bare (void);
+void
+sidecar_rig_destroy (struct sidecar_rig *rig);
+
+void
+sidecar_rig_open_session (struct sidecar_rig *rig, uint32_t session, const char *gateway);
+
+/** sidecar_rig_announce - a heartbeat of instance @instance, at address "127.0.0.1:1" */
+bool
+sidecar_rig_announce (struct sidecar_rig *rig,
+                      const char *instance,
+                      int64_t born_ms,
+                      uint64_t sequence,
+                      bool is_draining);
+
+/** sidecar_rig_run - task "job.0.0.index" of 4 cores from @session */
+void
+sidecar_rig_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index);
+void
+sidecar_rig_answer_start (struct sidecar_rig *rig, guint order, enum az_upstream_result result);
+void
+sidecar_rig_answer_stop (struct sidecar_rig *rig, guint order, enum az_upstream_result result);
+
+/** sidecar_rig_answer_hold - answers the last hold with these lists, "name name ..." or "" */
+void
+sidecar_rig_answer_hold (struct sidecar_rig *rig, const char *active, const char *done);
+void
+sidecar_rig_fail_hold (struct sidecar_rig *rig, enum az_upstream_result result);
+
+/** sidecar_rig_pass - lets time pass in ticks of 25 ms */
+void
+sidecar_rig_pass (struct sidecar_rig *rig, int64_t ms);
+
+/** sidecar_rig_pass_held - the same, and the upstream answers each hold with these lists; gateways
+ * stay alive */
+void
+sidecar_rig_pass_held (struct sidecar_rig *rig, int64_t ms, const char *active);
+void
+sidecar_rig_pulse (struct sidecar_rig *rig, uint32_t session);
+const struct sidecar_order *
+sidecar_rig_start (const struct sidecar_rig *rig, guint order);
+
+/** sidecar_rig_last_event - how the last task that was told about ended, or -1 */
+int
+sidecar_rig_last_event (const struct sidecar_rig *rig);
+
+#endif
--- /dev/null
+++ b/tests/test_gateway.c
@@ -0,0 +1,319 @@
+#include "gateway_rig.h"
+#include "testing.h"
+
+static void
+test_job_is_answered_when_all_tasks_are_done (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 3);
+  assert_int_equal (rig->runs->len, 3);
+  gateway_rig_end (rig, 0, AZ_TASK_DONE, 90);
+  gateway_rig_end (rig, 1, AZ_TASK_DONE, 90);
+  assert_int_equal (gateway_rig_outcome (rig, 1), -1);
+  gateway_rig_end (rig, 2, AZ_TASK_DONE, 90);
+  assert_int_equal (gateway_rig_outcome (rig, 1), AZ_JOB_COMPLETED);
+  assert_int_equal (az_gateway_n_jobs (rig->core), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against "failed" or "not run" for a job that has run and could not end in time. */
+static void
+test_deadline_after_a_start_is_unfinished (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_pass (rig, 1520, 0);
+  assert_int_equal (gateway_rig_outcome (rig, 1), AZ_JOB_UNFINISHED);
+  assert_int_equal (rig->stops->len, 1);
+  gateway_rig_destroy (rig);
+}
+
+static void
+test_task_that_fails_too_often_fails_its_job (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (3);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 2);
+  gateway_rig_end (rig, 0, AZ_TASK_FAILED, 20);
+  gateway_rig_end (rig, 2, AZ_TASK_FAILED, 20);
+  assert_int_equal (gateway_rig_outcome (rig, 1), -1);
+  gateway_rig_end (rig, 3, AZ_TASK_FAILED, 20);
+  assert_int_equal (gateway_rig_outcome (rig, 1), AZ_JOB_FAILED);
+  assert_int_equal (rig->stops->len, 1);
+  gateway_rig_destroy (rig);
+}
+
+/* Each run of a task must have a higher attempt, and a task that failed goes elsewhere. */
+static void
+test_failed_task_runs_elsewhere_with_a_higher_attempt (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_end (rig, 0, AZ_TASK_FAILED, 20);
+  assert_int_equal (rig->runs->len, 2);
+  assert_int_not_equal (gateway_rig_run (rig, 0)->session, gateway_rig_run (rig, 1)->session);
+  assert_true (gateway_rig_run (rig, 1)->attempt > gateway_rig_run (rig, 0)->attempt);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against two runs of one task: what ran in a lost session may run on until its sidecar has
+ * ended it. */
+static void
+test_tasks_of_a_lost_session_wait_until_they_are_gone (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+  uint32_t lost;
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  lost = gateway_rig_run (rig, 0)->session;
+  az_gateway_session_closed (rig->core, lost, "reset");
+  gateway_rig_pass (rig, 880, 0);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_pass (rig, 60, 0);
+  assert_int_equal (rig->runs->len, 2);
+  assert_int_not_equal (gateway_rig_run (rig, 1)->session, lost);
+  gateway_rig_destroy (rig);
+}
+
+/* A sidecar that is back and open has ended what the former session had started. */
+static void
+test_reopened_session_settles_its_tasks_at_once (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  az_gateway_session_closed (rig->core, 1, "reset");
+  gateway_rig_pass (rig, 100, 0);
+  gateway_rig_open_upstream (rig, 3, "s1", "d1", false);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_open_upstream (rig, 4, "s1", "d1", true);
+  assert_int_equal (rig->runs->len, 2);
+  gateway_rig_destroy (rig);
+}
+
+static void
+test_silent_sidecar_loses_its_session (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+  uint32_t silent;
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  silent = gateway_rig_run (rig, 0)->session;
+  gateway_rig_pass (rig, 440, 1u << silent);
+  assert_int_equal (rig->n_closed, 0);
+  gateway_rig_pass (rig, 60, 1u << silent);
+  assert_int_equal (rig->n_closed, 1);
+  gateway_rig_destroy (rig);
+}
+
+/* The same job through two connections runs once and is answered to both. */
+static void
+test_job_sent_twice_runs_once (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+  const struct az_catalog *catalog = az_gateway_catalog (rig->core);
+  struct az_job_request request = { .specification = g_strdup ("spec") };
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  az_gateway_submit (rig->core, 2, &catalog->routes[0], "0000000000000001", &request, 1500);
+  az_gateway_flush (rig->core);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_end (rig, 0, AZ_TASK_DONE, 90);
+  assert_int_equal (gateway_rig_outcome (rig, 1), AZ_JOB_COMPLETED);
+  assert_int_equal (gateway_rig_outcome (rig, 2), AZ_JOB_COMPLETED);
+  gateway_rig_destroy (rig);
+}
+
+static void
+test_job_whose_caller_has_gone_is_stopped (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 2);
+  az_gateway_caller_gone (rig->core, 1);
+  assert_int_equal (rig->stops->len, 1);
+  assert_int_equal (az_gateway_n_jobs (rig->core), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a configuration that goes back, through a peer or a store that is behind. */
+static void
+test_configuration_never_goes_back (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  assert_true (az_gateway_set_catalog (rig->core, gateway_rig_catalog (7), 3, "{}", 2));
+  assert_false (az_gateway_set_catalog (rig->core, gateway_rig_catalog (6), 9, "{}", 2));
+  assert_int_equal (az_gateway_catalog (rig->core)->version, 7);
+  gateway_rig_destroy (rig);
+}
+
+static void
+test_withdrawn_domain_gets_no_tasks (void **state)
+{
+  static const char *const domains[] = { "d2" };
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  gateway_rig_open_upstream (rig, 1, "s1", "d2", true);
+  gateway_rig_open_upstream (rig, 2, "s2", "d3", true);
+  az_gateway_set_withdrawn (rig->core, 10, 0, domains, 1);
+  az_gateway_set_withdrawn (rig->core, 9, 0, NULL, 0);
+  gateway_rig_submit (rig, 1, "fast", 6);
+  assert_int_equal (rig->runs->len, 6);
+  for (guint i = 0; i < rig->runs->len; i++)
+    assert_int_equal (gateway_rig_run (rig, i)->session, 2);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against refusals in the moment after a start, before the sidecars have connected. */
+static void
+test_job_waits_for_the_first_upstream (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_pass (rig, 60, 0);
+  assert_int_equal (gateway_rig_outcome (rig, 1), -1);
+  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a job that is held although no upstream has been there for long. */
+static void
+test_job_without_upstreams_is_refused_at_once (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  gateway_rig_pass (rig, 2000, 0);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against an upstream that fails all that it starts and so looks idle. */
+static void
+test_failing_upstream_is_ejected (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (4);
+  unsigned n_on_failing = 0;
+
+  (void)state;
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      guint first = rig->runs->len;
+
+      gateway_rig_submit (rig, 1 + i, "fast", 1);
+      for (guint run = first; run < rig->runs->len; run++)
+        {
+          bool fails = gateway_rig_run (rig, run)->session == gateway_rig_run (rig, 0)->session;
+
+          n_on_failing += fails;
+          gateway_rig_end (rig, run, fails ? AZ_TASK_FAILED : AZ_TASK_DONE, 90);
+        }
+      gateway_rig_pass (rig, 20, 0);
+    }
+  assert_in_range (n_on_failing, 1, 8);
+  gateway_rig_destroy (rig);
+}
+
+/* A task that stands still is stopped, and run elsewhere only after its end was told. */
+static void
+test_task_that_stands_still_is_moved (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_progress (rig, 0, 300, UINT32_MAX);
+  assert_int_equal (rig->stops->len, 1);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_end (rig, 0, AZ_TASK_STOPPED, 350);
+  assert_int_equal (rig->runs->len, 2);
+  assert_int_not_equal (gateway_rig_run (rig, 0)->session, gateway_rig_run (rig, 1)->session);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against work that goes on to an upstream that has turned slow. */
+static void
+test_slow_upstream_gets_single_tasks (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (3);
+  unsigned n_late = 0;
+
+  (void)state;
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      guint first = rig->runs->len;
+
+      gateway_rig_submit (rig, 1 + i, "fast", 3);
+      for (guint run = first; run < rig->runs->len; run++)
+        {
+          bool is_slow = gateway_rig_run (rig, run)->session == 3;
+
+          n_late += i >= 10 && is_slow;
+          gateway_rig_end (rig, run, AZ_TASK_DONE, is_slow ? 600 : 90);
+        }
+      gateway_rig_pass (rig, 20, 0);
+    }
+  assert_in_range (n_late, 0, 6);
+  gateway_rig_destroy (rig);
+}
+
+/* When not all can be served in time, the excess is refused at once and the rest is served. */
+static void
+test_excess_is_refused_at_once (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+  unsigned n_refused = 0;
+
+  (void)state;
+  for (uint32_t i = 0; i < 40; i++)
+    gateway_rig_submit (rig, 1 + i, "fast", 2);
+  for (guint i = 0; i < rig->answers->len; i++)
+    n_refused += g_array_index (rig->answers, struct gateway_answer, i).outcome == AZ_JOB_NOT_RUN;
+  assert_in_range (n_refused, 25, 36);
+  gateway_rig_destroy (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_job_is_answered_when_all_tasks_are_done),
+    cmocka_unit_test (test_deadline_after_a_start_is_unfinished),
+    cmocka_unit_test (test_task_that_fails_too_often_fails_its_job),
+    cmocka_unit_test (test_failed_task_runs_elsewhere_with_a_higher_attempt),
+    cmocka_unit_test (test_tasks_of_a_lost_session_wait_until_they_are_gone),
+    cmocka_unit_test (test_reopened_session_settles_its_tasks_at_once),
+    cmocka_unit_test (test_silent_sidecar_loses_its_session),
+    cmocka_unit_test (test_job_sent_twice_runs_once),
+    cmocka_unit_test (test_job_whose_caller_has_gone_is_stopped),
+    cmocka_unit_test (test_configuration_never_goes_back),
+    cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
+    cmocka_unit_test (test_job_waits_for_the_first_upstream),
+    cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
+    cmocka_unit_test (test_failing_upstream_is_ejected),
+    cmocka_unit_test (test_task_that_stands_still_is_moved),
+    cmocka_unit_test (test_slow_upstream_gets_single_tasks),
+    cmocka_unit_test (test_excess_is_refused_at_once),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_sidecar.c
@@ -0,0 +1,293 @@
+#include "sidecar_rig.h"
+#include "testing.h"
+
+/* Guards against overcommitting an upstream: what is being started or stopped counts. */
+static void
+test_room_is_never_exceeded (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  for (uint32_t i = 0; i < 9; i++)
+    sidecar_rig_run (rig, 1 + i % 2, 1, i);
+  assert_int_equal (rig->starts->len, 8);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_NO_ROOM);
+  assert_int_equal (rig->free_milli, 0);
+  sidecar_rig_destroy (rig);
+}
+
+static void
+test_end_is_told_and_frees_room (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "job.0.0.0");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_DONE);
+  assert_int_equal (rig->free_milli, 32000);
+  assert_true (az_sidecar_is_idle (rig->core));
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a second run while the first order may still be carried out: a start without an
+ * answer counts as gone only when a stop of the same attempt was taken and no trace is left. */
+static void
+test_unanswered_start_needs_a_proven_stop (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  assert_int_equal (rig->stops->len, 1);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  /* This hold was sent before the stop was answered. */
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_STOPPED);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against giving up a task before the lease of its order has passed, and against keeping
+ * its room for ever: orders to stop stay unanswered while holds go on. */
+static void
+test_unanswered_start_is_gone_with_its_lease (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_pass_held (rig, 650, "");
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_pass_held (rig, 150, "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
+/* Lets time pass while the upstream answers no hold. */
+static void
+pass_silent (struct sidecar_rig *rig, int64_t ms)
+{
+  for (int64_t passed = 0; passed < ms; passed += 25)
+    {
+      sidecar_rig_pulse (rig, 1);
+      sidecar_rig_pulse (rig, 2);
+      sidecar_rig_pass (rig, 25);
+      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+    }
+}
+
+/* Guards against a lease that a lost answer has renewed (the bound moves when a hold is sent), and
+ * against tasks that never end because each further hold might renew them. */
+static void
+test_silent_upstream_keeps_its_tasks_until_the_lease_ends (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_pass_held (rig, 500, "job.0.0.0");
+  pass_silent (rig, 675);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  pass_silent (rig, 200);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against two runs of a job that its caller sends again through another gateway: what the
+ * first one started is stopped when its session ends. */
+static void
+test_closed_session_stops_its_tasks (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_run (rig, 2, 1, 1);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_start (rig, 1, AZ_UPSTREAM_OK);
+  az_sidecar_session_closed (rig->core, 1, "reset");
+  assert_int_equal (rig->stops->len, 1);
+  assert_string_equal (g_array_index (rig->stops, struct sidecar_order, 0).name, "job.0.0.0");
+  sidecar_rig_destroy (rig);
+}
+
+static void
+test_silent_session_ends (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_pass (rig, 425);
+  assert_int_equal (rig->stops->len, 0);
+  sidecar_rig_pass (rig, 50);
+  assert_int_equal (rig->stops->len, 1);
+  assert_int_equal (rig->n_closed, 1);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a gateway that takes its lost tasks for gone too early: a new session of the same
+ * gateway is open only when they are. */
+static void
+test_new_session_is_open_when_the_former_ones_tasks_are_gone (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  az_sidecar_session_closed (rig->core, 1, "reset");
+  rig->is_open = false;
+  sidecar_rig_open_session (rig, 3, "g1");
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a heartbeat that was delayed until a newer incarnation had announced itself. */
+static void
+test_stale_announcements_are_ignored (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  assert_true (sidecar_rig_announce (rig, "i2", 200, 1, false));
+  assert_false (sidecar_rig_announce (rig, "i1", 100, 9, false));
+  assert_false (sidecar_rig_announce (rig, "i2", 200, 1, false));
+  assert_true (sidecar_rig_announce (rig, "i2", 200, 2, false));
+  assert_true (sidecar_rig_announce (rig, "i2", 300, 1, false));
+  sidecar_rig_destroy (rig);
+}
+
+static void
+test_new_life_at_the_address_ends_the_tasks (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against work on an upstream that is leaving or in a domain that was withdrawn. */
+static void
+test_draining_or_withdrawn_upstream_takes_nothing (void **state)
+{
+  static const char *const withdrawn[] = { "d0", "d1" };
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_announce (rig, "i1", 100, 2, true);
+  sidecar_rig_run (rig, 1, 1, 0);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CLOSED);
+  sidecar_rig_announce (rig, "i1", 100, 3, false);
+  az_sidecar_withdrawn (rig->core, 5, 0, withdrawn, 2);
+  sidecar_rig_run (rig, 1, 1, 1);
+  assert_int_equal (rig->starts->len, 0);
+  /* Older news must not bring the domain back. */
+  az_sidecar_withdrawn (rig->core, 4, 0, NULL, 0);
+  sidecar_rig_run (rig, 1, 1, 2);
+  assert_int_equal (rig->starts->len, 0);
+  az_sidecar_withdrawn (rig->core, 6, 0, NULL, 0);
+  sidecar_rig_run (rig, 1, 1, 3);
+  assert_int_equal (rig->starts->len, 1);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a process that can't take over from its predecessor after its clock was set
+ * back: the fence rises until the upstream takes it. */
+static void
+test_fence_rises_above_an_earlier_life (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create_bare ();
+  uint64_t fence;
+
+  (void)state;
+  sidecar_rig_open_session (rig, 1, "g1");
+  sidecar_rig_announce (rig, "i1", 100, 1, false);
+  fence = rig->hold_fence;
+  for (int i = 0; i < 8; i++)
+    sidecar_rig_fail_hold (rig, AZ_UPSTREAM_FENCED);
+  assert_true (rig->hold_fence >= fence + 2000000);
+  assert_false (rig->is_open);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against two runs after a restart of this process: what the former one started is stopped,
+ * its lease isn't renewed, and nothing new begins before it is gone. */
+static void
+test_tasks_of_an_earlier_life_are_stopped_first (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create_bare ();
+
+  (void)state;
+  sidecar_rig_open_session (rig, 1, "g1");
+  sidecar_rig_announce (rig, "i1", 100, 1, false);
+  sidecar_rig_answer_hold (rig, "old.0.0.0", "");
+  assert_int_equal (rig->stops->len, 1);
+  assert_int_equal (rig->hold_lease_end_clock_ms, 0);
+  assert_false (rig->is_open);
+  sidecar_rig_run (rig, 1, 1, 0);
+  assert_int_equal (rig->starts->len, 0);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+/* A job that is sent again starts its attempts anew; the upstream may have passed them. */
+static void
+test_old_attempt_is_raised (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OLD);
+  assert_int_equal (rig->starts->len, 2);
+  assert_true (sidecar_rig_start (rig, 1)->attempt > 1);
+  sidecar_rig_destroy (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_room_is_never_exceeded),
+    cmocka_unit_test (test_end_is_told_and_frees_room),
+    cmocka_unit_test (test_unanswered_start_needs_a_proven_stop),
+    cmocka_unit_test (test_unanswered_start_is_gone_with_its_lease),
+    cmocka_unit_test (test_silent_upstream_keeps_its_tasks_until_the_lease_ends),
+    cmocka_unit_test (test_closed_session_stops_its_tasks),
+    cmocka_unit_test (test_silent_session_ends),
+    cmocka_unit_test (test_new_session_is_open_when_the_former_ones_tasks_are_gone),
+    cmocka_unit_test (test_stale_announcements_are_ignored),
+    cmocka_unit_test (test_new_life_at_the_address_ends_the_tasks),
+    cmocka_unit_test (test_draining_or_withdrawn_upstream_takes_nothing),
+    cmocka_unit_test (test_fence_rises_above_an_earlier_life),
+    cmocka_unit_test (test_tasks_of_an_earlier_life_are_stopped_first),
+    cmocka_unit_test (test_old_attempt_is_raised),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
