Let sidecars judge the speed of their upstreams, and probe slow ones rarely

Cause: each gateway learned by itself, from three slow tasks in a row, that an upstream had turned slow, and then probed it five times a second with any job. With twelve gateways that is 36 lost tasks for each slow upstream, and thirty late jobs a second.

Change: run messages carry the expected run time; the sidecar learns the speed from the tasks of all gateways, reports it with the numbers of done and failed tasks, and takes one task at a time while it is slow. Gateways probe with jobs that have time to spare, at intervals that double up to 2.4 s.

--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -152,7 +152,7 @@
       read_integer (findings, origin, setting, value, (int64_t *)to);
       break;
     case AZ_SETTING_NUMBER:
-      read_number (findings, origin, setting, value, (double *)to);
+      read_number (findings, origin, setting, value, (double *)(void *)to);
       break;
     case AZ_SETTING_BOOLEAN:
       if (json_is_boolean (value))
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "dispatch/speed.h"
 #include "gateway/board.h"
 #include <string.h>
 
@@ -38,7 +39,7 @@
       const struct upstream *upstream = gateway->upstreams->pdata[i];
 
       if (!upstream->is_open || strcmp (upstream->service, service) != 0
-          || az_gateway_is_probe_only (gateway, upstream))
+          || az_speed_is_slow (upstream->speed))
         continue;
       capacity += upstream->capacity.cpu_milli;
       used += upstream->capacity.cpu_milli - upstream->free.cpu_milli;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -46,7 +46,9 @@
   uint32_t n_tasks;
   uint32_t used_milli; /* by this gateway's tasks */
   double speed;        /* 1: as fast as tasks of their estimate usually are */
-  uint32_t n_slow;     /* slow tasks in a row */
+  uint32_t n_done;     /* of all gateways' tasks, as last reported */
+  uint32_t n_failed;
+  uint32_t n_probes; /* since it was last in full use */
   int64_t probed_us;
 };
 
@@ -66,7 +68,6 @@
   uint32_t n_failed;
   uint32_t n_moved;
   bool is_stopping;
-  bool is_slow_counted;
   int64_t sent_us;
   int64_t gone_us;
 };
@@ -201,20 +202,18 @@
 
 /* health.c */
 
-/** az_gateway_is_probe_only - slower than the others: gets single tasks until it is faster */
-bool
-az_gateway_is_probe_only (const struct az_gateway *gateway, const struct upstream *upstream);
+/** az_gateway_judge - takes over what the sidecar tells of its upstream's speed and failures */
+void
+az_gateway_judge (struct az_gateway *gateway,
+                  struct upstream *upstream,
+                  const struct az_node_report *report);
+
+/** az_gateway_learn_run - a task took @run_us: learns how far its queue's estimates are off */
 void
-az_gateway_learn_run (struct az_gateway *gateway,
-                      struct job *job,
+az_gateway_learn_run (struct job *job,
                       const struct az_job_step *step,
-                      struct upstream *upstream,
+                      const struct upstream *upstream,
                       int64_t run_us);
-void
-az_gateway_learn_slow (struct az_gateway *gateway,
-                       struct upstream *upstream,
-                       int64_t expected_us,
-                       int64_t projected_us);
 
 /* jobs.c */
 void
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -1,64 +1,61 @@
 #include "azurerock/log.h"
+#include "dispatch/speed.h"
 #include "gateway/board.h"
 
-/* Smoothing of the speed: estimates are off by some tens of percent, so single tasks say little. */
-#define SPEED_WEIGHT 0.08
-#define PROBE_WEIGHT 0.5
 #define RATIO_WEIGHT 0.02
 
-/* An upstream slower than this share of the usual speed gets single tasks only. */
-#define PROBE_BELOW 0.45
-
-/* So many tasks in a row must be that slow before the smoothed speed gives way. */
-#define SLOW_IN_A_ROW 3
-
-bool
-az_gateway_is_probe_only (const struct az_gateway *gateway, const struct upstream *upstream)
+static void
+judge_speed (struct upstream *upstream, double speed)
 {
-  (void)gateway;
-  return upstream->speed < PROBE_BELOW;
+  bool was_slow = az_speed_is_slow (upstream->speed);
+  bool is_slow = az_speed_is_slow (speed);
+
+  upstream->speed = speed;
+  if (was_slow == is_slow)
+    return;
+  if (!is_slow)
+    upstream->n_probes = 0;
+  az_log (LOG_NOTICE, "event=upstream-speed instance=%s speed=%.2f outcome=%s", upstream->instance,
+          speed, is_slow ? "probes-only" : "in-use");
 }
 
+/* The counts are of one life of the upstream and begin anew with it. */
 static void
-learn_speed (struct upstream *upstream, double sample)
+judge_ends (struct az_gateway *gateway,
+            struct upstream *upstream,
+            const struct az_node_report *report)
 {
-  bool was_slow = upstream->speed < PROBE_BELOW;
+  bool was_ejected = az_ejector_is_ejected (gateway->ejector, upstream->handle);
+
+  for (; upstream->n_failed < report->n_failed; upstream->n_failed++)
+    az_ejector_report (gateway->ejector, upstream->handle, false);
+  for (; upstream->n_done < report->n_done; upstream->n_done++)
+    az_ejector_report (gateway->ejector, upstream->handle, true);
+  if (was_ejected != az_ejector_is_ejected (gateway->ejector, upstream->handle))
+    az_log (LOG_NOTICE, "event=upstream-failures instance=%s failed=%u done=%u outcome=%s",
+            upstream->instance, report->n_failed, report->n_done,
+            was_ejected ? "in-use" : "ejected");
+}
 
-  sample = CLAMP (sample, 0.05, 4);
-  upstream->n_slow = sample < PROBE_BELOW ? upstream->n_slow + 1 : 0;
-  if (upstream->n_slow == SLOW_IN_A_ROW)
-    upstream->speed = MIN (upstream->speed, sample);
-  else
-    upstream->speed += (was_slow ? PROBE_WEIGHT : SPEED_WEIGHT) * (sample - upstream->speed);
-  if (was_slow != (upstream->speed < PROBE_BELOW))
-    az_log (LOG_NOTICE, "event=upstream-speed instance=%s speed=%.2f outcome=%s",
-            upstream->instance, upstream->speed, was_slow ? "in-use" : "probes-only");
+void
+az_gateway_judge (struct az_gateway *gateway,
+                  struct upstream *upstream,
+                  const struct az_node_report *report)
+{
+  judge_speed (upstream, MAX (report->speed_percent, 1) / 100.0);
+  judge_ends (gateway, upstream, report);
 }
 
 void
-az_gateway_learn_run (struct az_gateway *gateway,
-                      struct job *job,
+az_gateway_learn_run (struct job *job,
                       const struct az_job_step *step,
-                      struct upstream *upstream,
+                      const struct upstream *upstream,
                       int64_t run_us)
 {
   double estimate_us = MAX (step->estimate_ms, 1) * 1000.0;
-  struct queue *queue = job->queue;
   double ratio = CLAMP ((double)MAX (run_us, 500) / estimate_us, 0.1, 10);
-  bool is_usual = upstream->speed >= PROBE_BELOW;
-
-  (void)gateway;
-  learn_speed (upstream, queue->run_ratio / ratio);
-  if (is_usual)
-    queue->run_ratio += RATIO_WEIGHT * (ratio * upstream->speed - queue->run_ratio);
-}
 
-void
-az_gateway_learn_slow (struct az_gateway *gateway,
-                       struct upstream *upstream,
-                       int64_t expected_us,
-                       int64_t projected_us)
-{
-  (void)gateway;
-  learn_speed (upstream, (double)expected_us / (double)MAX (projected_us, 1));
+  if (az_speed_is_slow (upstream->speed))
+    return;
+  job->queue->run_ratio += RATIO_WEIGHT * (ratio * upstream->speed - job->queue->run_ratio);
 }
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -1,9 +1,14 @@
 #include "azurerock/log.h"
+#include "dispatch/speed.h"
 #include "gateway/board.h"
 #include <string.h>
 
-/* Slow and ejected upstreams get one task at a time, so often. */
-#define PROBE_EVERY_MS 200
+/* Slow and ejected upstreams get one task at a time, the less often the longer they stay so. */
+#define PROBE_FIRST_MS 300
+#define PROBE_MAX_MS 2400
+
+/* A probe that turns out slow is moved; its job must have this much time to spare. */
+#define PROBE_SLACK_MS 180
 
 int64_t
 az_gateway_expected_us (const struct az_gateway *gateway,
@@ -60,12 +65,14 @@
   return step->spread_max == 0 || count_on (job, step_index, upstream) < step->spread_max;
 }
 
-/* A task that is small against what its job may still wait for is the one to probe with. */
 static bool
 may_probe (const struct az_gateway *gateway, const struct job *job, const struct upstream *upstream)
 {
-  return upstream->n_tasks == 0 && job->n_done == 0
-         && gateway->now_us - upstream->probed_us >= PROBE_EVERY_MS * AZ_US_PER_MS;
+  int64_t wait_ms = MIN (PROBE_FIRST_MS << MIN (upstream->n_probes, 8), PROBE_MAX_MS);
+  int64_t slack_us = job->objective_us - job->run_us - gateway->now_us;
+
+  return upstream->n_tasks == 0 && slack_us >= PROBE_SLACK_MS * AZ_US_PER_MS
+         && gateway->now_us - upstream->probed_us >= wait_ms * AZ_US_PER_MS;
 }
 
 /* In microseconds: run time, distance, and a little for what is in use, so that work spreads. */
@@ -107,7 +114,7 @@
 
       if (upstream->handle == avoid || !is_eligible (gateway, job, step_index, upstream))
         continue;
-      if (az_gateway_is_probe_only (gateway, upstream)
+      if (az_speed_is_slow (upstream->speed)
           || az_ejector_is_ejected (gateway->ejector, upstream->handle))
         continue;
       upstream_cost = cost (gateway, job, step_index, upstream);
@@ -128,13 +135,14 @@
       struct upstream *upstream = gateway->upstreams->pdata[i];
       bool is_ejected = az_ejector_is_ejected (gateway->ejector, upstream->handle);
 
-      if (!is_ejected && !az_gateway_is_probe_only (gateway, upstream))
+      if (!is_ejected && !az_speed_is_slow (upstream->speed))
         continue;
       if (!may_probe (gateway, job, upstream) || !is_eligible (gateway, job, step_index, upstream))
         continue;
       if (is_ejected && !az_ejector_may_start (gateway->ejector, upstream->handle))
         continue;
       upstream->probed_us = gateway->now_us;
+      upstream->n_probes++;
       return upstream;
     }
   return NULL;
@@ -168,7 +176,6 @@
   task->attempt++;
   task->sent_us = gateway->now_us;
   task->is_stopping = false;
-  task->is_slow_counted = false;
   job->steps[step_index].n_waiting--;
   job->n_waiting--;
   job->n_live++;
@@ -198,6 +205,7 @@
     .name = name,
     .specification = { (u_int)strlen (job->request.specification), job->request.specification },
     .need = step->need,
+    .expected_ms = (u_int)(az_gateway_expected_us (gateway, job, step_index, NULL) / AZ_US_PER_MS),
     .deadline_ms = (u_int)MAX ((job->deadline_us - gateway->now_us) / AZ_US_PER_MS, 0),
     .tasks = { tasks->len, (struct az_run_task *)(void *)tasks->data },
   };
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -1,7 +1,7 @@
 #include "azurerock/log.h"
 #include "gateway/board.h"
 
-/* A task whose run is projected to take this many times the expected time shows a slow upstream. */
+/* A task isn't moved unless its run is projected to take this many times the expected time. */
 #define SLOW_FACTOR 2.2
 
 /* A task is moved when it would end so much sooner elsewhere, its start there included. */
@@ -64,10 +64,6 @@
   expected_us = az_gateway_expected_us (gateway, job, progress->step, NULL);
   if ((double)progress->projected_ms * AZ_US_PER_MS < (double)expected_us * SLOW_FACTOR)
     return;
-  if (!task->is_slow_counted)
-    az_gateway_learn_slow (gateway, upstream, expected_us,
-                           (int64_t)MIN (progress->projected_ms, 1000000) * AZ_US_PER_MS);
-  task->is_slow_counted = true;
   if (task->n_moved >= MOVES_MAX || !is_better_elsewhere (gateway, job, progress, upstream))
     return;
   task->n_moved++;
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -98,6 +98,7 @@
              const struct az_node_report *report)
 {
   az_gateway_take_room (upstream, report);
+  az_gateway_judge (gateway, upstream, report);
   gateway->needs_placing = true;
   for (u_int i = 0; i < report->events.events_len; i++)
     az_gateway_take_event (gateway, upstream, &report->events.events_val[i]);
--- a/src/gateway/tasks.c
+++ b/src/gateway/tasks.c
@@ -61,27 +61,6 @@
     az_gateway_end_job (gateway, job, AZ_JOB_FAILED, 0, "a task has failed too often");
 }
 
-static void
-judge_upstream (struct az_gateway *gateway,
-                struct upstream *upstream,
-                const struct az_task_event *event)
-{
-  switch (event->how)
-    {
-    case AZ_TASK_DONE:
-      az_ejector_report (gateway->ejector, upstream->handle, true);
-      break;
-    case AZ_TASK_FAILED:
-    case AZ_TASK_LOST:
-    case AZ_TASK_UNHEALTHY:
-      az_ejector_report (gateway->ejector, upstream->handle, false);
-      break;
-    default:
-      az_ejector_cancelled (gateway->ejector, upstream->handle);
-      break;
-    }
-}
-
 void
 az_gateway_take_event (struct az_gateway *gateway,
                        struct upstream *upstream,
@@ -90,7 +69,8 @@
   struct job *job = find_job (gateway, event->job);
   struct task *task = job ? find_task (job, event->step, event->index) : NULL;
 
-  judge_upstream (gateway, upstream, event);
+  if (event->how == AZ_TASK_NO_ROOM || event->how == AZ_TASK_CLOSED)
+    az_ejector_cancelled (gateway->ejector, upstream->handle);
   if (!task || task->state != TASK_SENT || task->upstream != upstream->handle
       || event->attempt < task->attempt)
     return;
@@ -105,7 +85,7 @@
   switch (event->how)
     {
     case AZ_TASK_DONE:
-      az_gateway_learn_run (gateway, job, &job->request.steps[event->step], upstream,
+      az_gateway_learn_run (job, &job->request.steps[event->step], upstream,
                             (int64_t)event->run_ms * AZ_US_PER_MS);
       finish_task (gateway, job, event->step, task);
       break;
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -334,13 +334,15 @@
 	unsigned int attempt;
 };
 
-/* name is that of the step; a task's name is name.index. job is the gateway's number of the job. */
+/* name is that of the step; a task's name is name.index. job is the gateway's number of the job.
+ * expected_ms is the run time of a task on an upstream of usual speed. */
 struct az_node_run {
 	unsigned hyper job;
 	unsigned int step;
 	az_name name;
 	az_specification specification;
 	az_resources need;
+	unsigned int expected_ms;
 	unsigned int deadline_ms;
 	az_run_task tasks<AZ_MAX_RUN>;
 };
@@ -382,10 +384,15 @@
 	unsigned int projected_ms;
 };
 
-/* received counts the run messages of this connection that free takes into account. */
+/* received counts the run messages of this connection that free takes into account. The rest
+ * speaks of the tasks of all gateways: speed, in percent of the expected one, and the numbers of
+ * tasks that were done and that failed in this life of the upstream. */
 struct az_node_report {
 	unsigned int received;
 	az_resources free;
+	unsigned int speed_percent;
+	unsigned int n_done;
+	unsigned int n_failed;
 	az_task_event events<AZ_MAX_RUN>;
 	az_task_progress progress<AZ_MAX_RUN>;
 };
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -443,6 +443,7 @@
 	az_name name;
 	az_specification specification;
 	az_resources need;
+	u_int expected_ms;
 	u_int deadline_ms;
 	struct {
 		u_int tasks_len;
@@ -494,6 +495,9 @@
 struct az_node_report {
 	u_int received;
 	az_resources free;
+	u_int speed_percent;
+	u_int n_done;
+	u_int n_failed;
 	struct {
 		u_int events_len;
 		az_task_event *events_val;
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -778,6 +778,8 @@
 		 return FALSE;
 	 if (!xdr_az_resources (xdrs, &objp->need))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, AZ_MAX_RUN,
@@ -944,10 +946,71 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->received))
+			 return FALSE;
+		 if (!xdr_az_resources (xdrs, &objp->free))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->speed_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->n_done))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->n_failed))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->speed_percent);
+		IXDR_PUT_U_LONG(buf, objp->n_done);
+		IXDR_PUT_U_LONG(buf, objp->n_failed);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->events.events_val, (u_int *) &objp->events.events_len, AZ_MAX_RUN,
+			sizeof (az_task_event), (xdrproc_t) xdr_az_task_event))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->progress.progress_val, (u_int *) &objp->progress.progress_len, AZ_MAX_RUN,
+			sizeof (az_task_progress), (xdrproc_t) xdr_az_task_progress))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->received))
+			 return FALSE;
+		 if (!xdr_az_resources (xdrs, &objp->free))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->speed_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->n_done))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->n_failed))
+				 return FALSE;
+
+		} else {
+		objp->speed_percent = IXDR_GET_U_LONG(buf);
+		objp->n_done = IXDR_GET_U_LONG(buf);
+		objp->n_failed = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->events.events_val, (u_int *) &objp->events.events_len, AZ_MAX_RUN,
+			sizeof (az_task_event), (xdrproc_t) xdr_az_task_event))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->progress.progress_val, (u_int *) &objp->progress.progress_len, AZ_MAX_RUN,
+			sizeof (az_task_progress), (xdrproc_t) xdr_az_task_progress))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->received))
 		 return FALSE;
 	 if (!xdr_az_resources (xdrs, &objp->free))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->speed_percent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_done))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->n_failed))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->events.events_val, (u_int *) &objp->events.events_len, AZ_MAX_RUN,
 		sizeof (az_task_event), (xdrproc_t) xdr_az_task_event))
 		 return FALSE;
--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -4,6 +4,7 @@
 #include "azurerock/resources.h"
 #include "azurerock/sidecar.h"
 #include "azurerock/table.h"
+#include "dispatch/speed.h"
 #include "dispatch/time_us.h"
 #include "sidecar/lease.h"
 #include <glib.h>
@@ -39,6 +40,8 @@
   uint32_t attempt;
   uint32_t n_retries;
   struct az_resources need;
+  int64_t expected_us;
+  bool is_slow_counted;
   GBytes *specification;
   enum task_state state;
   bool stop_wanted;
@@ -85,6 +88,9 @@
   bool is_fenced; /* it has seen our fence, and nothing of an earlier life of ours runs */
   struct az_resources capacity;
   GPtrArray *labels;
+  struct az_speed speed;
+  uint32_t n_done;
+  uint32_t n_failed;
 };
 
 struct hold_state
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -34,6 +34,7 @@
                                           "Tasks whose end was not seen at the upstream");
   sidecar->n_stopped = az_counters_register (counters, "azurerock_sidecar_stopped_total",
                                              "Tasks that were stopped");
+  az_speed_init (&sidecar->life.speed);
   sidecar->now_us = az_now_us (clock);
   sidecar->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
   sidecar->tasks = az_table_rows_create (sizeof (struct task *));
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -89,6 +89,24 @@
 #define PROGRESS_EVERY_MS 140
 #define STANDSTILL_MS 250
 
+/* A task whose run is projected to take this many times the expected time shows a slow upstream. */
+#define SLOW_FACTOR 2.2
+
+/* A task that stands still counts as one that takes that long. */
+#define STANDSTILL_RUN_MS 10000
+
+static void
+learn_slow (struct az_sidecar *sidecar, struct task *task, u_int projected_ms)
+{
+  int64_t run_us = (int64_t)MIN (projected_ms, STANDSTILL_RUN_MS) * AZ_US_PER_MS;
+
+  if (task->is_slow_counted || task->expected_us == 0
+      || (double)run_us < (double)task->expected_us * SLOW_FACTOR)
+    return;
+  task->is_slow_counted = true;
+  az_speed_learn (&sidecar->life.speed, task->expected_us, run_us);
+}
+
 static void
 tell_progress (struct az_sidecar *sidecar, struct task *task)
 {
@@ -111,6 +129,7 @@
     progress.projected_ms
         = (u_int)MIN (elapsed_us * 100 / task->percent / AZ_US_PER_MS, UINT32_MAX - 1);
   task->told_us = sidecar->now_us;
+  learn_slow (sidecar, task, progress.projected_ms);
   az_sidecar_queue_progress (session, &progress);
 }
 
--- a/src/sidecar/life.c
+++ b/src/sidecar/life.c
@@ -87,6 +87,7 @@
     .born_ms = announcement->born_ms,
     .labels = g_ptr_array_new_with_free_func (g_free),
   };
+  az_speed_init (&life->speed);
   sidecar->lease.is_known = false;
   sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1 };
   az_log (LOG_NOTICE,
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -64,6 +64,9 @@
   message.az_message_u.node_report = (struct az_node_report){
     .received = session->received,
     .free = free,
+    .speed_percent = (u_int)(sidecar->life.speed.value * 100),
+    .n_done = sidecar->life.n_done,
+    .n_failed = sidecar->life.n_failed,
     .events = { n_events, (struct az_task_event *)(void *)session->events->data },
     .progress
     = { session->progress->len, (struct az_task_progress *)(void *)session->progress->data },
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -102,6 +102,7 @@
   task->index = row->index;
   task->attempt = row->attempt;
   task->need = run->need;
+  task->expected_us = (int64_t)run->expected_ms * AZ_US_PER_MS;
   task->specification = g_bytes_ref (specification);
   session->n_tasks++;
   az_resources_add (&sidecar->used, &run->need);
@@ -126,6 +127,9 @@
       g_snprintf (name, sizeof name, "%s.%u", run->name, row->index);
       if (closed)
         refuse (sidecar, session, run, row, AZ_TASK_CLOSED, closed);
+      else if (az_speed_is_slow (sidecar->life.speed.value)
+               && az_table_rows_count (sidecar->tasks) > 0)
+        refuse (sidecar, session, run, row, AZ_TASK_CLOSED, "slow-upstream-is-probed");
       else if (az_sidecar_find_task (sidecar, name))
         refuse (sidecar, session, run, row, AZ_TASK_CLOSED, "earlier-run-present");
       else if (!az_resources_fit (&run->need, &free))
@@ -196,6 +200,21 @@
   az_sidecar_want_stop (sidecar, handle);
 }
 
+static void
+learn (struct az_sidecar *sidecar, const struct task *task, enum az_task_end how)
+{
+  struct life *life = &sidecar->life;
+
+  if (task->life != life->number)
+    return;
+  if (how == AZ_TASK_DONE)
+    life->n_done++;
+  if (how == AZ_TASK_FAILED || how == AZ_TASK_LOST || how == AZ_TASK_UNHEALTHY)
+    life->n_failed++;
+  if (how == AZ_TASK_DONE && task->expected_us > 0 && !task->is_slow_counted)
+    az_speed_learn (&life->speed, task->expected_us, sidecar->now_us - task->started_us);
+}
+
 void
 az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how)
 {
@@ -210,6 +229,7 @@
     .run_ms = (u_int)((sidecar->now_us - task->started_us) / AZ_US_PER_MS),
   };
 
+  learn (sidecar, task, how);
   if (how == AZ_TASK_LOST)
     az_counters_add (sidecar->counters, sidecar->n_lost, 1);
   if (how == AZ_TASK_STOPPED)
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -120,6 +120,8 @@
   rig->runs = g_array_new (FALSE, FALSE, sizeof (struct gateway_run));
   rig->stops = g_array_new (FALSE, FALSE, sizeof (struct gateway_run));
   rig->answers = g_array_new (FALSE, FALSE, sizeof (struct gateway_answer));
+  for (size_t i = 0; i < G_N_ELEMENTS (rig->speed); i++)
+    rig->speed[i] = 100;
   rig->connects = g_ptr_array_new_with_free_func (g_free);
   rig->core = az_gateway_create (&settings, 5, &rig->clock, &io, rig->counters);
   az_gateway_set_catalog (rig->core, gateway_rig_catalog (1), 1, "{}", 2);
@@ -155,6 +157,9 @@
   message.az_message_u.node_report = (struct az_node_report){
     .received = rig->received[session],
     .free = { .cpu_milli = CORES - rig->used[session], .memory_mb = 65536 },
+    .speed_percent = rig->speed[session],
+    .n_done = rig->n_done[session],
+    .n_failed = rig->n_failed[session],
     .events = { event ? 1 : 0, event },
     .progress = { progress ? 1 : 0, progress },
   };
@@ -228,6 +233,8 @@
   };
 
   rig->used[ended.session] -= TASK_CPU;
+  rig->n_done[ended.session] += how == AZ_TASK_DONE;
+  rig->n_failed[ended.session] += how == AZ_TASK_FAILED;
   report (rig, ended.session, &event, NULL);
 }
 
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -36,6 +36,9 @@
   unsigned n_closed;
   uint32_t received[16]; /* run messages per session */
   uint32_t used[16];     /* thousandths of a core that the test's upstreams have in use */
+  uint32_t speed[16];    /* percent, as sidecars report it */
+  uint32_t n_done[16];
+  uint32_t n_failed[16];
 };
 
 /** gateway_rig_create - with @n_upstreams open upstreams of 32 cores at sessions 1, 2, ... in
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -32,6 +32,7 @@
   if (message->proc != AZ_NODE_REPORT)
     return;
   rig->free_milli = report->free.cpu_milli;
+  rig->speed_percent = report->speed_percent;
   g_array_append_vals (rig->events, report->events.events_val, report->events.events_len);
 }
 
@@ -186,6 +187,7 @@
     .name = (char *)"job.0.0",
     .specification = { 4, (char *)"spec" },
     .need = { .cpu_milli = 4000, .memory_mb = 64 },
+    .expected_ms = 100,
     .deadline_ms = 1500,
     .tasks = { 1, &row },
   };
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -33,6 +33,7 @@
   bool is_open; /* as last told to any session */
   unsigned n_closed;
   uint32_t free_milli; /* as last reported */
+  uint32_t speed_percent;
 };
 
 /** sidecar_rig_create - with sessions 1 and 2 of gateways "g1" and "g2", and an upstream of 32
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -269,6 +269,30 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against each gateway having to find out by itself that an upstream is slow: the sidecar
+ * learns from the tasks of all, and takes one at a time to see whether it still is. */
+static void
+test_slow_upstream_is_found_from_all_tasks (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      sidecar_rig_run (rig, 1 + i % 2, 1, i);
+      sidecar_rig_answer_start (rig, i, AZ_UPSTREAM_OK);
+    }
+  assert_int_equal (rig->starts->len, 3);
+  sidecar_rig_pass_held (rig, 600, "job.0.0.0 job.0.0.1 job.0.0.2");
+  sidecar_rig_answer_hold (rig, "", "job.0.0.0 job.0.0.1 job.0.0.2");
+  assert_in_range (rig->speed_percent, 5, 40);
+  sidecar_rig_run (rig, 1, 2, 10);
+  sidecar_rig_run (rig, 2, 2, 11);
+  assert_int_equal (rig->starts->len, 4);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CLOSED);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -287,6 +311,7 @@
     cmocka_unit_test (test_fence_rises_above_an_earlier_life),
     cmocka_unit_test (test_tasks_of_an_earlier_life_are_stopped_first),
     cmocka_unit_test (test_old_attempt_is_raised),
+    cmocka_unit_test (test_slow_upstream_is_found_from_all_tasks),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
