Keep two holds at an upstream and resend lost starts from the sidecar

A lost start took 220 ms, a stop, and up to two further holds before its task went back to the gateway.

Change: while tasks run, two holds wait; one that isn't answered although a later one told of ends is taken as lost and replaced. Orders time out after 30 ms, and after a pause of the process the HTTP client reads what has arrived before it gives a call up. After the stop of an unanswered start, a hold without waiting is sent, and a task that has never run is started again by the sidecar with a higher attempt. Answers that were overtaken adopt nothing.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -61,6 +61,7 @@
     { "busy, two slow", 1.0, { EMULATOR_SLOW, 5, 12, 3, 2, 6.5 } },
     { "busy, one stands still", 1.0, { EMULATOR_STALL, 5, 11, 4, 1, 1 } },
     { "busy, one fails all", 1.0, { EMULATOR_FAIL, 5, 11, 4, 1, 1 } },
+    { "busy, 5% unanswered", 1.0, { EMULATOR_UNANSWERED, 5, 11, 0, 0, 0.05 } },
     { "busy, two crash", 1.0, { EMULATOR_CRASH, 5, 9, 5, 2, 1 } },
   };
   unsigned first = argc > 1 ? (unsigned)atoi (argv[1]) : 1;
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -27,12 +27,13 @@
 
 enum emulator_trouble_kind
 {
-  EMULATOR_SLOW,     /* tasks take factor times as long */
-  EMULATOR_STALL,    /* tasks stand still */
-  EMULATOR_FAIL,     /* a share of the tasks, factor, fails */
-  EMULATOR_CRASH,    /* upstreams are down and lose their tasks */
-  EMULATOR_WITHDRAW, /* a failure domain takes no tasks */
-  EMULATOR_BURST,    /* factor times the arrivals */
+  EMULATOR_SLOW,       /* tasks take factor times as long */
+  EMULATOR_STALL,      /* tasks stand still */
+  EMULATOR_FAIL,       /* a share of the tasks, factor, fails */
+  EMULATOR_CRASH,      /* upstreams are down and lose their tasks */
+  EMULATOR_WITHDRAW,   /* a failure domain takes no tasks */
+  EMULATOR_BURST,      /* factor times the arrivals */
+  EMULATOR_UNANSWERED, /* a share of the orders, factor, gets no answer and comes too late */
 };
 
 /** struct emulator_trouble - @first and @count choose upstreams, or @first a domain */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -4,6 +4,9 @@
 #include "net/broken_pipe.h"
 #include "net/http_connection.h"
 
+/* A timer that fires later than this shows that the process was paused. */
+#define LATE_TIMER_MS 5
+
 struct az_http_client
 {
   uv_loop_t *loop;
@@ -19,6 +22,8 @@
   struct az_table_rows *exchanges; /* rows are struct az_http_exchange * */
   uv_timer_t soon;
   uv_timer_t deadline;
+  uint64_t deadline_due_ms;
+  bool has_read_first;
   unsigned open_handles;
   bool destroyed;
 };
@@ -226,7 +231,27 @@
 
   if (!uv_is_active ((uv_handle_t *)&client->deadline)
       || uv_timer_get_due_in (&client->deadline) > wait_ms)
-    uv_timer_start (&client->deadline, deadline_fired, wait_ms, 0);
+    {
+      client->deadline_due_ms = now_ms + wait_ms;
+      uv_timer_start (&client->deadline, deadline_fired, wait_ms, 0);
+    }
+}
+
+/* The loop runs timers before it reads. After a pause of the process, answers that have arrived
+ * meanwhile are read first. */
+static bool
+reads_first (struct az_http_client *client, uint64_t now_ms)
+{
+  bool is_late = now_ms > client->deadline_due_ms + LATE_TIMER_MS;
+
+  if (!is_late || client->has_read_first)
+    {
+      client->has_read_first = false;
+      return false;
+    }
+  client->has_read_first = true;
+  uv_timer_start (&client->deadline, deadline_fired, 1, 0);
+  return true;
 }
 
 /* Ends what is due and waits for the next; ended exchanges are told by @soon. */
@@ -237,6 +262,8 @@
   uint64_t now_ms = uv_now (client->loop);
   uint32_t handle = 0;
 
+  if (reads_first (client, now_ms))
+    return;
   while ((handle = az_table_rows_next (client->exchanges, handle)))
     {
       struct az_http_exchange *exchange = get_exchange (client, handle);
--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -21,6 +21,7 @@
  * @session: 0 once the session is gone; nobody is told of its end then
  * @owner: instance of the gateway; NULL for what an earlier life of this process started
  * @life: number of the upstream's life that it was sent to
+ * @is_recalled: its gateway doesn't want it any more
  * @stop_sent: an order to stop is out
  * @is_stop_proven: the upstream took the order to stop: the attempt won't start any more
  * @seen_hold: a hold with a higher number that lists no trace of it proves that it is gone
@@ -44,6 +45,7 @@
   bool is_slow_counted;
   GBytes *specification;
   enum task_state state;
+  bool is_recalled;
   bool stop_wanted;
   bool stop_sent;
   bool is_stop_proven;
@@ -93,13 +95,28 @@
   uint32_t n_failed;
 };
 
-struct hold_state
+/** struct sent_hold - a hold whose answer is awaited */
+struct sent_hold
 {
-  uint64_t number; /* of the last hold sent */
-  bool in_flight;
-  unsigned n_failed; /* in a row */
+  uint64_t number;
   int64_t sent_us;
+};
+
+/**
+ * struct hold_state - holds to the present life; answers may overtake each other
+ * @number: of the last hold sent
+ * @taken: highest number of an answer
+ * @n_failed: in a row
+ * @ends_us: when an answer last told of ends; holds sent before should have been answered too
+ */
+struct hold_state
+{
+  uint64_t number;
+  uint64_t taken;
+  GArray *in_flight; /* struct sent_hold */
+  unsigned n_failed;
   int64_t retry_us;
+  int64_t ends_us;
   uint64_t seen;
 };
 
@@ -152,8 +169,15 @@
 az_sidecar_stop_tasks (struct az_sidecar *sidecar,
                        uint32_t session,
                        const struct az_node_stop *stop);
+
+/** az_sidecar_recall - the task isn't wanted any more: stops it */
+void
+az_sidecar_recall (struct az_sidecar *sidecar, uint32_t handle);
+
+/** az_sidecar_take_missing - the upstream neither runs the task nor lists its end: it is gone, or,
+ * if it has never run and is still wanted, started again */
 void
-az_sidecar_want_stop (struct az_sidecar *sidecar, uint32_t handle);
+az_sidecar_take_missing (struct az_sidecar *sidecar, uint32_t handle);
 
 /** az_sidecar_adopt - a task of an earlier life of this process was found running: stops it */
 void
@@ -176,6 +200,10 @@
 /* hold.c */
 void
 az_sidecar_hold_again (struct az_sidecar *sidecar);
+
+/** az_sidecar_hold_now - asks for the lists without waiting for an end */
+void
+az_sidecar_hold_now (struct az_sidecar *sidecar);
 void
 az_sidecar_raise_fence (struct az_sidecar *sidecar);
 
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -35,6 +35,7 @@
   sidecar->n_stopped = az_counters_register (counters, "azurerock_sidecar_stopped_total",
                                              "Tasks that were stopped");
   az_speed_init (&sidecar->life.speed);
+  sidecar->hold.in_flight = g_array_new (FALSE, FALSE, sizeof (struct sent_hold));
   sidecar->now_us = az_now_us (clock);
   sidecar->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
   sidecar->tasks = az_table_rows_create (sizeof (struct task *));
@@ -56,6 +57,7 @@
     az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
   g_hash_table_unref (sidecar->sessions);
   g_hash_table_unref (sidecar->task_names);
+  g_array_unref (sidecar->hold.in_flight);
   az_table_rows_destroy (sidecar->tasks);
   g_free (sidecar->life.instance);
   g_free (sidecar->life.service);
@@ -87,7 +89,7 @@
   uint32_t handle = 0;
 
   while ((handle = az_table_rows_next (sidecar->tasks, handle)))
-    az_sidecar_want_stop (sidecar, handle);
+    az_sidecar_recall (sidecar, handle);
 }
 
 bool
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -2,9 +2,14 @@
 #include "sidecar/board.h"
 
 /* With tasks, the answer waits less, so that progress is known and the lease renewed often. */
-#define WAIT_BUSY_MS 150
+#define WAIT_BUSY_MS 120
 #define WAIT_IDLE_MS 500
 #define RETRY_MS 40
+#define HOLDS_BUSY 2
+#define HOLDS_MAX 10
+
+/* Answers that were sent together arrive within this time. */
+#define OVERTAKING_MS 5
 
 /* An earlier life of this process used a higher fence, for example before its clock was set back.
  * The steps double, so that a few orders reach it. */
@@ -43,31 +48,67 @@
     }
 }
 
-void
-az_sidecar_hold_again (struct az_sidecar *sidecar)
+static void
+send_hold (struct az_sidecar *sidecar, int64_t wait_ms)
 {
   struct hold_state *hold = &sidecar->hold;
   /* A silent upstream isn't renewed: its tasks must come to a known end. */
-  bool renews = sidecar->lease.is_known && sidecar->life.is_fenced && hold->n_failed == 0;
+  bool renews = sidecar->lease.is_known && sidecar->life.is_fenced && hold->n_failed == 0
+                && az_table_rows_count (sidecar->tasks) > 0;
+  const struct sent_hold sent = { .number = ++hold->number, .sent_us = sidecar->now_us };
   struct az_upstream_hold call = {
     .instance = sidecar->life.instance,
     .fence = sidecar->fence,
     .seen = hold->seen,
-    .wait_ms = choose_wait_ms (sidecar),
+    .wait_ms = wait_ms,
   };
 
-  if (hold->in_flight || sidecar->life.number == 0 || sidecar->now_us < hold->retry_us)
-    return;
-  if (renews && az_table_rows_count (sidecar->tasks) > 0)
+  if (renews)
     {
       call.lease_end_clock_ms
           = az_lease_end_clock (&sidecar->lease, sidecar->settings.lease_ms, sidecar->now_us);
       renew_tasks (sidecar, call.lease_end_clock_ms);
     }
-  hold->in_flight = true;
-  hold->number++;
-  hold->sent_us = sidecar->now_us;
-  sidecar->io.hold (sidecar->io.context, hold->number, &call);
+  g_array_append_val (hold->in_flight, sent);
+  sidecar->io.hold (sidecar->io.context, sent.number, &call);
+}
+
+/* Holds that can still be answered. All that wait are answered when a task ends, so one that
+ * isn't, while another was, has lost its answer. */
+static guint
+count_live (const struct az_sidecar *sidecar)
+{
+  const struct hold_state *hold = &sidecar->hold;
+  guint n_live = 0;
+
+  if (sidecar->now_us - hold->ends_us < OVERTAKING_MS * AZ_US_PER_MS)
+    return hold->in_flight->len;
+  for (guint i = 0; i < hold->in_flight->len; i++)
+    n_live += g_array_index (hold->in_flight, struct sent_hold, i).sent_us >= hold->ends_us;
+  return n_live;
+}
+
+/* While tasks run, two holds wait at the upstream: when the answer of one is lost, the other still
+ * tells of the next end. */
+void
+az_sidecar_hold_again (struct az_sidecar *sidecar)
+{
+  struct hold_state *hold = &sidecar->hold;
+  bool is_busy = az_table_rows_count (sidecar->tasks) > 0 && hold->n_failed == 0;
+  guint n_wanted = is_busy ? HOLDS_BUSY : 1;
+  guint n_live = count_live (sidecar);
+
+  if (sidecar->life.number == 0 || sidecar->now_us < hold->retry_us)
+    return;
+  for (; n_live < n_wanted && hold->in_flight->len < HOLDS_MAX; n_live++)
+    send_hold (sidecar, choose_wait_ms (sidecar));
+}
+
+void
+az_sidecar_hold_now (struct az_sidecar *sidecar)
+{
+  if (sidecar->life.number > 0 && sidecar->hold.in_flight->len < HOLDS_MAX)
+    send_hold (sidecar, 0);
 }
 
 static void
@@ -136,6 +177,8 @@
 static void
 take_active (struct az_sidecar *sidecar, const struct az_upstream_lists *lists, uint64_t number)
 {
+  bool is_newest = number > sidecar->hold.taken;
+
   for (size_t i = 0; i < lists->n_active; i++)
     {
       const struct az_upstream_active *active = &lists->active[i];
@@ -144,7 +187,9 @@
 
       if (!task)
         {
-          az_sidecar_adopt (sidecar, active->task, active->attempt);
+          /* An answer that was overtaken may list what has ended since. */
+          if (is_newest)
+            az_sidecar_adopt (sidecar, active->task, active->attempt);
           continue;
         }
       if (task->attempt != active->attempt || task->life != sidecar->life.number)
@@ -160,17 +205,17 @@
 /* Whether a hold that doesn't list the task proves that it is gone: its start or stop was answered
  * before the hold was sent, or the order to start was too old by then to be carried out. */
 static bool
-is_settled_by (const struct az_sidecar *sidecar, const struct task *task, uint64_t number)
+is_settled_by (const struct task *task, const struct sent_hold *hold)
 {
-  if (task->listed_hold == number)
+  if (task->listed_hold == hold->number)
     return false;
   if (task->seen_hold != UINT64_MAX)
-    return task->seen_hold < number;
-  return task->state == TASK_UNCERTAIN && task->order_end_us < sidecar->hold.sent_us;
+    return task->seen_hold < hold->number;
+  return task->state == TASK_UNCERTAIN && task->order_end_us < hold->sent_us;
 }
 
 static void
-take_missing (struct az_sidecar *sidecar, uint64_t number)
+take_missing (struct az_sidecar *sidecar, const struct sent_hold *hold)
 {
   uint32_t handle = az_table_rows_next (sidecar->tasks, 0);
 
@@ -179,20 +224,24 @@
       uint32_t next = az_table_rows_next (sidecar->tasks, handle);
       struct task *task = az_sidecar_task (sidecar, handle);
 
-      if (task->life == sidecar->life.number && is_settled_by (sidecar, task, number))
-        az_sidecar_end_task (sidecar, handle,
-                             task->is_stop_proven ? AZ_TASK_STOPPED : AZ_TASK_LOST);
+      if (task->life == sidecar->life.number && is_settled_by (task, hold))
+        az_sidecar_take_missing (sidecar, handle);
       handle = next;
     }
 }
 
 static void
-take_lists (struct az_sidecar *sidecar, uint64_t number, const struct az_upstream_lists *lists)
+take_lists (struct az_sidecar *sidecar,
+            const struct sent_hold *hold,
+            const struct az_upstream_lists *lists)
 {
   az_lease_observe (&sidecar->lease, lists->answer.clock_ms, sidecar->now_us);
   take_ends (sidecar, lists);
-  take_active (sidecar, lists, number);
-  take_missing (sidecar, number);
+  if (lists->n_ended > 0)
+    sidecar->hold.ends_us = sidecar->now_us;
+  take_active (sidecar, lists, hold->number);
+  take_missing (sidecar, hold);
+  sidecar->hold.taken = MAX (sidecar->hold.taken, hold->number);
   if (!sidecar->life.is_fenced && lists->n_active == 0)
     {
       sidecar->life.is_fenced = true;
@@ -203,29 +252,43 @@
     az_log (LOG_WARNING, "event=rows-ignored count=%zu reason=unreadable", lists->n_unreadable);
 }
 
+/* Whether the hold was awaited; it is no more. */
+static bool
+take_sent (struct hold_state *hold, uint64_t number, struct sent_hold *sent)
+{
+  for (guint i = 0; i < hold->in_flight->len; i++)
+    if (g_array_index (hold->in_flight, struct sent_hold, i).number == number)
+      {
+        *sent = g_array_index (hold->in_flight, struct sent_hold, i);
+        g_array_remove_index (hold->in_flight, i);
+        return true;
+      }
+  return false;
+}
+
 void
 az_sidecar_hold_answered (struct az_sidecar *sidecar,
                           uint64_t number,
                           const struct az_upstream_lists *lists)
 {
   struct hold_state *hold = &sidecar->hold;
+  struct sent_hold sent;
 
   sidecar->now_us = az_now_us (sidecar->clock);
-  if (number != hold->number || !hold->in_flight)
+  if (!take_sent (hold, number, &sent))
     return;
-  hold->in_flight = false;
   switch (lists->answer.result)
     {
     case AZ_UPSTREAM_OK:
       hold->n_failed = 0;
-      take_lists (sidecar, number, lists);
+      take_lists (sidecar, &sent, lists);
       break;
     case AZ_UPSTREAM_FENCED:
       az_sidecar_raise_fence (sidecar);
       break;
     default:
       hold->n_failed++;
-      hold->retry_us = sidecar->now_us + RETRY_MS * AZ_US_PER_MS;
+      hold->retry_us = sidecar->now_us + (hold->n_failed > 1 ? RETRY_MS * AZ_US_PER_MS : 0);
       if (hold->n_failed <= 2)
         az_log (LOG_WARNING, "event=hold-failed instance=%s outcome=%s in_a_row=%u tasks=%u",
                 sidecar->life.instance, az_upstream_result_name (lists->answer.result),
--- a/src/sidecar/life.c
+++ b/src/sidecar/life.c
@@ -89,7 +89,9 @@
   };
   az_speed_init (&life->speed);
   sidecar->lease.is_known = false;
-  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1 };
+  g_array_set_size (sidecar->hold.in_flight, 0);
+  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
+                                       .in_flight = sidecar->hold.in_flight };
   az_log (LOG_NOTICE,
           "event=upstream-life instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
           " cpu=%u",
--- a/src/sidecar/program_upstream.c
+++ b/src/sidecar/program_upstream.c
@@ -3,10 +3,12 @@
 #include <string.h>
 
 #define CONNECTIONS 24
-#define ORDER_TIMEOUT_MS 220
+
+/* The upstream is on the same machine and answers in about a millisecond. */
+#define ORDER_TIMEOUT_MS 30
 
 /* Beyond the time that the upstream itself lets a hold wait. */
-#define HOLD_EXTRA_MS 220
+#define HOLD_EXTRA_MS 50
 
 /** struct order - a call whose answer is awaited */
 struct order
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -44,7 +44,7 @@
       if (task->session != session)
         continue;
       task->session = 0;
-      az_sidecar_want_stop (sidecar, handle);
+      az_sidecar_recall (sidecar, handle);
     }
 }
 
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -154,8 +154,8 @@
   sidecar->io.stop (sidecar->io.context, handle, &stop);
 }
 
-void
-az_sidecar_want_stop (struct az_sidecar *sidecar, uint32_t handle)
+static void
+want_stop (struct az_sidecar *sidecar, uint32_t handle)
 {
   struct task *task = az_sidecar_task (sidecar, handle);
 
@@ -166,6 +166,13 @@
     send_stop (sidecar, handle);
 }
 
+void
+az_sidecar_recall (struct az_sidecar *sidecar, uint32_t handle)
+{
+  az_sidecar_task (sidecar, handle)->is_recalled = true;
+  want_stop (sidecar, handle);
+}
+
 void
 az_sidecar_stop_tasks (struct az_sidecar *sidecar,
                        uint32_t session,
@@ -183,7 +190,7 @@
       for (u_int i = 0; i < stop->indexes.indexes_len && !is_named; i++)
         is_named = stop->indexes.indexes_val[i] == task->index;
       if (is_named)
-        az_sidecar_want_stop (sidecar, handle);
+        az_sidecar_recall (sidecar, handle);
     }
 }
 
@@ -197,7 +204,7 @@
   task->state = TASK_RUNNING;
   task->seen_hold = sidecar->hold.number;
   az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u outcome=stopping", name, attempt);
-  az_sidecar_want_stop (sidecar, handle);
+  az_sidecar_recall (sidecar, handle);
 }
 
 static void
@@ -258,7 +265,8 @@
 {
   struct task *task = az_sidecar_task (sidecar, handle);
 
-  if (++task->n_retries > RETRIES_MAX || task->stop_wanted)
+  if (++task->n_retries > RETRIES_MAX || task->is_recalled
+      || az_sidecar_closed_reason (sidecar) != NULL)
     {
       az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
       return;
@@ -266,6 +274,24 @@
   send_start (sidecar, handle);
 }
 
+void
+az_sidecar_take_missing (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task *task = az_sidecar_task (sidecar, handle);
+
+  if (task->state != TASK_UNCERTAIN || !task->is_stop_proven || task->is_recalled)
+    {
+      az_sidecar_end_task (sidecar, handle, task->is_stop_proven ? AZ_TASK_STOPPED : AZ_TASK_LOST);
+      return;
+    }
+  /* It has never run here, and the attempt never will. */
+  task->attempt++;
+  task->stop_wanted = false;
+  task->is_stop_proven = false;
+  task->seen_hold = UINT64_MAX;
+  retry_start (sidecar, handle);
+}
+
 void
 az_sidecar_start_answered (struct az_sidecar *sidecar,
                            uint32_t handle,
@@ -310,7 +336,7 @@
     case AZ_UPSTREAM_UNANSWERED:
       /* Only a stop of the same attempt, or the end of the lease, proves that it won't run. */
       task->state = TASK_UNCERTAIN;
-      az_sidecar_want_stop (sidecar, handle);
+      want_stop (sidecar, handle);
       break;
     }
 }
@@ -330,6 +356,9 @@
     {
       task->is_stop_proven = true;
       task->seen_hold = sidecar->hold.number;
+      /* If the start was never carried out, no end will be listed. */
+      if (task->state == TASK_UNCERTAIN)
+        az_sidecar_hold_now (sidecar);
       return;
     }
   az_log (LOG_INFO, "event=stop task=%s attempt=%u outcome=%s", task->name, task->attempt,
