Keep upstreams' announcements in the store, and notice a reborn upstream

An upstream that starts again under its former name answered holds with ends counted anew, which the core would have passed over. After the same restarts, upstreams were taken for slow because three tasks of one job with a low estimate counted as three signs.

Change: a sidecar writes its upstream's announcement to the store when it changes, and reads it at its start; heartbeats are newer than the record. An answer with another birth time ends the life of the upstream. Slow tasks of one job count once.

--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -269,10 +269,10 @@
   struct world *world = context;
   const struct hold_event *event = data;
   GArray *holds = world->holds[event->upstream];
-  struct az_upstream_lists lists
-      = { .answer = { AZ_UPSTREAM_OK, emu_now_us (world->events) / 1000 } };
+  struct az_upstream_lists lists = { 0 };
   struct waiting_hold hold = { 0 };
 
+  lists.answer.clock_ms = emu_now_us (world->events) / 1000;
   for (guint i = 0; i < holds->len; i++)
     if (g_array_index (holds, struct waiting_hold, i).number == event->number)
       {
@@ -282,7 +282,7 @@
   if (hold.number == 0)
     return;
   if (!hold.is_answered || emu_upstream_is_down (world->upstreams[event->upstream]))
-    lists.answer = (struct az_upstream_answer){ AZ_UPSTREAM_UNANSWERED, -1 };
+    lists.answer = (struct az_upstream_answer){ .result = AZ_UPSTREAM_UNANSWERED, .clock_ms = -1 };
   else
     emu_upstream_lists (world->upstreams[event->upstream], hold.seen, &lists);
   az_sidecar_hold_answered (world->sidecars[event->upstream], event->number, &lists);
--- a/include/azurerock/upstream_call.h
+++ b/include/azurerock/upstream_call.h
@@ -53,11 +53,12 @@
   AZ_UPSTREAM_UNANSWERED, /* may have been carried out, or may be later */
 };
 
-/** struct az_upstream_answer - @clock_ms is -1 if the answer holds none */
+/** struct az_upstream_answer - @clock_ms is -1 and @born_ms 0 if the answer holds none */
 struct az_upstream_answer
 {
   enum az_upstream_result result;
   int64_t clock_ms;
+  int64_t born_ms; /* Unix time of the start of the incarnation that answered */
 };
 
 struct az_upstream_active
--- a/src/dispatch/metadata_client.c
+++ b/src/dispatch/metadata_client.c
@@ -70,6 +70,15 @@
   g_free (body);
 }
 
+void
+az_metadata_get (struct az_metadata_client *client,
+                 const char *key,
+                 void (*done) (void *context, struct az_metadata_answer *answer),
+                 void *context)
+{
+  request (client, "GET", platform_store_key_path (key), NULL, CALL_TIMEOUT_MS, done, context);
+}
+
 void
 az_metadata_range (struct az_metadata_client *client,
                    const char *prefix,
--- a/src/dispatch/metadata_client.h
+++ b/src/dispatch/metadata_client.h
@@ -13,6 +13,13 @@
 void
 az_metadata_client_destroy (struct az_metadata_client *client);
 
+/** az_metadata_get - one key; %AZ_METADATA_NOT_FOUND without items if there is none */
+void
+az_metadata_get (struct az_metadata_client *client,
+                 const char *key,
+                 void (*done) (void *context, struct az_metadata_answer *answer),
+                 void *context);
+
 /** az_metadata_range - items below @prefix, those behind the key @after (NULL: from the first) */
 void
 az_metadata_range (struct az_metadata_client *client,
--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -7,7 +7,7 @@
 
 #define SLOW_BELOW 0.45
 
-/* So many tasks in a row must be that slow before the smoothed speed gives way. */
+/* The tasks of so many jobs in a row must be that slow before the smoothed speed gives way. */
 #define SLOW_IN_A_ROW 3
 
 void
@@ -22,15 +22,29 @@
   return value < SLOW_BELOW;
 }
 
+/* Tasks of one job in a row count once. */
+static void
+count_slow (struct az_speed *speed, uint64_t job, bool is_slow)
+{
+  if (!is_slow)
+    speed->n_slow = 0;
+  else if (speed->n_slow == 0 || speed->slow_job != job)
+    speed->n_slow++;
+  if (is_slow)
+    speed->slow_job = job;
+}
+
 void
-az_speed_learn (struct az_speed *speed, int64_t expected_us, int64_t run_us)
+az_speed_learn (struct az_speed *speed, uint64_t job, int64_t expected_us, int64_t run_us)
 {
   double sample = CLAMP ((double)expected_us / (double)MAX (run_us, 1), 0.05, 4);
 
-  speed->n_slow = az_speed_is_slow (sample) ? speed->n_slow + 1 : 0;
-  if (speed->n_slow == SLOW_IN_A_ROW)
+  count_slow (speed, job, az_speed_is_slow (sample));
+  if (speed->n_slow >= SLOW_IN_A_ROW)
     speed->value = MIN (speed->value, sample);
-  else
+  else if (!az_speed_is_slow (sample) || az_speed_is_slow (speed->value))
     speed->value
         += (az_speed_is_slow (speed->value) ? SLOW_WEIGHT : WEIGHT) * (sample - speed->value);
+  else
+    speed->value = MAX (speed->value + WEIGHT * (sample - speed->value), SLOW_BELOW);
 }
--- a/src/dispatch/speed.h
+++ b/src/dispatch/speed.h
@@ -9,15 +9,19 @@
 struct az_speed
 {
   double value;
-  uint32_t n_slow; /* slow tasks in a row */
+  uint32_t n_slow;   /* jobs in a row with slow tasks */
+  uint64_t slow_job; /* the last of them */
 };
 
 void
 az_speed_init (struct az_speed *speed);
 
-/** az_speed_learn - a task that was expected to take @expected_us took, or will take, @run_us */
+/**
+ * az_speed_learn - a task that was expected to take @expected_us took, or will take, @run_us
+ * @job: names its job: the tasks of one job share the error of their estimate
+ */
 void
-az_speed_learn (struct az_speed *speed, int64_t expected_us, int64_t run_us);
+az_speed_learn (struct az_speed *speed, uint64_t job, int64_t expected_us, int64_t run_us);
 
 /** az_speed_is_slow - so slow that it should get single tasks only, until one is faster */
 bool
--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -161,6 +161,10 @@
 /* tasks.c */
 struct task *
 az_sidecar_task (const struct az_sidecar *sidecar, uint32_t handle);
+
+/** az_sidecar_job_key - tells jobs of all gateways apart */
+uint64_t
+az_sidecar_job_key (const struct task *task);
 uint32_t
 az_sidecar_find_task (const struct az_sidecar *sidecar, const char *name);
 void
@@ -192,6 +196,11 @@
 az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner);
 
 /* life.c */
+
+/** az_sidecar_lose_life - another incarnation answers at the address: the present one is gone with
+ * its tasks; nothing starts until the new one has announced itself */
+void
+az_sidecar_lose_life (struct az_sidecar *sidecar);
 bool
 az_sidecar_is_open (const struct az_sidecar *sidecar);
 const char *
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -98,7 +98,8 @@
   guint n_wanted = is_busy ? HOLDS_BUSY : 1;
   guint n_live = count_live (sidecar);
 
-  if (sidecar->life.number == 0 || sidecar->now_us < hold->retry_us)
+  if (sidecar->life.number == 0 || sidecar->now_us < hold->retry_us
+      || (sidecar->life.has_left && az_table_rows_count (sidecar->tasks) == 0))
     return;
   for (; n_live < n_wanted && hold->in_flight->len < HOLDS_MAX; n_live++)
     send_hold (sidecar, choose_wait_ms (sidecar));
@@ -145,7 +146,7 @@
       || (double)run_us < (double)task->expected_us * SLOW_FACTOR)
     return;
   task->is_slow_counted = true;
-  az_speed_learn (&sidecar->life.speed, task->expected_us, run_us);
+  az_speed_learn (&sidecar->life.speed, az_sidecar_job_key (task), task->expected_us, run_us);
 }
 
 static void
@@ -277,6 +278,12 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   if (!take_sent (hold, number, &sent))
     return;
+  if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE
+      || (lists->answer.born_ms > 0 && lists->answer.born_ms != sidecar->life.born_ms))
+    {
+      az_sidecar_lose_life (sidecar);
+      return;
+    }
   switch (lists->answer.result)
     {
     case AZ_UPSTREAM_OK:
--- a/src/sidecar/life.c
+++ b/src/sidecar/life.c
@@ -61,6 +61,17 @@
     }
 }
 
+void
+az_sidecar_lose_life (struct az_sidecar *sidecar)
+{
+  if (sidecar->life.has_left)
+    return;
+  az_log (LOG_NOTICE, "event=upstream-replaced former=%s tasks=%u", sidecar->life.instance,
+          az_table_rows_count (sidecar->tasks));
+  end_former_life (sidecar, true);
+  sidecar->life.has_left = true;
+}
+
 static void
 clear_life (struct life *life)
 {
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -44,6 +44,7 @@
   int64_t members_us;
   int64_t news_us;
   GHashTable *withdrawn; /* set that a read of the store builds up */
+  char *record;          /* of the upstream, as last written to the store */
   bool is_asking_news;
   bool is_asking_members;
   bool is_stopping;
@@ -78,6 +79,13 @@
 void
 az_sidecar_program_connect (struct az_sidecar_program *program);
 
+/* program_record.c: the last announcement of the upstream, kept in the store */
+void
+az_sidecar_program_read_record (struct az_sidecar_program *program);
+void
+az_sidecar_program_write_record (struct az_sidecar_program *program,
+                                 const struct az_upstream_announcement *announcement);
+
 /* program_store.c */
 void
 az_sidecar_program_ask_store (struct az_sidecar_program *program);
--- a/src/sidecar/program_registry.c
+++ b/src/sidecar/program_registry.c
@@ -25,7 +25,8 @@
       respond (program, request->handle, 400);
       return;
     }
-  az_sidecar_announced (program->sidecar, &announcement);
+  if (az_sidecar_announced (program->sidecar, &announcement))
+    az_sidecar_program_write_record (program, &announcement);
   az_upstream_announcement_clear (&announcement);
   respond (program, request->handle, 200);
 }
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -124,6 +124,7 @@
   az_sidecar_program_open_rpc (program);
   az_sidecar_program_know_seeds (program);
   program->store = az_metadata_client_create (program->loop, program->options->store_address);
+  az_sidecar_program_read_record (program);
   program->node = (struct az_node_loop){
     .loop = program->loop,
     .flush = on_flush,
@@ -160,6 +161,7 @@
   az_counters_destroy (program.counters);
   g_clear_pointer (&program.gateways, g_hash_table_unref);
   g_free (program.upstream_address);
+  g_free (program.record);
   az_log_flush ();
   return exit_code;
 }
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -16,6 +16,12 @@
   return row ? *row : NULL;
 }
 
+uint64_t
+az_sidecar_job_key (const struct task *task)
+{
+  return task->job ^ ((uint64_t)task->session << 40);
+}
+
 uint32_t
 az_sidecar_find_task (const struct az_sidecar *sidecar, const char *name)
 {
@@ -219,7 +225,8 @@
   if (how == AZ_TASK_FAILED || how == AZ_TASK_LOST || how == AZ_TASK_UNHEALTHY)
     life->n_failed++;
   if (how == AZ_TASK_DONE && task->expected_us > 0 && !task->is_slow_counted)
-    az_speed_learn (&life->speed, task->expected_us, sidecar->now_us - task->started_us);
+    az_speed_learn (&life->speed, az_sidecar_job_key (task), task->expected_us,
+                    sidecar->now_us - task->started_us);
 }
 
 void
