Add a fault soak of the gateway and sidecar programs, and tests of platform/

The first run of the soak showed that answers left chunked, since the length of the body was never given to the HTTP library.

Change: tests/soak.py starts gateways and sidecars as processes, with stand-ins of the store and of executors and a proxy in front of each gateway; faults are drawn from a seed (signals, links, store, executors, configuration, withdrawals, overlapping), and it checks runs that overlap, whole and true answers, withdrawn and draining upstreams, configurations that go back or come late, planned stops, exits and recovery. tests/test_platform.c covers each codec with foreign and unreadable input. A check in make lint keeps the platform's names and anything that decides out of the wrong folders. Gateways may advertise another address than they listen on. HTTP answers carry their length.

--- a/Makefile
+++ b/Makefile
@@ -137,6 +137,7 @@
 
 .PHONY: lint
 lint:
+	tools/check_platform_names.sh
 	clang-format --dry-run --Werror $(FORMATTED)
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr --enable=warning,portability \
 	  --suppress=missingInclude --suppress=*:src/proto/gen/* -Iinclude -Isrc -I. src platform
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -16,6 +16,8 @@
     "address of /metrics" },
   { "peer_address", AZ_SETTING_ADDRESS, FIELD (peer_address), true, 0, 0,
     "where sidecars and other gateways connect" },
+  { "advertised_address", AZ_SETTING_ADDRESS, FIELD (advertised_address), false, 0, 0,
+    "address that peers are told to connect to, if it isn't the peer address" },
   { "store_address", AZ_SETTING_ADDRESS, FIELD (store_address), true, 0, 0,
     "address of the platform's metadata store" },
   { "seeds", AZ_SETTING_STRINGS, FIELD (seeds), false, 0, 0, "addresses whose hosts run gateways" },
@@ -43,7 +45,11 @@
   int exit_code = AZ_EXIT_SUCCESS;
 
   if (az_program_start (&program, &argc, &argv, &exit_code))
-    exit_code = az_gateway_program_run (&options);
+    {
+      if (!options.advertised_address)
+        options.advertised_address = g_strdup (options.peer_address);
+      exit_code = az_gateway_program_run (&options);
+    }
   az_settings_clear (schema, G_N_ELEMENTS (schema), &options);
   return exit_code;
 }
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -18,6 +18,7 @@
   char *ready_address;
   char *metrics_address;
   char *peer_address;
+  char *advertised_address;
   char *store_address;
   GPtrArray *seeds;
   int64_t seed_port;
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -94,7 +94,7 @@
   const struct az_gateway_settings settings = {
     .instance = options->instance,
     .domain = options->domain,
-    .address = options->peer_address,
+    .address = options->advertised_address,
     .session_ms = SESSION_MS,
     .loss_ms = LOSS_MS,
     .cross_domain_ms = 4,
--- a/src/gateway/program_store.c
+++ b/src/gateway/program_store.c
@@ -227,8 +227,8 @@
       return;
     }
   program->view.lease = answer->lease;
-  az_metadata_write (program->store, key, program->options->peer_address, answer->lease, registered,
-                     program);
+  az_metadata_write (program->store, key, program->options->advertised_address, answer->lease,
+                     registered, program);
 }
 
 static void
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -110,6 +110,7 @@
     request->http1_is_persistent = 0;
   request->res.status = status;
   request->res.reason = status < 300 ? "OK" : "Error";
+  request->res.content_length = length;
   h2o_add_header (&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, content_type,
                   strlen (content_type));
   h2o_send_inline (request, body, length);
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,437 @@
+"""Runs gateways and sidecars as processes against stand-ins of the platform, injects faults from
+outside, drawn from a seed, and checks the promises from what callers and executors see."""
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import standin_http
+from soak_proxy import Proxy
+from standin_platform import Executor, Store
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7806}
+RESEND_S = 1.3
+WITHDRAWN_S = 5.0
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+RECOVER_S = 8.0
+GRACE_S = 5
+
+
+class History:
+    """What executors did, and what that breaks."""
+
+    def __init__(self):
+        self.running, self.runs, self.done, self.violations = {}, {}, set(), []
+        self.withdrawn, self.calm_since = {}, 0.0
+
+    def violate(self, rule, text):
+        self.violations.append((rule, text))
+        print("violated: %s, %s" % (rule, text), flush=True)
+
+    def started(self, machine, zone, name, attempt, executor):
+        now = time.monotonic()
+        others = self.running.setdefault(name, set())
+        if others:
+            self.violate("TWICE", "%s starts on %s while it runs on %s" % (name, machine, others))
+        others.add(machine)
+        self.runs.setdefault(name.split(".")[0], []).append(name)
+        calm = now - self.calm_since > 3.0
+        since = self.withdrawn.get(zone)
+        if since and now - since > WITHDRAWN_S and calm:
+            self.violate("WITHDRAWN", "%s starts in %s" % (name, zone))
+        drained = executor.acknowledged_draining
+        if drained and now - drained > DRAIN_S:
+            self.violate("DRAIN", "%s starts on %s" % (name, machine))
+
+    def ended(self, machine, name, _attempt, how):
+        self.running.get(name, set()).discard(machine)
+        if how == "done":
+            self.done.add(name)
+
+
+class Node:
+    """One of our processes."""
+
+    def __init__(self, soak, program, host, settings):
+        self.soak, self.program, self.host = soak, program, host
+        self.path = os.path.join(soak.folder, host + ".json")
+        self.log = open(os.path.join(soak.folder, host + ".log"), "ab")
+        self.process, self.expected_end, self.busy = None, False, False
+        with open(self.path, "w") as file:
+            json.dump(settings, file)
+
+    async def start(self):
+        self.expected_end = False
+        self.process = await asyncio.create_subprocess_exec(
+            os.path.join(self.soak.build, self.program), "--config", self.path,
+            stdout=self.log, stderr=self.log)
+        asyncio.ensure_future(self.wait(self.process))
+
+    async def wait(self, process):
+        code = await process.wait()
+        if not self.expected_end:
+            self.soak.history.violate("EXIT", "%s on %s ended by itself, code %s"
+                                      % (self.program, self.host, code))
+
+    def send(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number, timeout=GRACE_S + 1):
+        self.expected_end = True
+        self.send(number)
+        try:
+            await asyncio.wait_for(self.process.wait(), timeout)
+        except (TimeoutError, asyncio.TimeoutError):
+            if number == signal.SIGTERM:
+                self.soak.history.violate("STOP", "%s outlived its grace" % self.host)
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+
+class Soak:
+    def __init__(self, options):
+        self.options, self.build = options, os.path.join(ROOT, options.build)
+        self.random = random.Random(options.seed)
+        self.history, self.store = History(), Store()
+        self.folder = options.keep or tempfile.mkdtemp(prefix="soak-")
+        os.makedirs(self.folder, exist_ok=True)
+        self.gateways, self.sidecars, self.executors, self.proxies = [], [], [], []
+        self.counts = {"completed": 0, "failed": 0, "not_run": 0, "unanswered": 0}
+        self.recent, self.jobs, self.stopping, self.version = [], 0, False, 0
+        self.base = 1 + options.seed % 200
+
+    def host(self, index):
+        return "127.%d.1.%d" % (self.base, index)
+
+    def publish(self, probe):
+        """A configuration; the route /probe-N/ tells which version is in force."""
+        self.version += self.random.randint(1, 4)
+        route = {"hostname": "h.example", "service": "service", "priority": 0, "max-attempts": 3,
+                 "slack-factor": 1.6, "target-completion-ms": 60, "timeout-ms": 1500}
+        routes = [dict(route, name="jobs", prefix="/jobs/"),
+                  dict(route, name="probe", prefix="/probe-%d/" % probe)]
+        self.store.write("op/config", json.dumps(
+            {"version": self.version, "routes": routes, "services": []}).encode())
+        self.probe, self.published = probe, time.monotonic()
+
+    async def build_cluster(self):
+        await standin_http.serve(self.host(1), PORTS["store"], self.store.handle)
+        self.publish(1)
+        store = "%s:%d" % (self.host(1), PORTS["store"])
+        n = self.options.gateways
+        seeds = ["%s:1" % self.host(10 + i) for i in range(min(n, 3))]
+        for i in range(n):
+            real, advertised = self.host(100 + i), self.host(10 + i)
+            self.gateways.append(Node(self, "azurerock-gateway", real, {
+                "instance": "g%d" % i, "domain": "d%d" % (i % 3), "seeds": seeds,
+                "jobs_address": "%s:%d" % (real, PORTS["jobs"]),
+                "ready_address": "%s:%d" % (real, PORTS["ready"]),
+                "peer_address": "%s:%d" % (real, PORTS["peers"]),
+                "advertised_address": "%s:%d" % (advertised, PORTS["peers"]),
+                "seed_port": PORTS["peers"], "store_address": store, "grace_s": GRACE_S}))
+            proxy = Proxy(advertised, PORTS["peers"], (real, PORTS["peers"]))
+            await proxy.open()
+            self.proxies.append(proxy)
+        for i in range(self.options.sidecars):
+            host = self.host(150 + i) if i < 100 else "127.%d.2.%d" % (self.base, i)
+            registry = "%s:%d" % (host, PORTS["registry"])
+            self.sidecars.append(Node(self, "azurerock-sidecar", host, {
+                "instance": "s%d" % i, "domain": "d%d" % (i % 3), "seeds": seeds,
+                "registry_address": registry, "seed_port": PORTS["peers"],
+                "store_address": store, "grace_s": GRACE_S}))
+            executor = Executor("m%d" % i, host, PORTS["app"], registry, "d%d" % (i % 3),
+                                self.history, self.options.seed * 1000 + i)
+            # A former sidecar's clock may have been ahead.
+            executor.start(fence=int(time.time() * 1000) + self.random.choice([0, 0, 60000]))
+            await executor.open()
+            self.executors.append(executor)
+        for node in self.gateways + self.sidecars:
+            await node.start()
+
+    async def submit(self, job_id, deadline):
+        """Sends one job until it has its final answer, as a client of the platform does."""
+        tasks = self.random.randint(1, 4)
+        work = {"ms": self.random.choice([30, 60, 120, 400]), "cpu": self.random.choice([1000, 2000])}
+        body = {"specification": json.dumps(work), "best-effort": True,
+                "phases": [{"count": tasks, "cpu": work["cpu"], "mem-mb": 64,
+                            "estimate-ms": int(work["ms"] * self.random.uniform(0.6, 1.6))}]}
+        until = time.monotonic() + deadline
+        may_have_run = False
+        while (left := until - time.monotonic()) > 0.05:
+            gateway = self.random.choice(self.gateways)
+            caller = standin_http.Caller(gateway.host, PORTS["jobs"])
+            sent = time.monotonic()
+            try:
+                status, _, text = await caller.call(
+                    "POST", "/jobs/" + job_id,
+                    {"host": "h.example", "x-deadline-ms": "%d" % (left * 1000)}, body, left)
+            except (OSError, TimeoutError) as error:
+                may_have_run = True
+                # A connection that was never open is no cut.
+                if isinstance(error, ConnectionResetError) and time.monotonic() - sent > 0.01:
+                    self.cut(gateway, job_id)
+                await asyncio.sleep(RESEND_S)
+                continue
+            finally:
+                caller.close()
+            if status == 200:
+                return self.check_answer(job_id, tasks, json.loads(text)["state"])
+            if status == 503:
+                return self.check_not_run(job_id, may_have_run)
+            may_have_run = True
+            await asyncio.sleep(RESEND_S)
+        return "unanswered"
+
+    def cut(self, gateway, job_id):
+        if gateway.busy == "term" and not self.faulty:
+            self.history.violate("STOP", "%s cut off %s in a planned stop" % (gateway.host, job_id))
+
+    def check_answer(self, job_id, tasks, state):
+        missing = [i for i in range(tasks) if "%s.0.0.%d" % (job_id, i) not in self.history.done]
+        if state == "completed" and missing:
+            self.history.violate("WHOLE", "%s completed without tasks %s" % (job_id, missing))
+        return state
+
+    def check_not_run(self, job_id, may_have_run):
+        if not may_have_run and job_id in self.history.runs:
+            self.history.violate("NOT_RUN", "%s was refused and has run" % job_id)
+        return "not_run"
+
+    async def load(self):
+        while not self.stopping:
+            self.jobs += 1
+            asyncio.ensure_future(self.one_job("%016x" % (self.options.seed << 32 | self.jobs)))
+            await asyncio.sleep(self.random.expovariate(self.options.rate))
+
+    async def one_job(self, job_id):
+        outcome = await self.submit(job_id, self.random.choice([1.5, 2.5, 4.0]))
+        self.counts[outcome] += 1
+        self.recent.append((time.monotonic(), outcome == "completed"))
+
+    async def check_configuration(self):
+        """Counts on a route that only the newest version has, asked from each gateway."""
+        seen = {}
+        while not self.stopping:
+            await asyncio.sleep(0.2)
+            for gateway in self.gateways:
+                probe, published = self.probe, self.published
+                status = await self.ask_probe(gateway, probe)
+                late = time.monotonic() - max(published, self.history.calm_since) > CONFIG_S + 1.5
+                if status == 404 and late and probe == self.probe and not gateway.busy:
+                    self.history.violate("CONFIG", "%s doesn't know version %d"
+                                         % (gateway.host, self.version))
+                if status == 404 and seen.get(gateway.process) == probe and probe == self.probe:
+                    self.history.violate("CONFIG", "%s went back from %d" % (gateway.host, probe))
+                if status == 200:
+                    seen[gateway.process] = probe
+
+    async def ask_probe(self, gateway, probe):
+        caller = standin_http.Caller(gateway.host, PORTS["jobs"])
+        try:
+            status, _, _ = await caller.call("GET", "/probe-%d/" % probe,
+                                             {"host": "h.example"}, None, 0.5)
+            return status
+        except (OSError, TimeoutError):
+            return None
+        finally:
+            caller.close()
+
+    async def fault(self):
+        name = self.random.choice(sorted(k for k in dir(self) if k.startswith("fault_")))
+        print("%.1f s: %s" % (time.monotonic() - self.began, name[6:]), flush=True)
+        self.history.calm_since = time.monotonic()
+        await getattr(self, name)()
+        self.history.calm_since = time.monotonic()
+
+    def pick(self, nodes):
+        idle = [node for node in nodes if not node.busy]
+        return self.random.choice(idle) if idle else None
+
+    async def restart(self, node, number, pause):
+        if not node:
+            return
+        node.busy = "term" if number == signal.SIGTERM else "kill"
+        await node.end(number)
+        await asyncio.sleep(pause)
+        await node.start()
+        await asyncio.sleep(1.5)
+        node.busy = False
+
+    async def fault_kill_gateway(self):
+        await self.restart(self.pick(self.gateways), signal.SIGKILL, self.random.uniform(0, 1.5))
+
+    async def fault_kill_sidecar(self):
+        await self.restart(self.pick(self.sidecars), signal.SIGKILL, self.random.uniform(0, 1.5))
+
+    async def fault_kill_all(self):
+        nodes = [node for node in self.gateways + self.sidecars if not node.busy]
+        await asyncio.gather(*[self.restart(node, signal.SIGKILL, 0.8) for node in nodes])
+
+    async def fault_stop_gateway(self):
+        await self.restart(self.pick(self.gateways), signal.SIGTERM, 0.3)
+
+    async def fault_stop_sidecar(self):
+        await self.restart(self.pick(self.sidecars), signal.SIGTERM, 0.3)
+
+    async def fault_freeze(self):
+        node = self.pick(self.gateways + self.sidecars)
+        if not node:
+            return
+        node.busy = "freeze"
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.1, 3))
+        node.send(signal.SIGCONT)
+        await asyncio.sleep(1)
+        node.busy = False
+
+    async def fault_hangup(self):
+        for node in self.gateways + self.sidecars:
+            if not node.busy:
+                node.send(signal.SIGHUP)
+
+    async def fault_link(self):
+        proxy = self.random.choice(self.proxies)
+        proxy.mode = self.random.choice(["delay", "silent", "one_way", "refuse"])
+        if proxy.mode == "refuse":
+            proxy.reset()
+        await asyncio.sleep(self.random.uniform(0.3, 4))
+        proxy.mode = "ok"
+        await asyncio.sleep(1)
+
+    async def fault_reset(self):
+        for proxy in self.proxies:
+            proxy.reset()
+        await asyncio.sleep(1)
+
+    async def fault_store(self):
+        self.store.mode = self.random.choice(["busy", "silent", "reset", "slow"])
+        await asyncio.sleep(self.random.uniform(0.5, 5))
+        self.store.mode = "ok"
+        await asyncio.sleep(1)
+
+    async def fault_store_loses(self):
+        self.store.lost = 0.4
+        await asyncio.sleep(3)
+        self.store.lost = 0.0
+
+    async def fault_compact(self):
+        self.store.compact()
+
+    async def fault_executor_crash(self):
+        executor = self.random.choice(self.executors)
+        if not executor.is_up:
+            return
+        executor.crash()
+        await asyncio.sleep(self.random.uniform(0, 3))
+        executor.start(fence=0)
+
+    async def fault_executor_silent(self):
+        executor = self.random.choice(self.executors)
+        executor.silent = True
+        await asyncio.sleep(self.random.uniform(0.3, 3))
+        executor.silent = False
+
+    async def fault_unanswered(self):
+        for executor in self.executors:
+            executor.unanswered = 0.1
+        await asyncio.sleep(3)
+        for executor in self.executors:
+            executor.unanswered = 0.0
+
+    async def fault_failing(self):
+        executor = self.random.choice(self.executors)
+        executor.failing = 1.0
+        await asyncio.sleep(2)
+        executor.failing = 0.0
+
+    async def fault_rate(self):
+        executor = self.random.choice(self.executors)
+        executor.rate = self.random.choice([0.0, 0.15])
+        await asyncio.sleep(3)
+        executor.rate = 1.0
+
+    async def fault_drain(self):
+        executor = self.random.choice(self.executors)
+        if not executor.is_up or executor.draining:
+            return
+        executor.draining = True
+        await asyncio.sleep(4)
+        executor.crash()
+        executor.start()
+
+    async def fault_configuration(self):
+        for _ in range(self.random.randint(1, 4)):
+            self.publish(self.probe + 1)
+            await asyncio.sleep(self.random.uniform(0.1, 0.6))
+
+    async def fault_withdraw(self):
+        zone = "d%d" % self.random.randint(0, 2)
+        if self.history.withdrawn:
+            return
+        self.store.write("op/evacuate/" + zone, b"{}")
+        self.history.withdrawn[zone] = time.monotonic()
+        await asyncio.sleep(7)
+        del self.history.withdrawn[zone]
+        self.store.write("op/evacuate/" + zone, None)
+
+    async def faults(self):
+        running = set()
+        while time.monotonic() - self.began < self.options.seconds:
+            running = {task for task in running if not task.done()}
+            if len(running) < self.options.overlap:
+                running.add(asyncio.ensure_future(self.fault()))
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        if running:
+            await asyncio.wait(running)
+
+    @property
+    def faulty(self):
+        return time.monotonic() - self.history.calm_since < 3.0 or self.options.overlap > 1
+
+    async def run(self):
+        self.began = self.history.calm_since = time.monotonic()
+        await self.build_cluster()
+        await asyncio.sleep(2.5)
+        tasks = [asyncio.ensure_future(self.load()),
+                 asyncio.ensure_future(self.check_configuration())]
+        await self.faults()
+        await asyncio.sleep(RECOVER_S)
+        now = time.monotonic()
+        last = [served for at, served in self.recent if now - at < 3]
+        if not last or sum(last) < 0.9 * len(last):
+            self.history.violate("RECOVER", "%d of %d jobs served after the faults"
+                                 % (sum(last), len(last)))
+        self.stopping = True
+        await asyncio.sleep(4.5)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*[node.end(signal.SIGTERM) for node in self.gateways + self.sidecars])
+        print("seed %d: %d jobs, %s, %d runs, %d violations, logs in %s"
+              % (self.options.seed, self.jobs, self.counts, sum(map(len, self.history.runs.values())),
+                 len(self.history.violations), self.folder))
+        return 1 if self.history.violations else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=25, help="time during which faults begin")
+    parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--sidecars", type=int, default=5)
+    parser.add_argument("--rate", type=float, default=40, help="jobs a second")
+    parser.add_argument("--overlap", type=int, default=3, help="faults at a time")
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--keep", help="folder for settings and logs")
+    sys.exit(asyncio.run(Soak(parser.parse_args()).run()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standin_http.py
@@ -0,0 +1,88 @@
+"""HTTP/1.1 over asyncio, as small as the stand-ins of the platform need it."""
+import asyncio
+import json
+
+HEAD_MAX = 65536
+
+
+class Silence(Exception):
+    """The handler wants no answer: the connection stays open."""
+
+
+class Reset(Exception):
+    """The handler wants the connection to break."""
+
+
+async def read_message(reader):
+    """First line, headers (lower case) and body of a request or response; None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if value:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return lines[0], headers, body
+
+
+async def serve(host, port, handler):
+    """@handler(method, target, headers, body) returns (status, object or None)."""
+    async def connection(reader, writer):
+        try:
+            while message := await read_message(reader):
+                method, target, _ = message[0].split(" ", 2)
+                try:
+                    status, answer = await handler(method, target, message[1], message[2])
+                except Silence:
+                    await asyncio.sleep(60)
+                    break
+                text = b"" if answer is None else json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\ncontent-type: application/json\r\n"
+                             b"content-length: %d\r\n\r\n%s" % (status, len(text), text))
+                await writer.drain()
+        except (Reset, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    return await asyncio.start_server(connection, host, port, limit=HEAD_MAX)
+
+
+class Caller:
+    """One kept-alive connection of a client."""
+
+    def __init__(self, host, port):
+        self.host, self.port = host, port
+        self.reader = self.writer = None
+
+    async def call(self, method, target, headers, body, timeout):
+        """(status, headers, body); raises OSError if the connection breaks, TimeoutError."""
+        if not self.writer:
+            self.reader, self.writer = await asyncio.wait_for(
+                asyncio.open_connection(self.host, self.port), timeout)
+        text = b"" if body is None else json.dumps(body).encode()
+        lines = ["%s %s HTTP/1.1" % (method, target), "content-length: %d" % len(text)]
+        lines += ["%s: %s" % pair for pair in headers.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + text)
+        try:
+            message = await asyncio.wait_for(read_message(self.reader), timeout)
+        except (TimeoutError, asyncio.TimeoutError):
+            self.close()
+            raise TimeoutError from None
+        except asyncio.IncompleteReadError:
+            message = None
+        if message is None:
+            self.close()
+            raise ConnectionResetError("no answer")
+        if message[1].get("connection", "") == "close":
+            self.close()
+        return int(message[0].split(" ")[1]), message[1], message[2]
+
+    def close(self):
+        if self.writer:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
--- /dev/null
+++ b/tests/standin_platform.py
@@ -0,0 +1,237 @@
+"""Stand-ins of the platform for tests: its metadata store and its executors, with faults."""
+import asyncio
+import base64
+import json
+import random
+import time
+import urllib.parse
+
+import standin_http
+
+LEASE_CHECK_S = 0.02
+HEARTBEAT_S = 1.5
+
+
+class Store:
+    """The metadata store. @mode: "ok", "busy" (503), "silent", "reset" or "slow"; @lost: share of
+    the writes that are done and not answered; @refused: hosts that are turned away."""
+
+    def __init__(self):
+        self.items, self.history, self.revision, self.first = {}, [], 1, 1
+        self.changed = asyncio.Event()
+        self.mode, self.lost, self.calls, self.next_lease = "ok", 0.0, 0, 100
+        self.random = random.Random(1)
+
+    def write(self, key, value):
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+            event = {"key": key, "revision": self.revision, "deleted": True}
+        else:
+            event = {"key": key, "value": base64.b64encode(value).decode(),
+                     "revision": self.revision, "created": self.revision, "lease-id": 0}
+            self.items[key] = event
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self):
+        self.history, self.first = [], self.revision
+
+    async def handle(self, method, target, _headers, body):
+        self.calls += 1
+        if self.mode == "busy":
+            return 503, None
+        if self.mode == "silent":
+            raise standin_http.Silence
+        if self.mode == "reset":
+            raise standin_http.Reset
+        if self.mode == "slow":
+            await asyncio.sleep(0.24)
+        url = urllib.parse.urlsplit(target)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        name = url.path.split("/")[2]
+        answer = await getattr(self, "call_" + name.replace("-", "_"))(query, body)
+        if method == "POST" and self.random.random() < self.lost:
+            raise standin_http.Silence
+        return answer
+
+    async def call_kv_key(self, query, _body):
+        item = self.items.get(query["key"])
+        return (200, dict(item, at=self.revision)) if item else (404, None)
+
+    async def call_kv_range(self, query, _body):
+        rows = [self.items[k] for k in sorted(self.items)
+                if k.startswith(query["prefix"]) and k > query.get("after", "")]
+        return 200, {"items": rows[:500], "has-more": len(rows) > 500, "at": self.revision}
+
+    async def call_kv_watch(self, query, _body):
+        after, until = int(query["after"]), time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            if after < self.first:
+                return 410, None
+            events = [e for e in self.history
+                      if e["revision"] > after and e["key"].startswith(query["prefix"])]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "at": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except (TimeoutError, asyncio.TimeoutError):
+                pass
+
+    async def call_kv_lease(self, _query, body):
+        self.next_lease += 1
+        return 200, {"lease-id": self.next_lease, "ttl-ms": json.loads(body)["ttl-ms"]}
+
+    async def call_kv_keep(self, _query, _body):
+        return 200, {"ttl-ms": 15000}
+
+    async def call_kv_txn(self, _query, body):
+        for row in json.loads(body)["write"]:
+            self.write(row["key"], base64.b64decode(row["value"]))
+        return 200, {"revision": self.revision}
+
+
+class Executor:
+    """An executor. @silent, @unanswered (share), @failing (share), @rate (0 stands still)."""
+
+    def __init__(self, name, host, port, registry, zone, history, seed):
+        self.machine, self.host, self.port = name, host, port
+        self.registry, self.zone, self.history = registry, zone, history
+        self.random = random.Random(seed)
+        self.silent, self.unanswered, self.failing, self.rate = False, 0.0, 0.0, 1.0
+        self.is_up, self.draining, self.acknowledged_draining = False, False, None
+        self.lives = 0
+        self.news = asyncio.Event()
+        self.server = None
+
+    def start(self, fence=0):
+        self.lives += 1
+        self.id = "i-%s-%d" % (self.machine, self.lives)
+        self.born = int(time.time() * 1000)
+        self.began = time.monotonic()
+        self.sequence, self.fence, self.lease_end = 0, fence, 0
+        self.tasks, self.ended, self.n_ended, self.stopped = {}, [], 0, {}
+        self.is_up, self.draining, self.acknowledged_draining = True, False, None
+
+    def crash(self):
+        self.is_up = False
+        for name in list(self.tasks):
+            self.history.ended(self.machine, name, self.tasks[name]["attempt"], "crash")
+        self.tasks = {}
+
+    def clock(self):
+        return int((time.monotonic() - self.began) * 1000)
+
+    async def open(self):
+        self.server = await standin_http.serve(self.host, self.port, self.handle)
+        asyncio.ensure_future(self.run_tasks())
+        asyncio.ensure_future(self.announce())
+
+    async def announce(self):
+        host, port = self.registry.split(":")
+        while True:
+            if self.is_up and not self.silent:
+                try:
+                    await self.beat(host, int(port))
+                except (OSError, TimeoutError):
+                    pass
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def beat(self, host, port):
+        caller = standin_http.Caller(host, port)
+        self.sequence += 1
+        was_draining = self.draining
+        body = {"service": "service", "address": "%s:%d" % (self.host, self.port),
+                "zone": self.zone, "version": "v1", "slots": 8, "sequence": self.sequence,
+                "state": "draining" if was_draining else "ready", "cold-remaining-ms": 0,
+                "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0}, "labels": ["a", "r1"],
+                "clock-ms": self.clock(), "born": self.born}
+        status, _, _ = await caller.call("POST", "/azurerock/Executors.Heartbeat/" + self.id,
+                                         {}, body, 1.0)
+        if status == 200 and was_draining and self.acknowledged_draining is None:
+            self.acknowledged_draining = time.monotonic()
+        caller.close()
+
+    def end(self, name, how):
+        task = self.tasks.pop(name)
+        self.n_ended += 1
+        self.ended.append([self.n_ended, name, task["attempt"], how, ""])
+        self.stopped[name] = max(self.stopped.get(name, 0), task["attempt"])
+        self.history.ended(self.machine, name, task["attempt"], how)
+        self.news.set()
+        self.news = asyncio.Event()
+
+    async def run_tasks(self):
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(0.005)
+            now = time.monotonic()
+            if self.tasks and self.clock() > self.lease_end:
+                for name in list(self.tasks):
+                    self.end(name, "lapsed")
+            for name, task in list(self.tasks.items()):
+                task["done"] += (now - last) * 1000 * self.rate
+                if task["done"] >= task["work"]:
+                    self.end(name, "failed" if task["fails"] else "done")
+            last = now
+
+    async def handle(self, method, target, headers, body):
+        if not self.is_up:
+            raise standin_http.Reset
+        if self.silent or self.random.random() < self.unanswered:
+            raise standin_http.Silence
+        if headers.get("x-expected-instance", self.id) != self.id:
+            return 421, None
+        call = json.loads(body)
+        if call.get("fencing-token", 0) < self.fence:
+            return self.reject("fence")
+        self.fence = call.get("fencing-token", 0)
+        name = target.rsplit("/", 1)[1]
+        return await getattr(self, name.replace("-", "_"))(call)
+
+    def reject(self, reason):
+        return 409, {"clock-ms": self.clock(), "born": self.born, "reason": reason}
+
+    def renew(self, call):
+        limit = self.clock() + 1000
+        self.lease_end = max(self.lease_end, min(call.get("deadline-ms", 0), limit))
+
+    async def run_start(self, call):
+        name, attempt = call["task"], call["attempt"]
+        if call["deadline-ms"] <= self.clock():
+            return self.reject("late")
+        self.renew(call)
+        task = self.tasks.get(name)
+        if task and task["attempt"] == attempt:
+            return 200, {"clock-ms": self.clock(), "born": self.born}
+        if attempt <= self.stopped.get(name, 0) or task:
+            return self.reject("old")
+        work = json.loads(call["specification"])
+        if sum(t["cpu"] for t in self.tasks.values()) + work["cpu"] > 16000:
+            return self.reject("room")
+        self.tasks[name] = {"attempt": attempt, "done": 0.0, "work": work["ms"],
+                            "cpu": work["cpu"], "fails": self.random.random() < self.failing}
+        self.history.started(self.machine, self.zone, name, attempt, self)
+        return 200, {"clock-ms": self.clock(), "born": self.born}
+
+    async def run_stop(self, call):
+        name, attempt = call["task"], call["attempt"]
+        self.stopped[name] = max(self.stopped.get(name, 0), attempt)
+        if name in self.tasks and self.tasks[name]["attempt"] <= attempt:
+            self.end(name, "stopped")
+        return 200, {"clock-ms": self.clock(), "born": self.born}
+
+    async def hold(self, call):
+        self.renew(call)
+        self.ended = [row for row in self.ended if row[0] > call["last-seen"]]
+        if not self.ended and call.get("wait-ms", 0) > 0:
+            try:
+                await asyncio.wait_for(self.news.wait(), call["wait-ms"] / 1000)
+            except (TimeoutError, asyncio.TimeoutError):
+                pass
+        active = [[n, t["attempt"], "", int(100 * min(t["done"] / t["work"], 0.99)), 0]
+                  for n, t in self.tasks.items()]
+        return 200, {"clock-ms": self.clock(), "born": self.born, "active": active,
+                     "finished": self.ended[:500]}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,364 @@
+#include "platform/executor.h"
+#include "platform/job.h"
+#include "platform/operator.h"
+#include "platform/registry.h"
+#include "platform/store.h"
+#include "sidecar/announcement_record.h"
+#include "testing.h"
+#include <string.h>
+
+static struct az_http_response
+answered (int status, const char *body)
+{
+  return (struct az_http_response){
+    .result = AZ_HTTP_ANSWERED, .status = status, .body = body, .body_length = strlen (body)
+  };
+}
+
+static void
+test_job_is_decoded (void **state)
+{
+  static const char body[]
+      = "{\"specification\":\"text\",\"best-effort\":true,\"phases\":[{\"count\":2,\"cpu\":500,"
+        "\"mem-mb\":64,\"estimate-ms\":60,\"affinity\":\"r1\"},{\"count\":1,\"cpu\":100,"
+        "\"after\":[0],\"requirements\":\"a\",\"anti-affinity\":1}]}";
+  struct az_job_request job;
+
+  (void)state;
+  assert_true (platform_decode_job (body, strlen (body), &job));
+  assert_null (job.unsupported);
+  assert_int_equal (job.n_steps, 2);
+  assert_int_equal (job.steps[0].need.cpu_milli, 500);
+  assert_string_equal (job.steps[0].preferred_label, "r1");
+  assert_int_equal (job.steps[1].n_after, 1);
+  assert_string_equal (job.steps[1].required_label, "a");
+  assert_int_equal (job.steps[1].spread_max, 1);
+  az_job_request_clear (&job);
+}
+
+/* Guards against a job of a kind that isn't served being run as if it were another. */
+static void
+test_unsupported_kinds_are_named (void **state)
+{
+  static const struct
+  {
+    const char *body;
+    const char *reason;
+  } rows[] = {
+    { "{\"phases\":[{\"count\":1,\"cpu\":1}]}", "stored" },
+    { "{\"best-effort\":true,\"phases\":[{\"count\":1,\"cpu\":1,\"gang\":true}]}", "gang" },
+    { "{\"best-effort\":true,\"repetitions\":3,\"phases\":[{\"count\":1}]}", "repetitions" },
+    { "{\"best-effort\":true,\"phases\":[{\"count\":1,\"long-running\":true}]}", "long-running" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct az_job_request job;
+
+      assert_true (platform_decode_job (rows[i].body, strlen (rows[i].body), &job));
+      assert_string_equal (job.unsupported, rows[i].reason);
+      az_job_request_clear (&job);
+    }
+}
+
+static void
+test_malformed_jobs_are_rejected (void **state)
+{
+  static const char *const bodies[] = {
+    "",
+    "[]",
+    "{\"phases\":[]}",
+    "{\"phases\":[{\"count\":0}]}",
+    "{\"phases\":[{\"count\":1,\"cpu\":-1}]}",
+    "{\"phases\":[{\"count\":1,\"cpu\":\"1\"}]}",
+    "{\"phases\":[{\"count\":1,\"after\":[0]}]}",
+    "{\"phases\":[{\"count\":99999}]}",
+    "{\"specification\":7,\"phases\":[{\"count\":1}]}",
+  };
+  struct az_job_request job;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    assert_false (platform_decode_job (bodies[i], strlen (bodies[i]), &job));
+  assert_true (platform_is_job_id ("5c0e7a21d94b36f8"));
+  assert_false (platform_is_job_id ("5c0e7a21d94b36f"));
+  assert_false (platform_is_job_id ("5c0e7a21d94b36fx"));
+}
+
+static void
+test_beat_is_decoded (void **state)
+{
+  static const char body[]
+      = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"draining\","
+        "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768},\"labels\":[\"a\",\"r1\"],\"sequence\":4,"
+        "\"born\":1700000000000,\"clock-ms\":12,\"new-field\":{}}";
+  struct az_upstream_announcement beat;
+
+  (void)state;
+  assert_true (platform_decode_beat ("i-1", body, strlen (body), &beat));
+  assert_string_equal (beat.instance, "i-1");
+  assert_true (beat.is_draining);
+  assert_int_equal (beat.capacity.cpu_milli, 16000);
+  assert_int_equal (beat.labels->len, 2);
+  assert_int_equal (beat.born_ms, 1700000000000);
+  az_upstream_announcement_clear (&beat);
+}
+
+/* Heartbeats of another writer name no upstream to use. */
+static void
+test_foreign_beats_are_rejected (void **state)
+{
+  static const char *const bodies[] = {
+    "\xff\xfe",
+    "{}",
+    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"resting\",\"capacity\":{},"
+    "\"sequence\":1}",
+    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":7,"
+    "\"sequence\":1}",
+    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
+    "\"sequence\":\"1\"}",
+    "{\"service\":5,\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
+    "\"sequence\":1}",
+    "{\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},\"sequence\":1}",
+  };
+  struct az_upstream_announcement beat;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    assert_false (platform_decode_beat ("i", bodies[i], strlen (bodies[i]), &beat));
+}
+
+static void
+test_registry_calls_are_told_apart (void **state)
+{
+  const char *instance;
+
+  (void)state;
+  assert_int_equal (
+      platform_registry_call ("POST", "/azurerock/Executors.Heartbeat/i-7", &instance),
+      PLATFORM_REGISTRY_BEAT);
+  assert_string_equal (instance, "i-7");
+  assert_int_equal (
+      platform_registry_call ("POST", "/azurerock/Executors.Deregister/i-7", &instance),
+      PLATFORM_REGISTRY_LEAVE);
+  assert_int_equal (platform_registry_call ("GET", "/azurerock/Executors.Heartbeat/i-7", &instance),
+                    PLATFORM_REGISTRY_UNKNOWN);
+  assert_int_equal (platform_registry_call ("POST", "/azurerock/Executors.Heartbeat/", &instance),
+                    PLATFORM_REGISTRY_UNKNOWN);
+}
+
+/* A refused order has done nothing; an order without an answer may have been carried out. */
+static void
+test_outcomes_of_orders (void **state)
+{
+  static const struct
+  {
+    int status;
+    const char *body;
+    enum az_upstream_result result;
+  } rows[] = {
+    { 200, "{\"clock-ms\":5}", AZ_UPSTREAM_OK },
+    { 409, "{\"clock-ms\":5,\"reason\":\"fence\"}", AZ_UPSTREAM_FENCED },
+    { 409, "{\"clock-ms\":5,\"reason\":\"old\"}", AZ_UPSTREAM_OLD },
+    { 409, "{\"clock-ms\":5,\"reason\":\"late\"}", AZ_UPSTREAM_LATE },
+    { 409, "{\"clock-ms\":5,\"reason\":\"room\"}", AZ_UPSTREAM_NO_ROOM },
+    { 409, "{\"clock-ms\":5}", AZ_UPSTREAM_INVALID },
+    { 421, "", AZ_UPSTREAM_OTHER_INSTANCE },
+    { 429, "", AZ_UPSTREAM_UNHEALTHY },
+    { 503, "", AZ_UPSTREAM_UNHEALTHY },
+    { 400, "", AZ_UPSTREAM_INVALID },
+  };
+  struct az_http_response lost = { .result = AZ_HTTP_LOST, .body = "" };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct az_http_response response = answered (rows[i].status, rows[i].body);
+      struct az_upstream_answer answer = platform_decode_order (&response);
+
+      assert_int_equal (answer.result, rows[i].result);
+      assert_int_equal (answer.clock_ms, strstr (rows[i].body, "clock") ? 5 : -1);
+    }
+  assert_int_equal (platform_decode_order (&lost).result, AZ_UPSTREAM_UNANSWERED);
+  lost.result = AZ_HTTP_NOT_SENT;
+  assert_int_equal (platform_decode_order (&lost).result, AZ_UPSTREAM_NOT_SENT);
+}
+
+/* A row that can't be read is left out; the others hold. */
+static void
+test_lists_leave_out_unreadable_rows (void **state)
+{
+  struct az_http_response response = answered (
+      200, "{\"clock-ms\":9,\"born\":77,\"active\":[[\"t.0.0.1\",2,\"\",41,0.5],7,[\"x\"]],"
+           "\"finished\":[[58,\"t.0.0.9\",1,\"done\",\"\"],[59,\"t.0.0.8\",1,\"alone\",\"\"],{}]}");
+  struct az_upstream_lists lists;
+
+  (void)state;
+  platform_decode_lists (&response, &lists);
+  assert_int_equal (lists.answer.result, AZ_UPSTREAM_OK);
+  assert_int_equal (lists.answer.born_ms, 77);
+  assert_int_equal (lists.n_active, 1);
+  assert_int_equal (lists.active[0].percent, 41);
+  assert_int_equal (lists.n_ended, 2);
+  assert_int_equal (lists.ended[0].how, AZ_TASK_DONE);
+  assert_int_equal (lists.ended[1].how, AZ_TASK_LOST);
+  assert_int_equal (lists.n_unreadable, 3);
+  az_upstream_lists_clear (&lists);
+}
+
+/* Lists without a clock or with a list missing prove nothing about what runs. */
+static void
+test_incomplete_lists_are_invalid (void **state)
+{
+  static const char *const bodies[]
+      = { "", "{}", "{\"clock-ms\":9,\"active\":[]}", "{\"active\":[],\"finished\":[]}" };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      struct az_http_response response = answered (200, bodies[i]);
+      struct az_upstream_lists lists;
+
+      platform_decode_lists (&response, &lists);
+      assert_int_equal (lists.answer.result, AZ_UPSTREAM_INVALID);
+      az_upstream_lists_clear (&lists);
+    }
+}
+
+static void
+test_orders_are_encoded (void **state)
+{
+  const struct az_upstream_start start = { .instance = "i",
+                                           .task = "a.0.0.1",
+                                           .attempt = 2,
+                                           .specification = "te\"xt",
+                                           .lease_end_clock_ms = 99,
+                                           .fence = 7 };
+  const struct az_upstream_hold hold = { .fence = 7, .seen = 3, .wait_ms = 100 };
+  g_autofree char *start_text = platform_encode_start (&start);
+  g_autofree char *hold_text = platform_encode_hold (&hold);
+
+  (void)state;
+  assert_string_equal (start_text, "{\"task\":\"a.0.0.1\",\"attempt\":2,\"specification\":"
+                                   "\"te\\\"xt\",\"deadline-ms\":99,\"fencing-token\":7}");
+  assert_string_equal (hold_text, "{\"fencing-token\":7,\"last-seen\":3,\"wait-ms\":100}");
+}
+
+static void
+test_configuration_is_decoded (void **state)
+{
+  static const char text[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"prefix\":\"/a/\","
+        "\"service\":\"s\",\"max-attempts\":4,\"slack-factor\":1.6,\"target-completion-ms\":60,"
+        "\"timeout-ms\":1500,\"priority\":2},{\"name\":5},{\"name\":\"r2\",\"hostname\":"
+        "\"h.example\",\"prefix\":\"/a/b/\",\"service\":\"s\"}],\"services\":[]}";
+  size_t n_unreadable;
+  struct az_catalog *catalog = platform_decode_catalog (text, strlen (text), &n_unreadable);
+
+  (void)state;
+  assert_non_null (catalog);
+  assert_int_equal (catalog->version, 7);
+  assert_int_equal (catalog->n_routes, 2);
+  assert_int_equal (n_unreadable, 1);
+  assert_string_equal (az_catalog_find (catalog, "h.example", "/a/x")->name, "r");
+  assert_string_equal (az_catalog_find (catalog, "H.example:80", "/a/b/x")->name, "r2");
+  assert_null (az_catalog_find (catalog, "other", "/a/x"));
+  assert_null (az_catalog_find (catalog, "h.example", "/b/x"));
+  az_catalog_destroy (catalog);
+  assert_null (platform_decode_catalog ("{}", 2, &n_unreadable));
+  assert_null (platform_decode_catalog ("{\"version\":\"7\",\"routes\":[]}", 28, &n_unreadable));
+}
+
+static void
+test_store_answers (void **state)
+{
+  struct az_http_response response = answered (
+      200, "{\"events\":[{\"key\":\"a\",\"value\":\"aGk=\",\"revision\":4},{\"key\":\"b\","
+           "\"revision\":5,\"deleted\":true},{\"value\":\"aGk=\"},{\"key\":\"e\",\"value\":\"\","
+           "\"revision\":6}],\"at\":6}");
+  struct az_http_response gone = answered (410, "");
+  struct az_http_response single
+      = answered (200, "{\"key\":\"k\",\"value\":\"aGk=\",\"revision\":9,\"at\":12}");
+  struct az_metadata_answer answer;
+
+  (void)state;
+  platform_decode_store (&response, &answer);
+  assert_int_equal (answer.result, AZ_METADATA_OK);
+  assert_int_equal (answer.revision, 6);
+  assert_int_equal (answer.n_items, 3);
+  assert_int_equal (answer.n_unreadable, 1);
+  assert_string_equal (answer.items[0].value, "hi");
+  assert_null (answer.items[1].value);
+  assert_int_equal (answer.items[2].length, 0);
+  az_metadata_answer_clear (&answer);
+  platform_decode_store (&gone, &answer);
+  assert_int_equal (answer.result, AZ_METADATA_HISTORY_GONE);
+  az_metadata_answer_clear (&answer);
+  platform_decode_store (&single, &answer);
+  assert_int_equal (answer.n_items, 1);
+  assert_string_equal (answer.items[0].key, "k");
+  az_metadata_answer_clear (&answer);
+}
+
+static void
+test_store_calls (void **state)
+{
+  g_autofree char *range = platform_store_range_path ("op/", "op/a b");
+  g_autofree char *watch = platform_store_watch_path ("op/", 411, 1200);
+  g_autofree char *write = platform_encode_write ("k", "hi", 5);
+
+  (void)state;
+  assert_string_equal (range, "/azurerock/kv-range?prefix=op/&after=op/a%20b");
+  assert_string_equal (watch, "/azurerock/kv-watch?prefix=op/&after=411&wait-ms=1200");
+  assert_string_equal (write, "{\"expect\":[],\"write\":[{\"key\":\"k\",\"value\":\"aGk=\","
+                              "\"lease-id\":5}],\"remove\":[]}");
+}
+
+static void
+test_announcement_survives_its_record (void **state)
+{
+  static const char body[]
+      = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
+        "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":2},\"labels\":[\"a\"],"
+        "\"sequence\":4,\"born\":1700000000000}";
+  struct az_upstream_announcement beat;
+  struct az_upstream_announcement copy;
+  g_autofree char *record = NULL;
+
+  (void)state;
+  assert_true (platform_decode_beat ("i-1", body, strlen (body), &beat));
+  record = az_announcement_record_encode (&beat);
+  assert_true (az_announcement_record_decode (record, &copy));
+  assert_string_equal (copy.instance, "i-1");
+  assert_int_equal (copy.born_ms, beat.born_ms);
+  assert_int_equal (copy.capacity.accelerators, 2);
+  assert_int_equal (copy.sequence, 0);
+  assert_string_equal (copy.labels->pdata[0], "a");
+  az_upstream_announcement_clear (&copy);
+  assert_false (az_announcement_record_decode ("{\"instance\":1}", &copy));
+  az_upstream_announcement_clear (&beat);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_job_is_decoded),
+    cmocka_unit_test (test_unsupported_kinds_are_named),
+    cmocka_unit_test (test_malformed_jobs_are_rejected),
+    cmocka_unit_test (test_beat_is_decoded),
+    cmocka_unit_test (test_foreign_beats_are_rejected),
+    cmocka_unit_test (test_registry_calls_are_told_apart),
+    cmocka_unit_test (test_outcomes_of_orders),
+    cmocka_unit_test (test_lists_leave_out_unreadable_rows),
+    cmocka_unit_test (test_incomplete_lists_are_invalid),
+    cmocka_unit_test (test_orders_are_encoded),
+    cmocka_unit_test (test_configuration_is_decoded),
+    cmocka_unit_test (test_store_answers),
+    cmocka_unit_test (test_store_calls),
+    cmocka_unit_test (test_announcement_survives_its_record),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
