--- a/Makefile
+++ b/Makefile
@@ -103,6 +103,13 @@
 histories: all
 	BUILD=$(BUILD) tests/run_histories.sh $(HISTORY_SEEDS)
 
+# SEED=n runs one soak, SEEDS=a..b several; otherwise one fixed and one fresh seed.
+SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))),1 $(shell date +%j%H%M)))
+
+.PHONY: soak
+soak: all
+	BUILD=$(BUILD) tests/run_soak.sh $(SOAK_SEEDS)
+
 .PHONY: model
 model:
 	model/run.sh
--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -1,5 +1,6 @@
 #include "dispatch/speed.h"
 #include <glib.h>
+#include <math.h>
 
 /* Estimates are off by some tens of percent, so single tasks say little. */
 #define WEIGHT 0.08
@@ -34,6 +35,13 @@
     speed->slow_job = job;
 }
 
+/* Ratios are averaged as logarithms: twice as fast and half as fast cancel out. */
+static double
+smooth (double value, double sample, double weight)
+{
+  return value * pow (sample / value, weight);
+}
+
 void
 az_speed_learn (struct az_speed *speed, uint64_t job, int64_t expected_us, int64_t run_us)
 {
@@ -42,9 +50,10 @@
   count_slow (speed, job, az_speed_is_slow (sample));
   if (speed->n_slow >= SLOW_IN_A_ROW)
     speed->value = MIN (speed->value, sample);
-  else if (!az_speed_is_slow (sample) || az_speed_is_slow (speed->value))
-    speed->value
-        += (az_speed_is_slow (speed->value) ? SLOW_WEIGHT : WEIGHT) * (sample - speed->value);
+  else if (az_speed_is_slow (speed->value))
+    speed->value += SLOW_WEIGHT * (sample - speed->value);
+  else if (az_speed_is_slow (sample))
+    speed->value = MAX (smooth (speed->value, sample, WEIGHT), SLOW_BELOW);
   else
-    speed->value = MAX (speed->value + WEIGHT * (sample - speed->value), SLOW_BELOW);
+    speed->value = smooth (speed->value, sample, WEIGHT);
 }
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -3,6 +3,7 @@
 
 #include "azurerock/ejector.h"
 #include "azurerock/gateway.h"
+#include "azurerock/histogram.h"
 #include "azurerock/resources.h"
 #include "azurerock/table.h"
 #include "dispatch/time_us.h"
@@ -162,6 +163,7 @@
   uint32_t c_given_up;
   uint32_t c_retried;
   uint32_t c_moved;
+  struct az_histogram response; /* of completed jobs */
 };
 
 /* sessions.c */
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -58,6 +58,8 @@
     { &gateway->c_moved, "azurerock_gateway_moves_total", "Tasks moved off a slow upstream" },
   };
 
+  az_histogram_init (&gateway->response, gateway->counters, "azurerock_gateway_response_ms",
+                     "Time from the submission of a job to its completion");
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     *rows[i].counter = az_counters_register (gateway->counters, rows[i].name, rows[i].help);
 }
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -32,7 +32,7 @@
 static int64_t
 longest_chain_us (const struct az_gateway *gateway, const struct job *job)
 {
-  g_autofree int64_t *end_us = g_new0 (int64_t, job->request.n_steps + 1);
+  int64_t *end_us = g_new0 (int64_t, job->request.n_steps + 1);
   int64_t longest_us = 0;
 
   for (size_t i = 0; i < job->request.n_steps; i++)
@@ -44,6 +44,7 @@
       end_us[i] += az_gateway_expected_us (gateway, job, i, NULL);
       longest_us = MAX (longest_us, end_us[i]);
     }
+  g_free (end_us);
   return longest_us;
 }
 
@@ -135,11 +136,13 @@
 }
 
 static void
-count (struct az_gateway *gateway, enum az_job_outcome outcome)
+count (struct az_gateway *gateway, const struct job *job, enum az_job_outcome outcome)
 {
   switch (outcome)
     {
     case AZ_JOB_COMPLETED:
+      az_histogram_observe (&gateway->response,
+                            (uint64_t)(gateway->now_us - job->arrived_us) / AZ_US_PER_MS);
       az_counters_add (gateway->counters, gateway->c_completed, 1);
       break;
     case AZ_JOB_FAILED:
@@ -176,7 +179,7 @@
   if (job->is_ending)
     return;
   job->is_ending = true;
-  count (gateway, outcome);
+  count (gateway, job, outcome);
   az_log (LOG_INFO,
           "event=answer job=%s outcome=%s after_ms=%" G_GINT64_FORMAT
           " objective_ms=%" G_GINT64_FORMAT " done=%u of=%u live=%u reason=\"%s\"",
--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -1,6 +1,7 @@
 #ifndef AZUREROCK_SIDECAR_BOARD_H
 #define AZUREROCK_SIDECAR_BOARD_H
 
+#include "azurerock/histogram.h"
 #include "azurerock/resources.h"
 #include "azurerock/sidecar.h"
 #include "azurerock/table.h"
@@ -138,6 +139,7 @@
   uint32_t n_refused;
   uint32_t n_lost;
   uint32_t n_stopped;
+  struct az_histogram run_times; /* of done tasks */
   int64_t now_us;
   GHashTable *sessions; /* handle -> struct session * */
   struct az_table_rows *tasks;
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -34,6 +34,8 @@
                                           "Tasks whose end was not seen at the upstream");
   sidecar->n_stopped = az_counters_register (counters, "azurerock_sidecar_stopped_total",
                                              "Tasks that were stopped");
+  az_histogram_init (&sidecar->run_times, counters, "azurerock_sidecar_run_ms",
+                     "Time from the order to start a task to its end as done");
   az_speed_init (&sidecar->life.speed);
   sidecar->hold.in_flight = g_array_new (FALSE, FALSE, sizeof (struct sent_hold));
   sidecar->now_us = az_now_us (clock);
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -244,6 +244,8 @@
   };
 
   learn (sidecar, task, how);
+  if (how == AZ_TASK_DONE)
+    az_histogram_observe (&sidecar->run_times, event.run_ms);
   if (how == AZ_TASK_LOST)
     az_counters_add (sidecar->counters, sidecar->n_lost, 1);
   if (how == AZ_TASK_STOPPED)
--- /dev/null
+++ b/tests/test_dispatch_load.c
@@ -0,0 +1,161 @@
+#include "azurerock/log.h"
+#include "emulator/emulator.h"
+#include "testing.h"
+#include <stdlib.h>
+
+/* Stated targets: the worth that the ideal queue earns, and how often it serves each kind. */
+#define EARNED_OF_IDEAL 0.93
+#define SERVED_OF_IDEAL 0.8
+
+/* SEEDS in the environment plays more than CI does. */
+static unsigned
+n_seeds (void)
+{
+  const char *text = getenv ("SEEDS");
+
+  return text ? (unsigned)atoi (text) : 2;
+}
+
+static double
+share (unsigned part, unsigned whole)
+{
+  return whole > 0 ? (double)part / whole : 1;
+}
+
+static void
+check_kind (const struct emulator_outcome *row, const struct emulator_outcome *ideal)
+{
+  assert_true (share (row->in_time, row->asked)
+               >= SERVED_OF_IDEAL * share (ideal->in_time, ideal->asked));
+  assert_true (share (row->large_in_time, row->large_asked)
+               >= SERVED_OF_IDEAL * share (ideal->large_in_time, ideal->large_asked));
+}
+
+/* Guards against a policy that gives up more than it must, or one kind or size of jobs for the
+ * others, and against two runs of one task at a time. */
+static void
+check_load (const struct emulator_scenario *scenario)
+{
+  for (unsigned seed = 1; seed <= n_seeds (); seed++)
+    {
+      struct emulator_result result = emulator_play (scenario, seed);
+      struct emulator_result ideal = emulator_play_ideal (scenario, seed);
+
+      assert_true (result.earned >= EARNED_OF_IDEAL * ideal.earned);
+      assert_int_equal (result.n_overlaps, 0);
+      assert_int_equal (result.n_unanswered, 0);
+      for (unsigned kind = 0; kind < EMULATOR_KINDS; kind++)
+        check_kind (&result.kinds[kind], &ideal.kinds[kind]);
+    }
+}
+
+static struct emulator_scenario
+with_trouble (struct emulator_trouble trouble)
+{
+  struct emulator_scenario scenario = emulator_theatre (1.0);
+
+  scenario.troubles[scenario.n_troubles++] = trouble;
+  return scenario;
+}
+
+static void
+test_burst (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_BURST, 5, 9, 0, 0, 1.3 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+static void
+test_withdrawn_domain (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_WITHDRAW, 5, 15, 0, 0, 1 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+static void
+test_slow_upstreams (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_SLOW, 5, 12, 3, 2, 6.5 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+static void
+test_upstream_that_stands_still (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_STALL, 5, 11, 4, 1, 1 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+static void
+test_failing_upstream (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_FAIL, 5, 11, 4, 1, 1 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+/* Guards against ends and room that stay hidden while answers of the upstream are lost. */
+static void
+test_unanswered_orders (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_UNANSWERED, 5, 11, 0, 0, 0.05 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+static void
+test_crashes (void **state)
+{
+  struct emulator_scenario scenario
+      = with_trouble ((struct emulator_trouble){ EMULATOR_CRASH, 5, 9, 5, 2, 1 });
+
+  (void)state;
+  check_load (&scenario);
+}
+
+/* Jobs that can't be served in time are refused within a quarter of their objective, on average:
+ * their callers can turn elsewhere. */
+static void
+test_refusals_come_early (void **state)
+{
+  struct emulator_scenario scenario = emulator_theatre (1.6);
+  struct emulator_result result = emulator_play (&scenario, 1);
+
+  (void)state;
+  assert_true (result.kinds[1].refused > 50);
+  assert_true (result.refused_held_ms < 100);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_burst),
+    cmocka_unit_test (test_withdrawn_domain),
+    cmocka_unit_test (test_slow_upstreams),
+    cmocka_unit_test (test_upstream_that_stands_still),
+    cmocka_unit_test (test_failing_upstream),
+    cmocka_unit_test (test_unanswered_orders),
+    cmocka_unit_test (test_crashes),
+    cmocka_unit_test (test_refusals_come_early),
+  };
+
+  az_log_open ("test", LOG_ERR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
