Renew idle grants by rank when entries outnumber slots; mend the soak's stand-in

Cause: an agent renewed the idle grants of the entries that had connected first, so that with more entries than slots the same few held the slots of every agent (test_many_entries.py, known red).

Change: without demand an agent renews only the grants of the entries that rank highest with it, each agent by its own order.

--- a/Makefile
+++ b/Makefile
@@ -103,8 +103,9 @@
 histories: all
 	BUILD=$(BUILD) tests/run_histories.sh $(HISTORY_SEEDS)
 
-# SEED=n runs one soak, SEEDS=a..b several; otherwise one fixed and one fresh seed.
-SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))),1 $(shell date +%j%H%M)))
+# SEED=n runs one soak, SEEDS=a..b several; otherwise the seeds that once failed and a fresh one.
+SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))), \
+  $(shell sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak_seeds.txt) $(shell date +1%H%M)))
 
 .PHONY: soak
 soak: all
--- a/src/agent/board.h
+++ b/src/agent/board.h
@@ -268,6 +268,8 @@
 az_agent_may_grant (const struct az_agent_board *board);
 
 /* grant_choice.c */
+bool
+az_agent_may_keep_idle (const struct az_agent_board *board, const struct az_agent_entry *entry);
 uint32_t
 az_agent_entry_need (const struct az_agent_board *board, const struct az_agent_entry *entry);
 uint32_t
--- a/src/agent/grant_choice.c
+++ b/src/agent/grant_choice.c
@@ -51,6 +51,30 @@
   return az_agent_entry_weight (board, entry) > az_agent_entry_weight (board, best);
 }
 
+/**
+ * az_agent_may_keep_idle - whether the grants of @entry are renewed without demand
+ *
+ * With more entries than slots, each agent keeps the grants of those that rank highest with it.
+ * Otherwise the entries that connected first would hold the slots of every agent.
+ */
+bool
+az_agent_may_keep_idle (const struct az_agent_board *board, const struct az_agent_entry *entry)
+{
+  uint32_t n_ahead = 0;
+
+  if (!entry)
+    return false;
+  for (uint32_t handle = az_table_rows_next (board->entries, 0); handle;
+       handle = az_table_rows_next (board->entries, handle))
+    {
+      const struct az_agent_entry *other = az_agent_entry_get (board, handle);
+
+      n_ahead += other->incarnation
+                 && az_agent_entry_weight (board, other) > az_agent_entry_weight (board, entry);
+    }
+  return n_ahead < az_agent_capacity (board);
+}
+
 static uint32_t
 choose_by_idle (const struct az_agent_board *board, uint32_t preferred)
 {
--- a/src/agent/grant_messages.c
+++ b/src/agent/grant_messages.c
@@ -32,6 +32,8 @@
   GHashTableIter iter;
   void *value;
 
+  if (!az_agent_may_keep_idle (board, entry))
+    return;
   g_hash_table_iter_init (&iter, board->grants);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -58,7 +60,8 @@
     {
       struct az_agent_grant *grant = value;
 
-      if (!grant->recalled && is_near_expiry (board, grant, RENEW_PERCENT))
+      if (!grant->recalled && is_near_expiry (board, grant, RENEW_PERCENT)
+          && az_agent_may_keep_idle (board, az_agent_entry_get (board, grant->entry)))
         due = grant->entry;
     }
   if (due)
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -142,7 +142,7 @@
     async def beat(self, host, port):
         caller = standin_http.Caller(host, port)
         self.sequence += 1
-        was_draining = self.draining
+        was_draining, life = self.draining, self.lives
         body = {"service": "service", "address": "%s:%d" % (self.host, self.port),
                 "zone": self.zone, "version": "v1", "slots": 8, "sequence": self.sequence,
                 "state": "draining" if was_draining else "ready", "cold-remaining-ms": 0,
@@ -150,7 +150,9 @@
                 "clock-ms": self.clock(), "born": self.born}
         status, _, _ = await caller.call("POST", "/azurerock/Executors.Heartbeat/" + self.id,
                                          {}, body, 1.0)
-        if status == 200 and was_draining and self.acknowledged_draining is None:
+        # The executor may have ended and started again while the answer was on its way.
+        if status == 200 and was_draining and life == self.lives \
+                and self.acknowledged_draining is None:
             self.acknowledged_draining = time.monotonic()
         caller.close()
 
