Take jobs while stopping if they can end, and count failures from a baseline

A restarted gateway took the failed and done tasks of an upstream's whole life for news, the failures first, and ejected two sound upstreams (failed=3 done=1028).

Change: the core takes a job while its expected end, with a reserve for the error of estimates, lies before the end of service.

Tests, red before: test_stopping_gateway_takes_what_it_can_end, test_first_report_of_a_life_is_no_news.

--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -137,6 +137,10 @@
 size_t
 az_gateway_n_jobs (const struct az_gateway *gateway);
 
+/** az_gateway_stop - from now on only jobs are taken that are expected to end within @left_ms */
+void
+az_gateway_stop (struct az_gateway *gateway, int64_t left_ms);
+
 /** az_gateway_abandon - gives up all jobs; for the end of the time that a stop may take */
 void
 az_gateway_abandon (struct az_gateway *gateway);
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -47,6 +47,7 @@
   uint32_t n_tasks;
   uint32_t used_milli; /* by this gateway's tasks */
   double speed;        /* 1: as fast as tasks of their estimate usually are */
+  bool has_counts;     /* the first report of a life tells what was before */
   uint32_t n_done;     /* of all gateways' tasks, as last reported */
   uint32_t n_failed;
   uint32_t n_probes; /* since it was last in full use */
@@ -150,6 +151,7 @@
   uint64_t catalog_revision;
   GBytes *catalog_text;
   struct evidence evidence;
+  int64_t stop_us; /* when the process stops serving; 0 unless it is stopping */
   uint64_t last_job;
   uint32_t waiting_milli;
   int64_t open_us; /* when an upstream was last seen open, at first the start */
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -27,6 +27,13 @@
 {
   bool was_ejected = az_ejector_is_ejected (gateway->ejector, upstream->handle);
 
+  if (!upstream->has_counts)
+    {
+      upstream->n_failed = report->n_failed;
+      upstream->n_done = report->n_done;
+      upstream->has_counts = true;
+      return;
+    }
   for (; upstream->n_failed < report->n_failed; upstream->n_failed++)
     az_ejector_report (gateway->ejector, upstream->handle, false);
   for (; upstream->n_done < report->n_done; upstream->n_done++)
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -99,6 +99,19 @@
   g_hash_table_insert (gateway->callers, GUINT_TO_POINTER (caller), job);
 }
 
+/* Estimates are off by some tens of percent. */
+#define STOP_FACTOR 1.6
+#define STOP_RESERVE_MS 50
+
+static bool
+ends_after_stop (const struct az_gateway *gateway, const struct job *job)
+{
+  int64_t end_us = gateway->now_us + (int64_t)((double)job->run_us * STOP_FACTOR)
+                   + STOP_RESERVE_MS * AZ_US_PER_MS;
+
+  return gateway->stop_us > 0 && end_us > gateway->stop_us;
+}
+
 void
 az_gateway_submit (struct az_gateway *gateway,
                    uint32_t caller,
@@ -130,6 +143,8 @@
           job->request.steps[0].estimate_ms, wait_ms,
           (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
   reason = az_gateway_unservable (gateway, job, &is_hopeless);
+  if (!reason && ends_after_stop (gateway, job))
+    reason = "the process stops";
   if (reason)
     az_gateway_end_job (gateway, job, is_hopeless ? AZ_JOB_FAILED : AZ_JOB_NOT_RUN, 1000, reason);
   gateway->needs_placing = true;
@@ -293,6 +308,12 @@
     expire_job (gateway, link->data);
 }
 
+void
+az_gateway_stop (struct az_gateway *gateway, int64_t left_ms)
+{
+  gateway->stop_us = az_now_us (gateway->clock) + left_ms * AZ_US_PER_MS;
+}
+
 void
 az_gateway_abandon (struct az_gateway *gateway)
 {
--- a/src/gateway/program_jobs.c
+++ b/src/gateway/program_jobs.c
@@ -3,9 +3,6 @@
 #include "platform/job.h"
 #include <string.h>
 
-/* After a signal to stop, jobs are taken for this share of the time that the stop may last. */
-#define TAKE_WHILE_STOPPING 0.55
-
 static void
 respond (struct az_gateway_program *program, uint32_t caller, int status, char *body)
 {
@@ -47,14 +44,6 @@
     }
 }
 
-static bool
-takes_jobs (const struct az_gateway_program *program)
-{
-  double stopping_s = (double)((int64_t)(uv_hrtime () / 1000) - program->stop_us) / 1e6;
-
-  return !program->is_stopping || stopping_s < program->options->grace_s * TAKE_WHILE_STOPPING;
-}
-
 static void
 submit (struct az_gateway_program *program,
         const struct az_http_request *request,
@@ -72,10 +61,9 @@
       respond (program, request->handle, 400, NULL);
       return;
     }
-  if (job.unsupported || !takes_jobs (program))
+  if (job.unsupported)
     {
-      az_log (LOG_INFO, "event=refuse job=%s outcome=503 reason=%s", id,
-              job.unsupported ? job.unsupported : "stopping");
+      az_log (LOG_INFO, "event=refuse job=%s outcome=503 reason=%s", id, job.unsupported);
       az_job_request_clear (&job);
       respond_not_run (program, request->handle, 1000);
       return;
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -78,6 +78,7 @@
   program->stop_us = (int64_t)(uv_hrtime () / 1000);
   az_log (LOG_NOTICE, "event=stopping jobs=%zu", az_gateway_n_jobs (program->gateway));
   az_http_server_close_after_responses (program->jobs);
+  az_gateway_stop (program->gateway, (int64_t)(program->options->grace_s * ABANDON_SHARE * 1000));
 }
 
 static void
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -50,8 +50,7 @@
 {
   upstream->life = told->life;
   upstream->speed = 1;
-  upstream->n_done = 0;
-  upstream->n_failed = 0;
+  upstream->has_counts = false;
   upstream->n_probes = 0;
   az_ejector_remove (gateway->ejector, upstream->handle);
   az_ejector_add (gateway->ejector, upstream->handle);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -233,6 +233,40 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a fresh gateway that takes the failures of a long life for a burst of them. */
+static void
+test_first_report_of_a_life_is_no_news (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  rig->n_failed[1] = 5;
+  rig->n_done[1] = 1000;
+  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
+  gateway_rig_open_upstream (rig, 2, "s2", "d1", true);
+  gateway_rig_open_upstream (rig, 3, "s3", "d1", true);
+  gateway_rig_submit (rig, 1, "fast", 24);
+  assert_int_equal (rig->runs->len, 24);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against refusals by a stopping process that could still have served the job. */
+static void
+test_stopping_gateway_takes_what_it_can_end (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  az_gateway_stop (rig->core, 1000);
+  gateway_rig_pass (rig, 700, 0);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_pass (rig, 200, 0);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (gateway_rig_outcome (rig, 2), AZ_JOB_NOT_RUN);
+  gateway_rig_destroy (rig);
+}
+
 /* A task that stands still is stopped, and run elsewhere only after its end was told. */
 static void
 test_task_that_stands_still_is_moved (void **state)
@@ -318,6 +352,8 @@
     cmocka_unit_test (test_job_waits_for_the_first_upstream),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
     cmocka_unit_test (test_failing_upstream_is_ejected),
+    cmocka_unit_test (test_first_report_of_a_life_is_no_news),
+    cmocka_unit_test (test_stopping_gateway_takes_what_it_can_end),
     cmocka_unit_test (test_task_that_stands_still_is_moved),
     cmocka_unit_test (test_slow_upstream_gets_single_tasks),
     cmocka_unit_test (test_excess_is_refused_at_once),
