Keep up with the room of a few upstreams, and limit sessions of a sidecar

Cause: every sidecar reported its room to every gateway ten times a second, and each gateway sent pulses and withdrawals to all.

Change: a gateway keeps up with the room of 32 upstreams, its own domain first, and those that it uses; twice as many while tasks wait. Others report every 2 s and count as a little dearer. A sidecar keeps sessions with at most twelve gateways, another twelve for each, and replaces those that it can't reach. Gateways tell their sessions only the address that is new. With more gateways than twelve, a job that no known upstream could hold is refused, not failed.

The test of messages covers the new procedures; it had failed since a number that it took for unknown was given to one.

--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -55,6 +55,10 @@
 az_sidecar_session_opened (struct az_sidecar *sidecar, uint32_t session);
 void
 az_sidecar_session_closed (struct az_sidecar *sidecar, uint32_t session, const char *reason);
+
+/** az_sidecar_is_session_idle - no task of the session runs */
+bool
+az_sidecar_is_session_idle (const struct az_sidecar *sidecar, uint32_t session);
 void
 az_sidecar_received (struct az_sidecar *sidecar,
                      uint32_t session,
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -9,6 +9,9 @@
 
 #define RETRY_AFTER_MS 1000
 
+/* Sidecars keep sessions with all gateways up to this number. */
+#define GATEWAYS_COMPLETE 12
+
 /* After a start or the loss of all upstreams, sessions are back within this time or not soon. */
 #define RECONNECT_MS 1500
 
@@ -143,7 +146,8 @@
         }
       if (is_known && !fits)
         {
-          *is_hopeless = true;
+          /* With many gateways, this one knows only some of the upstreams. */
+          *is_hopeless = g_hash_table_size (gateway->gateways) < GATEWAYS_COMPLETE;
           return "no upstream is large enough";
         }
     }
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -18,7 +18,9 @@
   char *peer_address; /* of a gateway, from its hello */
   uint32_t upstream;  /* of a sidecar */
   int64_t heard_us;
+  int64_t busy_us; /* when it got tasks after having had none */
   int64_t pulsed_us;
+  int64_t evidence_us; /* when news of withdrawals were last sent */
 };
 
 /** struct sent_room - room that a run message takes until a report has counted it */
@@ -45,6 +47,8 @@
   GArray *sent;                 /* struct sent_room */
   uint32_t n_sent;              /* run messages in this session */
   uint32_t n_tasks;
+  bool is_wanted;      /* in the set whose room this gateway keeps up with */
+  int64_t used_us;     /* when a task was last sent there */
   uint32_t used_milli; /* by this gateway's tasks */
   double speed;        /* 1: as fast as tasks of their estimate usually are */
   bool has_counts;     /* the first report of a life tells what was before */
@@ -128,7 +132,6 @@
   uint64_t revision;
   int64_t known_us; /* when it was current; 0: never */
   GPtrArray *domains;
-  int64_t relayed_us;
 };
 
 struct az_gateway
@@ -154,7 +157,8 @@
   int64_t stop_us; /* when the process stops serving; 0 unless it is stopping */
   uint64_t last_job;
   uint32_t waiting_milli;
-  int64_t open_us; /* when an upstream was last seen open, at first the start */
+  int64_t wanted_us; /* when the wanted upstreams were last chosen */
+  int64_t open_us;   /* when an upstream was last seen open, at first the start */
   bool needs_placing;
   uint32_t c_jobs;
   uint32_t c_completed;
@@ -182,6 +186,10 @@
 void
 az_gateway_tell_members (struct az_gateway *gateway, uint32_t session);
 
+/** az_gateway_tell_member - one address that was just learned */
+void
+az_gateway_tell_member (struct az_gateway *gateway, uint32_t session, const char *address);
+
 /* evidence.c */
 void
 az_gateway_relay (struct az_gateway *gateway, uint32_t session);
@@ -204,6 +212,12 @@
 void
 az_gateway_reserve (struct upstream *upstream, const struct az_resources *need, uint32_t n_tasks);
 
+/* working_set.c */
+
+/** az_gateway_choose_wanted - the upstreams whose room is worth the messages */
+void
+az_gateway_choose_wanted (struct az_gateway *gateway);
+
 /* health.c */
 
 /** az_gateway_judge - takes over what the sidecar tells of its upstream's speed and failures */
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -130,6 +130,7 @@
   az_gateway_expire_sessions (gateway);
   az_gateway_expire_jobs (gateway);
   az_gateway_connect_members (gateway);
+  az_gateway_choose_wanted (gateway);
   az_gateway_relay_withdrawn (gateway);
   az_gateway_pulse (gateway);
   gateway->needs_placing = gateway->needs_placing || gateway->waiting_milli > 0;
@@ -185,7 +186,13 @@
 
       g_hash_table_iter_init (&iterator, gateway->sessions);
       while (g_hash_table_iter_next (&iterator, NULL, &value))
-        ((struct session *)value)->pulsed_us = 0;
+        {
+          struct session *session = value;
+          const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
+
+          if (upstream && upstream->is_wanted)
+            session->pulsed_us = 0;
+        }
       az_gateway_pulse (gateway);
     }
 }
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -2,10 +2,12 @@
 #include "gateway/board.h"
 #include <string.h>
 
-#define RELAY_EVERY_MS 700
+/* A sidecar needs news that are younger than 2.5 s, from any gateway. */
+#define RELAY_WANTED_MS 900
+#define RELAY_OTHERS_MS 4000
 
 static void
-send_catalog (struct az_gateway *gateway, const struct session *session)
+send_catalog (struct az_gateway *gateway, struct session *session)
 {
   struct az_message message = { .proc = AZ_NODE_CATALOG };
   gsize length;
@@ -20,13 +22,14 @@
 }
 
 static void
-send_withdrawn (struct az_gateway *gateway, const struct session *session)
+send_withdrawn (struct az_gateway *gateway, struct session *session)
 {
   struct az_message message = { .proc = AZ_NODE_WITHDRAWN };
   const struct evidence *evidence = &gateway->evidence;
 
   if (evidence->known_us == 0)
     return;
+  session->evidence_us = gateway->now_us;
   message.az_message_u.node_withdrawn = (struct az_node_withdrawn){
     .revision = evidence->revision,
     .age_ms = (u_int)MIN ((gateway->now_us - evidence->known_us) / AZ_US_PER_MS, UINT32_MAX),
@@ -38,7 +41,7 @@
 void
 az_gateway_relay (struct az_gateway *gateway, uint32_t handle)
 {
-  const struct session *session = az_gateway_session (gateway, handle);
+  struct session *session = az_gateway_session (gateway, handle);
 
   send_catalog (gateway, session);
   send_withdrawn (gateway, session);
@@ -46,7 +49,7 @@
 
 static void
 relay_to_all (struct az_gateway *gateway,
-              void (*send) (struct az_gateway *gateway, const struct session *session))
+              void (*send) (struct az_gateway *gateway, struct session *session))
 {
   GHashTableIter iterator;
   gpointer value;
@@ -137,15 +140,21 @@
           " age_ms=%" G_GINT64_FORMAT,
           n_domains, n_domains ? domains[0] : "-", revision, age_ms);
   gateway->needs_placing = true;
-  evidence->relayed_us = gateway->now_us;
   relay_to_all (gateway, send_withdrawn);
 }
 
+static void
+renew_withdrawn (struct az_gateway *gateway, struct session *session)
+{
+  const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
+  int64_t every_ms = upstream && upstream->is_wanted ? RELAY_WANTED_MS : RELAY_OTHERS_MS;
+
+  if (gateway->now_us - session->evidence_us >= every_ms * AZ_US_PER_MS)
+    send_withdrawn (gateway, session);
+}
+
 void
 az_gateway_relay_withdrawn (struct az_gateway *gateway)
 {
-  if (gateway->now_us - gateway->evidence.relayed_us < RELAY_EVERY_MS * AZ_US_PER_MS)
-    return;
-  gateway->evidence.relayed_us = gateway->now_us;
-  relay_to_all (gateway, send_withdrawn);
+  relay_to_all (gateway, renew_withdrawn);
 }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -12,26 +12,37 @@
 
   if (!strcmp (address, gateway->settings.address)
       || g_hash_table_contains (gateway->gateways, address)
-      || g_hash_table_size (gateway->gateways) >= AZ_MAX_ENTRIES)
+      || g_hash_table_size (gateway->gateways) >= AZ_MAX_GATEWAYS)
     return;
   g_hash_table_insert (gateway->gateways, g_strdup (address), g_new0 (int64_t, 1));
   az_log (LOG_NOTICE, "event=gateway-learned address=%s", address);
   g_hash_table_iter_init (&iterator, gateway->sessions);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    az_gateway_tell_members (gateway, ((struct session *)value)->handle);
+    az_gateway_tell_member (gateway, ((struct session *)value)->handle, address);
+}
+
+void
+az_gateway_tell_member (struct az_gateway *gateway, uint32_t session, const char *address)
+{
+  struct az_message message = { .proc = AZ_NODE_GATEWAYS };
+  char *row = (char *)address;
+
+  message.az_message_u.node_gateways.addresses.addresses_len = 1;
+  message.az_message_u.node_gateways.addresses.addresses_val = &row;
+  gateway->io.send (gateway->io.context, session, &message);
 }
 
 void
 az_gateway_tell_members (struct az_gateway *gateway, uint32_t session)
 {
   struct az_message message = { .proc = AZ_NODE_GATEWAYS };
-  char *addresses[AZ_MAX_ENTRIES];
+  char *addresses[AZ_MAX_GATEWAYS];
   GHashTableIter iterator;
   gpointer key;
   u_int n = 0;
 
   g_hash_table_iter_init (&iterator, gateway->gateways);
-  while (n < AZ_MAX_ENTRIES && g_hash_table_iter_next (&iterator, &key, NULL))
+  while (n < AZ_MAX_GATEWAYS && g_hash_table_iter_next (&iterator, &key, NULL))
     addresses[n++] = key;
   message.az_message_u.node_gateways.addresses.addresses_len = n;
   message.az_message_u.node_gateways.addresses.addresses_val = addresses;
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -7,6 +7,9 @@
 #define PROBE_FIRST_MS 300
 #define PROBE_MAX_MS 2400
 
+/* Room that isn't kept up with may be gone: what a refusal costs. */
+#define STALE_COST_US 8000
+
 /* A probe that turns out slow is moved; its job must have this much time to spare. */
 #define PROBE_SLACK_MS 180
 
@@ -91,6 +94,8 @@
     result = 0;
   if (strcmp (upstream->domain, gateway->settings.domain) != 0)
     result += gateway->settings.cross_domain_ms * AZ_US_PER_MS;
+  if (!upstream->is_wanted)
+    result += STALE_COST_US;
   if (upstream->capacity.cpu_milli > 0)
     result += 1000 - 1000 * (int64_t)upstream->free.cpu_milli / upstream->capacity.cpu_milli;
   return result;
@@ -171,6 +176,9 @@
   struct task *task = &job->tasks[job->steps[step_index].first + index];
 
   az_ejector_started (gateway->ejector, upstream->handle);
+  if (upstream->n_tasks == 0)
+    az_gateway_session (gateway, upstream->session)->busy_us = gateway->now_us;
+  upstream->used_us = gateway->now_us;
   task->state = TASK_SENT;
   task->upstream = upstream->handle;
   task->attempt++;
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -5,8 +5,12 @@
 #define PULSE_BUSY_MS 100
 #define PULSE_IDLE_MS 400
 
+/* To peers, and to sidecars whose room isn't kept up with. */
+#define PULSE_DORMANT_MS 2000
+
 /* A session without tasks is given up later: nothing depends on it. */
 #define IDLE_SESSION_FACTOR 4
+#define DORMANT_SESSION_FACTOR 16
 
 struct session *
 az_gateway_session (const struct az_gateway *gateway, uint32_t handle)
@@ -88,6 +92,7 @@
     }
   session->upstream = upstream->handle;
   upstream->session = session->handle;
+  upstream->is_wanted = true;
   upstream->n_sent = 0;
   g_array_set_size (upstream->sent, 0);
 }
@@ -164,6 +169,27 @@
   return upstream && upstream->n_tasks > 0;
 }
 
+static bool
+is_wanted (const struct az_gateway *gateway, const struct session *session)
+{
+  const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
+
+  return upstream && upstream->is_wanted;
+}
+
+/* Silence that ends the session. A sidecar that just got its first tasks may have been silent for
+ * long before. */
+static bool
+is_silent (const struct az_gateway *gateway, const struct session *session)
+{
+  int64_t limit_ms = gateway->settings.session_ms;
+
+  if (has_tasks (gateway, session))
+    return gateway->now_us - MAX (session->heard_us, session->busy_us) > limit_ms * AZ_US_PER_MS;
+  limit_ms *= is_wanted (gateway, session) ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
+  return gateway->now_us - session->heard_us > limit_ms * AZ_US_PER_MS;
+}
+
 void
 az_gateway_expire_sessions (struct az_gateway *gateway)
 {
@@ -173,17 +199,22 @@
     {
       struct session *session = link->data;
       uint32_t handle = session->handle;
-      int64_t limit_ms = gateway->settings.session_ms;
 
-      if (!has_tasks (gateway, session))
-        limit_ms *= IDLE_SESSION_FACTOR;
-      if (gateway->now_us - session->heard_us <= limit_ms * AZ_US_PER_MS)
+      if (!is_silent (gateway, session))
         continue;
       az_gateway_session_closed (gateway, handle, "silent");
       gateway->io.close (gateway->io.context, handle, "silent");
     }
 }
 
+static int64_t
+pulse_interval_ms (const struct az_gateway *gateway, const struct session *session)
+{
+  if (has_tasks (gateway, session))
+    return PULSE_BUSY_MS;
+  return is_wanted (gateway, session) ? PULSE_IDLE_MS : PULSE_DORMANT_MS;
+}
+
 void
 az_gateway_pulse (struct az_gateway *gateway)
 {
@@ -196,11 +227,12 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       struct session *session = value;
-      int64_t every_ms = has_tasks (gateway, session) ? PULSE_BUSY_MS : PULSE_IDLE_MS;
+      int64_t every_ms = pulse_interval_ms (gateway, session);
 
       if (gateway->now_us - session->pulsed_us < every_ms * AZ_US_PER_MS)
         continue;
       session->pulsed_us = gateway->now_us;
+      pulse.az_message_u.node_pulse.wants_room = is_wanted (gateway, session);
       gateway->io.send (gateway->io.context, session->handle, &pulse);
     }
 }
--- /dev/null
+++ b/src/gateway/working_set.c
@@ -0,0 +1,73 @@
+#include "gateway/board.h"
+
+/* So many upstreams tell their room continually; those in use come on top. */
+#define WANTED_MAX 32
+#define CHOOSE_EVERY_MS 250
+#define IN_USE_MS 2000
+
+/* Its own domain first; beyond that another order for each gateway, so that each upstream is in the
+ * sets of some. */
+static uint64_t
+rank (const struct az_gateway *gateway, const struct upstream *upstream)
+{
+  uint64_t mixed
+      = (gateway->incarnation ^ (upstream->handle * 0x9e3779b97f4a7c15u)) * 0xbf58476d1ce4e5b9u;
+  bool is_near = g_str_equal (upstream->domain, gateway->settings.domain);
+
+  return (mixed >> 1) | ((uint64_t)is_near << 63);
+}
+
+static bool
+is_in_use (const struct az_gateway *gateway, const struct upstream *upstream)
+{
+  return upstream->n_tasks > 0
+         || (upstream->used_us > 0
+             && gateway->now_us - upstream->used_us < IN_USE_MS * AZ_US_PER_MS);
+}
+
+static bool
+is_among_first (const struct az_gateway *gateway, const struct upstream *upstream, guint limit)
+{
+  uint64_t own = rank (gateway, upstream);
+  guint n_ahead = 0;
+
+  for (guint i = 0; i < gateway->upstreams->len && n_ahead < limit; i++)
+    {
+      const struct upstream *other = gateway->upstreams->pdata[i];
+
+      n_ahead += other->session && rank (gateway, other) > own;
+    }
+  return n_ahead < limit;
+}
+
+static void
+set_wanted (struct az_gateway *gateway, struct upstream *upstream, bool is_wanted)
+{
+  struct session *session = az_gateway_session (gateway, upstream->session);
+
+  if (upstream->is_wanted == is_wanted)
+    return;
+  upstream->is_wanted = is_wanted;
+  if (session)
+    session->pulsed_us = 0;
+}
+
+void
+az_gateway_choose_wanted (struct az_gateway *gateway)
+{
+  /* While tasks wait, room is looked for further away. */
+  guint limit = gateway->waiting_milli > 0 ? 2 * WANTED_MAX : WANTED_MAX;
+
+  if (gateway->now_us - gateway->wanted_us < CHOOSE_EVERY_MS * AZ_US_PER_MS)
+    return;
+  gateway->wanted_us = gateway->now_us;
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      struct upstream *upstream = gateway->upstreams->pdata[i];
+
+      set_wanted (
+          gateway, upstream,
+          upstream->session
+              && (is_in_use (gateway, upstream) || is_among_first (gateway, upstream, limit)));
+    }
+}
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -285,6 +285,7 @@
  */
 const AZ_MAX_SPECIFICATION = 8192;
 const AZ_MAX_LABELS = 32;
+const AZ_MAX_GATEWAYS = 512;
 const AZ_MAX_RUN = 4096;
 
 typedef opaque az_specification<AZ_MAX_SPECIFICATION>;
@@ -304,7 +305,7 @@
 };
 
 struct az_node_gateways {
-	az_address addresses<AZ_MAX_ENTRIES>;
+	az_address addresses<AZ_MAX_GATEWAYS>;
 };
 
 /* A published configuration as the store holds it, relayed between gateways. */
@@ -397,9 +398,11 @@
 	az_task_progress progress<AZ_MAX_RUN>;
 };
 
-/* Renews the session; waiting_cpu_milli is what the gateway has no room for. */
+/* Renews the session; waiting_cpu_milli is what the gateway has no room for. Without wants_room it
+ * hears of the room only now and then. */
 struct az_node_pulse {
 	unsigned int waiting_cpu_milli;
+	bool wants_room;
 };
 
 enum az_proc {
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -370,6 +370,7 @@
 typedef struct az_cancel_job az_cancel_job;
 #define AZ_MAX_SPECIFICATION 8192
 #define AZ_MAX_LABELS 32
+#define AZ_MAX_GATEWAYS 512
 #define AZ_MAX_RUN 4096
 
 typedef struct {
@@ -511,6 +512,7 @@
 
 struct az_node_pulse {
 	u_int waiting_cpu_milli;
+	bool_t wants_room;
 };
 typedef struct az_node_pulse az_node_pulse;
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -699,7 +699,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, AZ_MAX_ENTRIES,
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, AZ_MAX_GATEWAYS,
 		sizeof (az_address), (xdrproc_t) xdr_az_address))
 		 return FALSE;
 	return TRUE;
@@ -1027,6 +1027,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_room))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -70,6 +70,7 @@
   uint32_t received; /* run messages */
   uint32_t n_tasks;
   uint32_t waiting_cpu_milli;
+  bool wants_room;
   bool is_open_told;
   uint64_t life_told;
   uint32_t free_told_milli;
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -1,6 +1,15 @@
 #include "azurerock/log.h"
 #include "dispatch/seeds.h"
 #include "sidecar/program.h"
+#include <string.h>
+#include <xxhash.h>
+
+/* A sidecar keeps sessions with so many gateways, so that the cost of control doesn't grow with the
+ * product of both numbers. */
+#define GATEWAYS_MAX 12
+
+/* A gateway that can't be reached gives its place to another for this time. */
+#define UNREACHABLE_MS 5000
 
 #define RECONNECT_FIRST_MS 100
 #define RECONNECT_MAX_MS 250
@@ -10,6 +19,8 @@
 {
   uint32_t session; /* 0 while there is none */
   bool is_connecting;
+  uint64_t rank;          /* differs between sidecars, so that each gateway has its share of them */
+  int64_t unreachable_us; /* until then */
   int64_t retry_us;
   int64_t wait_ms;
 };
@@ -46,6 +57,7 @@
   if (link)
     {
       link->session = connection;
+      link->unreachable_us = 0;
       link->is_connecting = false;
       link->wait_ms = RECONNECT_FIRST_MS;
     }
@@ -97,8 +109,10 @@
   struct gateway_link *link = g_hash_table_lookup (program->gateways, address);
 
   (void)reason;
-  if (link)
-    try_later (link);
+  if (!link)
+    return;
+  link->unreachable_us = now_us () + UNREACHABLE_MS * 1000;
+  try_later (link);
 }
 
 void
@@ -113,15 +127,24 @@
   program->alone_us = now_us ();
 }
 
+static uint64_t
+rank_gateway (const struct az_sidecar_program *program, const char *address)
+{
+  const char *instance = program->options->instance;
+
+  return XXH64 (address, strlen (address), XXH64 (instance, strlen (instance), 0));
+}
+
 void
 az_sidecar_program_know (struct az_sidecar_program *program, const char *address)
 {
   struct gateway_link *link;
 
   if (g_hash_table_contains (program->gateways, address)
-      || g_hash_table_size (program->gateways) >= AZ_MAX_ENTRIES)
+      || g_hash_table_size (program->gateways) >= AZ_MAX_GATEWAYS)
     return;
   link = g_new0 (struct gateway_link, 1);
+  link->rank = rank_gateway (program, address);
   link->wait_ms = RECONNECT_FIRST_MS;
   g_hash_table_insert (program->gateways, g_strdup (address), link);
   az_log (LOG_NOTICE, "event=gateway-learned address=%s", address);
@@ -140,6 +163,48 @@
     }
 }
 
+/* Among the first by rank of those that can be reached. */
+static bool
+is_wanted (const struct az_sidecar_program *program, const struct gateway_link *link)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  unsigned n_ahead = 0;
+
+  if (g_hash_table_size (program->gateways) <= GATEWAYS_MAX)
+    return true;
+  g_hash_table_iter_init (&iterator, program->gateways);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct gateway_link *other = value;
+
+      n_ahead += other->rank > link->rank && other->unreachable_us < now_us ();
+    }
+  return n_ahead < GATEWAYS_MAX;
+}
+
+/* A gateway that lost its place to one that is back keeps its session while it has tasks. */
+static void
+drop_unwanted (struct az_sidecar_program *program)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (program->n_sessions <= GATEWAYS_MAX)
+    return;
+  g_hash_table_iter_init (&iterator, program->gateways);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct gateway_link *link = value;
+
+      if (!link->session || is_wanted (program, link)
+          || !az_sidecar_is_session_idle (program->sidecar, link->session))
+        continue;
+      az_rpc_close (program->rpc, link->session, "other gateways are nearer");
+      return;
+    }
+}
+
 void
 az_sidecar_program_connect (struct az_sidecar_program *program)
 {
@@ -152,9 +217,11 @@
     {
       struct gateway_link *link = value;
 
-      if (link->session || link->is_connecting || now_us () < link->retry_us)
+      if (link->session || link->is_connecting || now_us () < link->retry_us
+          || !is_wanted (program, link))
         continue;
       link->is_connecting = true;
       az_rpc_connect (program->rpc, key);
     }
+  drop_unwanted (program);
 }
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -3,6 +3,9 @@
 #define REPORT_BUSY_MS 100
 #define REPORT_IDLE_MS 400
 
+/* To gateways that use other upstreams. */
+#define REPORT_DORMANT_MS 2000
+
 /* Freed room below this isn't worth a message of its own, in thousandths of a core. */
 #define FREE_CHANGE_MILLI 500
 
@@ -86,6 +89,8 @@
 
   if (session->events->len > 0 || session->progress->len > 0)
     return true;
+  if (!session->wants_room && session->n_tasks == 0)
+    return silent_us >= REPORT_DORMANT_MS * AZ_US_PER_MS;
   if (session->waiting_cpu_milli > 0 && free_milli >= session->free_told_milli + FREE_CHANGE_MILLI)
     return true;
   if (session->n_tasks > 0 || free_milli != session->free_told_milli)
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -4,6 +4,7 @@
 
 /* A session without tasks is given up later: nothing depends on it. */
 #define IDLE_SESSION_FACTOR 4
+#define DORMANT_SESSION_FACTOR 16
 
 struct session *
 az_sidecar_session (const struct az_sidecar *sidecar, uint32_t handle)
@@ -20,6 +21,7 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   session->handle = handle;
   session->heard_us = sidecar->now_us;
+  session->wants_room = true;
   session->events = g_array_new (FALSE, FALSE, sizeof (struct az_task_event));
   session->progress = g_array_new (FALSE, FALSE, sizeof (struct az_task_progress));
   g_hash_table_insert (sidecar->sessions, GUINT_TO_POINTER (handle), session);
@@ -65,6 +67,14 @@
   g_hash_table_remove (sidecar->sessions, GUINT_TO_POINTER (handle));
 }
 
+bool
+az_sidecar_is_session_idle (const struct az_sidecar *sidecar, uint32_t handle)
+{
+  const struct session *session = az_sidecar_session (sidecar, handle);
+
+  return !session || session->n_tasks == 0;
+}
+
 static void
 take_hello (struct session *session, const struct az_node_hello *hello)
 {
@@ -100,6 +110,7 @@
       break;
     case AZ_NODE_PULSE:
       session->waiting_cpu_milli = message->az_message_u.node_pulse.waiting_cpu_milli;
+      session->wants_room = message->az_message_u.node_pulse.wants_room;
       break;
     case AZ_NODE_RUN:
       session->received++;
@@ -125,7 +136,7 @@
       int64_t limit_ms = sidecar->settings.session_ms;
 
       if (session->n_tasks == 0)
-        limit_ms *= IDLE_SESSION_FACTOR;
+        limit_ms *= session->wants_room ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
       if (sidecar->now_us - session->heard_us <= limit_ms * AZ_US_PER_MS)
         continue;
       az_sidecar_session_closed (sidecar, handle, "gateway is silent");
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -29,6 +29,12 @@
 static struct az_job_task job_tasks[] = { { 3, PAYLOAD }, { 0, { 0, NULL } } };
 static struct az_task_result task_results[] = { { PAYLOAD } };
 
+static char *addresses[] = { (char *)"10.0.0.1:7720", (char *)"10.0.0.2:7720" };
+static struct az_run_task run_tasks[] = { { 0, 1 }, { 17, 2 } };
+static u_int indexes[] = { 4, 5 };
+static struct az_task_event task_events[] = { { 3, 1, 17, 2, AZ_TASK_UNHEALTHY, 61 } };
+static struct az_task_progress task_progress[] = { { 3, 1, 17, 200, 900 } };
+
 #define BODY(member, ...) .az_message_u.member = { __VA_ARGS__ }
 
 /* One message of each procedure, in the order of the numbers. */
@@ -59,6 +65,25 @@
   { AZ_SUBMIT, BODY (submit, JOB, (char *)"team", (char *)"service", 2000, { 2, job_tasks }, 3) },
   { AZ_ANSWER, BODY (answer, JOB, AZ_OUTCOME_DONE, (char *)"", (char *)"", { 1, task_results }) },
   { AZ_CANCEL_JOB, BODY (cancel_job, JOB) },
+  { AZ_NODE_HELLO, BODY (node_hello, 7, (char *)"gateway-1", (char *)"a", (char *)"1:2") },
+  { AZ_NODE_GATEWAYS, BODY (node_gateways, { 2, addresses }) },
+  { AZ_NODE_CATALOG, BODY (node_catalog, 9, PAYLOAD) },
+  { AZ_NODE_WITHDRAWN, BODY (node_withdrawn, 9, 120, { 2, addresses }) },
+  { AZ_NODE_UPSTREAM,
+    BODY (node_upstream, 2, TRUE, (char *)"service", { 2, addresses }, { 32000, 65536, 2 }) },
+  { AZ_NODE_RUN, BODY (node_run,
+                       3,
+                       1,
+                       (char *)"5c0e7a21d94b36f8.0.1",
+                       PAYLOAD,
+                       { 3100, 64, 0 },
+                       60,
+                       1500,
+                       { 2, run_tasks }) },
+  { AZ_NODE_STOP, BODY (node_stop, 3, 1, { 2, indexes }) },
+  { AZ_NODE_REPORT,
+    BODY (node_report, 5, { 1000, 64, 0 }, 97, 500, 3, { 1, task_events }, { 1, task_progress }) },
+  { AZ_NODE_PULSE, BODY (node_pulse, 4000, TRUE) },
 };
 
 static GByteArray *
@@ -100,7 +125,7 @@
 static void
 test_every_procedure_survives (void **state)
 {
-  assert_int_equal (G_N_ELEMENTS (samples), AZ_CANCEL_JOB + 1);
+  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_PULSE + 1);
   for (size_t i = 0; i < G_N_ELEMENTS (samples); i++)
     {
       GByteArray *record = encode (&samples[i]);
@@ -183,7 +208,7 @@
   put (record, RECORD_OF_VERSION, 2);
   assert_rejected (record, AZ_MESSAGE_ERROR_VERSION);
   put (record, RECORD_OF_VERSION, 1);
-  put (record, RECORD_OF_PROCEDURE, AZ_CANCEL_JOB + 1);
+  put (record, RECORD_OF_PROCEDURE, AZ_NODE_PULSE + 1);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
   put (record, RECORD_OF_PROCEDURE, 0xffffffff);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
