--- a/src/dispatch/settings_watch.c
+++ b/src/dispatch/settings_watch.c
@@ -2,6 +2,8 @@
 #include "azurerock/log.h"
 #include <string.h>
 
+#define LOOK_EVERY_US 3000000
+
 static char *
 read_file (const char *path)
 {
@@ -13,10 +15,9 @@
 }
 
 void
-az_settings_watch_open (struct az_settings_watch *watch, const char *path)
+az_settings_watch_open (struct az_settings_watch *watch)
 {
-  watch->path = path;
-  watch->contents = read_file (path);
+  watch->contents = read_file (watch->path);
 }
 
 void
@@ -25,26 +26,46 @@
   g_clear_pointer (&watch->contents, g_free);
 }
 
-bool
-az_settings_watch_reload (struct az_settings_watch *watch,
-                          const struct az_setting *schema,
-                          size_t n_schema,
-                          void *settings)
+static GPtrArray *
+load_seeds (struct az_settings_watch *watch)
 {
-  char *contents = read_file (watch->path);
+  g_autofree char *settings = g_malloc0 (watch->size);
+  GPtrArray **seeds = (void *)(settings + watch->seeds_offset);
   g_autoptr (GError) error = NULL;
+  GPtrArray *loaded = NULL;
+
+  if (az_settings_load_text (watch->contents, strlen (watch->contents), watch->path, watch->schema,
+                             watch->n_schema, settings, &error))
+    loaded = g_steal_pointer (seeds);
+  else
+    az_log (LOG_ERR, "event=reload outcome=invalid reason=\"%s\"", error->message);
+  az_settings_clear (watch->schema, watch->n_schema, settings);
+  if (loaded)
+    az_log (LOG_NOTICE, "event=reload outcome=read seeds=%u", loaded->len);
+  return loaded;
+}
+
+GPtrArray *
+az_settings_watch_look (struct az_settings_watch *watch)
+{
+  char *contents = read_file (watch->path);
 
   /* A file that is being replaced may be missing for a moment. */
   if (!contents || !g_strcmp0 (contents, watch->contents))
     {
       g_free (contents);
-      return false;
+      return NULL;
     }
   g_free (watch->contents);
   watch->contents = contents;
-  if (az_settings_load_text (contents, strlen (contents), watch->path, schema, n_schema, settings,
-                             &error))
-    return true;
-  az_log (LOG_ERR, "event=reload outcome=invalid reason=\"%s\"", error->message);
-  return false;
+  return load_seeds (watch);
+}
+
+GPtrArray *
+az_settings_watch_look_if_due (struct az_settings_watch *watch, int64_t now_us)
+{
+  if (now_us - watch->looked_us < LOOK_EVERY_US)
+    return NULL;
+  watch->looked_us = now_us;
+  return az_settings_watch_look (watch);
 }
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -45,7 +45,6 @@
 struct az_gateway_program
 {
   struct az_settings_watch settings;
-  int64_t settings_us; /* when the file was last looked at */
   struct az_gateway_options *options;
   uv_loop_t *loop;
   struct az_node_loop node;
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -2,9 +2,6 @@
 #include "azurerock/program.h"
 #include "gateway/program.h"
 
-/* The file may change without a signal. */
-#define SETTINGS_EVERY_MS 3000
-
 #define TICK_MS 20
 
 /* A sidecar ends a session after this silence; both sides use the same bound. */
@@ -45,35 +42,22 @@
   az_program_release_signals ();
 }
 
-/* Addresses are those of the process; only the seeds may change in its life. */
 static void
-reload (struct az_gateway_program *program)
+take_seeds (struct az_gateway_program *program, GPtrArray *seeds)
 {
-  struct az_gateway_options read = { 0 };
-
-  program->settings_us = (int64_t)(uv_hrtime () / 1000);
-  if (az_settings_watch_reload (&program->settings, az_gateway_schema, az_gateway_n_schema, &read))
-    {
-      az_log (LOG_NOTICE, "event=reload outcome=read seeds=%u", read.seeds ? read.seeds->len : 0);
-      az_gateway_program_know_seeds (program, read.seeds);
-    }
-  az_settings_clear (az_gateway_schema, az_gateway_n_schema, &read);
+  if (!seeds)
+    return;
+  az_gateway_program_know_seeds (program, seeds);
+  g_ptr_array_unref (seeds);
 }
 
 static void
 on_hangup (void *context)
 {
-  az_log (LOG_NOTICE, "event=hangup");
-  reload (context);
-}
-
-static void
-reload_if_due (struct az_gateway_program *program)
-{
-  int64_t now_us = (int64_t)(uv_hrtime () / 1000);
+  struct az_gateway_program *program = context;
 
-  if (now_us - program->settings_us >= SETTINGS_EVERY_MS * 1000)
-    reload (program);
+  az_log (LOG_NOTICE, "event=hangup");
+  take_seeds (program, az_settings_watch_look (&program->settings));
 }
 
 static void
@@ -84,7 +68,8 @@
   bool is_idle;
 
   az_gateway_tick (program->gateway);
-  reload_if_due (program);
+  take_seeds (program,
+              az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
   if (!program->is_stopping)
     return;
   is_idle = az_gateway_n_jobs (program->gateway) == 0
@@ -140,8 +125,14 @@
       || !az_gateway_program_open_jobs (program, error)
       || !az_gateway_program_open_rpc (program, error))
     return false;
-  az_settings_watch_open (&program->settings, az_program_settings_path ());
-  program->settings_us = (int64_t)(uv_hrtime () / 1000);
+  program->settings = (struct az_settings_watch){
+    .path = az_program_settings_path (),
+    .schema = az_gateway_schema,
+    .n_schema = az_gateway_n_schema,
+    .size = sizeof *program->options,
+    .seeds_offset = offsetof (struct az_gateway_options, seeds),
+  };
+  az_settings_watch_open (&program->settings);
   az_gateway_program_know_seeds (program, program->options->seeds);
   az_gateway_program_open_store (program);
   program->node = (struct az_node_loop){
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -29,7 +29,6 @@
 struct az_sidecar_program
 {
   struct az_settings_watch settings;
-  int64_t settings_us; /* when the file was last looked at */
   struct az_sidecar_options *options;
   uv_loop_t *loop;
   struct az_node_loop node;
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -2,9 +2,6 @@
 #include "azurerock/program.h"
 #include "sidecar/program.h"
 
-/* The file may change without a signal. */
-#define SETTINGS_EVERY_MS 3000
-
 #define TICK_MS 25
 
 /* A gateway ends a session after this silence; both sides use the same bound. */
@@ -60,35 +57,22 @@
     close_program (program);
 }
 
-/* Addresses are those of the process; only the seeds may change in its life. */
 static void
-reload (struct az_sidecar_program *program)
+take_seeds (struct az_sidecar_program *program, GPtrArray *seeds)
 {
-  struct az_sidecar_options read = { 0 };
-
-  program->settings_us = (int64_t)(uv_hrtime () / 1000);
-  if (az_settings_watch_reload (&program->settings, az_sidecar_schema, az_sidecar_n_schema, &read))
-    {
-      az_log (LOG_NOTICE, "event=reload outcome=read seeds=%u", read.seeds ? read.seeds->len : 0);
-      az_sidecar_program_know_seeds (program, read.seeds);
-    }
-  az_settings_clear (az_sidecar_schema, az_sidecar_n_schema, &read);
+  if (!seeds)
+    return;
+  az_sidecar_program_know_seeds (program, seeds);
+  g_ptr_array_unref (seeds);
 }
 
 static void
 on_hangup (void *context)
 {
-  az_log (LOG_NOTICE, "event=hangup");
-  reload (context);
-}
-
-static void
-reload_if_due (struct az_sidecar_program *program)
-{
-  int64_t now_us = (int64_t)(uv_hrtime () / 1000);
+  struct az_sidecar_program *program = context;
 
-  if (now_us - program->settings_us >= SETTINGS_EVERY_MS * 1000)
-    reload (program);
+  az_log (LOG_NOTICE, "event=hangup");
+  take_seeds (program, az_settings_watch_look (&program->settings));
 }
 
 static void
@@ -97,7 +81,8 @@
   struct az_sidecar_program *program = context;
 
   az_sidecar_tick (program->sidecar);
-  reload_if_due (program);
+  take_seeds (program,
+              az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
   az_sidecar_program_connect (program);
   az_sidecar_program_ask_store (program);
   if (program->is_stopping)
@@ -147,8 +132,14 @@
   if (!az_sidecar_program_open_registry (program, error))
     return false;
   az_sidecar_program_open_rpc (program);
-  az_settings_watch_open (&program->settings, az_program_settings_path ());
-  program->settings_us = (int64_t)(uv_hrtime () / 1000);
+  program->settings = (struct az_settings_watch){
+    .path = az_program_settings_path (),
+    .schema = az_sidecar_schema,
+    .n_schema = az_sidecar_n_schema,
+    .size = sizeof *program->options,
+    .seeds_offset = offsetof (struct az_sidecar_options, seeds),
+  };
+  az_settings_watch_open (&program->settings);
   az_sidecar_program_know_seeds (program, program->options->seeds);
   program->store = az_metadata_client_create (program->loop, program->options->store_address);
   az_sidecar_program_read_record (program);
--- a/tests/test_settings_watch.c
+++ b/tests/test_settings_watch.c
@@ -24,22 +24,27 @@
 test_changes_are_noticed_and_broken_files_ignored (void **state)
 {
   g_autofree char *path = g_strdup_printf ("/tmp/settings-watch-%d.json", (int)getpid ());
-  struct az_settings_watch watch;
-  struct values values = { 0 };
+  struct az_settings_watch watch = { .path = path,
+                                     .schema = schema,
+                                     .n_schema = 1,
+                                     .size = sizeof (struct values),
+                                     .seeds_offset = offsetof (struct values, seeds) };
+  GPtrArray *seeds;
 
   (void)state;
   write_file (path, "{\"seeds\":[\"10.0.0.1:1\"]}");
-  az_settings_watch_open (&watch, path);
-  assert_false (az_settings_watch_reload (&watch, schema, 1, &values));
+  az_settings_watch_open (&watch);
+  assert_null (az_settings_watch_look (&watch));
   write_file (path, "{\"seeds\":[\"10.0.0.1:1\",\"10.0.0.2:1\"]}");
-  assert_true (az_settings_watch_reload (&watch, schema, 1, &values));
-  assert_int_equal (values.seeds->len, 2);
-  assert_false (az_settings_watch_reload (&watch, schema, 1, &values));
+  seeds = az_settings_watch_look_if_due (&watch, 3000000);
+  assert_non_null (seeds);
+  assert_int_equal (seeds->len, 2);
+  g_ptr_array_unref (seeds);
+  assert_null (az_settings_watch_look (&watch));
   write_file (path, "{\"seeds\":7}");
-  assert_false (az_settings_watch_reload (&watch, schema, 1, &values));
+  assert_null (az_settings_watch_look (&watch));
   unlink (path);
-  assert_false (az_settings_watch_reload (&watch, schema, 1, &values));
-  az_settings_clear (schema, 1, &values);
+  assert_null (az_settings_watch_look (&watch));
   az_settings_watch_close (&watch);
 }
 
