--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -157,6 +157,9 @@
   int64_t stop_us; /* when the process stops serving; 0 unless it is stopping */
   uint64_t last_job;
   uint32_t waiting_milli;
+  bool is_store_reachable;
+  int64_t asked_us; /* when peers were last asked for news */
+  guint n_asked;
   int64_t wanted_us; /* when the wanted upstreams were last chosen */
   int64_t open_us;   /* when an upstream was last seen open, at first the start */
   bool needs_placing;
@@ -191,8 +194,14 @@
 az_gateway_tell_member (struct az_gateway *gateway, uint32_t session, const char *address);
 
 /* evidence.c */
+
+/** az_gateway_ask_news - without the store, asks peers for what it would tell */
+void
+az_gateway_ask_news (struct az_gateway *gateway);
 void
-az_gateway_relay (struct az_gateway *gateway, uint32_t session);
+az_gateway_answer_news (struct az_gateway *gateway,
+                        struct session *session,
+                        const struct az_node_pulse *pulse);
 void
 az_gateway_relay_withdrawn (struct az_gateway *gateway);
 bool
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -132,6 +132,7 @@
   az_gateway_connect_members (gateway);
   az_gateway_choose_wanted (gateway);
   az_gateway_relay_withdrawn (gateway);
+  az_gateway_ask_news (gateway);
   az_gateway_pulse (gateway);
   gateway->needs_placing = gateway->needs_placing || gateway->waiting_milli > 0;
 }
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -2,6 +2,10 @@
 #include "gateway/board.h"
 #include <string.h>
 
+/* A gateway that doesn't reach the store asks so many peers, so often. */
+#define ASK_PEERS 3
+#define ASK_EVERY_MS 250
+
 /* A sidecar needs news that are younger than 2.5 s, from any gateway. */
 #define RELAY_WANTED_MS 900
 #define RELAY_OTHERS_MS 4000
@@ -39,14 +43,54 @@
 }
 
 void
-az_gateway_relay (struct az_gateway *gateway, uint32_t handle)
+az_gateway_answer_news (struct az_gateway *gateway,
+                        struct session *session,
+                        const struct az_node_pulse *pulse)
 {
-  struct session *session = az_gateway_session (gateway, handle);
-
-  send_catalog (gateway, session);
+  if (gateway->catalog && gateway->catalog->version > pulse->catalog_version)
+    send_catalog (gateway, session);
   send_withdrawn (gateway, session);
 }
 
+/* A few peers at a time, others each time. */
+static void
+ask (struct az_gateway *gateway, const struct az_message *pulse)
+{
+  g_autoptr (GList) sessions = g_hash_table_get_values (gateway->sessions);
+  guint n_asked = 0;
+  guint skip = gateway->n_asked++;
+
+  for (GList *link = sessions; link && n_asked < ASK_PEERS; link = link->next)
+    {
+      const struct session *session = link->data;
+
+      if (!session->peer_address || (g_list_length (sessions) > ASK_PEERS && skip-- % 7 != 0))
+        continue;
+      gateway->io.send (gateway->io.context, session->handle, pulse);
+      n_asked++;
+    }
+}
+
+void
+az_gateway_ask_news (struct az_gateway *gateway)
+{
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  if (gateway->is_store_reachable
+      || gateway->now_us - gateway->asked_us < ASK_EVERY_MS * AZ_US_PER_MS)
+    return;
+  gateway->asked_us = gateway->now_us;
+  pulse.az_message_u.node_pulse.wants_news = true;
+  pulse.az_message_u.node_pulse.catalog_version = gateway->catalog ? gateway->catalog->version : 0;
+  ask (gateway, &pulse);
+}
+
+void
+az_gateway_set_store_reachable (struct az_gateway *gateway, bool is_reachable)
+{
+  gateway->is_store_reachable = is_reachable;
+}
+
 static void
 relay_to_all (struct az_gateway *gateway,
               void (*send) (struct az_gateway *gateway, struct session *session))
@@ -84,7 +128,6 @@
   gateway->catalog = catalog;
   gateway->catalog_revision = revision;
   gateway->catalog_text = g_bytes_new (text, length);
-  relay_to_all (gateway, send_catalog);
   return true;
 }
 
@@ -149,6 +192,8 @@
   const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
   int64_t every_ms = upstream && upstream->is_wanted ? RELAY_WANTED_MS : RELAY_OTHERS_MS;
 
+  if (session->peer_address)
+    return;
   if (gateway->now_us - session->evidence_us >= every_ms * AZ_US_PER_MS)
     send_withdrawn (gateway, session);
 }
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -84,6 +84,10 @@
 az_gateway_program_know_seeds (struct az_gateway_program *program, const GPtrArray *seeds);
 
 /* program_store.c: configuration, withdrawals and members in the store */
+
+/** az_gateway_program_check_store - an overdue answer counts as a store that isn't reached */
+void
+az_gateway_program_check_store (struct az_gateway_program *program);
 void
 az_gateway_program_open_store (struct az_gateway_program *program);
 void
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -67,6 +67,7 @@
   double stopping_s = (double)((int64_t)(uv_hrtime () / 1000) - program->stop_us) / 1e6;
   bool is_idle;
 
+  az_gateway_program_check_store (program);
   az_gateway_tick (program->gateway);
   take_seeds (program,
               az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
--- a/src/gateway/program_store.c
+++ b/src/gateway/program_store.c
@@ -15,6 +15,9 @@
 /* An answer may be this old on its arrival. */
 #define ANSWER_AGE_MAX_US 300000
 
+/* An answer that is overdue by this much may be one that never comes. */
+#define OVERDUE_US 150000
+
 static void
 read_all (struct az_gateway_program *program, const char *after);
 
@@ -52,6 +55,17 @@
     az_log (LOG_NOTICE, "event=store outcome=%s revision=%" G_GUINT64_FORMAT,
             is_reachable ? "regained" : "lost", program->view.revision);
   program->view.is_reachable = is_reachable;
+  /* Also after an answer that was overdue. */
+  az_gateway_set_store_reachable (program->gateway, is_reachable);
+}
+
+void
+az_gateway_program_check_store (struct az_gateway_program *program)
+{
+  int64_t waited_us = now_us () - program->view.asked_us;
+
+  if (waited_us > WATCH_MS * 1000 + OVERDUE_US)
+    az_gateway_set_store_reachable (program->gateway, false);
 }
 
 void
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -37,7 +37,7 @@
   };
   gateway->io.send (gateway->io.context, handle, &hello);
   az_gateway_tell_members (gateway, handle);
-  az_gateway_relay (gateway, handle);
+  gateway->asked_us = 0;
 }
 
 void
@@ -148,6 +148,10 @@
     case AZ_NODE_WITHDRAWN:
       take_withdrawn (gateway, &message->az_message_u.node_withdrawn);
       break;
+    case AZ_NODE_PULSE:
+      if (message->az_message_u.node_pulse.wants_news)
+        az_gateway_answer_news (gateway, session, &message->az_message_u.node_pulse);
+      break;
     case AZ_NODE_UPSTREAM:
       if (upstream)
         az_gateway_take_upstream (gateway, upstream, &message->az_message_u.node_upstream);
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -399,10 +399,13 @@
 };
 
 /* Renews the session; waiting_cpu_milli is what the gateway has no room for. Without wants_room it
- * hears of the room only now and then. */
+ * hears of the room only now and then. A gateway that doesn't reach the store wants news: a newer
+ * configuration than catalog_version, and the withdrawn domains. */
 struct az_node_pulse {
 	unsigned int waiting_cpu_milli;
 	bool wants_room;
+	bool wants_news;
+	unsigned hyper catalog_version;
 };
 
 enum az_proc {
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1025,10 +1025,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_room))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_news))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->waiting_cpu_milli);
+		IXDR_PUT_BOOL(buf, objp->wants_room);
+		IXDR_PUT_BOOL(buf, objp->wants_news);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_room))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->wants_news))
+				 return FALSE;
+
+		} else {
+		objp->waiting_cpu_milli = IXDR_GET_U_LONG(buf);
+		objp->wants_room = IXDR_GET_BOOL(buf);
+		objp->wants_news = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_room))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_news))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -35,6 +35,8 @@
   struct gateway_rig *rig = context;
   const struct az_node_stop *stop = &message->az_message_u.node_stop;
 
+  rig->n_asked += message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_news;
+  rig->n_catalogs += message->proc == AZ_NODE_CATALOG;
   if (message->proc == AZ_NODE_RUN)
     take_run (rig, session, &message->az_message_u.node_run);
   if (message->proc == AZ_NODE_STOP)
@@ -124,6 +126,7 @@
     rig->speed[i] = 100;
   rig->connects = g_ptr_array_new_with_free_func (g_free);
   rig->core = az_gateway_create (&settings, 5, &rig->clock, &io, rig->counters);
+  az_gateway_set_store_reachable (rig->core, true);
   az_gateway_set_catalog (rig->core, gateway_rig_catalog (1), 1, "{}", 2);
   for (unsigned i = 1; i <= n_upstreams; i++)
     {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -161,6 +161,45 @@
   gateway_rig_destroy (rig);
 }
 
+static void
+open_peer (struct gateway_rig *rig, uint32_t session)
+{
+  struct az_message hello = { .proc = AZ_NODE_HELLO };
+
+  hello.az_message_u.node_hello = (struct az_node_hello){ .incarnation = 900,
+                                                          .instance = (char *)"g2",
+                                                          .domain = (char *)"d1",
+                                                          .address = (char *)"127.0.0.2:9" };
+  az_gateway_session_opened (rig->core, session, "127.0.0.2:9");
+  az_gateway_received (rig->core, session, &hello);
+}
+
+/* Guards against a gateway that the store turns away and that keeps an old configuration, and
+ * against traffic with the square of the gateways while all reach the store. */
+static void
+test_news_come_from_peers_only_without_the_store (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  (void)state;
+  open_peer (rig, 9);
+  gateway_rig_pass (rig, 1000, 0);
+  assert_int_equal (rig->n_asked, 0);
+  assert_int_equal (rig->n_catalogs, 0);
+  az_gateway_set_store_reachable (rig->core, false);
+  gateway_rig_pass (rig, 500, 0);
+  assert_in_range (rig->n_asked, 2, 3);
+  pulse.az_message_u.node_pulse.wants_news = true;
+  pulse.az_message_u.node_pulse.catalog_version = 1;
+  az_gateway_received (rig->core, 9, &pulse);
+  assert_int_equal (rig->n_catalogs, 0);
+  pulse.az_message_u.node_pulse.catalog_version = 0;
+  az_gateway_received (rig->core, 9, &pulse);
+  assert_int_equal (rig->n_catalogs, 1);
+  gateway_rig_destroy (rig);
+}
+
 static void
 test_withdrawn_domain_gets_no_tasks (void **state)
 {
@@ -348,6 +387,7 @@
     cmocka_unit_test (test_job_sent_twice_runs_once),
     cmocka_unit_test (test_job_whose_caller_has_gone_is_stopped),
     cmocka_unit_test (test_configuration_never_goes_back),
+    cmocka_unit_test (test_news_come_from_peers_only_without_the_store),
     cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
     cmocka_unit_test (test_job_waits_for_the_first_upstream),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -83,7 +83,7 @@
   { AZ_NODE_STOP, BODY (node_stop, 3, 1, { 2, indexes }) },
   { AZ_NODE_REPORT,
     BODY (node_report, 5, { 1000, 64, 0 }, 97, 500, 3, { 1, task_events }, { 1, task_progress }) },
-  { AZ_NODE_PULSE, BODY (node_pulse, 4000, TRUE) },
+  { AZ_NODE_PULSE, BODY (node_pulse, 4000, TRUE, TRUE, 7) },
 };
 
 static GByteArray *
