Count a job as run only when an upstream has taken one of its tasks

Cause: a job whose every order was refused for want of room counted as run. It could no longer be refused by the admission, went ahead of others, and was answered 504, which leaves open whether it has run.

Change: the started tasks are counted; orders that were refused are taken off again. Peers that are asked for news are chosen in turn.

Test, red before: test_job_that_was_only_refused_has_not_run.

--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -89,7 +89,7 @@
  * struct job - one job of a caller
  * @run_us: expected time of its longest chain of tasks
  * @objective_us: an answer until then is in time
- * @refusable: no order to start one of its tasks has left
+ * @n_started: tasks that run, have run or may have; those that upstreams refused don't count
  */
 struct job
 {
@@ -110,8 +110,7 @@
   uint32_t n_waiting;
   uint32_t n_live; /* sent or unsettled */
   uint32_t n_done;
-  bool refusable;
-  bool has_run;   /* a task has, or may have, started */
+  uint32_t n_started;
   bool is_ending; /* answered; waits for its last tasks */
 };
 
@@ -158,8 +157,8 @@
   uint64_t last_job;
   uint32_t waiting_milli;
   bool is_store_reachable;
-  int64_t asked_us; /* when peers were last asked for news */
-  guint n_asked;
+  int64_t asked_us;  /* when peers were last asked for news */
+  guint next_peer;   /* index of the next one to ask */
   int64_t wanted_us; /* when the wanted upstreams were last chosen */
   int64_t open_us;   /* when an upstream was last seen open, at first the start */
   bool needs_placing;
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -52,23 +52,34 @@
   send_withdrawn (gateway, session);
 }
 
-/* A few peers at a time, others each time. */
+static GPtrArray *
+list_peers (const struct az_gateway *gateway)
+{
+  GPtrArray *peers = g_ptr_array_new ();
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, gateway->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (((const struct session *)value)->peer_address)
+      g_ptr_array_add (peers, value);
+  return peers;
+}
+
+/* A few peers at a time, the next ones each time. */
 static void
 ask (struct az_gateway *gateway, const struct az_message *pulse)
 {
-  g_autoptr (GList) sessions = g_hash_table_get_values (gateway->sessions);
-  guint n_asked = 0;
-  guint skip = gateway->n_asked++;
+  g_autoptr (GPtrArray) peers = list_peers (gateway);
+  guint n_asked = MIN (peers->len, ASK_PEERS);
 
-  for (GList *link = sessions; link && n_asked < ASK_PEERS; link = link->next)
+  for (guint i = 0; i < n_asked; i++)
     {
-      const struct session *session = link->data;
+      const struct session *peer = peers->pdata[(gateway->next_peer + i) % peers->len];
 
-      if (!session->peer_address || (g_list_length (sessions) > ASK_PEERS && skip-- % 7 != 0))
-        continue;
-      gateway->io.send (gateway->io.context, session->handle, pulse);
-      n_asked++;
+      gateway->io.send (gateway->io.context, peer->handle, pulse);
     }
+  gateway->next_peer += n_asked;
 }
 
 void
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -81,7 +81,6 @@
   job->attempts = MAX (route->attempts, 1);
   job->arrived_us = gateway->now_us;
   job->deadline_us = gateway->now_us + (wait_ms > 0 ? wait_ms : WAIT_DEFAULT_MS) * AZ_US_PER_MS;
-  job->refusable = true;
   lay_out_tasks (job);
   job->run_us = longest_chain_us (gateway, job);
   job->objective_us = gateway->now_us + (int64_t)(route->slack_factor * (double)job->run_us)
@@ -236,7 +235,7 @@
   if (job->callers->len > 0)
     return;
   az_counters_add (gateway->counters, gateway->c_given_up, 1);
-  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
+  az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
                       "the caller has gone");
   az_gateway_release_job (gateway, job);
 }
@@ -250,7 +249,7 @@
   if (!job)
     return false;
   gateway->now_us = az_now_us (gateway->clock);
-  az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
+  az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
                       "cancelled");
   az_gateway_release_job (gateway, job);
   return true;
@@ -268,7 +267,7 @@
     {
       const struct job *job = value;
 
-      n += !job->is_ending && !job->has_run && !strcmp (job->queue->name, route);
+      n += !job->is_ending && job->n_started == 0 && !strcmp (job->queue->name, route);
     }
   return n;
 }
@@ -292,8 +291,8 @@
   if (!job->is_ending && gateway->now_us >= job->deadline_us)
     {
       az_counters_add (gateway->counters, gateway->c_expired, 1);
-      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 1000,
-                          "deadline passed");
+      az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN,
+                          1000, "deadline passed");
     }
   az_gateway_expire_unsettled (gateway, job);
   az_gateway_release_job (gateway, job);
@@ -324,7 +323,7 @@
     {
       struct job *job = link->data;
 
-      az_gateway_end_job (gateway, job, job->has_run ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 100,
-                          "the process stops");
+      az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN,
+                          100, "the process stops");
     }
 }
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -187,8 +187,7 @@
   job->steps[step_index].n_waiting--;
   job->n_waiting--;
   job->n_live++;
-  job->refusable = false;
-  job->has_run = true;
+  job->n_started++;
   upstream->n_tasks++;
   upstream->used_milli += need->cpu_milli;
   az_resources_take (&upstream->free, need);
--- a/src/gateway/tasks.c
+++ b/src/gateway/tasks.c
@@ -92,6 +92,13 @@
     case AZ_TASK_FAILED:
       fail_task (gateway, job, event->step, task);
       break;
+    case AZ_TASK_NO_ROOM:
+    case AZ_TASK_CLOSED:
+    case AZ_TASK_UNHEALTHY:
+      /* It was refused and has not run. */
+      job->n_started--;
+      wait_again (gateway, job, event->step, task);
+      break;
     default:
       wait_again (gateway, job, event->step, task);
       break;
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -1,6 +1,10 @@
 #include "azurerock/log.h"
 #include "sidecar/board.h"
 
+/* An earlier life of this process may have used a higher fence, if its clock was ahead. The steps
+ * double, so that a few orders reach it. */
+#define FENCE_STEP 10000
+
 static void
 free_session (gpointer value)
 {
@@ -44,7 +48,7 @@
   sidecar->task_names = g_hash_table_new (g_str_hash, g_str_equal);
   /* Above the fence of every earlier life, unless the clock was set back meanwhile. */
   sidecar->fence = (uint64_t)az_clock_wall_ms (clock);
-  sidecar->fence_step = 10000;
+  sidecar->fence_step = FENCE_STEP;
   return sidecar;
 }
 
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -11,10 +11,6 @@
 /* Answers that were sent together arrive within this time. */
 #define OVERTAKING_MS 5
 
-/* An earlier life of this process used a higher fence, for example before its clock was set back.
- * The steps double, so that a few orders reach it. */
-#define FENCE_STEP 10000
-
 void
 az_sidecar_raise_fence (struct az_sidecar *sidecar)
 {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -32,6 +32,23 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against an answer that leaves open whether a job has run although every order was
+ * refused. */
+static void
+test_job_that_was_only_refused_has_not_run (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  rig->used[1] += 32000;
+  gateway_rig_end (rig, 0, AZ_TASK_NO_ROOM, 0);
+  gateway_rig_pass (rig, 1520, 0);
+  assert_int_equal (rig->runs->len, 1);
+  assert_int_equal (gateway_rig_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  gateway_rig_destroy (rig);
+}
+
 static void
 test_task_that_fails_too_often_fails_its_job (void **state)
 {
@@ -379,6 +396,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_job_is_answered_when_all_tasks_are_done),
     cmocka_unit_test (test_deadline_after_a_start_is_unfinished),
+    cmocka_unit_test (test_job_that_was_only_refused_has_not_run),
     cmocka_unit_test (test_task_that_fails_too_often_fails_its_job),
     cmocka_unit_test (test_failed_task_runs_elsewhere_with_a_higher_attempt),
     cmocka_unit_test (test_tasks_of_a_lost_session_wait_until_they_are_gone),
