Order and refuse by placement again, and answer by what has started

Jobs whose orders had all been refused had lost their place before others and were held and refused later.

Change: a job that was placed goes first and isn't refused by the admission, as before; only the answer depends on whether a task has started.

--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -58,7 +58,7 @@
   az_gateway_end_job (gateway, job, AZ_JOB_NOT_RUN, RETRY_AFTER_MS, reason);
 }
 
-/* The job of the least worth among the first @n of which nothing has started; the youngest of
+/* The job of the least worth among the first @n of which nothing was placed; the youngest of
  * equals, which has waited least. */
 static struct job *
 find_least (const GPtrArray *jobs, guint n)
@@ -69,7 +69,7 @@
     {
       struct job *job = jobs->pdata[i];
 
-      if (!job || job->n_started > 0)
+      if (!job || job->was_placed)
         continue;
       if (!least || worth_per_work (job->queue) < worth_per_work (least->queue)
           || (job->queue == least->queue && job->arrived_us > least->arrived_us))
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -111,7 +111,8 @@
   uint32_t n_live; /* sent or unsettled */
   uint32_t n_done;
   uint32_t n_started;
-  bool is_ending; /* answered; waits for its last tasks */
+  bool was_placed; /* an order to start one of its tasks has left */
+  bool is_ending;  /* answered; waits for its last tasks */
 };
 
 /** struct queue - what was learned of the jobs of one route */
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -188,6 +188,7 @@
   job->n_waiting--;
   job->n_live++;
   job->n_started++;
+  job->was_placed = true;
   upstream->n_tasks++;
   upstream->used_milli += need->cpu_milli;
   az_resources_take (&upstream->free, need);
--- a/src/gateway/queue.c
+++ b/src/gateway/queue.c
@@ -90,8 +90,8 @@
 
   if (a_late != b_late)
     return a_late ? 1 : -1;
-  if ((a->n_started > 0) != (b->n_started > 0))
-    return a->n_started > 0 ? -1 : 1;
+  if (a->was_placed != b->was_placed)
+    return a->was_placed ? -1 : 1;
   difference = latest_start_us (a) - latest_start_us (b);
   return difference < 0 ? -1 : difference > 0;
 }
