--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,7 +20,8 @@
 WITHDRAWN_S = 5.0
 DRAIN_S = 2.0
 CONFIG_S = 2.0
-RECOVER_S = 8.0
+RECOVER_S = 10.0
+LONG_SHARE = 0.05
 GRACE_S = 5
 
 
@@ -156,10 +157,12 @@
         for node in self.gateways + self.sidecars:
             await node.start()
 
-    async def submit(self, job_id, deadline):
-        """Sends one job until it has its final answer, as a client of the platform does."""
+    async def submit(self, job_id, deadline, is_long):
+        """Sends one job until it has its final answer, as a client of the platform does. Tasks of
+        long jobs outlast the time until a job is sent again."""
         tasks = self.random.randint(1, 4)
-        work = {"ms": self.random.choice([30, 60, 120, 400]), "cpu": self.random.choice([1000, 2000])}
+        work = {"ms": 2500 if is_long else self.random.choice([30, 60, 120, 400]),
+                "cpu": 500 if is_long else self.random.choice([1000, 2000])}
         body = {"specification": json.dumps(work), "best-effort": True,
                 "phases": [{"count": tasks, "cpu": work["cpu"], "mem-mb": 64,
                             "estimate-ms": int(work["ms"] * self.random.uniform(0.6, 1.6))}]}
@@ -212,7 +215,9 @@
             await asyncio.sleep(self.random.expovariate(self.options.rate))
 
     async def one_job(self, job_id):
-        outcome = await self.submit(job_id, self.random.choice([1.5, 2.5, 4.0]))
+        is_long = self.random.random() < LONG_SHARE
+        deadline = 9.0 if is_long else self.random.choice([1.5, 2.5, 4.0])
+        outcome = await self.submit(job_id, deadline, is_long)
         self.counts[outcome] += 1
         self.recent.append((time.monotonic(), outcome == "completed"))
 
@@ -410,7 +415,7 @@
             self.history.violate("RECOVER", "%d of %d jobs served after the faults"
                                  % (sum(last), len(last)))
         self.stopping = True
-        await asyncio.sleep(4.5)
+        await asyncio.sleep(9.5)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*[node.end(signal.SIGTERM) for node in self.gateways + self.sidecars])
