--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -73,7 +73,7 @@
 }
 
 /* Messages travel encoded, as between processes. */
-struct parcel
+struct packet
 {
   unsigned gateway;
   unsigned upstream;
@@ -81,47 +81,47 @@
   uint8_t bytes[];
 };
 
-static struct parcel *
+static struct packet *
 pack (unsigned gateway, unsigned upstream, const struct az_message *message)
 {
   g_autoptr (GByteArray) bytes = g_byte_array_new ();
-  struct parcel *parcel;
+  struct packet *packet;
 
   if (!az_message_encode (message, 0, bytes, NULL))
     abort ();
-  parcel = g_malloc (sizeof *parcel + bytes->len);
-  parcel->gateway = gateway;
-  parcel->upstream = upstream;
-  parcel->length = bytes->len;
-  memcpy (parcel->bytes, bytes->data, bytes->len);
-  return parcel;
+  packet = g_malloc (sizeof *packet + bytes->len);
+  packet->gateway = gateway;
+  packet->upstream = upstream;
+  packet->length = bytes->len;
+  memcpy (packet->bytes, bytes->data, bytes->len);
+  return packet;
 }
 
 static void
-reach_sidecar (void *context, void *data)
+deliver_to_sidecar (void *context, void *data)
 {
   struct world *world = context;
-  const struct parcel *parcel = data;
+  const struct packet *packet = data;
   struct az_message message;
 
-  if (!az_message_decode (parcel->bytes, parcel->length, &message, NULL))
+  if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_sidecar_received (world->sidecars[parcel->upstream], parcel->gateway + 1, &message);
-  az_sidecar_flush (world->sidecars[parcel->upstream]);
+  az_sidecar_received (world->sidecars[packet->upstream], packet->gateway + 1, &message);
+  az_sidecar_flush (world->sidecars[packet->upstream]);
   az_message_clear (&message);
 }
 
 static void
-reach_gateway (void *context, void *data)
+deliver_to_gateway (void *context, void *data)
 {
   struct world *world = context;
-  const struct parcel *parcel = data;
+  const struct packet *packet = data;
   struct az_message message;
 
-  if (!az_message_decode (parcel->bytes, parcel->length, &message, NULL))
+  if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_gateway_received (world->gateways[parcel->gateway], parcel->upstream + 1, &message);
-  az_gateway_flush (world->gateways[parcel->gateway]);
+  az_gateway_received (world->gateways[packet->gateway], packet->upstream + 1, &message);
+  az_gateway_flush (world->gateways[packet->gateway]);
   az_message_clear (&message);
 }
 
@@ -132,7 +132,7 @@
   struct world *world = node->world;
 
   emu_at (world->events, emu_now_us (world->events) + link_us (world, node->index, session - 1),
-          reach_sidecar, world, pack (node->index, session - 1, message));
+          deliver_to_sidecar, world, pack (node->index, session - 1, message));
 }
 
 static void
@@ -142,7 +142,7 @@
   struct world *world = node->world;
 
   emu_at (world->events, emu_now_us (world->events) + link_us (world, session - 1, node->index),
-          reach_gateway, world, pack (session - 1, node->index, message));
+          deliver_to_gateway, world, pack (session - 1, node->index, message));
 }
 
 static void
@@ -313,13 +313,13 @@
   g_array_append_val (world->holds[node->index], hold);
   if (!hold.is_answered)
     wait_us += HOLD_EXTRA_US;
-  else if (emu_upstream_has_news (upstream, hold.seen))
+  else if (emu_upstream_has_ends (upstream, hold.seen))
     wait_us = 0;
   schedule_hold (world, node->index, number, emu_now_us (world->events) + wait_us + LOCAL_US);
 }
 
 static void
-upstream_news (void *context, unsigned upstream)
+upstream_changed (void *context, unsigned upstream)
 {
   struct world *world = context;
   const GArray *holds = world->holds[upstream];
@@ -456,7 +456,7 @@
   const struct az_sidecar_io io
       = { send_to_gateway, close_session, start_task,
           stop_task,       hold_tasks,    &world->sidecar_contexts[index] };
-  const struct emu_upstream_owner owner = { upstream_news, world };
+  const struct emu_upstream_owner owner = { upstream_changed, world };
   const struct az_sidecar_settings settings = {
     .instance = g_intern_string (instance),
     .domain = g_intern_string (domain),
--- a/bench/emulator/upstream.c
+++ b/bench/emulator/upstream.c
@@ -94,7 +94,7 @@
         += (double)(emu_now_us (upstream->events) - run->started_us) / 1e6 * run->cpu_milli / 1000;
   g_array_append_val (upstream->ends, end);
   g_hash_table_remove (upstream->runs, run->task);
-  upstream->owner.news (upstream->owner.context, upstream->index);
+  upstream->owner.changed (upstream->owner.context, upstream->index);
 }
 
 struct end_event
@@ -188,7 +188,7 @@
 }
 
 bool
-emu_upstream_has_news (const struct emu_upstream *upstream, uint64_t seen)
+emu_upstream_has_ends (const struct emu_upstream *upstream, uint64_t seen)
 {
   return upstream->n_ends > seen;
 }
--- a/bench/emulator/world.h
+++ b/bench/emulator/world.h
@@ -91,10 +91,10 @@
 /* Simulated upstreams. */
 struct emu_upstream;
 
-/** struct emu_upstream_owner - @news: lists of tasks may have changed for a hold that waits */
+/** struct emu_upstream_owner - @changed: lists of tasks may have changed for a hold that waits */
 struct emu_upstream_owner
 {
-  void (*news) (void *context, unsigned upstream);
+  void (*changed) (void *context, unsigned upstream);
   void *context;
 };
 
@@ -121,7 +121,7 @@
 void
 emu_upstream_lists (struct emu_upstream *upstream, uint64_t seen, struct az_upstream_lists *lists);
 bool
-emu_upstream_has_news (const struct emu_upstream *upstream, uint64_t seen);
+emu_upstream_has_ends (const struct emu_upstream *upstream, uint64_t seen);
 
 /** emu_upstream_set_rate - share of its speed at which tasks go on */
 void
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -92,13 +92,13 @@
                           const char *const *domains,
                           size_t n_domains);
 
-/** az_gateway_set_store_reachable - while it isn't, peers are asked for what it would tell */
+/** az_gateway_set_store_reachable - while it isn't, updates are requested from peers */
 void
 az_gateway_set_store_reachable (struct az_gateway *gateway, bool is_reachable);
 
-/** az_gateway_know - another gateway's address was learned from settings or the store */
+/** az_gateway_add_member - another gateway's address was learned from settings or the store */
 void
-az_gateway_know (struct az_gateway *gateway, const char *address);
+az_gateway_add_member (struct az_gateway *gateway, const char *address);
 
 void
 az_gateway_session_opened (struct az_gateway *gateway, uint32_t session, const char *outgoing);
--- a/include/azurerock/resources.h
+++ b/include/azurerock/resources.h
@@ -12,8 +12,8 @@
 void
 az_resources_add (struct az_resources *to, const struct az_resources *amount);
 
-/** az_resources_take - subtracts from @from, which stops at zero */
+/** az_resources_subtract - subtracts from @from, which stops at zero */
 void
-az_resources_take (struct az_resources *from, const struct az_resources *amount);
+az_resources_subtract (struct az_resources *from, const struct az_resources *amount);
 
 #endif
--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -22,7 +22,7 @@
   int64_t lease_ms;    /* lease of tasks at the upstream, renewed several times in that time */
   int64_t session_ms;  /* a gateway silent for longer loses its session */
   int64_t stop_ms;     /* the upstream takes at most this long to stop a task */
-  int64_t evidence_ms; /* news of withdrawals older than this must be renewed from the store */
+  int64_t evidence_ms; /* a list of withdrawn domains older than this is read from the store */
 };
 
 /**
@@ -65,7 +65,7 @@
                      const struct az_message *message);
 
 /**
- * az_sidecar_announced - the upstream instance told of itself
+ * az_sidecar_announced - a heartbeat of the upstream instance arrived
  *
  * Return: whether the announcement is of the present or a newer life.
  */
@@ -98,9 +98,10 @@
                       const char *const *domains,
                       size_t n_domains);
 
-/** az_sidecar_needs_news - whether the process should read withdrawals from the store itself */
+/** az_sidecar_needs_withdrawals - whether the process should read withdrawals from the store itself
+ */
 bool
-az_sidecar_needs_news (const struct az_sidecar *sidecar);
+az_sidecar_needs_withdrawals (const struct az_sidecar *sidecar);
 
 /** az_sidecar_stop - takes no more tasks; those that run are held to their end */
 void
--- a/src/dispatch/resources.c
+++ b/src/dispatch/resources.c
@@ -22,7 +22,7 @@
 }
 
 void
-az_resources_take (struct az_resources *from, const struct az_resources *amount)
+az_resources_subtract (struct az_resources *from, const struct az_resources *amount)
 {
   take (&from->cpu_milli, amount->cpu_milli);
   take (&from->memory_mb, amount->memory_mb);
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -146,7 +146,7 @@
         }
       if (is_known && !fits)
         {
-          /* With many gateways, this one knows only some of the upstreams. */
+          /* With many gateways, this one is connected to only some of the upstreams. */
           *is_hopeless = g_hash_table_size (gateway->gateways) < GATEWAYS_COMPLETE;
           return "no upstream is large enough";
         }
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -20,7 +20,7 @@
   int64_t heard_us;
   int64_t busy_us; /* when it got tasks after having had none */
   int64_t pulsed_us;
-  int64_t evidence_us; /* when news of withdrawals were last sent */
+  int64_t evidence_us; /* when the withdrawn domains were last sent */
 };
 
 /** struct sent_room - room that a run message takes until a report has counted it */
@@ -47,11 +47,11 @@
   GArray *sent;                 /* struct sent_room */
   uint32_t n_sent;              /* run messages in this session */
   uint32_t n_tasks;
-  bool is_wanted;      /* in the set whose room this gateway keeps up with */
+  bool in_working_set; /* in the set whose room this gateway keeps up with */
   int64_t used_us;     /* when a task was last sent there */
   uint32_t used_milli; /* by this gateway's tasks */
   double speed;        /* 1: as fast as tasks of their estimate usually are */
-  bool has_counts;     /* the first report of a life tells what was before */
+  bool has_counts;     /* the first report of a life, which includes earlier ends, was seen */
   uint32_t n_done;     /* of all gateways' tasks, as last reported */
   uint32_t n_failed;
   uint32_t n_probes; /* since it was last in full use */
@@ -158,10 +158,10 @@
   uint64_t last_job;
   uint32_t waiting_milli;
   bool is_store_reachable;
-  int64_t asked_us;  /* when peers were last asked for news */
-  guint next_peer;   /* index of the next one to ask */
-  int64_t wanted_us; /* when the wanted upstreams were last chosen */
-  int64_t open_us;   /* when an upstream was last seen open, at first the start */
+  int64_t requested_us;   /* when updates were last requested from peers */
+  guint next_peer;        /* index of the next one to ask */
+  int64_t working_set_us; /* when the wanted upstreams were last chosen */
+  int64_t open_us;        /* when an upstream was last seen open, at first the start */
   bool needs_placing;
   uint32_t c_jobs;
   uint32_t c_completed;
@@ -187,21 +187,22 @@
 void
 az_gateway_connect_members (struct az_gateway *gateway);
 void
-az_gateway_tell_members (struct az_gateway *gateway, uint32_t session);
+az_gateway_send_members (struct az_gateway *gateway, uint32_t session);
 
-/** az_gateway_tell_member - one address that was just learned */
+/** az_gateway_send_member - one address that was just learned */
 void
-az_gateway_tell_member (struct az_gateway *gateway, uint32_t session, const char *address);
+az_gateway_send_member (struct az_gateway *gateway, uint32_t session, const char *address);
 
 /* evidence.c */
 
-/** az_gateway_ask_news - without the store, asks peers for what it would tell */
+/** az_gateway_request_updates - while the store isn't reachable, requests its contents from peers
+ */
 void
-az_gateway_ask_news (struct az_gateway *gateway);
+az_gateway_request_updates (struct az_gateway *gateway);
 void
-az_gateway_answer_news (struct az_gateway *gateway,
-                        struct session *session,
-                        const struct az_node_pulse *pulse);
+az_gateway_send_updates (struct az_gateway *gateway,
+                         struct session *session,
+                         const struct az_node_pulse *pulse);
 void
 az_gateway_relay_withdrawn (struct az_gateway *gateway);
 bool
@@ -213,27 +214,28 @@
 struct upstream *
 az_gateway_find_upstream (struct az_gateway *gateway, const char *instance, const char *domain);
 void
-az_gateway_take_upstream (struct az_gateway *gateway,
-                          struct upstream *upstream,
-                          const struct az_node_upstream *told);
+az_gateway_handle_upstream (struct az_gateway *gateway,
+                            struct upstream *upstream,
+                            const struct az_node_upstream *told);
 void
-az_gateway_take_room (struct upstream *upstream, const struct az_node_report *report);
+az_gateway_handle_room (struct upstream *upstream, const struct az_node_report *report);
 void
 az_gateway_reserve (struct upstream *upstream, const struct az_resources *need, uint32_t n_tasks);
 
 /* working_set.c */
 
-/** az_gateway_choose_wanted - the upstreams whose room is worth the messages */
+/** az_gateway_choose_working_set - the upstreams whose room is worth the messages */
 void
-az_gateway_choose_wanted (struct az_gateway *gateway);
+az_gateway_choose_working_set (struct az_gateway *gateway);
 
 /* health.c */
 
-/** az_gateway_judge - takes over what the sidecar tells of its upstream's speed and failures */
+/** az_gateway_update_health - applies the speed and the
+ * failures */
 void
-az_gateway_judge (struct az_gateway *gateway,
-                  struct upstream *upstream,
-                  const struct az_node_report *report);
+az_gateway_update_health (struct az_gateway *gateway,
+                          struct upstream *upstream,
+                          const struct az_node_report *report);
 
 /** az_gateway_learn_run - a task took @run_us: learns how far its queue's estimates are off */
 void
@@ -260,9 +262,9 @@
 
 /* tasks.c */
 void
-az_gateway_take_event (struct az_gateway *gateway,
-                       struct upstream *upstream,
-                       const struct az_task_event *event);
+az_gateway_handle_event (struct az_gateway *gateway,
+                         struct upstream *upstream,
+                         const struct az_task_event *event);
 void
 az_gateway_lose_tasks (struct az_gateway *gateway, struct upstream *upstream, const char *reason);
 void
@@ -274,9 +276,9 @@
 
 /* progress.c */
 void
-az_gateway_take_progress (struct az_gateway *gateway,
-                          struct upstream *upstream,
-                          const struct az_task_progress *progress);
+az_gateway_handle_progress (struct az_gateway *gateway,
+                            struct upstream *upstream,
+                            const struct az_task_progress *progress);
 
 /* place.c */
 
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -130,9 +130,9 @@
   az_gateway_expire_sessions (gateway);
   az_gateway_expire_jobs (gateway);
   az_gateway_connect_members (gateway);
-  az_gateway_choose_wanted (gateway);
+  az_gateway_choose_working_set (gateway);
   az_gateway_relay_withdrawn (gateway);
-  az_gateway_ask_news (gateway);
+  az_gateway_request_updates (gateway);
   az_gateway_pulse (gateway);
   gateway->needs_placing = gateway->needs_placing || gateway->waiting_milli > 0;
 }
@@ -179,7 +179,7 @@
     }
   gateway->waiting_milli = count_waiting (jobs);
   release_refused (gateway);
-  /* Sidecars tell of freed room at once while somebody waits for it. */
+  /* Sidecars report freed room immediately while tasks are waiting for it. */
   if ((waiting_before == 0) != (gateway->waiting_milli == 0))
     {
       GHashTableIter iterator;
@@ -191,7 +191,7 @@
           struct session *session = value;
           const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
 
-          if (upstream && upstream->is_wanted)
+          if (upstream && upstream->in_working_set)
             session->pulsed_us = 0;
         }
       az_gateway_pulse (gateway);
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -2,12 +2,12 @@
 #include "gateway/board.h"
 #include <string.h>
 
-/* A gateway that doesn't reach the store asks so many peers, so often. */
-#define ASK_PEERS 3
-#define ASK_EVERY_MS 250
+/* A gateway that doesn't reach the store requests updates from this many peers at this interval. */
+#define REQUEST_PEERS 3
+#define REQUEST_EVERY_MS 250
 
-/* A sidecar needs news that are younger than 2.5 s, from any gateway. */
-#define RELAY_WANTED_MS 900
+/* A sidecar needs a list of withdrawn domains younger than 2.5 s, from any gateway. */
+#define RELAY_WORKING_SET_MS 900
 #define RELAY_OTHERS_MS 4000
 
 static void
@@ -43,9 +43,9 @@
 }
 
 void
-az_gateway_answer_news (struct az_gateway *gateway,
-                        struct session *session,
-                        const struct az_node_pulse *pulse)
+az_gateway_send_updates (struct az_gateway *gateway,
+                         struct session *session,
+                         const struct az_node_pulse *pulse)
 {
   if (gateway->catalog && gateway->catalog->version > pulse->catalog_version)
     send_catalog (gateway, session);
@@ -68,32 +68,32 @@
 
 /* A few peers at a time, the next ones each time. */
 static void
-ask (struct az_gateway *gateway, const struct az_message *pulse)
+request_updates (struct az_gateway *gateway, const struct az_message *pulse)
 {
   g_autoptr (GPtrArray) peers = list_peers (gateway);
-  guint n_asked = MIN (peers->len, ASK_PEERS);
+  guint n_requested = MIN (peers->len, REQUEST_PEERS);
 
-  for (guint i = 0; i < n_asked; i++)
+  for (guint i = 0; i < n_requested; i++)
     {
       const struct session *peer = peers->pdata[(gateway->next_peer + i) % peers->len];
 
       gateway->io.send (gateway->io.context, peer->handle, pulse);
     }
-  gateway->next_peer += n_asked;
+  gateway->next_peer += n_requested;
 }
 
 void
-az_gateway_ask_news (struct az_gateway *gateway)
+az_gateway_request_updates (struct az_gateway *gateway)
 {
   struct az_message pulse = { .proc = AZ_NODE_PULSE };
 
   if (gateway->is_store_reachable
-      || gateway->now_us - gateway->asked_us < ASK_EVERY_MS * AZ_US_PER_MS)
+      || gateway->now_us - gateway->requested_us < REQUEST_EVERY_MS * AZ_US_PER_MS)
     return;
-  gateway->asked_us = gateway->now_us;
-  pulse.az_message_u.node_pulse.wants_news = true;
+  gateway->requested_us = gateway->now_us;
+  pulse.az_message_u.node_pulse.wants_updates = true;
   pulse.az_message_u.node_pulse.catalog_version = gateway->catalog ? gateway->catalog->version : 0;
-  ask (gateway, &pulse);
+  request_updates (gateway, &pulse);
 }
 
 void
@@ -201,7 +201,7 @@
 renew_withdrawn (struct az_gateway *gateway, struct session *session)
 {
   const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
-  int64_t every_ms = upstream && upstream->is_wanted ? RELAY_WANTED_MS : RELAY_OTHERS_MS;
+  int64_t every_ms = upstream && upstream->in_working_set ? RELAY_WORKING_SET_MS : RELAY_OTHERS_MS;
 
   if (session->peer_address)
     return;
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -5,7 +5,7 @@
 #define RATIO_WEIGHT 0.02
 
 static void
-judge_speed (struct upstream *upstream, double speed)
+update_speed (struct upstream *upstream, double speed)
 {
   bool was_slow = az_speed_is_slow (upstream->speed);
   bool is_slow = az_speed_is_slow (speed);
@@ -21,9 +21,9 @@
 
 /* The counts are of one life of the upstream and begin anew with it. */
 static void
-judge_ends (struct az_gateway *gateway,
-            struct upstream *upstream,
-            const struct az_node_report *report)
+update_failures (struct az_gateway *gateway,
+                 struct upstream *upstream,
+                 const struct az_node_report *report)
 {
   bool was_ejected = az_ejector_is_ejected (gateway->ejector, upstream->handle);
 
@@ -45,12 +45,12 @@
 }
 
 void
-az_gateway_judge (struct az_gateway *gateway,
-                  struct upstream *upstream,
-                  const struct az_node_report *report)
+az_gateway_update_health (struct az_gateway *gateway,
+                          struct upstream *upstream,
+                          const struct az_node_report *report)
 {
-  judge_speed (upstream, MAX (report->speed_percent, 1) / 100.0);
-  judge_ends (gateway, upstream, report);
+  update_speed (upstream, MAX (report->speed_percent, 1) / 100.0);
+  update_failures (gateway, upstream, report);
 }
 
 void
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -5,7 +5,7 @@
 #define RECONNECT_MS 500
 
 void
-az_gateway_know (struct az_gateway *gateway, const char *address)
+az_gateway_add_member (struct az_gateway *gateway, const char *address)
 {
   GHashTableIter iterator;
   gpointer value;
@@ -18,11 +18,11 @@
   az_log (LOG_NOTICE, "event=gateway-learned address=%s", address);
   g_hash_table_iter_init (&iterator, gateway->sessions);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    az_gateway_tell_member (gateway, ((struct session *)value)->handle, address);
+    az_gateway_send_member (gateway, ((struct session *)value)->handle, address);
 }
 
 void
-az_gateway_tell_member (struct az_gateway *gateway, uint32_t session, const char *address)
+az_gateway_send_member (struct az_gateway *gateway, uint32_t session, const char *address)
 {
   struct az_message message = { .proc = AZ_NODE_GATEWAYS };
   char *row = (char *)address;
@@ -33,7 +33,7 @@
 }
 
 void
-az_gateway_tell_members (struct az_gateway *gateway, uint32_t session)
+az_gateway_send_members (struct az_gateway *gateway, uint32_t session)
 {
   struct az_message message = { .proc = AZ_NODE_GATEWAYS };
   char *addresses[AZ_MAX_GATEWAYS];
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -94,7 +94,7 @@
     result = 0;
   if (strcmp (upstream->domain, gateway->settings.domain) != 0)
     result += gateway->settings.cross_domain_ms * AZ_US_PER_MS;
-  if (!upstream->is_wanted)
+  if (!upstream->in_working_set)
     result += STALE_COST_US;
   if (upstream->capacity.cpu_milli > 0)
     result += 1000 - 1000 * (int64_t)upstream->free.cpu_milli / upstream->capacity.cpu_milli;
@@ -191,7 +191,7 @@
   job->was_placed = true;
   upstream->n_tasks++;
   upstream->used_milli += need->cpu_milli;
-  az_resources_take (&upstream->free, need);
+  az_resources_subtract (&upstream->free, need);
 }
 
 /* Sends the tasks of the step that were just assigned to one upstream, in one message. */
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -35,7 +35,7 @@
   GHashTable *reading;   /* the set that a range read builds up */
   uint64_t read_revision;
   uint64_t revision; /* 0: not read yet */
-  int64_t asked_us;
+  int64_t requested_us;
   uint64_t lease;
   bool is_reachable;
   uv_timer_t retry;
@@ -81,7 +81,7 @@
 void
 az_gateway_program_connect (void *context, const char *address);
 void
-az_gateway_program_know_seeds (struct az_gateway_program *program, const GPtrArray *seeds);
+az_gateway_program_add_seeds (struct az_gateway_program *program, const GPtrArray *seeds);
 
 /* program_store.c: configuration, withdrawals and members in the store */
 
@@ -93,10 +93,10 @@
 void
 az_gateway_program_close_store (struct az_gateway_program *program);
 void
-az_gateway_program_take_catalog (struct az_gateway_program *program,
-                                 uint64_t revision,
-                                 const char *text,
-                                 size_t length);
+az_gateway_program_handle_catalog (struct az_gateway_program *program,
+                                   uint64_t revision,
+                                   const char *text,
+                                   size_t length);
 
 extern const struct az_setting az_gateway_schema[];
 extern const size_t az_gateway_n_schema;
--- a/src/gateway/program_rpc.c
+++ b/src/gateway/program_rpc.c
@@ -41,8 +41,8 @@
 
   az_gateway_received (program->gateway, connection, message);
   if (message->proc == AZ_NODE_CATALOG)
-    az_gateway_program_take_catalog (program, catalog->revision, catalog->text.text_val,
-                                     catalog->text.text_len);
+    az_gateway_program_handle_catalog (program, catalog->revision, catalog->text.text_val,
+                                       catalog->text.text_len);
 }
 
 static void
@@ -74,12 +74,12 @@
 }
 
 void
-az_gateway_program_know_seeds (struct az_gateway_program *program, const GPtrArray *seeds)
+az_gateway_program_add_seeds (struct az_gateway_program *program, const GPtrArray *seeds)
 {
   for (guint i = 0; seeds && i < seeds->len; i++)
     {
       g_autofree char *address = az_seed_address (seeds->pdata[i], program->options->seed_port);
 
-      az_gateway_know (program->gateway, address);
+      az_gateway_add_member (program->gateway, address);
     }
 }
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -43,11 +43,11 @@
 }
 
 static void
-take_seeds (struct az_gateway_program *program, GPtrArray *seeds)
+handle_seeds (struct az_gateway_program *program, GPtrArray *seeds)
 {
   if (!seeds)
     return;
-  az_gateway_program_know_seeds (program, seeds);
+  az_gateway_program_add_seeds (program, seeds);
   g_ptr_array_unref (seeds);
 }
 
@@ -57,7 +57,7 @@
   struct az_gateway_program *program = context;
 
   az_log (LOG_NOTICE, "event=hangup");
-  take_seeds (program, az_settings_watch_look (&program->settings));
+  handle_seeds (program, az_settings_watch_look (&program->settings));
 }
 
 static void
@@ -69,8 +69,8 @@
 
   az_gateway_program_check_store (program);
   az_gateway_tick (program->gateway);
-  take_seeds (program,
-              az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
+  handle_seeds (program,
+                az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
   if (!program->is_stopping)
     return;
   is_idle = az_gateway_n_jobs (program->gateway) == 0
@@ -134,7 +134,7 @@
     .seeds_offset = offsetof (struct az_gateway_options, seeds),
   };
   az_settings_watch_open (&program->settings);
-  az_gateway_program_know_seeds (program, program->options->seeds);
+  az_gateway_program_add_seeds (program, program->options->seeds);
   az_gateway_program_open_store (program);
   program->node = (struct az_node_loop){
     .loop = program->loop,
--- a/src/gateway/program_store.c
+++ b/src/gateway/program_store.c
@@ -62,17 +62,17 @@
 void
 az_gateway_program_check_store (struct az_gateway_program *program)
 {
-  int64_t waited_us = now_us () - program->view.asked_us;
+  int64_t waited_us = now_us () - program->view.requested_us;
 
   if (waited_us > WATCH_MS * 1000 + OVERDUE_US)
     az_gateway_set_store_reachable (program->gateway, false);
 }
 
 void
-az_gateway_program_take_catalog (struct az_gateway_program *program,
-                                 uint64_t revision,
-                                 const char *text,
-                                 size_t length)
+az_gateway_program_handle_catalog (struct az_gateway_program *program,
+                                   uint64_t revision,
+                                   const char *text,
+                                   size_t length)
 {
   size_t n_unreadable;
   struct az_catalog *catalog = platform_decode_catalog (text, length, &n_unreadable);
@@ -92,9 +92,9 @@
 }
 
 static void
-take_item (struct az_gateway_program *program,
-           GHashTable *withdrawn,
-           const struct az_metadata_item *item)
+handle_item (struct az_gateway_program *program,
+             GHashTable *withdrawn,
+             const struct az_metadata_item *item)
 {
   const char *domain = platform_withdrawn_domain (item->key);
 
@@ -103,11 +103,11 @@
   else if (domain)
     g_hash_table_remove (withdrawn, domain);
   else if (item->value && !strcmp (item->key, PLATFORM_CONFIGURATION_KEY))
-    az_gateway_program_take_catalog (program, item->revision, item->value, item->length);
+    az_gateway_program_handle_catalog (program, item->revision, item->value, item->length);
 }
 
 static void
-tell_withdrawn (struct az_gateway_program *program, int64_t age_us)
+update_withdrawn (struct az_gateway_program *program, int64_t age_us)
 {
   guint n_domains;
   g_autofree gpointer *domains
@@ -139,16 +139,16 @@
       return;
     }
   for (size_t i = 0; i < answer->n_items; i++)
-    take_item (program, view->withdrawn, &answer->items[i]);
+    handle_item (program, view->withdrawn, &answer->items[i]);
   view->revision = MAX (view->revision, answer->revision);
-  tell_withdrawn (program, MIN (now_us () - view->asked_us, ANSWER_AGE_MAX_US));
+  update_withdrawn (program, MIN (now_us () - view->requested_us, ANSWER_AGE_MAX_US));
   watch (program);
 }
 
 static void
 watch (struct az_gateway_program *program)
 {
-  program->view.asked_us = now_us ();
+  program->view.requested_us = now_us ();
   az_metadata_watch (program->store, PLATFORM_OPERATOR_PREFIX, program->view.revision, WATCH_MS,
                      watched, program);
 }
@@ -168,7 +168,7 @@
       return;
     }
   for (size_t i = 0; i < answer->n_items; i++)
-    take_item (program, view->reading, &answer->items[i]);
+    handle_item (program, view->reading, &answer->items[i]);
   /* Pages are no snapshot: what changed after the first one is watched for. */
   if (view->read_revision == 0)
     view->read_revision = answer->revision;
@@ -180,7 +180,7 @@
   g_hash_table_unref (view->withdrawn);
   view->withdrawn = g_steal_pointer (&view->reading);
   view->revision = view->read_revision;
-  tell_withdrawn (program, now_us () - view->asked_us);
+  update_withdrawn (program, now_us () - view->requested_us);
   watch (program);
 }
 
@@ -194,7 +194,7 @@
       g_clear_pointer (&view->reading, g_hash_table_unref);
       view->reading = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       view->read_revision = 0;
-      view->asked_us = now_us ();
+      view->requested_us = now_us ();
     }
   az_metadata_range (program->store, PLATFORM_OPERATOR_PREFIX, after, all_read, program);
 }
@@ -254,7 +254,7 @@
     return;
   for (size_t i = 0; i < answer->n_items; i++)
     if (answer->items[i].value)
-      az_gateway_know (program->gateway, answer->items[i].value);
+      az_gateway_add_member (program->gateway, answer->items[i].value);
 }
 
 static void
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -47,9 +47,9 @@
 }
 
 void
-az_gateway_take_progress (struct az_gateway *gateway,
-                          struct upstream *upstream,
-                          const struct az_task_progress *progress)
+az_gateway_handle_progress (struct az_gateway *gateway,
+                            struct upstream *upstream,
+                            const struct az_task_progress *progress)
 {
   struct job *job = g_hash_table_lookup (gateway->jobs, &progress->job);
   struct task *task;
--- a/src/gateway/queue.c
+++ b/src/gateway/queue.c
@@ -5,7 +5,7 @@
 #define WORK_WEIGHT 0.05
 #define SERVED_WEIGHT 0.03
 
-/* Before the first jobs have told better, a queue counts as one of this rate. */
+/* Assumed arrival rate of a queue until its first jobs have been counted. */
 #define INITIAL_RATE 5.0
 
 struct queue *
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -36,8 +36,8 @@
     .address = (char *)gateway->settings.address,
   };
   gateway->io.send (gateway->io.context, handle, &hello);
-  az_gateway_tell_members (gateway, handle);
-  gateway->asked_us = 0;
+  az_gateway_send_members (gateway, handle);
+  gateway->requested_us = 0;
 }
 
 void
@@ -63,7 +63,9 @@
 }
 
 static void
-take_hello (struct az_gateway *gateway, struct session *session, const struct az_node_hello *hello)
+handle_hello (struct az_gateway *gateway,
+              struct session *session,
+              const struct az_node_hello *hello)
 {
   struct upstream *upstream;
 
@@ -79,7 +81,7 @@
     {
       g_free (session->peer_address);
       session->peer_address = g_strdup (hello->address);
-      az_gateway_know (gateway, hello->address);
+      az_gateway_add_member (gateway, hello->address);
       return;
     }
   upstream = az_gateway_find_upstream (gateway, hello->instance, hello->domain);
@@ -92,27 +94,27 @@
     }
   session->upstream = upstream->handle;
   upstream->session = session->handle;
-  upstream->is_wanted = true;
+  upstream->in_working_set = true;
   upstream->n_sent = 0;
   g_array_set_size (upstream->sent, 0);
 }
 
 static void
-take_report (struct az_gateway *gateway,
-             struct upstream *upstream,
-             const struct az_node_report *report)
+handle_report (struct az_gateway *gateway,
+               struct upstream *upstream,
+               const struct az_node_report *report)
 {
-  az_gateway_take_room (upstream, report);
-  az_gateway_judge (gateway, upstream, report);
+  az_gateway_handle_room (upstream, report);
+  az_gateway_update_health (gateway, upstream, report);
   gateway->needs_placing = true;
   for (u_int i = 0; i < report->events.events_len; i++)
-    az_gateway_take_event (gateway, upstream, &report->events.events_val[i]);
+    az_gateway_handle_event (gateway, upstream, &report->events.events_val[i]);
   for (u_int i = 0; i < report->progress.progress_len; i++)
-    az_gateway_take_progress (gateway, upstream, &report->progress.progress_val[i]);
+    az_gateway_handle_progress (gateway, upstream, &report->progress.progress_val[i]);
 }
 
 static void
-take_withdrawn (struct az_gateway *gateway, const struct az_node_withdrawn *withdrawn)
+handle_withdrawn (struct az_gateway *gateway, const struct az_node_withdrawn *withdrawn)
 {
   az_gateway_set_withdrawn (gateway, withdrawn->revision, withdrawn->age_ms,
                             (const char *const *)withdrawn->domains.domains_val,
@@ -120,10 +122,10 @@
 }
 
 static void
-take_members (struct az_gateway *gateway, const struct az_node_gateways *members)
+handle_members (struct az_gateway *gateway, const struct az_node_gateways *members)
 {
   for (u_int i = 0; i < members->addresses.addresses_len; i++)
-    az_gateway_know (gateway, members->addresses.addresses_val[i]);
+    az_gateway_add_member (gateway, members->addresses.addresses_val[i]);
 }
 
 void
@@ -140,25 +142,25 @@
   switch (message->proc)
     {
     case AZ_NODE_HELLO:
-      take_hello (gateway, session, &message->az_message_u.node_hello);
+      handle_hello (gateway, session, &message->az_message_u.node_hello);
       break;
     case AZ_NODE_GATEWAYS:
-      take_members (gateway, &message->az_message_u.node_gateways);
+      handle_members (gateway, &message->az_message_u.node_gateways);
       break;
     case AZ_NODE_WITHDRAWN:
-      take_withdrawn (gateway, &message->az_message_u.node_withdrawn);
+      handle_withdrawn (gateway, &message->az_message_u.node_withdrawn);
       break;
     case AZ_NODE_PULSE:
-      if (message->az_message_u.node_pulse.wants_news)
-        az_gateway_answer_news (gateway, session, &message->az_message_u.node_pulse);
+      if (message->az_message_u.node_pulse.wants_updates)
+        az_gateway_send_updates (gateway, session, &message->az_message_u.node_pulse);
       break;
     case AZ_NODE_UPSTREAM:
       if (upstream)
-        az_gateway_take_upstream (gateway, upstream, &message->az_message_u.node_upstream);
+        az_gateway_handle_upstream (gateway, upstream, &message->az_message_u.node_upstream);
       break;
     case AZ_NODE_REPORT:
       if (upstream)
-        take_report (gateway, upstream, &message->az_message_u.node_report);
+        handle_report (gateway, upstream, &message->az_message_u.node_report);
       break;
     default:
       break;
@@ -174,11 +176,11 @@
 }
 
 static bool
-is_wanted (const struct az_gateway *gateway, const struct session *session)
+in_working_set (const struct az_gateway *gateway, const struct session *session)
 {
   const struct upstream *upstream = az_gateway_upstream (gateway, session->upstream);
 
-  return upstream && upstream->is_wanted;
+  return upstream && upstream->in_working_set;
 }
 
 /* Silence that ends the session. A sidecar that just got its first tasks may have been silent for
@@ -190,7 +192,7 @@
 
   if (has_tasks (gateway, session))
     return gateway->now_us - MAX (session->heard_us, session->busy_us) > limit_ms * AZ_US_PER_MS;
-  limit_ms *= is_wanted (gateway, session) ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
+  limit_ms *= in_working_set (gateway, session) ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
   return gateway->now_us - session->heard_us > limit_ms * AZ_US_PER_MS;
 }
 
@@ -216,7 +218,7 @@
 {
   if (has_tasks (gateway, session))
     return PULSE_BUSY_MS;
-  return is_wanted (gateway, session) ? PULSE_IDLE_MS : PULSE_DORMANT_MS;
+  return in_working_set (gateway, session) ? PULSE_IDLE_MS : PULSE_DORMANT_MS;
 }
 
 void
@@ -236,7 +238,7 @@
       if (gateway->now_us - session->pulsed_us < every_ms * AZ_US_PER_MS)
         continue;
       session->pulsed_us = gateway->now_us;
-      pulse.az_message_u.node_pulse.wants_room = is_wanted (gateway, session);
+      pulse.az_message_u.node_pulse.wants_reports = in_working_set (gateway, session);
       gateway->io.send (gateway->io.context, session->handle, &pulse);
     }
 }
--- a/src/gateway/tasks.c
+++ b/src/gateway/tasks.c
@@ -62,9 +62,9 @@
 }
 
 void
-az_gateway_take_event (struct az_gateway *gateway,
-                       struct upstream *upstream,
-                       const struct az_task_event *event)
+az_gateway_handle_event (struct az_gateway *gateway,
+                         struct upstream *upstream,
+                         const struct az_task_event *event)
 {
   struct job *job = find_job (gateway, event->job);
   struct task *task = job ? find_task (job, event->step, event->index) : NULL;
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -62,9 +62,9 @@
 }
 
 void
-az_gateway_take_upstream (struct az_gateway *gateway,
-                          struct upstream *upstream,
-                          const struct az_node_upstream *told)
+az_gateway_handle_upstream (struct az_gateway *gateway,
+                            struct upstream *upstream,
+                            const struct az_node_upstream *told)
 {
   if (upstream->life != told->life || strcmp (upstream->service, told->service) != 0)
     begin_life (gateway, upstream, told);
@@ -85,12 +85,12 @@
 {
   upstream->free = upstream->reported;
   for (guint i = 0; i < upstream->sent->len; i++)
-    az_resources_take (&upstream->free,
-                       &g_array_index (upstream->sent, struct sent_room, i).amount);
+    az_resources_subtract (&upstream->free,
+                           &g_array_index (upstream->sent, struct sent_room, i).amount);
 }
 
 void
-az_gateway_take_room (struct upstream *upstream, const struct az_node_report *report)
+az_gateway_handle_room (struct upstream *upstream, const struct az_node_report *report)
 {
   guint counted = 0;
 
--- a/src/gateway/working_set.c
+++ b/src/gateway/working_set.c
@@ -1,7 +1,7 @@
 #include "gateway/board.h"
 
-/* So many upstreams tell their room continually; those in use come on top. */
-#define WANTED_MAX 32
+/* Upstreams that report their room continually; those in use are added to them. */
+#define WORKING_SET_MAX 32
 #define CHOOSE_EVERY_MS 250
 #define IN_USE_MS 2000
 
@@ -41,31 +41,31 @@
 }
 
 static void
-set_wanted (struct az_gateway *gateway, struct upstream *upstream, bool is_wanted)
+set_in_working_set (struct az_gateway *gateway, struct upstream *upstream, bool in_working_set)
 {
   struct session *session = az_gateway_session (gateway, upstream->session);
 
-  if (upstream->is_wanted == is_wanted)
+  if (upstream->in_working_set == in_working_set)
     return;
-  upstream->is_wanted = is_wanted;
+  upstream->in_working_set = in_working_set;
   if (session)
     session->pulsed_us = 0;
 }
 
 void
-az_gateway_choose_wanted (struct az_gateway *gateway)
+az_gateway_choose_working_set (struct az_gateway *gateway)
 {
   /* While tasks wait, room is looked for further away. */
-  guint limit = gateway->waiting_milli > 0 ? 2 * WANTED_MAX : WANTED_MAX;
+  guint limit = gateway->waiting_milli > 0 ? 2 * WORKING_SET_MAX : WORKING_SET_MAX;
 
-  if (gateway->now_us - gateway->wanted_us < CHOOSE_EVERY_MS * AZ_US_PER_MS)
+  if (gateway->now_us - gateway->working_set_us < CHOOSE_EVERY_MS * AZ_US_PER_MS)
     return;
-  gateway->wanted_us = gateway->now_us;
+  gateway->working_set_us = gateway->now_us;
   for (guint i = 0; i < gateway->upstreams->len; i++)
     {
       struct upstream *upstream = gateway->upstreams->pdata[i];
 
-      set_wanted (
+      set_in_working_set (
           gateway, upstream,
           upstream->session
               && (is_in_use (gateway, upstream) || is_among_first (gateway, upstream, limit)));
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -398,13 +398,13 @@
 	az_task_progress progress<AZ_MAX_RUN>;
 };
 
-/* Renews the session; waiting_cpu_milli is what the gateway has no room for. Without wants_room it
- * hears of the room only now and then. A gateway that doesn't reach the store wants news: a newer
- * configuration than catalog_version, and the withdrawn domains. */
+/* Renews the session; waiting_cpu_milli is what the gateway has no room for. Without wants_reports
+ * it gets reports only every few seconds. A gateway that doesn't reach the store wants updates: a
+ * newer configuration than catalog_version, and the withdrawn domains. */
 struct az_node_pulse {
 	unsigned int waiting_cpu_milli;
-	bool wants_room;
-	bool wants_news;
+	bool wants_reports;
+	bool wants_updates;
 	unsigned hyper catalog_version;
 };
 
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -512,8 +512,8 @@
 
 struct az_node_pulse {
 	u_int waiting_cpu_milli;
-	bool_t wants_room;
-	bool_t wants_news;
+	bool_t wants_reports;
+	bool_t wants_updates;
 	u_quad_t catalog_version;
 };
 typedef struct az_node_pulse az_node_pulse;
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1031,15 +1031,15 @@
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants_room))
+			 if (!xdr_bool (xdrs, &objp->wants_reports))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants_news))
+			 if (!xdr_bool (xdrs, &objp->wants_updates))
 				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->waiting_cpu_milli);
-		IXDR_PUT_BOOL(buf, objp->wants_room);
-		IXDR_PUT_BOOL(buf, objp->wants_news);
+		IXDR_PUT_BOOL(buf, objp->wants_reports);
+		IXDR_PUT_BOOL(buf, objp->wants_updates);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
 			 return FALSE;
@@ -1049,15 +1049,15 @@
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants_room))
+			 if (!xdr_bool (xdrs, &objp->wants_reports))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->wants_news))
+			 if (!xdr_bool (xdrs, &objp->wants_updates))
 				 return FALSE;
 
 		} else {
 		objp->waiting_cpu_milli = IXDR_GET_U_LONG(buf);
-		objp->wants_room = IXDR_GET_BOOL(buf);
-		objp->wants_news = IXDR_GET_BOOL(buf);
+		objp->wants_reports = IXDR_GET_BOOL(buf);
+		objp->wants_updates = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
 			 return FALSE;
@@ -1066,9 +1066,9 @@
 
 	 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->wants_room))
+	 if (!xdr_bool (xdrs, &objp->wants_reports))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->wants_news))
+	 if (!xdr_bool (xdrs, &objp->wants_updates))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
 		 return FALSE;
--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -19,7 +19,7 @@
 
 /**
  * struct task - one task that runs, or may run, at the upstream
- * @session: 0 once the session is gone; nobody is told of its end then
+ * @session: 0 once the session is gone; its end is not reported then
  * @owner: instance of the gateway; NULL for what an earlier life of this process started
  * @life: number of the upstream's life that it was sent to
  * @is_recalled: its gateway doesn't want it any more
@@ -56,8 +56,8 @@
   int64_t order_end_us;
   int64_t gone_us;
   uint32_t percent;
-  int64_t percent_us; /* when @percent last changed */
-  int64_t told_us;    /* when its progress was last reported */
+  int64_t percent_us;           /* when @percent last changed */
+  int64_t progress_reported_us; /* when its progress was last reported */
 };
 
 /** struct session - the connection of one gateway */
@@ -70,10 +70,10 @@
   uint32_t received; /* run messages */
   uint32_t n_tasks;
   uint32_t waiting_cpu_milli;
-  bool wants_room;
-  bool is_open_told;
-  uint64_t life_told;
-  uint32_t free_told_milli;
+  bool wants_reports;
+  bool open_reported;
+  uint64_t life_reported;
+  uint32_t free_reported_milli;
   GArray *events;   /* struct az_task_event */
   GArray *progress; /* struct az_task_progress */
 };
@@ -109,7 +109,7 @@
  * @number: of the last hold sent
  * @taken: highest number of an answer
  * @n_failed: in a row
- * @ends_us: when an answer last told of ends; holds sent before should have been answered too
+ * @ends_us: when an answer last listed ends; holds sent before should have been answered too
  */
 struct hold_state
 {
@@ -125,7 +125,7 @@
 struct withdrawal
 {
   uint64_t revision;
-  int64_t known_us; /* when the news was current; 0: never */
+  int64_t known_us; /* when the information was current; 0: never */
   bool is_withdrawn;
 };
 
@@ -165,7 +165,7 @@
 struct task *
 az_sidecar_task (const struct az_sidecar *sidecar, uint32_t handle);
 
-/** az_sidecar_job_key - tells jobs of all gateways apart */
+/** az_sidecar_job_key - unique among the jobs of all gateways */
 uint64_t
 az_sidecar_job_key (const struct task *task);
 uint32_t
@@ -181,16 +181,16 @@
 void
 az_sidecar_recall (struct az_sidecar *sidecar, uint32_t handle);
 
-/** az_sidecar_take_missing - the upstream neither runs the task nor lists its end: it is gone, or,
- * if it has never run and is still wanted, started again */
+/** az_sidecar_handle_missing - the upstream neither runs the task nor lists its end: it is gone,
+ * or, if it has never run and is still wanted, started again */
 void
-az_sidecar_take_missing (struct az_sidecar *sidecar, uint32_t handle);
+az_sidecar_handle_missing (struct az_sidecar *sidecar, uint32_t handle);
 
 /** az_sidecar_adopt - a task of an earlier life of this process was found running: stops it */
 void
 az_sidecar_adopt (struct az_sidecar *sidecar, const char *name, uint32_t attempt);
 
-/** az_sidecar_end_task - tells the gateway and frees the room */
+/** az_sidecar_end_task - reports the end to the gateway and frees the room */
 void
 az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how);
 void
@@ -213,7 +213,7 @@
 void
 az_sidecar_hold_again (struct az_sidecar *sidecar);
 
-/** az_sidecar_hold_now - asks for the lists without waiting for an end */
+/** az_sidecar_hold_now - requests the lists without waiting for an end */
 void
 az_sidecar_hold_now (struct az_sidecar *sidecar);
 void
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -85,7 +85,7 @@
 }
 
 /* While tasks run, two holds wait at the upstream: when the answer of one is lost, the other still
- * tells of the next end. */
+ * reports the next end. */
 void
 az_sidecar_hold_again (struct az_sidecar *sidecar)
 {
@@ -109,7 +109,7 @@
 }
 
 static void
-take_ends (struct az_sidecar *sidecar, const struct az_upstream_lists *lists)
+handle_ends (struct az_sidecar *sidecar, const struct az_upstream_lists *lists)
 {
   for (size_t i = 0; i < lists->n_ended; i++)
     {
@@ -146,7 +146,7 @@
 }
 
 static void
-tell_progress (struct az_sidecar *sidecar, struct task *task)
+report_progress (struct az_sidecar *sidecar, struct task *task)
 {
   struct session *session = az_sidecar_session (sidecar, task->session);
   int64_t elapsed_us = sidecar->now_us - task->started_us;
@@ -159,20 +159,20 @@
   };
 
   if (!session || elapsed_us < PROGRESS_AFTER_MS * AZ_US_PER_MS
-      || sidecar->now_us - task->told_us < PROGRESS_EVERY_MS * AZ_US_PER_MS)
+      || sidecar->now_us - task->progress_reported_us < PROGRESS_EVERY_MS * AZ_US_PER_MS)
     return;
   if (task->percent == 0 && elapsed_us < STANDSTILL_MS * AZ_US_PER_MS)
     return;
   if (task->percent > 0 && sidecar->now_us - task->percent_us < STANDSTILL_MS * AZ_US_PER_MS)
     progress.projected_ms
         = (u_int)MIN (elapsed_us * 100 / task->percent / AZ_US_PER_MS, UINT32_MAX - 1);
-  task->told_us = sidecar->now_us;
+  task->progress_reported_us = sidecar->now_us;
   learn_slow (sidecar, task, progress.projected_ms);
   az_sidecar_queue_progress (session, &progress);
 }
 
 static void
-take_active (struct az_sidecar *sidecar, const struct az_upstream_lists *lists, uint64_t number)
+handle_active (struct az_sidecar *sidecar, const struct az_upstream_lists *lists, uint64_t number)
 {
   bool is_newest = number > sidecar->hold.taken;
 
@@ -195,7 +195,7 @@
       if (active->percent != task->percent)
         task->percent_us = sidecar->now_us;
       task->percent = active->percent;
-      tell_progress (sidecar, task);
+      report_progress (sidecar, task);
     }
 }
 
@@ -212,7 +212,7 @@
 }
 
 static void
-take_missing (struct az_sidecar *sidecar, const struct sent_hold *hold)
+handle_missing (struct az_sidecar *sidecar, const struct sent_hold *hold)
 {
   uint32_t handle = az_table_rows_next (sidecar->tasks, 0);
 
@@ -222,22 +222,22 @@
       struct task *task = az_sidecar_task (sidecar, handle);
 
       if (task->life == sidecar->life.number && is_settled_by (task, hold))
-        az_sidecar_take_missing (sidecar, handle);
+        az_sidecar_handle_missing (sidecar, handle);
       handle = next;
     }
 }
 
 static void
-take_lists (struct az_sidecar *sidecar,
-            const struct sent_hold *hold,
-            const struct az_upstream_lists *lists)
+handle_lists (struct az_sidecar *sidecar,
+              const struct sent_hold *hold,
+              const struct az_upstream_lists *lists)
 {
   az_lease_observe (&sidecar->lease, lists->answer.clock_ms, sidecar->now_us);
-  take_ends (sidecar, lists);
+  handle_ends (sidecar, lists);
   if (lists->n_ended > 0)
     sidecar->hold.ends_us = sidecar->now_us;
-  take_active (sidecar, lists, hold->number);
-  take_missing (sidecar, hold);
+  handle_active (sidecar, lists, hold->number);
+  handle_missing (sidecar, hold);
   sidecar->hold.taken = MAX (sidecar->hold.taken, hold->number);
   if (!sidecar->life.is_fenced && lists->n_active == 0)
     {
@@ -251,7 +251,7 @@
 
 /* Whether the hold was awaited; it is no more. */
 static bool
-take_sent (struct hold_state *hold, uint64_t number, struct sent_hold *sent)
+remove_in_flight (struct hold_state *hold, uint64_t number, struct sent_hold *sent)
 {
   for (guint i = 0; i < hold->in_flight->len; i++)
     if (g_array_index (hold->in_flight, struct sent_hold, i).number == number)
@@ -272,7 +272,7 @@
   struct sent_hold sent;
 
   sidecar->now_us = az_now_us (sidecar->clock);
-  if (!take_sent (hold, number, &sent))
+  if (!remove_in_flight (hold, number, &sent))
     return;
   if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE
       || (lists->answer.born_ms > 0 && lists->answer.born_ms != sidecar->life.born_ms))
@@ -284,7 +284,7 @@
     {
     case AZ_UPSTREAM_OK:
       hold->n_failed = 0;
-      take_lists (sidecar, &sent, lists);
+      handle_lists (sidecar, &sent, lists);
       break;
     case AZ_UPSTREAM_FENCED:
       az_sidecar_raise_fence (sidecar);
--- a/src/sidecar/life.c
+++ b/src/sidecar/life.c
@@ -54,7 +54,7 @@
       else
         {
           /* Its room is not that of the new life. */
-          az_resources_take (&sidecar->used, &task->need);
+          az_resources_subtract (&sidecar->used, &task->need);
           task->need = (struct az_resources){ 0 };
         }
       handle = next;
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -44,11 +44,11 @@
   uint32_t n_sessions;
   int64_t alone_us; /* since when there has been no session */
   int64_t members_us;
-  int64_t news_us;
+  int64_t withdrawals_us;
   GHashTable *withdrawn; /* set that a read of the store builds up */
   char *record;          /* of the upstream, as last written to the store */
-  bool is_asking_news;
-  bool is_asking_members;
+  bool is_reading_withdrawals;
+  bool is_reading_members;
   bool is_stopping;
   bool is_abandoned;
   bool is_closed;
@@ -75,9 +75,9 @@
 void
 az_sidecar_program_open_rpc (struct az_sidecar_program *program);
 void
-az_sidecar_program_know (struct az_sidecar_program *program, const char *address);
+az_sidecar_program_add_gateway (struct az_sidecar_program *program, const char *address);
 void
-az_sidecar_program_know_seeds (struct az_sidecar_program *program, const GPtrArray *seeds);
+az_sidecar_program_add_seeds (struct az_sidecar_program *program, const GPtrArray *seeds);
 void
 az_sidecar_program_connect (struct az_sidecar_program *program);
 
@@ -90,7 +90,7 @@
 
 /* program_store.c */
 void
-az_sidecar_program_ask_store (struct az_sidecar_program *program);
+az_sidecar_program_poll_store (struct az_sidecar_program *program);
 
 extern const struct az_setting az_sidecar_schema[];
 extern const size_t az_sidecar_n_schema;
--- a/src/sidecar/program_registry.c
+++ b/src/sidecar/program_registry.c
@@ -13,9 +13,9 @@
 }
 
 static void
-take_beat (struct az_sidecar_program *program,
-           const struct az_http_request *request,
-           const char *instance)
+handle_beat (struct az_sidecar_program *program,
+             const struct az_http_request *request,
+             const char *instance)
 {
   struct az_upstream_announcement announcement;
 
@@ -40,7 +40,7 @@
   switch (platform_registry_call (request->method, request->path, &instance))
     {
     case PLATFORM_REGISTRY_BEAT:
-      take_beat (program, request, instance);
+      handle_beat (program, request, instance);
       break;
     case PLATFORM_REGISTRY_LEAVE:
       az_sidecar_left (program->sidecar, instance);
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -73,7 +73,7 @@
 
   if (message->proc == AZ_NODE_GATEWAYS)
     for (u_int i = 0; i < gateways->addresses.addresses_len; i++)
-      az_sidecar_program_know (program, gateways->addresses.addresses_val[i]);
+      az_sidecar_program_add_gateway (program, gateways->addresses.addresses_val[i]);
   az_sidecar_received (program->sidecar, connection, message);
 }
 
@@ -136,7 +136,7 @@
 }
 
 void
-az_sidecar_program_know (struct az_sidecar_program *program, const char *address)
+az_sidecar_program_add_gateway (struct az_sidecar_program *program, const char *address)
 {
   struct gateway_link *link;
 
@@ -151,19 +151,19 @@
 }
 
 void
-az_sidecar_program_know_seeds (struct az_sidecar_program *program, const GPtrArray *seeds)
+az_sidecar_program_add_seeds (struct az_sidecar_program *program, const GPtrArray *seeds)
 {
   for (guint i = 0; seeds && i < seeds->len; i++)
     {
       g_autofree char *address = az_seed_address (seeds->pdata[i], program->options->seed_port);
 
-      az_sidecar_program_know (program, address);
+      az_sidecar_program_add_gateway (program, address);
     }
 }
 
 /* Among the first by rank of those that can be reached. */
 static bool
-is_wanted (const struct az_sidecar_program *program, const struct gateway_link *link)
+is_preferred (const struct az_sidecar_program *program, const struct gateway_link *link)
 {
   GHashTableIter iterator;
   gpointer value;
@@ -183,7 +183,7 @@
 
 /* A gateway that lost its place to one that is back keeps its session while it has tasks. */
 static void
-drop_unwanted (struct az_sidecar_program *program)
+drop_surplus (struct az_sidecar_program *program)
 {
   GHashTableIter iterator;
   gpointer value;
@@ -195,7 +195,7 @@
     {
       const struct gateway_link *link = value;
 
-      if (!link->session || is_wanted (program, link)
+      if (!link->session || is_preferred (program, link)
           || !az_sidecar_is_session_idle (program->sidecar, link->session))
         continue;
       az_rpc_close (program->rpc, link->session, "other gateways are nearer");
@@ -216,10 +216,10 @@
       struct gateway_link *link = value;
 
       if (link->session || link->is_connecting || now_us () < link->retry_us
-          || !is_wanted (program, link))
+          || !is_preferred (program, link))
         continue;
       link->is_connecting = true;
       az_rpc_connect (program->rpc, key);
     }
-  drop_unwanted (program);
+  drop_surplus (program);
 }
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -58,11 +58,11 @@
 }
 
 static void
-take_seeds (struct az_sidecar_program *program, GPtrArray *seeds)
+handle_seeds (struct az_sidecar_program *program, GPtrArray *seeds)
 {
   if (!seeds)
     return;
-  az_sidecar_program_know_seeds (program, seeds);
+  az_sidecar_program_add_seeds (program, seeds);
   g_ptr_array_unref (seeds);
 }
 
@@ -72,7 +72,7 @@
   struct az_sidecar_program *program = context;
 
   az_log (LOG_NOTICE, "event=hangup");
-  take_seeds (program, az_settings_watch_look (&program->settings));
+  handle_seeds (program, az_settings_watch_look (&program->settings));
 }
 
 static void
@@ -81,10 +81,10 @@
   struct az_sidecar_program *program = context;
 
   az_sidecar_tick (program->sidecar);
-  take_seeds (program,
-              az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
+  handle_seeds (program,
+                az_settings_watch_look_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
   az_sidecar_program_connect (program);
-  az_sidecar_program_ask_store (program);
+  az_sidecar_program_poll_store (program);
   if (program->is_stopping)
     continue_stop (program);
 }
@@ -140,7 +140,7 @@
     .seeds_offset = offsetof (struct az_sidecar_options, seeds),
   };
   az_settings_watch_open (&program->settings);
-  az_sidecar_program_know_seeds (program, program->options->seeds);
+  az_sidecar_program_add_seeds (program, program->options->seeds);
   program->store = az_metadata_client_create (program->loop, program->options->store_address);
   az_sidecar_program_read_record (program);
   program->node = (struct az_node_loop){
--- a/src/sidecar/program_store.c
+++ b/src/sidecar/program_store.c
@@ -6,7 +6,7 @@
 /* Gateways relay what the store holds. Only without them does this process read it. */
 #define ALONE_MS 1000
 #define MEMBERS_EVERY_MS 2000
-#define NEWS_EVERY_MS 1000
+#define WITHDRAWALS_EVERY_MS 1000
 
 static int64_t
 now_us (void)
@@ -19,29 +19,29 @@
 {
   struct az_sidecar_program *program = context;
 
-  program->is_asking_members = false;
+  program->is_reading_members = false;
   if (program->is_closed)
     return;
   for (size_t i = 0; i < answer->n_items; i++)
     if (answer->items[i].value)
-      az_sidecar_program_know (program, answer->items[i].value);
+      az_sidecar_program_add_gateway (program, answer->items[i].value);
 }
 
 static void
-ask_members (struct az_sidecar_program *program)
+read_members (struct az_sidecar_program *program)
 {
-  program->is_asking_members = true;
+  program->is_reading_members = true;
   program->members_us = now_us ();
   az_metadata_range (program->store, AZ_MEMBERS_PREFIX, NULL, members_read, program);
 }
 
 static void
-news_read (void *context, struct az_metadata_answer *answer)
+withdrawals_read (void *context, struct az_metadata_answer *answer)
 {
   struct az_sidecar_program *program = context;
   g_autoptr (GPtrArray) domains = g_ptr_array_new ();
 
-  program->is_asking_news = false;
+  program->is_reading_withdrawals = false;
   if (program->is_closed || answer->result != AZ_METADATA_OK)
     return;
   for (size_t i = 0; i < answer->n_items; i++)
@@ -51,28 +51,31 @@
       if (domain && answer->items[i].value)
         g_ptr_array_add (domains, (char *)domain);
     }
-  az_sidecar_withdrawn (program->sidecar, answer->revision, (now_us () - program->news_us) / 1000,
+  az_sidecar_withdrawn (program->sidecar, answer->revision,
+                        (now_us () - program->withdrawals_us) / 1000,
                         (const char *const *)domains->pdata, domains->len);
 }
 
 static void
-ask_news (struct az_sidecar_program *program)
+read_withdrawals (struct az_sidecar_program *program)
 {
-  program->is_asking_news = true;
-  program->news_us = now_us ();
-  az_metadata_range (program->store, PLATFORM_WITHDRAWN_PREFIX, NULL, news_read, program);
+  program->is_reading_withdrawals = true;
+  program->withdrawals_us = now_us ();
+  az_metadata_range (program->store, PLATFORM_WITHDRAWN_PREFIX, NULL, withdrawals_read, program);
 }
 
 void
-az_sidecar_program_ask_store (struct az_sidecar_program *program)
+az_sidecar_program_poll_store (struct az_sidecar_program *program)
 {
   int64_t now = now_us ();
 
-  if (!program->is_asking_members && program->n_sessions == 0
+  if (!program->is_reading_members && program->n_sessions == 0
       && now - program->alone_us > ALONE_MS * 1000
       && now - program->members_us > MEMBERS_EVERY_MS * 1000)
-    ask_members (program);
-  if (!program->is_asking_news && now - program->news_us > NEWS_EVERY_MS * 1000
-      && now - program->alone_us > ALONE_MS * 1000 && az_sidecar_needs_news (program->sidecar))
-    ask_news (program);
+    read_members (program);
+  if (!program->is_reading_withdrawals
+      && now - program->withdrawals_us > WITHDRAWALS_EVERY_MS * 1000
+      && now - program->alone_us > ALONE_MS * 1000
+      && az_sidecar_needs_withdrawals (program->sidecar))
+    read_withdrawals (program);
 }
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -14,7 +14,7 @@
 {
   struct az_resources free = sidecar->life.capacity;
 
-  az_resources_take (&free, &sidecar->used);
+  az_resources_subtract (&free, &sidecar->used);
   return free;
 }
 
@@ -35,17 +35,17 @@
 }
 
 static void
-tell_upstream (struct az_sidecar *sidecar, struct session *session)
+report_upstream (struct az_sidecar *sidecar, struct session *session)
 {
   struct az_message message = { .proc = AZ_NODE_UPSTREAM };
   struct life *life = &sidecar->life;
   bool is_open = az_sidecar_is_open (sidecar)
-                 && (session->is_open_told || !az_sidecar_has_orphans (sidecar, session->gateway));
+                 && (session->open_reported || !az_sidecar_has_orphans (sidecar, session->gateway));
 
-  if (session->life_told == life->number && session->is_open_told == is_open)
+  if (session->life_reported == life->number && session->open_reported == is_open)
     return;
-  session->life_told = life->number;
-  session->is_open_told = is_open;
+  session->life_reported = life->number;
+  session->open_reported = is_open;
   message.az_message_u.node_upstream = (struct az_node_upstream){
     .life = life->number,
     .open = is_open,
@@ -78,7 +78,7 @@
   g_array_remove_range (session->events, 0, n_events);
   g_array_set_size (session->progress, 0);
   session->reported_us = sidecar->now_us;
-  session->free_told_milli = free.cpu_milli;
+  session->free_reported_milli = free.cpu_milli;
 }
 
 static bool
@@ -89,11 +89,12 @@
 
   if (session->events->len > 0 || session->progress->len > 0)
     return true;
-  if (!session->wants_room && session->n_tasks == 0)
+  if (!session->wants_reports && session->n_tasks == 0)
     return silent_us >= REPORT_DORMANT_MS * AZ_US_PER_MS;
-  if (session->waiting_cpu_milli > 0 && free_milli >= session->free_told_milli + FREE_CHANGE_MILLI)
+  if (session->waiting_cpu_milli > 0
+      && free_milli >= session->free_reported_milli + FREE_CHANGE_MILLI)
     return true;
-  if (session->n_tasks > 0 || free_milli != session->free_told_milli)
+  if (session->n_tasks > 0 || free_milli != session->free_reported_milli)
     return silent_us >= REPORT_BUSY_MS * AZ_US_PER_MS;
   return silent_us >= REPORT_IDLE_MS * AZ_US_PER_MS;
 }
@@ -111,7 +112,7 @@
 
       if (!session->gateway)
         continue;
-      tell_upstream (sidecar, session);
+      report_upstream (sidecar, session);
       while (session->events->len > AZ_MAX_RUN)
         az_sidecar_report (sidecar, session);
       if (is_report_due (sidecar, session))
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -21,7 +21,7 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   session->handle = handle;
   session->heard_us = sidecar->now_us;
-  session->wants_room = true;
+  session->wants_reports = true;
   session->events = g_array_new (FALSE, FALSE, sizeof (struct az_task_event));
   session->progress = g_array_new (FALSE, FALSE, sizeof (struct az_task_progress));
   g_hash_table_insert (sidecar->sessions, GUINT_TO_POINTER (handle), session);
@@ -76,7 +76,7 @@
 }
 
 static void
-take_hello (struct session *session, const struct az_node_hello *hello)
+handle_hello (struct session *session, const struct az_node_hello *hello)
 {
   g_free (session->gateway);
   session->gateway = g_strdup (hello->instance);
@@ -84,7 +84,7 @@
 }
 
 static void
-take_withdrawn (struct az_sidecar *sidecar, const struct az_node_withdrawn *withdrawn)
+handle_withdrawn (struct az_sidecar *sidecar, const struct az_node_withdrawn *withdrawn)
 {
   az_sidecar_withdrawn (sidecar, withdrawn->revision, withdrawn->age_ms,
                         (const char *const *)withdrawn->domains.domains_val,
@@ -103,14 +103,14 @@
   switch (message->proc)
     {
     case AZ_NODE_HELLO:
-      take_hello (session, &message->az_message_u.node_hello);
+      handle_hello (session, &message->az_message_u.node_hello);
       break;
     case AZ_NODE_WITHDRAWN:
-      take_withdrawn (sidecar, &message->az_message_u.node_withdrawn);
+      handle_withdrawn (sidecar, &message->az_message_u.node_withdrawn);
       break;
     case AZ_NODE_PULSE:
       session->waiting_cpu_milli = message->az_message_u.node_pulse.waiting_cpu_milli;
-      session->wants_room = message->az_message_u.node_pulse.wants_room;
+      session->wants_reports = message->az_message_u.node_pulse.wants_reports;
       break;
     case AZ_NODE_RUN:
       session->received++;
@@ -136,7 +136,7 @@
       int64_t limit_ms = sidecar->settings.session_ms;
 
       if (session->n_tasks == 0)
-        limit_ms *= session->wants_room ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
+        limit_ms *= session->wants_reports ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
       if (sidecar->now_us - session->heard_us <= limit_ms * AZ_US_PER_MS)
         continue;
       az_sidecar_session_closed (sidecar, handle, "gateway is silent");
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -253,7 +253,7 @@
   if (how != AZ_TASK_DONE)
     az_log (LOG_INFO, "event=task-end task=%s attempt=%u how=%d run_ms=%u told=%s", task->name,
             task->attempt, (int)how, event.run_ms, session ? session->gateway : "nobody");
-  az_resources_take (&sidecar->used, &task->need);
+  az_resources_subtract (&sidecar->used, &task->need);
   if (session)
     {
       session->n_tasks--;
@@ -284,7 +284,7 @@
 }
 
 void
-az_sidecar_take_missing (struct az_sidecar *sidecar, uint32_t handle)
+az_sidecar_handle_missing (struct az_sidecar *sidecar, uint32_t handle)
 {
   struct task *task = az_sidecar_task (sidecar, handle);
 
--- a/src/sidecar/withdrawal.c
+++ b/src/sidecar/withdrawal.c
@@ -30,7 +30,7 @@
 }
 
 bool
-az_sidecar_needs_news (const struct az_sidecar *sidecar)
+az_sidecar_needs_withdrawals (const struct az_sidecar *sidecar)
 {
   int64_t age_us = az_now_us (sidecar->clock) - sidecar->withdrawal.known_us;
 
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -35,7 +35,8 @@
   struct gateway_rig *rig = context;
   const struct az_node_stop *stop = &message->az_message_u.node_stop;
 
-  rig->n_asked += message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_news;
+  rig->n_requested
+      += message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_updates;
   rig->n_catalogs += message->proc == AZ_NODE_CATALOG;
   if (message->proc == AZ_NODE_RUN)
     take_run (rig, session, &message->az_message_u.node_run);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -34,7 +34,7 @@
   GArray *answers; /* struct gateway_answer */
   GPtrArray *connects;
   unsigned n_closed;
-  unsigned n_asked;      /* pulses that ask for news */
+  unsigned n_requested;  /* pulses that ask for news */
   unsigned n_catalogs;   /* configurations sent to peers */
   uint32_t received[16]; /* run messages per session */
   uint32_t used[16];     /* thousandths of a core that the test's upstreams have in use */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -194,7 +194,7 @@
 /* Guards against a gateway that the store turns away and that keeps an old configuration, and
  * against traffic with the square of the gateways while all reach the store. */
 static void
-test_news_come_from_peers_only_without_the_store (void **state)
+test_updates_come_from_peers_only_without_the_store (void **state)
 {
   struct gateway_rig *rig = gateway_rig_create (0);
   struct az_message pulse = { .proc = AZ_NODE_PULSE };
@@ -202,12 +202,12 @@
   (void)state;
   open_peer (rig, 9);
   gateway_rig_pass (rig, 1000, 0);
-  assert_int_equal (rig->n_asked, 0);
+  assert_int_equal (rig->n_requested, 0);
   assert_int_equal (rig->n_catalogs, 0);
   az_gateway_set_store_reachable (rig->core, false);
   gateway_rig_pass (rig, 500, 0);
-  assert_in_range (rig->n_asked, 2, 3);
-  pulse.az_message_u.node_pulse.wants_news = true;
+  assert_in_range (rig->n_requested, 2, 3);
+  pulse.az_message_u.node_pulse.wants_updates = true;
   pulse.az_message_u.node_pulse.catalog_version = 1;
   az_gateway_received (rig->core, 9, &pulse);
   assert_int_equal (rig->n_catalogs, 0);
@@ -405,7 +405,7 @@
     cmocka_unit_test (test_job_sent_twice_runs_once),
     cmocka_unit_test (test_job_whose_caller_has_gone_is_stopped),
     cmocka_unit_test (test_configuration_never_goes_back),
-    cmocka_unit_test (test_news_come_from_peers_only_without_the_store),
+    cmocka_unit_test (test_updates_come_from_peers_only_without_the_store),
     cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
     cmocka_unit_test (test_job_waits_for_the_first_upstream),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
