Extend the lease bounds of all tasks when a start is sent

The lease end of any start applies to all tasks of an upstream, but the sidecar moved only the bound of the task being started.

Change: each order with a lease end moves the bounds of all tasks when it is sent. Only adopted tasks begin with the longest lease of an earlier life; until now that bound hid the fault for the first 1.1 s of each task. The soak has a mute executor.

Test, red before: test_start_extends_the_leases_of_other_tasks.

--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -213,6 +213,15 @@
 void
 az_sidecar_hold_again (struct az_sidecar *sidecar);
 
+/**
+ * az_sidecar_extend_leases - an order with this lease end is being sent
+ *
+ * The upstream applies the lease end of any hold or start to all of its tasks, also if its answer
+ * is lost, so the bounds of all tasks move when the order is sent.
+ */
+void
+az_sidecar_extend_leases (struct az_sidecar *sidecar, int64_t lease_end_clock_ms);
+
 /** az_sidecar_hold_now - requests the lists without waiting for an end */
 void
 az_sidecar_hold_now (struct az_sidecar *sidecar);
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -27,9 +27,8 @@
   return az_table_rows_count (sidecar->tasks) > 0 ? WAIT_BUSY_MS : WAIT_IDLE_MS;
 }
 
-/* The upstream may carry out a renewal whose answer is lost, so the bounds move when it is sent. */
-static void
-renew_tasks (struct az_sidecar *sidecar, int64_t lease_end_clock_ms)
+void
+az_sidecar_extend_leases (struct az_sidecar *sidecar, int64_t lease_end_clock_ms)
 {
   int64_t gone_us = az_lease_gone_us (&sidecar->lease, lease_end_clock_ms)
                     + sidecar->settings.stop_ms * AZ_US_PER_MS;
@@ -63,7 +62,7 @@
     {
       call.lease_end_clock_ms
           = az_lease_end_clock (&sidecar->lease, sidecar->settings.lease_ms, sidecar->now_us);
-      renew_tasks (sidecar, call.lease_end_clock_ms);
+      az_sidecar_extend_leases (sidecar, call.lease_end_clock_ms);
     }
   g_array_append_val (hold->in_flight, sent);
   sidecar->io.hold (sidecar->io.context, sent.number, &call);
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -39,8 +39,6 @@
   task->name = g_strdup (name);
   task->life = sidecar->life.number;
   task->seen_hold = UINT64_MAX;
-  task->gone_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
-  task->order_end_us = task->gone_us;
   g_hash_table_replace (sidecar->task_names, task->name, GUINT_TO_POINTER (handle));
   return handle;
 }
@@ -85,8 +83,7 @@
   task->state = TASK_STARTING;
   task->started_us = task->percent_us = sidecar->now_us;
   task->order_end_us = az_lease_gone_us (&sidecar->lease, start.lease_end_clock_ms);
-  task->gone_us
-      = MAX (task->gone_us, task->order_end_us + sidecar->settings.stop_ms * AZ_US_PER_MS);
+  az_sidecar_extend_leases (sidecar, start.lease_end_clock_ms);
   sidecar->io.start (sidecar->io.context, handle, &start);
 }
 
@@ -207,6 +204,7 @@
   struct task *task = az_sidecar_task (sidecar, handle);
 
   task->attempt = attempt;
+  task->gone_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
   task->state = TASK_RUNNING;
   task->seen_hold = sidecar->hold.number;
   az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u outcome=stopping", name, attempt);
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -344,6 +344,12 @@
         await asyncio.sleep(self.random.uniform(0.3, 3))
         executor.silent = False
 
+    async def fault_executor_mute(self):
+        executor = self.random.choice(self.executors)
+        executor.mute = True
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        executor.mute = False
+
     async def fault_unanswered(self):
         for executor in self.executors:
             executor.unanswered = 0.1
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -94,13 +94,15 @@
 
 
 class Executor:
-    """An executor. @silent, @unanswered (share), @failing (share), @rate (0 stands still)."""
+    """An executor. @silent: does and answers nothing; @mute: does all and answers nothing;
+    @unanswered and @failing: shares; @rate: 0 stands still."""
 
     def __init__(self, name, host, port, registry, zone, history, seed):
         self.machine, self.host, self.port = name, host, port
         self.registry, self.zone, self.history = registry, zone, history
         self.random = random.Random(seed)
         self.silent, self.unanswered, self.failing, self.rate = False, 0.0, 0.0, 1.0
+        self.mute = False
         self.is_up, self.draining, self.acknowledged_draining = False, False, None
         self.lives = 0
         self.news = asyncio.Event()
@@ -191,7 +193,10 @@
             return self.reject("fence")
         self.fence = call.get("fencing-token", 0)
         name = target.rsplit("/", 1)[1]
-        return await getattr(self, name.replace("-", "_"))(call)
+        answer = await getattr(self, name.replace("-", "_"))(call)
+        if self.mute:
+            raise standin_http.Silence
+        return answer
 
     def reject(self, reason):
         return 409, {"clock-ms": self.clock(), "born": self.born, "reason": reason}
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -165,6 +165,32 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a second run of a task whose lease was extended by the start of another one: the
+ * upstream applies each lease end to all of its tasks. */
+static void
+test_start_extends_the_leases_of_other_tasks (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_pass_held (rig, 500, "job.0.0.0");
+  /* The holds that renewed the first task's lease are on their way; no answer comes any more. */
+  for (int i = 0; i < 16; i++)
+    {
+      sidecar_rig_pulse (rig, 1);
+      sidecar_rig_pass (rig, 25);
+    }
+  sidecar_rig_run (rig, 1, 2, 1);
+  assert_int_equal (rig->starts->len, 2);
+  pass_silent (rig, 650);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  pass_silent (rig, 200);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against two runs of a job that its caller sends again through another gateway: what the
  * first one started is stopped when its session ends. */
 static void
@@ -427,6 +453,7 @@
     cmocka_unit_test (test_overtaken_answer_adopts_nothing),
     cmocka_unit_test (test_unanswered_start_is_gone_with_its_lease),
     cmocka_unit_test (test_silent_upstream_keeps_its_tasks_until_the_lease_ends),
+    cmocka_unit_test (test_start_extends_the_leases_of_other_tasks),
     cmocka_unit_test (test_closed_session_stops_its_tasks),
     cmocka_unit_test (test_silent_session_ends),
     cmocka_unit_test (test_new_session_is_open_when_the_former_ones_tasks_are_gone),
