Know the ids of an interval whose interim owner has run nothing

An entry lost partitions at table version 3, to an owner that began 5 s later; that owner stopped before and version 4 named the first entry again, from a later time on. Ids between the two times were answered "unknown" (id, between 466.29 and 468.03 s), since knowledge ended with the interval that never began. In the other case, where version 4 names a third owner and the first entry as the previous one, the first entry ran such ids without any proof that the interim owner, if it learned of version 4 late, had not started them: read in the code, and shown by the second test.

Knowledge goes on over the interval of an interim owner only if that owner reported a later version before its interval began, clocks' skew counted twice; a second interim owner, or a version that was missed, ends it. Ids that the bounded memory of refusals drops are forgotten there as well.

Tests, red before: test_interval_that_returns_before_it_began (its second half now expects a start when the proof is there; the strict half became the next test), test_interval_that_may_have_begun; new: test_two_owners_in_between. A version that is missed between two moves isn't told apart from a single move when an interval ends; no run has shown it.

--- a/src/entry/adopt.c
+++ b/src/entry/adopt.c
@@ -77,43 +77,6 @@
   board->next_exchange = board->now;
 }
 
-/* The owner of an interval that returns to this entry before it began has run none of its ids:
- * what this entry knew of the ids before that interval is still whole. */
-static void
-keep_earlier_interval (struct az_entry_owned *owned, const struct az_partition *row)
-{
-  bool is_kept = row->previous == row->owner && owned->ended_ms > 0;
-
-  owned->known_from_ms = is_kept ? MAX (owned->horizon_ms, owned->known_from_ms) : 0;
-  owned->known_until_ms = is_kept ? owned->ended_ms : 0;
-  owned->ended_ms = 0;
-}
-
-/* Where this entry's ownership of a partition is new, nothing is known of older ids. */
-static void
-note_ownership (struct az_entry_board *board, uint32_t partition, uint64_t former_owner)
-{
-  const struct az_partition *row = &board->table.partitions.partitions_val[partition];
-
-  if (row->owner != board->incarnation)
-    {
-      if (board->owned[partition].from_ms >= 0)
-        board->owned[partition].ended_ms
-            = row->previous == board->incarnation ? (int64_t)row->from_ms : 0;
-      board->owned[partition].from_ms = -1;
-      board->owned[partition].is_pending = false;
-      board->recover_partitions &= ~(1ULL << partition);
-      return;
-    }
-  if (board->owned[partition].from_ms == (int64_t)row->from_ms)
-    return;
-  keep_earlier_interval (&board->owned[partition], row);
-  board->owned[partition].from_ms = (int64_t)row->from_ms;
-  board->owned[partition].horizon_ms = INT64_MAX;
-  board->owned[partition].is_pending = true;
-  board->owned[partition].is_direct = former_owner && former_owner == row->previous;
-}
-
 /* Owners in the version just before @table; 0 if this entry doesn't have that version. */
 static void
 find_former_owners (const struct az_entry_board *board,
@@ -147,7 +110,7 @@
   az_owner_table_copy (&board->table, table);
   board->has_table = true;
   for (uint32_t i = 0; i < AZ_PARTITIONS; i++)
-    note_ownership (board, i, former_owners[i]);
+    az_entry_note_ownership (board, i, former_owners[i]);
   az_entry_peers_update (board);
   az_entry_confirm (board);
   az_entry_quota_update (board, false);
--- a/src/entry/board.h
+++ b/src/entry/board.h
@@ -255,17 +255,27 @@
   uint32_t evidence_age;
 };
 
-/* What this entry knows of a partition that it owns. */
+/**
+ * struct az_entry_owned - which ids of a partition this entry has complete knowledge of
+ * @horizon_ms: those from here on, while it is the owner
+ * @handover_horizon_ms: the horizon as set when the table version was confirmed
+ * @known_from_ms: besides, those of its former intervals, from here
+ * @known_until_ms: to here, exclusive
+ * @interim: owner of the interval that began at @known_until_ms; 0 if that can't be told
+ * @from_ms: -1 if not owned
+ * @is_pending: until the table version is confirmed
+ * @is_direct: the version before named the previous owner as owner
+ */
 struct az_entry_owned
 {
-  int64_t horizon_ms;          /* nothing is known of older ids without a record */
-  int64_t handover_horizon_ms; /* the horizon as set when the table version was confirmed */
-  int64_t known_from_ms;  /* but ids from here are known, from an earlier interval of its own, */
-  int64_t known_until_ms; /* to here, exclusive */
-  int64_t ended_ms;       /* end of its interval, while another entry is the owner */
-  int64_t from_ms;        /* -1 if not owned */
-  bool is_pending;        /* until the table version is confirmed */
-  bool is_direct;         /* the version before named the previous owner as owner */
+  int64_t horizon_ms;
+  int64_t handover_horizon_ms;
+  int64_t known_from_ms;
+  int64_t known_until_ms;
+  uint64_t interim;
+  int64_t from_ms;
+  bool is_pending;
+  bool is_direct;
 };
 
 /* The last reading of the store and the write that may be under way. */
--- a/src/entry/closed.c
+++ b/src/entry/closed.c
@@ -55,12 +55,10 @@
 make_room (struct az_entry_board *board)
 {
   const struct closed_id *oldest = g_queue_peek_head (&board->closed_order);
-  int64_t *horizon;
 
   if (board->closed_order.length < CLOSED_MAX)
     return;
-  horizon = &board->owned[oldest->partition].horizon_ms;
-  *horizon = MAX (*horizon, oldest->id_time_ms + 1);
+  az_entry_forget (&board->owned[oldest->partition], oldest->id_time_ms);
   remove_oldest (board);
 }
 
--- a/src/entry/cluster.h
+++ b/src/entry/cluster.h
@@ -32,6 +32,27 @@
 bool
 az_entry_owns_partitions (const struct az_entry_board *board, uint64_t incarnation);
 
+/** az_entry_has_reported - whether a member has, or had, this table version or a later one */
+bool
+az_entry_has_reported (const struct az_entry_board *board, uint64_t incarnation, uint64_t version);
+
+/** az_entry_note_ownership - after a newer table; @former_owner: in the version just before it, 0
+ * if that is not known */
+void
+az_entry_note_ownership (struct az_entry_board *board, uint32_t partition, uint64_t former_owner);
+
+/** az_entry_knows - whether an id of that time without a record has certainly not run */
+bool
+az_entry_knows (const struct az_entry_owned *owned, int64_t id_time_ms);
+
+/** az_entry_knows_until - whether knowledge of its former intervals goes on to @until_ms */
+bool
+az_entry_knows_until (const struct az_entry_board *board, uint32_t partition, uint64_t until_ms);
+
+/** az_entry_extend_knowledge - over intervals of other owners that have surely run nothing */
+void
+az_entry_extend_knowledge (struct az_entry_board *board);
+
 /** az_entry_confirm - notes whether the table version is confirmed, and sets horizons */
 void
 az_entry_confirm (struct az_entry_board *board);
--- a/src/entry/jobs.h
+++ b/src/entry/jobs.h
@@ -224,4 +224,8 @@
 uint32_t
 az_entry_recover_job (struct az_entry_board *board, const char *id);
 
+/** az_entry_forget - a record of that time is dropped early: it and older ids are not known */
+void
+az_entry_forget (struct az_entry_owned *owned, int64_t id_time_ms);
+
 #endif
--- a/src/entry/ownership.c
+++ b/src/entry/ownership.c
@@ -22,8 +22,8 @@
   return false;
 }
 
-static bool
-has_reported (const struct az_entry_board *board, uint64_t incarnation, uint64_t version)
+bool
+az_entry_has_reported (const struct az_entry_board *board, uint64_t incarnation, uint64_t version)
 {
   const struct az_entry_peer *peer;
 
@@ -50,7 +50,7 @@
   for (uint32_t i = 0; i < board->table.roster.roster_len; i++)
     {
       const struct az_roster_entry *member = &board->table.roster.roster_val[i];
-      bool has_it = has_reported (board, member->incarnation, version);
+      bool has_it = az_entry_has_reported (board, member->incarnation, version);
       bool is_older = member->joined < version;
 
       reported += has_it;
@@ -71,7 +71,7 @@
   int64_t skew_ms = 2 * board->settings.clock_skew_max_ms;
 
   return board->owned[partition].is_direct && board->wall_ms + skew_ms <= (int64_t)row->from_ms
-         && has_reported (board, row->previous, board->table.table_version);
+         && az_entry_has_reported (board, row->previous, board->table.table_version);
 }
 
 static void
@@ -103,7 +103,7 @@
       struct az_entry_owned *owned = &board->owned[i];
 
       if (owned->from_ms < 0 || owned->is_pending || owned->horizon_ms != owned->handover_horizon_ms
-          || !has_previous_stopped (board, i))
+          || !(has_previous_stopped (board, i) || az_entry_knows_until (board, i, row->from_ms)))
         continue;
       owned->horizon_ms = (int64_t)row->from_ms;
     }
@@ -129,6 +129,8 @@
 az_entry_confirm (struct az_entry_board *board)
 {
   confirm_version (board);
-  if (board->has_table)
-    lower_horizons (board);
+  if (!board->has_table)
+    return;
+  az_entry_extend_knowledge (board);
+  lower_horizons (board);
 }
--- a/src/entry/retention.c
+++ b/src/entry/retention.c
@@ -57,10 +57,8 @@
 {
   uint32_t handle = GPOINTER_TO_UINT (g_queue_peek_head (&board->answered));
   const struct az_entry_job *job = az_entry_board_job (board, handle);
-  struct az_entry_owned *owned = &board->owned[job->partition];
 
-  owned->horizon_ms = MAX (owned->horizon_ms, job->id_time_ms + 1);
-  owned->known_from_ms = MAX (owned->known_from_ms, job->id_time_ms + 1);
+  az_entry_forget (&board->owned[job->partition], job->id_time_ms);
   evict_oldest (board);
 }
 
--- a/src/entry/submit.c
+++ b/src/entry/submit.c
@@ -81,14 +81,6 @@
   wait_for (board, handle, origin);
 }
 
-static bool
-is_before_horizon (const struct az_entry_owned *owned, int64_t id_time_ms)
-{
-  bool is_known = id_time_ms >= owned->known_from_ms && id_time_ms < owned->known_until_ms;
-
-  return id_time_ms < owned->horizon_ms && !is_known;
-}
-
 /* An id without a record that the horizon or its age puts out of this entry's knowledge. */
 static bool
 refuse_unknown (struct az_entry_board *board,
@@ -105,7 +97,7 @@
                        "the id is older than the time for which answers are kept");
       return true;
     }
-  if (is_before_horizon (&board->owned[az_job_id_partition (submit->job)], id_time_ms))
+  if (!az_entry_knows (&board->owned[az_job_id_partition (submit->job)], id_time_ms))
     {
       az_entry_refuse (board, submit->job, origin, AZ_OUTCOME_UNKNOWN, "outcome_unknown",
                        "this entry has no knowledge of ids of that time");
--- a/tests/test_entry_owners.c
+++ b/tests/test_entry_owners.c
@@ -337,6 +337,7 @@
   test_entry_destroy (entry);
 }
 
+/* From @from_ms on, @owner has all partitions; before, this entry. */
 static void
 read_moved_table (struct test_entry *entry, uint64_t version, uint64_t owner, int64_t from_ms)
 {
@@ -350,24 +351,73 @@
     }
   test_entry_read_table (entry, &table, both, 2);
   az_owner_table_clear (&table);
-  test_entry_peer_ack (entry, 20, 1, version, true);
+}
+
+static int64_t
+wall_ms (const struct test_entry *entry)
+{
+  return TEST_WALL_MS + (int64_t)(entry->now_ns / 1000000);
+}
+
+/* The peer takes over after 3 s, but hands back to @owner before, from 6 s on. */
+static struct test_entry *
+hand_over_and_back (uint64_t owner)
+{
+  struct test_entry *entry = join_cluster (2, TEST_SELF);
+  int64_t now_ms = wall_ms (entry);
+
+  read_moved_table (entry, 4, TEST_PEER, now_ms + 3000);
+  test_entry_peer_ack (entry, 20, 1, 4, true);
+  read_moved_table (entry, 5, owner, now_ms + 6000);
+  test_entry_agent (entry, 1, 11, "agent-1");
+  return entry;
 }
 
 /* Guards against "outcome unknown" for ids that were this entry's all along, when another entry
- * stops before the interval that it took from this one has begun; and against running an id that
- * the other entry may have run in between. */
+ * stops before the interval that it took from this one has begun. */
 static void
 test_interval_that_returns_before_it_began (void **state)
 {
-  struct test_entry *entry = join_cluster (2, TEST_SELF);
-  int64_t wall_ms = TEST_WALL_MS + (int64_t)(entry->now_ns / 1000000);
+  struct test_entry *entry = hand_over_and_back (TEST_SELF);
 
-  read_moved_table (entry, 4, TEST_PEER, wall_ms + 3000);
-  read_moved_table (entry, 5, TEST_SELF, wall_ms + 6000);
-  test_entry_agent (entry, 1, 11, "agent-1");
+  test_entry_peer_ack (entry, 20, 1, 5, true);
   test_entry_submit (entry, 7, test_entry_id (entry, 0, "abcdefgh"), 1);
   assert_int_equal (test_entry_n_started (entry), 1);
   read_for (entry, 4000, both, 2);
+  test_entry_grant (entry, 1, 2000, 4);
+  test_entry_submit (entry, 8, test_entry_id (entry, 0, "abcdefgi"), 1);
+  assert_int_equal (test_entry_n_started (entry), 2);
+  test_entry_destroy (entry);
+}
+
+/* Guards against a second start of an id that the other entry may have run: it had begun its
+ * interval before it learned that it had lost it. */
+static void
+test_interval_that_may_have_begun (void **state)
+{
+  static const uint64_t owners[] = { TEST_SELF, 99 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (owners); i++)
+    {
+      struct test_entry *entry = hand_over_and_back (owners[i]);
+
+      read_for (entry, 4000, both, 2);
+      test_entry_peer_ack (entry, 20, 1, 5, true);
+      test_entry_submit (entry, 8, test_entry_id (entry, 0, "abcdefgi"), 1);
+      test_entry_assert_answer (entry, 8, AZ_OUTCOME_UNKNOWN, "outcome_unknown");
+      test_entry_destroy (entry);
+    }
+}
+
+/* Guards against knowledge that is claimed over the interval of an owner that a third one hid. */
+static void
+test_two_owners_in_between (void **state)
+{
+  struct test_entry *entry = hand_over_and_back (99);
+
+  read_moved_table (entry, 6, TEST_SELF, wall_ms (entry) + 9000);
+  test_entry_peer_ack (entry, 20, 1, 6, true);
+  read_for (entry, 4000, both, 2);
   test_entry_submit (entry, 8, test_entry_id (entry, 0, "abcdefgi"), 1);
   test_entry_assert_answer (entry, 8, AZ_OUTCOME_UNKNOWN, "outcome_unknown");
   test_entry_destroy (entry);
@@ -437,6 +487,8 @@
     cmocka_unit_test (test_planned_stop_hands_over),
     cmocka_unit_test (test_simultaneous_stops_end),
     cmocka_unit_test (test_interval_that_returns_before_it_began),
+    cmocka_unit_test (test_interval_that_may_have_begun),
+    cmocka_unit_test (test_two_owners_in_between),
     cmocka_unit_test (test_last_entry_stops_alone),
     cmocka_unit_test (test_dead_member_is_removed_later),
     cmocka_unit_test (test_state_never_goes_back),
