Examine the upstreams of a service once a turn, not once a waiting job

Each turn looked at all 58 upstreams up to three times for each waiting job, comparing service and domain names and asking the ejector each time.

Change: candidates.c collects the upstreams of a service once a turn, with the most of each resource that any of them has free; tasks that need more are passed over at once. The cores that refusals count on are summed once a turn too.

Test, red without the bound: test_full_upstreams_are_examined_once_a_turn.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -3,11 +3,21 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* A deployment by its name on the command line. */
 static struct emulator_scenario
-with_trouble (double load, struct emulator_trouble trouble, bool is_grown)
+find_deployment (const char *name, double load)
 {
-  struct emulator_scenario scenario
-      = is_grown ? emulator_theatre_grown (load) : emulator_theatre (load);
+  if (!g_strcmp0 (name, "grown"))
+    return emulator_theatre_grown (load);
+  if (!g_strcmp0 (name, "swap-grown"))
+    return emulator_swap_grown (load);
+  return emulator_theatre (load);
+}
+
+static struct emulator_scenario
+with_trouble (double load, struct emulator_trouble trouble, const char *deployment)
+{
+  struct emulator_scenario scenario = find_deployment (deployment, load);
 
   scenario.troubles[0] = trouble;
   scenario.n_troubles = trouble.count > 0 || trouble.to_s > 0 ? 1 : 0;
@@ -66,12 +76,12 @@
   };
   unsigned first = argc > 1 ? (unsigned)atoi (argv[1]) : 1;
   unsigned count = argc > 2 ? (unsigned)atoi (argv[2]) : 5;
-  bool is_grown = argc > 3 && !g_strcmp0 (argv[3], "grown");
+  const char *deployment = argc > 3 ? argv[3] : "theatre";
 
   az_log_open ("dispatch_emulator", LOG_ERR);
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
-      struct emulator_scenario scenario = with_trouble (rows[i].load, rows[i].trouble, is_grown);
+      struct emulator_scenario scenario = with_trouble (rows[i].load, rows[i].trouble, deployment);
 
       play (rows[i].name, &scenario, first, count);
     }
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -12,6 +12,7 @@
  */
 
 #define EMULATOR_KINDS 3
+#define EMULATOR_GATEWAYS_MAX 16
 
 /** struct emulator_kind - one kind of jobs */
 struct emulator_kind
@@ -50,6 +51,7 @@
 struct emulator_scenario
 {
   unsigned n_gateways;
+  double gateway_weights[EMULATOR_GATEWAYS_MAX]; /* shares of the arrivals; all 0: equal */
   unsigned n_upstreams;
   unsigned n_domains;
   double cores; /* of most upstreams; each third one has half as many again */
@@ -93,6 +95,11 @@
 struct emulator_scenario
 emulator_theatre_grown (double load);
 
+/** emulator_swap_grown - 58 upstreams and 9 gateways in four domains, of which the busiest gateway
+ * gets a quarter of the jobs */
+struct emulator_scenario
+emulator_swap_grown (double load);
+
 /** emulator_play - plays the scenario; the same seed gives the same load */
 struct emulator_result
 emulator_play (const struct emulator_scenario *scenario, uint32_t seed);
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -52,6 +52,26 @@
   return factor;
 }
 
+static unsigned
+draw_gateway (const struct emulator_scenario *scenario, GRand *random)
+{
+  double total = 0;
+  double left;
+
+  for (unsigned i = 0; i < scenario->n_gateways; i++)
+    total += scenario->gateway_weights[i];
+  if (total <= 0)
+    return (unsigned)g_rand_int_range (random, 0, (gint)scenario->n_gateways);
+  left = g_rand_double_range (random, 0, total);
+  for (unsigned i = 0; i + 1 < scenario->n_gateways; i++)
+    {
+      if (left < scenario->gateway_weights[i])
+        return i;
+      left -= scenario->gateway_weights[i];
+    }
+  return scenario->n_gateways - 1;
+}
+
 static struct emu_job
 draw_job (const struct emulator_scenario *scenario, unsigned kind, int64_t at_us, GRand *random)
 {
@@ -62,7 +82,7 @@
   struct emu_job job = {
     .kind = kind,
     .arrives_us = at_us,
-    .gateway = (unsigned)g_rand_int_range (random, 0, (gint)scenario->n_gateways),
+    .gateway = draw_gateway (scenario, random),
     .n_tasks = (unsigned)CLAMP (n_tasks + 0.5, 1, row->max_tasks),
     .cpu_milli = MIN (MEAN_CPU_MILLI * draw_factor (random, 0.2), 4700),
     .estimate_ms = (int64_t)MAX (run_us / 1000 * draw_factor (random, 0.4), 1),
--- a/bench/emulator/scenarios.c
+++ b/bench/emulator/scenarios.c
@@ -1,4 +1,5 @@
 #include "emulator/emulator.h"
+#include <string.h>
 
 struct emulator_scenario
 emulator_theatre (double load)
@@ -28,3 +29,18 @@
   scenario.n_upstreams = 68;
   return scenario;
 }
+
+struct emulator_scenario
+emulator_swap_grown (double load)
+{
+  /* Domains with three, two, three and one gateways of about the same traffic each. */
+  static const double weights[] = { 0.08, 0.08, 0.08, 0.25, 0.08, 0.07, 0.08, 0.14, 0.14 };
+  struct emulator_scenario scenario = emulator_theatre (load * 5.3);
+
+  scenario.n_gateways = G_N_ELEMENTS (weights);
+  memcpy (scenario.gateway_weights, weights, sizeof weights);
+  scenario.n_upstreams = 58;
+  scenario.n_domains = 4;
+  scenario.cross_ms = 0.5;
+  return scenario;
+}
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -81,19 +81,24 @@
 void
 az_gateway_refuse_excess (struct az_gateway *gateway, GPtrArray *jobs)
 {
+  const char *service = NULL;
+  double cores = 0;
   double ahead = 0;
 
   for (guint i = 0; i < jobs->len; i++)
     {
       struct job *job = jobs->pdata[i];
       double work;
-      double cores;
       double slack_s;
 
       if (!job || job->n_waiting == 0)
         continue;
       work = az_gateway_job_work (gateway, job, true);
-      cores = count_cores (gateway, job->queue->service);
+      if (g_strcmp0 (service, job->queue->service) != 0)
+        {
+          service = job->queue->service;
+          cores = count_cores (gateway, service);
+        }
       slack_s = (double)(job->objective_us - job->run_us - gateway->now_us) / 1e6;
       ahead += work;
       /* Time until the last of its tasks starts, against the time that it has. */
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -172,6 +172,7 @@
   uint32_t c_given_up;
   uint32_t c_retried;
   uint32_t c_moved;
+  uint32_t c_examined;
   struct az_histogram response; /* of completed jobs */
 };
 
@@ -280,6 +281,34 @@
                             struct upstream *upstream,
                             const struct az_task_progress *progress);
 
+/* candidates.c */
+
+/**
+ * struct az_candidates - upstreams of a service to which tasks may be sent
+ * @regular: struct upstream *
+ * @probed: slow and ejected ones, which get single tasks
+ * @most_free: no candidate has more of any resource; jobs that need more aren't looked at closer
+ */
+struct az_candidates
+{
+  const char *service;
+  GPtrArray *regular;
+  GPtrArray *probed;
+  struct az_resources most_free;
+};
+
+/** az_candidates_init - valid until the state of an upstream changes; its room may shrink */
+void
+az_candidates_init (struct az_candidates *candidates,
+                    const struct az_gateway *gateway,
+                    const char *service);
+
+/** az_candidates_update - after the room has shrunk */
+void
+az_candidates_update (struct az_candidates *candidates);
+void
+az_candidates_clear (struct az_candidates *candidates);
+
 /* place.c */
 
 /** az_gateway_place - sends waiting tasks to upstreams, in the order of @jobs */
--- /dev/null
+++ b/src/gateway/candidates.c
@@ -0,0 +1,66 @@
+#include "dispatch/speed.h"
+#include "gateway/board.h"
+#include <string.h>
+
+static bool
+takes_tasks (const struct az_gateway *gateway, const struct upstream *upstream, const char *service)
+{
+  return upstream->is_open && upstream->session && strcmp (upstream->service, service) == 0
+         && !az_gateway_is_withdrawn (gateway, upstream->domain);
+}
+
+void
+az_candidates_init (struct az_candidates *candidates,
+                    const struct az_gateway *gateway,
+                    const char *service)
+{
+  candidates->service = service;
+  candidates->regular = g_ptr_array_new ();
+  candidates->probed = g_ptr_array_new ();
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      /* Each gateway begins elsewhere, so that they don't all choose the same of equals. */
+      guint at = (guint)((gateway->incarnation + i) % gateway->upstreams->len);
+      struct upstream *upstream = gateway->upstreams->pdata[at];
+
+      if (!takes_tasks (gateway, upstream, service))
+        continue;
+      if (az_speed_is_slow (upstream->speed)
+          || az_ejector_is_ejected (gateway->ejector, upstream->handle))
+        g_ptr_array_add (candidates->probed, upstream);
+      else
+        g_ptr_array_add (candidates->regular, upstream);
+    }
+  az_candidates_update (candidates);
+}
+
+static void
+raise_to (struct az_resources *most, const GPtrArray *upstreams)
+{
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      const struct az_resources *free = &((const struct upstream *)upstreams->pdata[i])->free;
+
+      most->cpu_milli = MAX (most->cpu_milli, free->cpu_milli);
+      most->memory_mb = MAX (most->memory_mb, free->memory_mb);
+      most->accelerators = MAX (most->accelerators, free->accelerators);
+    }
+}
+
+void
+az_candidates_update (struct az_candidates *candidates)
+{
+  memset (&candidates->most_free, 0, sizeof candidates->most_free);
+  raise_to (&candidates->most_free, candidates->regular);
+  raise_to (&candidates->most_free, candidates->probed);
+}
+
+void
+az_candidates_clear (struct az_candidates *candidates)
+{
+  if (!candidates->service)
+    return;
+  g_ptr_array_unref (candidates->regular);
+  g_ptr_array_unref (candidates->probed);
+  candidates->service = NULL;
+}
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -56,6 +56,8 @@
     { &gateway->c_given_up, "azurerock_gateway_given_up_total", "Jobs whose caller has gone" },
     { &gateway->c_retried, "azurerock_gateway_retries_total", "Tasks that had to be sent again" },
     { &gateway->c_moved, "azurerock_gateway_moves_total", "Tasks moved off a slow upstream" },
+    { &gateway->c_examined, "azurerock_gateway_examined_total",
+      "Upstreams examined in the search for room" },
   };
 
   az_histogram_init (&gateway->response, gateway->counters, "azurerock_gateway_response_ms",
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -48,18 +48,13 @@
   return count;
 }
 
+/* Whether the task may run on an upstream of the candidates. */
 static bool
-is_eligible (const struct az_gateway *gateway,
-             const struct job *job,
-             size_t step_index,
-             const struct upstream *upstream)
+is_eligible (const struct job *job, size_t step_index, const struct upstream *upstream)
 {
   const struct az_job_step *step = &job->request.steps[step_index];
 
-  if (!upstream->is_open || !upstream->session
-      || strcmp (upstream->service, job->queue->service) != 0
-      || az_gateway_is_withdrawn (gateway, upstream->domain)
-      || !az_resources_fit (&step->need, &upstream->free))
+  if (!az_resources_fit (&step->need, &upstream->free))
     return false;
   if (step->required_label
       && !g_ptr_array_find_with_equal_func (upstream->labels, step->required_label, g_str_equal,
@@ -101,26 +96,23 @@
   return result;
 }
 
-struct upstream *
-az_gateway_best_upstream (struct az_gateway *gateway,
-                          const struct job *job,
-                          size_t step_index,
-                          uint32_t avoid)
+static struct upstream *
+find_best (const struct az_gateway *gateway,
+           const struct az_candidates *candidates,
+           const struct job *job,
+           size_t step_index,
+           uint32_t avoid)
 {
   struct upstream *best = NULL;
   int64_t best_cost = INT64_MAX;
 
-  for (guint i = 0; i < gateway->upstreams->len; i++)
+  az_counters_add (gateway->counters, gateway->c_examined, candidates->regular->len);
+  for (guint i = 0; i < candidates->regular->len; i++)
     {
-      /* Each gateway begins elsewhere, so that they don't all choose the same of equals. */
-      guint at = (guint)((gateway->incarnation + i) % gateway->upstreams->len);
-      struct upstream *upstream = gateway->upstreams->pdata[at];
+      struct upstream *upstream = candidates->regular->pdata[i];
       int64_t upstream_cost;
 
-      if (upstream->handle == avoid || !is_eligible (gateway, job, step_index, upstream))
-        continue;
-      if (az_speed_is_slow (upstream->speed)
-          || az_ejector_is_ejected (gateway->ejector, upstream->handle))
+      if (upstream->handle == avoid || !is_eligible (job, step_index, upstream))
         continue;
       upstream_cost = cost (gateway, job, step_index, upstream);
       if (upstream_cost < best_cost)
@@ -132,19 +124,35 @@
   return best;
 }
 
+struct upstream *
+az_gateway_best_upstream (struct az_gateway *gateway,
+                          const struct job *job,
+                          size_t step_index,
+                          uint32_t avoid)
+{
+  struct az_candidates candidates;
+  struct upstream *best;
+
+  az_candidates_init (&candidates, gateway, job->queue->service);
+  best = find_best (gateway, &candidates, job, step_index, avoid);
+  az_candidates_clear (&candidates);
+  return best;
+}
+
 static struct upstream *
-find_probe (struct az_gateway *gateway, const struct job *job, size_t step_index)
+find_probe (struct az_gateway *gateway,
+            const struct az_candidates *candidates,
+            const struct job *job,
+            size_t step_index)
 {
-  for (guint i = 0; i < gateway->upstreams->len; i++)
+  for (guint i = 0; i < candidates->probed->len; i++)
     {
-      struct upstream *upstream = gateway->upstreams->pdata[i];
-      bool is_ejected = az_ejector_is_ejected (gateway->ejector, upstream->handle);
+      struct upstream *upstream = candidates->probed->pdata[i];
 
-      if (!is_ejected && !az_speed_is_slow (upstream->speed))
-        continue;
-      if (!may_probe (gateway, job, upstream) || !is_eligible (gateway, job, step_index, upstream))
+      if (!may_probe (gateway, job, upstream) || !is_eligible (job, step_index, upstream))
         continue;
-      if (is_ejected && !az_ejector_may_start (gateway->ejector, upstream->handle))
+      if (az_ejector_is_ejected (gateway->ejector, upstream->handle)
+          && !az_ejector_may_start (gateway->ejector, upstream->handle))
         continue;
       upstream->probed_us = gateway->now_us;
       upstream->n_probes++;
@@ -154,14 +162,23 @@
 }
 
 static struct upstream *
-choose (struct az_gateway *gateway, const struct job *job, size_t step_index, uint32_t avoid)
+choose (struct az_gateway *gateway,
+        struct az_candidates *candidates,
+        const struct job *job,
+        size_t step_index,
+        uint32_t avoid)
 {
-  struct upstream *upstream = find_probe (gateway, job, step_index);
+  struct upstream *upstream;
 
+  if (!az_resources_fit (&job->request.steps[step_index].need, &candidates->most_free))
+    return NULL;
+  upstream = find_probe (gateway, candidates, job, step_index);
   if (!upstream)
-    upstream = az_gateway_best_upstream (gateway, job, step_index, avoid);
+    upstream = find_best (gateway, candidates, job, step_index, avoid);
   if (!upstream && avoid)
-    upstream = az_gateway_best_upstream (gateway, job, step_index, 0);
+    upstream = find_best (gateway, candidates, job, step_index, 0);
+  if (!upstream)
+    az_candidates_update (candidates);
   return upstream;
 }
 
@@ -260,7 +277,10 @@
 }
 
 static void
-place_step (struct az_gateway *gateway, struct job *job, size_t step_index)
+place_step (struct az_gateway *gateway,
+            struct az_candidates *candidates,
+            struct job *job,
+            size_t step_index)
 {
   g_autoptr (GArray) assigned = g_array_new (FALSE, FALSE, sizeof (struct az_run_task));
   const struct step *step = &job->steps[step_index];
@@ -273,7 +293,7 @@
 
       if (task->state != TASK_WAITING)
         continue;
-      upstream = choose (gateway, job, step_index, task->upstream);
+      upstream = choose (gateway, candidates, job, step_index, task->upstream);
       if (!upstream)
         break;
       assign (gateway, job, step_index, i, upstream);
@@ -287,12 +307,20 @@
 void
 az_gateway_place (struct az_gateway *gateway, GPtrArray *jobs)
 {
+  struct az_candidates candidates = { 0 };
+
   for (guint i = 0; i < jobs->len; i++)
     {
       struct job *job = jobs->pdata[i];
 
+      if (g_strcmp0 (candidates.service, job->queue->service) != 0)
+        {
+          az_candidates_clear (&candidates);
+          az_candidates_init (&candidates, gateway, job->queue->service);
+        }
       for (size_t step = 0; step < job->request.n_steps; step++)
         if (job->steps[step].n_waiting > 0 && az_gateway_is_step_ready (job, step))
-          place_step (gateway, job, step);
+          place_step (gateway, &candidates, job, step);
     }
+  az_candidates_clear (&candidates);
 }
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -1,4 +1,5 @@
 #include "gateway_rig.h"
+#include "testing.h"
 #include <string.h>
 
 #define TICK_MS 20
@@ -281,3 +282,16 @@
       return (int)g_array_index (rig->answers, struct gateway_answer, i).outcome;
   return -1;
 }
+
+uint64_t
+gateway_rig_counter (const struct gateway_rig *rig, const char *name)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autofree char *start = g_strdup_printf ("\n%s ", name);
+  const char *line;
+
+  az_counters_print (rig->counters, text);
+  line = strstr (text->str, start);
+  assert_non_null (line);
+  return g_ascii_strtoull (line + strlen (start), NULL, 10);
+}
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -80,6 +80,10 @@
 int
 gateway_rig_outcome (const struct gateway_rig *rig, uint32_t caller);
 
+/** gateway_rig_counter - value of one of the gateway's counters */
+uint64_t
+gateway_rig_counter (const struct gateway_rig *rig, const char *name);
+
 /** gateway_rig_route - the route in a catalog, for callers of az_gateway_submit() */
 struct az_catalog *
 gateway_rig_catalog (uint64_t version);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -390,6 +390,27 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a search of all upstreams for each waiting job in each turn of the loop: a gateway
+ * with many callers and little processor time then loses freed room to others. */
+static void
+test_full_upstreams_are_examined_once_a_turn (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (12);
+  uint64_t before;
+  unsigned n_waiting;
+
+  (void)state;
+  for (uint32_t i = 0; i < 88; i++)
+    gateway_rig_submit (rig, 1 + i, "fast", 2);
+  assert_int_equal (rig->runs->len, 12 * 8);
+  n_waiting = 88 - 12 * 4 - rig->answers->len;
+  assert_true (n_waiting > 20);
+  before = gateway_rig_counter (rig, "azurerock_gateway_examined_total");
+  gateway_rig_pass (rig, 20, 0);
+  assert_true (gateway_rig_counter (rig, "azurerock_gateway_examined_total") - before <= 12);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -415,6 +436,7 @@
     cmocka_unit_test (test_task_that_stands_still_is_moved),
     cmocka_unit_test (test_slow_upstream_gets_single_tasks),
     cmocka_unit_test (test_excess_is_refused_at_once),
+    cmocka_unit_test (test_full_upstreams_are_examined_once_a_turn),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
