Ask the store for gateways soon after a start, and connect again sooner

Sidecars knew their three seeds only, which returned last, at 36.62 to 36.68 s, and asked the store for others only when alone for a second; attempts to connect to machines without power took 240 ms and the next one came 100 ms later. 340 jobs were refused meanwhile with all upstreams idle.

Change: a starting sidecar without a session asks the store after 60 ms, later ones after a second as before. Attempts end after 120 ms; the first pause is 50 ms.

--- a/src/dispatch/node_loop.h
+++ b/src/dispatch/node_loop.h
@@ -6,7 +6,7 @@
 
 /** The system repeats a lost packet of a new connection only after a second, so a peer that starts
  * meanwhile is found sooner by another attempt. */
-#define AZ_NODE_CONNECT_TIMEOUT_MS 240
+#define AZ_NODE_CONNECT_TIMEOUT_MS 120
 
 /**
  * struct az_node_loop - turns of the event loop of a gateway or sidecar
--- /dev/null
+++ b/src/sidecar/links.c
@@ -0,0 +1,216 @@
+#include "sidecar/links.h"
+#include "azurerock/limits.h"
+#include "azurerock/message.h"
+#include "dispatch/time_us.h"
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A sidecar keeps sessions with so many gateways, so that the cost of control doesn't grow with the
+ * product of both numbers. */
+#define GATEWAYS_MAX 12
+
+/* A gateway that can't be reached gives its place to another for this time. */
+#define UNREACHABLE_MS 5000
+
+#define RECONNECT_FIRST_MS 50
+#define RECONNECT_MAX_MS 250
+
+/* A process that starts reads the list of gateways soon: after a loss of power its seeds may return
+ * later than others. */
+#define ALONE_AT_START_MS 60
+#define ALONE_MS 1000
+#define MEMBERS_EVERY_MS 2000
+
+/** struct link - a gateway; @rank differs between sidecars, so that each has its share of them */
+struct link
+{
+  uint32_t session; /* 0 while there is none */
+  bool is_connecting;
+  uint64_t rank;
+  int64_t unreachable_us; /* until then */
+  int64_t retry_us;
+  int64_t wait_ms;
+};
+
+struct az_links
+{
+  char *instance;
+  const struct az_clock *clock;
+  GHashTable *gateways; /* address -> struct link * */
+  uint32_t n_sessions;
+  bool had_session;
+  int64_t alone_us; /* since when there has been no session */
+  int64_t members_us;
+};
+
+struct az_links *
+az_links_create (const char *instance, const struct az_clock *clock)
+{
+  struct az_links *links = g_new0 (struct az_links, 1);
+
+  links->instance = g_strdup (instance);
+  links->clock = clock;
+  links->gateways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  links->alone_us = az_now_us (clock);
+  links->members_us = links->alone_us - MEMBERS_EVERY_MS * AZ_US_PER_MS;
+  return links;
+}
+
+void
+az_links_destroy (struct az_links *links)
+{
+  if (!links)
+    return;
+  g_hash_table_unref (links->gateways);
+  g_free (links->instance);
+  g_free (links);
+}
+
+bool
+az_links_add (struct az_links *links, const char *address)
+{
+  struct link *link;
+
+  if (g_hash_table_contains (links->gateways, address)
+      || g_hash_table_size (links->gateways) >= AZ_MAX_GATEWAYS)
+    return false;
+  link = g_new0 (struct link, 1);
+  link->rank
+      = XXH64 (address, strlen (address), XXH64 (links->instance, strlen (links->instance), 0));
+  link->wait_ms = RECONNECT_FIRST_MS;
+  g_hash_table_insert (links->gateways, g_strdup (address), link);
+  return true;
+}
+
+/* Among the first by rank of those that can be reached. */
+static bool
+is_preferred (const struct az_links *links, const struct link *link)
+{
+  int64_t now_us = az_now_us (links->clock);
+  GHashTableIter iterator;
+  gpointer value;
+  unsigned n_ahead = 0;
+
+  if (g_hash_table_size (links->gateways) <= GATEWAYS_MAX)
+    return true;
+  g_hash_table_iter_init (&iterator, links->gateways);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct link *other = value;
+
+      n_ahead += other->rank > link->rank && other->unreachable_us < now_us;
+    }
+  return n_ahead < GATEWAYS_MAX;
+}
+
+const char *
+az_links_next (struct az_links *links)
+{
+  int64_t now_us = az_now_us (links->clock);
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, links->gateways);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      struct link *link = value;
+
+      if (link->session || link->is_connecting || now_us < link->retry_us
+          || !is_preferred (links, link))
+        continue;
+      link->is_connecting = true;
+      return key;
+    }
+  return NULL;
+}
+
+void
+az_links_opened (struct az_links *links, const char *address, uint32_t session)
+{
+  struct link *link = g_hash_table_lookup (links->gateways, address);
+
+  links->n_sessions++;
+  links->had_session = true;
+  if (!link)
+    return;
+  link->session = session;
+  link->unreachable_us = 0;
+  link->is_connecting = false;
+  link->wait_ms = RECONNECT_FIRST_MS;
+}
+
+static void
+try_later (const struct az_links *links, struct link *link)
+{
+  link->session = 0;
+  link->is_connecting = false;
+  link->retry_us = az_now_us (links->clock) + link->wait_ms * AZ_US_PER_MS;
+  link->wait_ms = MIN (link->wait_ms * 2, RECONNECT_MAX_MS);
+}
+
+void
+az_links_refused (struct az_links *links, const char *address)
+{
+  struct link *link = g_hash_table_lookup (links->gateways, address);
+
+  if (!link)
+    return;
+  link->unreachable_us = az_now_us (links->clock) + UNREACHABLE_MS * AZ_US_PER_MS;
+  try_later (links, link);
+}
+
+void
+az_links_closed (struct az_links *links, uint32_t session)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, links->gateways);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (((struct link *)value)->session == session)
+      try_later (links, value);
+  if (--links->n_sessions == 0)
+    links->alone_us = az_now_us (links->clock);
+}
+
+uint32_t
+az_links_surplus (const struct az_links *links,
+                  bool (*is_idle) (const void *context, uint32_t session),
+                  const void *context)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (links->n_sessions <= GATEWAYS_MAX)
+    return 0;
+  g_hash_table_iter_init (&iterator, links->gateways);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct link *link = value;
+
+      if (link->session && !is_preferred (links, link) && is_idle (context, link->session))
+        return link->session;
+    }
+  return 0;
+}
+
+int64_t
+az_links_settled_ms (const struct az_links *links)
+{
+  return (az_now_us (links->clock) - links->alone_us) / AZ_US_PER_MS;
+}
+
+bool
+az_links_wants_members (struct az_links *links)
+{
+  int64_t alone_ms = links->had_session ? ALONE_MS : ALONE_AT_START_MS;
+  int64_t now_us = az_now_us (links->clock);
+
+  if (links->n_sessions > 0 || az_links_settled_ms (links) < alone_ms
+      || now_us - links->members_us < MEMBERS_EVERY_MS * AZ_US_PER_MS)
+    return false;
+  links->members_us = now_us;
+  return true;
+}
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -9,6 +9,7 @@
 #include "dispatch/metadata_client.h"
 #include "dispatch/node_loop.h"
 #include "dispatch/settings_watch.h"
+#include "sidecar/links.h"
 #include <glib.h>
 
 /** struct az_sidecar_options - the settings file; times in its units */
@@ -40,15 +41,10 @@
   struct az_counters *counters;
   struct az_metadata_client *store;
   struct az_sidecar *sidecar;
-  GHashTable *gateways; /* address -> struct gateway_link * */
-  uint32_t n_sessions;
-  int64_t alone_us; /* since when there has been no session */
-  int64_t members_us;
+  struct az_links *links;
   int64_t withdrawals_us;
-  GHashTable *withdrawn; /* set that a read of the store builds up */
-  char *record;          /* of the upstream, as last written to the store */
+  char *record; /* of the upstream, as last written to the store */
   bool is_reading_withdrawals;
-  bool is_reading_members;
   bool is_stopping;
   bool is_abandoned;
   bool is_closed;
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -178,7 +178,7 @@
   az_sidecar_destroy (program.sidecar);
   az_counters_destroy (program.counters);
   az_settings_watch_close (&program.settings);
-  g_clear_pointer (&program.gateways, g_hash_table_unref);
+  az_links_destroy (program.links);
   g_free (program.upstream_address);
   g_free (program.record);
   az_log_flush ();
--- a/src/sidecar/program_store.c
+++ b/src/sidecar/program_store.c
@@ -4,10 +4,11 @@
 #include "sidecar/program.h"
 
 /* Gateways relay what the store holds. Only without them does this process read it. */
-#define ALONE_MS 1000
-#define MEMBERS_EVERY_MS 2000
 #define WITHDRAWALS_EVERY_MS 1000
 
+/* A gateway that has just connected sends them. */
+#define SETTLE_MS 1000
+
 static int64_t
 now_us (void)
 {
@@ -19,7 +20,6 @@
 {
   struct az_sidecar_program *program = context;
 
-  program->is_reading_members = false;
   if (program->is_closed)
     return;
   for (size_t i = 0; i < answer->n_items; i++)
@@ -30,8 +30,6 @@
 static void
 read_members (struct az_sidecar_program *program)
 {
-  program->is_reading_members = true;
-  program->members_us = now_us ();
   az_metadata_range (program->store, AZ_MEMBERS_PREFIX, NULL, members_read, program);
 }
 
@@ -69,13 +67,11 @@
 {
   int64_t now = now_us ();
 
-  if (!program->is_reading_members && program->n_sessions == 0
-      && now - program->alone_us > ALONE_MS * 1000
-      && now - program->members_us > MEMBERS_EVERY_MS * 1000)
+  if (az_links_wants_members (program->links))
     read_members (program);
   if (!program->is_reading_withdrawals
       && now - program->withdrawals_us > WITHDRAWALS_EVERY_MS * 1000
-      && now - program->alone_us > ALONE_MS * 1000
+      && az_links_settled_ms (program->links) > SETTLE_MS
       && az_sidecar_needs_withdrawals (program->sidecar))
     read_withdrawals (program);
 }
