Soak: play planned work alone in each fourth seed, count withdrawals without the store's outages

Cause: the trial that removes the checks of withdrawals wasn't detected with seed 401, whose faults hold no withdrawal; a withdrawal during an outage of the store can't be known to anybody and would have counted.

--- a/Makefile
+++ b/Makefile
@@ -103,9 +103,10 @@
 histories: all
 	BUILD=$(BUILD) tests/run_histories.sh $(HISTORY_SEEDS)
 
-# SEED=n runs one soak, SEEDS=a..b several; otherwise the seeds that once failed and a fresh one.
+# SEED=n runs one soak, SEEDS=a..b several; otherwise one of planned work, the seeds that once failed
+# and a fresh one.
 SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))), \
-  $(shell sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak_seeds.txt) $(shell date +1%H%M)))
+  4 $(shell sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak_seeds.txt) $(shell date +1%H%M)))
 
 .PHONY: soak
 soak: all
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -31,7 +31,8 @@
 class History:
     """What executors did, and what that breaks."""
 
-    def __init__(self):
+    def __init__(self, store):
+        self.store = store
         self.running, self.runs, self.done, self.violations = {}, {}, set(), []
         self.withdrawn, self.unplanned_until = {}, 0.0
 
@@ -49,8 +50,8 @@
         self.runs.setdefault(name.split(".")[0], []).append(name)
         if is_late:
             return
-        since = self.withdrawn.get(zone)
-        if since and now - since > WITHDRAWN_S:
+        withdrawn = self.withdrawn.get(zone)
+        if withdrawn and now - max(withdrawn, self.store.disturbed) > WITHDRAWN_S:
             self.violate("WITHDRAWN", "%s starts in %s" % (name, zone))
         drained = executor.acknowledged_draining
         if drained and now - drained > DRAIN_S:
@@ -108,7 +109,8 @@
     def __init__(self, options):
         self.options, self.build = options, os.path.join(ROOT, options.build)
         self.random = random.Random(options.seed)
-        self.history, self.store = History(), Store()
+        self.store = Store()
+        self.history = History(self.store)
         self.folder = options.keep or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(self.folder, exist_ok=True)
         self.gateways, self.sidecars, self.executors, self.proxies = [], [], [], []
@@ -461,10 +463,13 @@
     parser.add_argument("--sidecars", type=int, default=5)
     parser.add_argument("--rate", type=float, default=40, help="jobs a second")
     parser.add_argument("--overlap", type=int, default=3, help="faults at a time")
-    parser.add_argument("--planned", action="store_true", help="only planned work, no faults")
+    parser.add_argument("--planned", action="store_true",
+                        help="only planned work, no faults; also if the seed is a multiple of four")
     parser.add_argument("--build", default="build")
     parser.add_argument("--keep", help="folder for settings and logs")
-    sys.exit(asyncio.run(Soak(parser.parse_args()).run()))
+    options = parser.parse_args()
+    options.planned |= options.seed % 4 == 0
+    sys.exit(asyncio.run(Soak(options).run()))
 
 
 if __name__ == "__main__":
