Split the gateway's files so that none call each other in a circle

Cause: nine files of src/gateway called each other in circles, so a reader had to know all of them to follow one.

Change: lookup.c finds rows by handle, run_time.c expects and learns run times, servable.c tells what can't be served at all, events.c handles the ends that sidecars report; tasks.c keeps the states of tasks without answering jobs.

--- a/Makefile
+++ b/Makefile
@@ -144,9 +144,13 @@
 format:
 	clang-format -i $(FORMATTED)
 
+# Folders whose files still call each other in circles (issue 12).
+CYCLIC = src/agent src/entry src/load src/net src/sidecar src/standin
+
 .PHONY: lint
-lint:
+lint: $(LIB)
 	tools/check_platform_names.sh
+	tools/check_call_cycles.py $(BUILD) $(filter-out $(CYCLIC) src/proto,$(patsubst %/,%,$(wildcard src/*/)))
 	clang-format --dry-run --Werror $(FORMATTED)
 	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr --enable=warning,portability \
 	  --suppress=missingInclude --suppress=*:src/proto/gen/* -Iinclude -Isrc -I. src platform
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -9,12 +9,6 @@
 
 #define RETRY_AFTER_MS 1000
 
-/* Sidecars keep sessions with all gateways up to this number. */
-#define GATEWAYS_COMPLETE 12
-
-/* After a start or the loss of all upstreams, sessions are back within this time or not soon. */
-#define RECONNECT_MS 1500
-
 /*
  * Which jobs are refused when not all can be served in time. Each queue's traffic counts the same,
  * whatever its rate: a job is worth the share of its queue's traffic that it makes up, and what
@@ -118,47 +112,3 @@
         }
     }
 }
-
-static bool
-fits_capacity (const struct az_job_step *step, const struct upstream *upstream)
-{
-  return az_resources_fit (&step->need, &upstream->capacity)
-         && (!step->required_label
-             || g_ptr_array_find_with_equal_func (upstream->labels, step->required_label,
-                                                  g_str_equal, NULL));
-}
-
-const char *
-az_gateway_unservable (struct az_gateway *gateway, const struct job *job, bool *is_hopeless)
-{
-  bool any_open = false;
-
-  *is_hopeless = false;
-  for (size_t i = 0; i < job->request.n_steps; i++)
-    {
-      bool is_known = false;
-      bool fits = false;
-
-      for (guint u = 0; u < gateway->upstreams->len; u++)
-        {
-          const struct upstream *upstream = gateway->upstreams->pdata[u];
-
-          if (strcmp (upstream->service, job->queue->service) != 0)
-            continue;
-          is_known = true;
-          any_open |= upstream->is_open;
-          fits |= fits_capacity (&job->request.steps[i], upstream);
-        }
-      if (is_known && !fits)
-        {
-          /* With many gateways, this one is connected to only some of the upstreams. */
-          *is_hopeless = g_hash_table_size (gateway->gateways) < GATEWAYS_COMPLETE;
-          return "no upstream is large enough";
-        }
-    }
-  if (any_open)
-    gateway->open_us = gateway->now_us;
-  if (gateway->now_us - gateway->open_us < RECONNECT_MS * AZ_US_PER_MS)
-    return NULL;
-  return "no upstream is open";
-}
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -176,9 +176,13 @@
   struct az_histogram response; /* of completed jobs */
 };
 
-/* sessions.c */
+/* lookup.c: rows by their handles, NULL if there is none */
 struct session *
 az_gateway_session (const struct az_gateway *gateway, uint32_t handle);
+struct upstream *
+az_gateway_upstream (const struct az_gateway *gateway, uint32_t handle);
+
+/* sessions.c */
 void
 az_gateway_expire_sessions (struct az_gateway *gateway);
 void
@@ -211,8 +215,6 @@
 
 /* upstreams.c */
 struct upstream *
-az_gateway_upstream (const struct az_gateway *gateway, uint32_t handle);
-struct upstream *
 az_gateway_find_upstream (struct az_gateway *gateway, const char *instance, const char *domain);
 void
 az_gateway_handle_upstream (struct az_gateway *gateway,
@@ -238,6 +240,15 @@
                           struct upstream *upstream,
                           const struct az_node_report *report);
 
+/* run_time.c */
+
+/** az_gateway_expected_us - run time of a task of the step on @upstream (NULL: a usual one) */
+int64_t
+az_gateway_expected_us (const struct az_gateway *gateway,
+                        const struct job *job,
+                        size_t step,
+                        const struct upstream *upstream);
+
 /** az_gateway_learn_run - a task took @run_us: learns how far its queue's estimates are off */
 void
 az_gateway_learn_run (struct job *job,
@@ -258,14 +269,30 @@
 az_gateway_release_job (struct az_gateway *gateway, struct job *job);
 void
 az_gateway_expire_jobs (struct az_gateway *gateway);
-bool
-az_gateway_is_step_ready (const struct job *job, size_t step);
 
-/* tasks.c */
+/* events.c */
 void
 az_gateway_handle_event (struct az_gateway *gateway,
                          struct upstream *upstream,
                          const struct az_task_event *event);
+
+/* tasks.c */
+bool
+az_gateway_is_step_ready (const struct job *job, size_t step);
+
+/** az_gateway_detach_task - takes a task off its upstream */
+void
+az_gateway_detach_task (struct az_gateway *gateway,
+                        struct job *job,
+                        uint32_t step,
+                        struct task *task);
+
+/** az_gateway_requeue_task - the task waits to be placed again */
+void
+az_gateway_requeue_task (struct az_gateway *gateway,
+                         struct job *job,
+                         uint32_t step,
+                         struct task *task);
 void
 az_gateway_lose_tasks (struct az_gateway *gateway, struct upstream *upstream, const char *reason);
 void
@@ -322,13 +349,6 @@
                           size_t step,
                           uint32_t avoid);
 
-/** az_gateway_expected_us - run time of a task of the step on @upstream (NULL: a usual one) */
-int64_t
-az_gateway_expected_us (const struct az_gateway *gateway,
-                        const struct job *job,
-                        size_t step,
-                        const struct upstream *upstream);
-
 /* queue.c */
 struct queue *
 az_gateway_queue (struct az_gateway *gateway, const struct az_route *route);
@@ -351,6 +371,8 @@
 void
 az_gateway_refuse_excess (struct az_gateway *gateway, GPtrArray *jobs);
 
+/* servable.c */
+
 /** az_gateway_unservable - why a new job can't be served at all, or NULL; *@is_hopeless tells
  * that it never can */
 const char *
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -2,8 +2,6 @@
 #include "dispatch/speed.h"
 #include "gateway/board.h"
 
-#define RATIO_WEIGHT 0.02
-
 static void
 update_speed (struct upstream *upstream, double speed)
 {
@@ -52,17 +50,3 @@
   update_speed (upstream, MAX (report->speed_percent, 1) / 100.0);
   update_failures (gateway, upstream, report);
 }
-
-void
-az_gateway_learn_run (struct job *job,
-                      const struct az_job_step *step,
-                      const struct upstream *upstream,
-                      int64_t run_us)
-{
-  double estimate_us = MAX (step->estimate_ms, 1) * 1000.0;
-  double ratio = CLAMP ((double)MAX (run_us, 500) / estimate_us, 0.1, 10);
-
-  if (az_speed_is_slow (upstream->speed))
-    return;
-  job->queue->run_ratio += RATIO_WEIGHT * (ratio * upstream->speed - job->queue->run_ratio);
-}
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -17,17 +17,6 @@
   g_free (job);
 }
 
-bool
-az_gateway_is_step_ready (const struct job *job, size_t step_index)
-{
-  const struct az_job_step *step = &job->request.steps[step_index];
-
-  for (size_t i = 0; i < step->n_after; i++)
-    if (job->steps[step->after[i]].n_done < job->request.steps[step->after[i]].n_tasks)
-      return false;
-  return true;
-}
-
 /* Steps come after those that they wait for, so one pass suffices. */
 static int64_t
 longest_chain_us (const struct az_gateway *gateway, const struct job *job)
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -13,25 +13,6 @@
 /* A probe that turns out slow is moved; its job must have this much time to spare. */
 #define PROBE_SLACK_MS 180
 
-int64_t
-az_gateway_expected_us (const struct az_gateway *gateway,
-                        const struct job *job,
-                        size_t step_index,
-                        const struct upstream *upstream)
-{
-  const struct az_job_step *step = &job->request.steps[step_index];
-  double run_us = MAX (step->estimate_ms, 1) * 1000.0 * job->queue->run_ratio;
-
-  if (!upstream)
-    return (int64_t)run_us;
-  run_us /= upstream->speed;
-  if (step->preferred_label
-      && !g_ptr_array_find_with_equal_func (upstream->labels, step->preferred_label, g_str_equal,
-                                            NULL))
-    run_us *= gateway->settings.remote_factor;
-  return (int64_t)run_us;
-}
-
 static uint32_t
 count_on (const struct job *job, size_t step_index, const struct upstream *upstream)
 {
@@ -313,7 +294,7 @@
     {
       struct job *job = jobs->pdata[i];
 
-      if (g_strcmp0 (candidates.service, job->queue->service) != 0)
+      if (!candidates.service || strcmp (candidates.service, job->queue->service) != 0)
         {
           az_candidates_clear (&candidates);
           az_candidates_init (&candidates, gateway, job->queue->service);
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -12,12 +12,6 @@
 #define IDLE_SESSION_FACTOR 4
 #define DORMANT_SESSION_FACTOR 16
 
-struct session *
-az_gateway_session (const struct az_gateway *gateway, uint32_t handle)
-{
-  return g_hash_table_lookup (gateway->sessions, GUINT_TO_POINTER (handle));
-}
-
 void
 az_gateway_session_opened (struct az_gateway *gateway, uint32_t handle, const char *outgoing)
 {
--- a/src/gateway/tasks.c
+++ b/src/gateway/tasks.c
@@ -1,23 +1,22 @@
 #include "azurerock/log.h"
 #include "gateway/board.h"
 
-static struct job *
-find_job (const struct az_gateway *gateway, uint64_t number)
+bool
+az_gateway_is_step_ready (const struct job *job, size_t step_index)
 {
-  return g_hash_table_lookup (gateway->jobs, &number);
-}
+  const struct az_job_step *step = &job->request.steps[step_index];
 
-static struct task *
-find_task (struct job *job, uint32_t step, uint32_t index)
-{
-  if (step >= job->request.n_steps || index >= job->request.steps[step].n_tasks)
-    return NULL;
-  return &job->tasks[job->steps[step].first + index];
+  for (size_t i = 0; i < step->n_after; i++)
+    if (job->steps[step->after[i]].n_done < job->request.steps[step->after[i]].n_tasks)
+      return false;
+  return true;
 }
 
-/* Takes a task off its upstream. */
-static void
-detach (struct az_gateway *gateway, struct job *job, uint32_t step, struct task *task)
+void
+az_gateway_detach_task (struct az_gateway *gateway,
+                        struct job *job,
+                        uint32_t step,
+                        struct task *task)
 {
   struct upstream *upstream = az_gateway_upstream (gateway, task->upstream);
   uint32_t cpu_milli = job->request.steps[step].need.cpu_milli;
@@ -30,8 +29,11 @@
   job->n_live--;
 }
 
-static void
-wait_again (struct az_gateway *gateway, struct job *job, uint32_t step, struct task *task)
+void
+az_gateway_requeue_task (struct az_gateway *gateway,
+                         struct job *job,
+                         uint32_t step,
+                         struct task *task)
 {
   task->state = TASK_WAITING;
   job->steps[step].n_waiting++;
@@ -39,73 +41,6 @@
   gateway->needs_placing = true;
 }
 
-static void
-finish_task (struct az_gateway *gateway, struct job *job, uint32_t step, struct task *task)
-{
-  task->state = TASK_DONE;
-  job->steps[step].n_done++;
-  job->n_done++;
-  gateway->needs_placing = true;
-  if (job->n_done < job->n_tasks || job->is_ending)
-    return;
-  az_gateway_count_outcome (job->queue, false);
-  az_gateway_end_job (gateway, job, AZ_JOB_COMPLETED, 0, "all tasks done");
-}
-
-static void
-fail_task (struct az_gateway *gateway, struct job *job, uint32_t step, struct task *task)
-{
-  task->n_failed++;
-  wait_again (gateway, job, step, task);
-  if (task->n_failed >= job->attempts && !job->is_ending)
-    az_gateway_end_job (gateway, job, AZ_JOB_FAILED, 0, "a task has failed too often");
-}
-
-void
-az_gateway_handle_event (struct az_gateway *gateway,
-                         struct upstream *upstream,
-                         const struct az_task_event *event)
-{
-  struct job *job = find_job (gateway, event->job);
-  struct task *task = job ? find_task (job, event->step, event->index) : NULL;
-
-  if (event->how == AZ_TASK_NO_ROOM || event->how == AZ_TASK_CLOSED)
-    az_ejector_cancelled (gateway->ejector, upstream->handle);
-  if (!task || task->state != TASK_SENT || task->upstream != upstream->handle
-      || event->attempt < task->attempt)
-    return;
-  task->attempt = event->attempt;
-  detach (gateway, job, event->step, task);
-  if (event->how != AZ_TASK_DONE)
-    az_counters_add (gateway->counters, gateway->c_retried, 1);
-  if (event->how != AZ_TASK_DONE && !job->is_ending)
-    az_log (LOG_INFO, "event=task-back job=%s task=%u.%u attempt=%u upstream=%s how=%d run_ms=%u",
-            job->id, event->step, event->index, event->attempt, upstream->instance, event->how,
-            event->run_ms);
-  switch (event->how)
-    {
-    case AZ_TASK_DONE:
-      az_gateway_learn_run (job, &job->request.steps[event->step], upstream,
-                            (int64_t)event->run_ms * AZ_US_PER_MS);
-      finish_task (gateway, job, event->step, task);
-      break;
-    case AZ_TASK_FAILED:
-      fail_task (gateway, job, event->step, task);
-      break;
-    case AZ_TASK_NO_ROOM:
-    case AZ_TASK_CLOSED:
-    case AZ_TASK_UNHEALTHY:
-      /* It was refused and has not run. */
-      job->n_started--;
-      wait_again (gateway, job, event->step, task);
-      break;
-    default:
-      wait_again (gateway, job, event->step, task);
-      break;
-    }
-  az_gateway_release_job (gateway, job);
-}
-
 static void
 for_tasks_on (
     struct az_gateway *gateway,
@@ -127,7 +62,6 @@
             if (task->state == state && task->upstream == upstream)
               call (gateway, job, step, task);
           }
-      az_gateway_release_job (gateway, job);
     }
 }
 
@@ -155,8 +89,8 @@
 static void
 settle (struct az_gateway *gateway, struct job *job, uint32_t step, struct task *task)
 {
-  detach (gateway, job, step, task);
-  wait_again (gateway, job, step, task);
+  az_gateway_detach_task (gateway, job, step, task);
+  az_gateway_requeue_task (gateway, job, step, task);
 }
 
 void
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -2,14 +2,6 @@
 #include "gateway/board.h"
 #include <string.h>
 
-struct upstream *
-az_gateway_upstream (const struct az_gateway *gateway, uint32_t handle)
-{
-  if (handle == 0 || handle > gateway->upstreams->len)
-    return NULL;
-  return gateway->upstreams->pdata[handle - 1];
-}
-
 struct upstream *
 az_gateway_find_upstream (struct az_gateway *gateway, const char *instance, const char *domain)
 {
