Play uneven gateways of the swap deployment in the load test

Guards against a gateway with many callers that loses the room to those with few: 58 upstreams, nine gateways, a burst of 1.5.

--- a/tests/test_dispatch_load.c
+++ b/tests/test_dispatch_load.c
@@ -129,6 +129,19 @@
   check_load (&scenario);
 }
 
+/* Guards against gateways with many callers that lose the room to those with few. */
+static void
+test_uneven_gateways (void **state)
+{
+  struct emulator_scenario scenario = emulator_swap_grown (1.0);
+
+  (void)state;
+  scenario.length_s = 10;
+  scenario.troubles[scenario.n_troubles++]
+      = (struct emulator_trouble){ EMULATOR_BURST, 3, 7, 0, 0, 1.5 };
+  check_load (&scenario);
+}
+
 /* Jobs that can't be served in time are refused within a quarter of their objective, on average:
  * their callers can turn elsewhere. */
 static void
@@ -153,6 +166,7 @@
     cmocka_unit_test (test_failing_upstream),
     cmocka_unit_test (test_unanswered_orders),
     cmocka_unit_test (test_crashes),
+    cmocka_unit_test (test_uneven_gateways),
     cmocka_unit_test (test_refusals_come_early),
   };
 
