Overlap the reads of a gateway that starts while the store is silent

Cause: a gateway without a configuration refuses all jobs. Its first read of the store hung for the whole time-out of 900 ms when the store was silent, also if it was back in between; the next one came 150 ms later.

Change: while nothing is known, another read begins every 200 ms, at most four at a time; the first whole one counts. A read owns what it collects. The store's client may open six connections, since each hung call keeps one.

--- a/src/dispatch/metadata_client.c
+++ b/src/dispatch/metadata_client.c
@@ -3,7 +3,8 @@
 #include "platform/store.h"
 #include <glib.h>
 
-#define CONNECTIONS 3
+/* Calls that hang keep a connection each until they time out. */
+#define CONNECTIONS 6
 #define CALL_TIMEOUT_MS 900
 
 /* Beyond the time that the store itself lets a watch wait. */
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -32,10 +32,9 @@
 struct az_store_view
 {
   GHashTable *withdrawn; /* set of domains */
-  GHashTable *reading;   /* the set that a range read builds up */
-  uint64_t read_revision;
-  uint64_t revision; /* 0: not read yet */
-  int64_t requested_us;
+  GPtrArray *reads;      /* struct store_read *, under way */
+  uint64_t revision;     /* 0: not read yet */
+  int64_t requested_us;  /* of the watch */
   uint64_t lease;
   bool is_reachable;
   uv_timer_t retry;
@@ -92,6 +91,10 @@
 az_gateway_program_open_store (struct az_gateway_program *program);
 void
 az_gateway_program_close_store (struct az_gateway_program *program);
+
+/** az_gateway_program_free_store - after the loop has ended and all calls are answered */
+void
+az_gateway_program_free_store (struct az_gateway_program *program);
 void
 az_gateway_program_handle_catalog (struct az_gateway_program *program,
                                    uint64_t revision,
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -170,6 +170,7 @@
       az_log (LOG_ERR, "event=start outcome=failed reason=\"%s\"", error->message);
       exit_code = AZ_EXIT_FAILURE;
     }
+  az_gateway_program_free_store (&program);
   az_gateway_destroy (program.gateway);
   az_counters_destroy (program.counters);
   az_settings_watch_close (&program.settings);
--- a/src/gateway/program_store.c
+++ b/src/gateway/program_store.c
@@ -8,6 +8,11 @@
 #define WATCH_MS 1200
 #define RETRY_MS 150
 
+/* While nothing is known, another read begins after this time beside those without an answer: calls
+ * to a store that is silent hang, also when it is back. */
+#define READ_AGAIN_MS 200
+#define READS_MAX 4
+
 #define LEASE_MS 15000
 #define MEMBER_EVERY_MS 4000
 #define MEMBER_RETRY_MS 1500
@@ -18,8 +23,17 @@
 /* An answer that is overdue by this much may be one that never comes. */
 #define OVERDUE_US 150000
 
+/** struct store_read - one read of all that operators have published, page by page */
+struct store_read
+{
+  struct az_gateway_program *program;
+  GHashTable *withdrawn; /* set of domains */
+  uint64_t revision;
+  int64_t requested_us;
+};
+
 static void
-read_all (struct az_gateway_program *program, const char *after);
+read_all (struct az_gateway_program *program);
 
 static void
 watch (struct az_gateway_program *program);
@@ -38,14 +52,14 @@
   if (program->view.revision > 0)
     watch (program);
   else
-    read_all (program, NULL);
+    read_all (program);
 }
 
 static void
-retry (struct az_gateway_program *program)
+retry (struct az_gateway_program *program, uint64_t after_ms)
 {
   if (!program->is_closed)
-    uv_timer_start (&program->view.retry, on_retry, RETRY_MS, 0);
+    uv_timer_start (&program->view.retry, on_retry, after_ms, 0);
 }
 
 static void
@@ -129,13 +143,13 @@
     {
       az_log (LOG_NOTICE, "event=store-history-gone revision=%" G_GUINT64_FORMAT, view->revision);
       view->revision = 0;
-      read_all (program, NULL);
+      read_all (program);
       return;
     }
   set_reachable (program, answer->result == AZ_METADATA_OK);
   if (answer->result != AZ_METADATA_OK)
     {
-      retry (program);
+      retry (program, RETRY_MS);
       return;
     }
   for (size_t i = 0; i < answer->n_items; i++)
@@ -148,55 +162,92 @@
 static void
 watch (struct az_gateway_program *program)
 {
+  uv_timer_stop (&program->view.retry);
   program->view.requested_us = now_us ();
   az_metadata_watch (program->store, PLATFORM_OPERATOR_PREFIX, program->view.revision, WATCH_MS,
                      watched, program);
 }
 
 static void
-all_read (void *context, struct az_metadata_answer *answer)
+free_read (gpointer value)
 {
-  struct az_gateway_program *program = context;
+  struct store_read *read = value;
+
+  g_hash_table_unref (read->withdrawn);
+  g_free (read);
+}
+
+static void
+read_page (struct store_read *read, const char *after);
+
+/* What changed after the first page is watched for: pages are no snapshot. */
+static void
+finish_read (struct store_read *read)
+{
+  struct az_gateway_program *program = read->program;
+  struct az_store_view *view = &program->view;
+
+  g_hash_table_unref (view->withdrawn);
+  view->withdrawn = g_hash_table_ref (read->withdrawn);
+  view->revision = read->revision;
+  update_withdrawn (program, now_us () - read->requested_us);
+  g_ptr_array_remove_fast (view->reads, read);
+  watch (program);
+}
+
+static void
+page_read (void *context, struct az_metadata_answer *answer)
+{
+  struct store_read *read = context;
+  struct az_gateway_program *program = read->program;
   struct az_store_view *view = &program->view;
 
   if (program->is_closed)
     return;
+  /* Another read was faster. */
+  if (view->revision > 0)
+    {
+      g_ptr_array_remove_fast (view->reads, read);
+      return;
+    }
   set_reachable (program, answer->result == AZ_METADATA_OK);
   if (answer->result != AZ_METADATA_OK)
     {
-      retry (program);
+      g_ptr_array_remove_fast (view->reads, read);
+      retry (program, RETRY_MS);
       return;
     }
   for (size_t i = 0; i < answer->n_items; i++)
-    handle_item (program, view->reading, &answer->items[i]);
-  /* Pages are no snapshot: what changed after the first one is watched for. */
-  if (view->read_revision == 0)
-    view->read_revision = answer->revision;
+    handle_item (program, read->withdrawn, &answer->items[i]);
+  if (read->revision == 0)
+    read->revision = answer->revision;
   if (answer->has_more && answer->n_items > 0)
-    {
-      read_all (program, answer->items[answer->n_items - 1].key);
-      return;
-    }
-  g_hash_table_unref (view->withdrawn);
-  view->withdrawn = g_steal_pointer (&view->reading);
-  view->revision = view->read_revision;
-  update_withdrawn (program, now_us () - view->requested_us);
-  watch (program);
+    read_page (read, answer->items[answer->n_items - 1].key);
+  else
+    finish_read (read);
 }
 
 static void
-read_all (struct az_gateway_program *program, const char *after)
+read_page (struct store_read *read, const char *after)
+{
+  az_metadata_range (read->program->store, PLATFORM_OPERATOR_PREFIX, after, page_read, read);
+}
+
+static void
+read_all (struct az_gateway_program *program)
 {
   struct az_store_view *view = &program->view;
+  struct store_read *read;
 
-  if (!after)
-    {
-      g_clear_pointer (&view->reading, g_hash_table_unref);
-      view->reading = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-      view->read_revision = 0;
-      view->requested_us = now_us ();
-    }
-  az_metadata_range (program->store, PLATFORM_OPERATOR_PREFIX, after, all_read, program);
+  retry (program, READ_AGAIN_MS);
+  if (view->reads->len >= READS_MAX)
+    return;
+  read = g_new0 (struct store_read, 1);
+  read->program = program;
+  read->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  read->requested_us = view->requested_us = now_us ();
+  g_ptr_array_add (view->reads, read);
+  read_page (read, NULL);
 }
 
 static void
@@ -274,11 +325,12 @@
   struct az_store_view *view = &program->view;
 
   view->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  view->reads = g_ptr_array_new_with_free_func (free_read);
   uv_timer_init (program->loop, &view->retry);
   uv_timer_init (program->loop, &view->member);
   view->retry.data = view->member.data = program;
   program->store = az_metadata_client_create (program->loop, program->options->store_address);
-  read_all (program, NULL);
+  read_all (program);
   az_metadata_range (program->store, AZ_MEMBERS_PREFIX, NULL, members_read, program);
   on_member_timer (&view->member);
 }
@@ -292,5 +344,10 @@
   uv_close ((uv_handle_t *)&view->retry, NULL);
   uv_close ((uv_handle_t *)&view->member, NULL);
   g_hash_table_unref (view->withdrawn);
-  g_clear_pointer (&view->reading, g_hash_table_unref);
+}
+
+void
+az_gateway_program_free_store (struct az_gateway_program *program)
+{
+  g_clear_pointer (&program->view.reads, g_ptr_array_unref);
 }
