Refuse orders that were delayed, and place nothing right after a pause

Cause: a sidecar took every run message of an open connection. When the sidecar was paused, or its link cut, for longer than a session (450 ms), the gateway closed the session and, 1,250 ms later, ran the task elsewhere. On waking, the sidecar read the buffered order before the end of the connection and started the task a second time. A gateway had the same fault on a smaller scale: after a pause it placed jobs from its queue before it had looked at their deadlines, or read that their callers had left.

Change: reports carry the sidecar's steady clock, orders return it advanced by the time since the report. A sidecar refuses an order older than a session, and doesn't repeat an order for a silent session. A gateway whose ticks are more than 300 ms apart reads first.

--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -20,7 +20,9 @@
   int64_t heard_us;
   int64_t busy_us; /* when it got tasks after having had none */
   int64_t pulsed_us;
-  int64_t evidence_us; /* when the withdrawn domains were last sent */
+  int64_t evidence_us;   /* when the withdrawn domains were last sent */
+  int64_t peer_clock_ms; /* of a sidecar, from its last report */
+  int64_t peer_clock_us; /* when that report was received */
 };
 
 /** struct sent_room - room that a run message takes until a report has counted it */
@@ -162,7 +164,9 @@
   guint next_peer;        /* index of the next one to ask */
   int64_t working_set_us; /* when the wanted upstreams were last chosen */
   int64_t open_us;        /* when an upstream was last seen open, at first the start */
+  int64_t ticked_us;
   bool needs_placing;
+  bool is_resuming; /* after a pause; what has arrived meanwhile is read before tasks are placed */
   uint32_t c_jobs;
   uint32_t c_completed;
   uint32_t c_failed;
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -82,6 +82,7 @@
   gateway->counters = counters;
   gateway->now_us = az_now_us (clock);
   gateway->open_us = gateway->now_us;
+  gateway->ticked_us = gateway->now_us;
   gateway->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
   gateway->upstreams = g_ptr_array_new_with_free_func (free_upstream);
   gateway->gateways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -125,10 +126,21 @@
   g_free (gateway);
 }
 
+/* Ticks that are further apart show that the process was paused. */
+#define PAUSE_MS 300
+
+static bool
+was_paused (const struct az_gateway *gateway)
+{
+  return gateway->now_us - gateway->ticked_us > PAUSE_MS * AZ_US_PER_MS;
+}
+
 void
 az_gateway_tick (struct az_gateway *gateway)
 {
   gateway->now_us = az_now_us (gateway->clock);
+  gateway->is_resuming = was_paused (gateway);
+  gateway->ticked_us = gateway->now_us;
   az_gateway_expire_sessions (gateway);
   az_gateway_expire_jobs (gateway);
   az_gateway_connect_members (gateway);
@@ -172,6 +184,13 @@
   if (!gateway->needs_placing)
     return;
   gateway->now_us = az_now_us (gateway->clock);
+  /* Callers may have sent jobs again elsewhere during a pause: those that left are to be noticed
+   * first, and those whose time is up are not started. */
+  if (gateway->is_resuming || was_paused (gateway))
+    {
+      gateway->is_resuming = false;
+      return;
+    }
   gateway->needs_placing = false;
   jobs = az_gateway_order (gateway);
   if (jobs->len > 0)
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -192,6 +192,15 @@
   az_resources_subtract (&upstream->free, need);
 }
 
+/* The sidecar's clock now. A report that was under way for long makes it too early, never too
+ * late. */
+static uint64_t
+estimate_peer_clock (const struct az_gateway *gateway, const struct session *session)
+{
+  return (uint64_t)(session->peer_clock_ms
+                    + (gateway->now_us - session->peer_clock_us) / AZ_US_PER_MS);
+}
+
 /* Sends the tasks of the step that were just assigned to one upstream, in one message. */
 static void
 send_run (struct az_gateway *gateway,
@@ -206,6 +215,7 @@
 
   g_snprintf (name, sizeof name, "%s.0.%zu", job->id, step_index);
   message.az_message_u.node_run = (struct az_node_run){
+    .clock_ms = estimate_peer_clock (gateway, az_gateway_session (gateway, upstream->session)),
     .job = job->number,
     .step = (u_int)step_index,
     .name = name,
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -98,6 +98,10 @@
                struct upstream *upstream,
                const struct az_node_report *report)
 {
+  struct session *session = az_gateway_session (gateway, upstream->session);
+
+  session->peer_clock_ms = (int64_t)report->clock_ms;
+  session->peer_clock_us = gateway->now_us;
   az_gateway_handle_room (upstream, report);
   az_gateway_update_health (gateway, upstream, report);
   gateway->needs_placing = true;
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -336,8 +336,11 @@
 };
 
 /* name is that of the step; a task's name is name.index. job is the gateway's number of the job.
- * expected_ms is the run time of a task on an upstream of usual speed. */
+ * expected_ms is the run time of a task on an upstream of usual speed. clock_ms is the sidecar's own
+ * clock when the order was sent, as its last report and the time since then tell; a sidecar refuses
+ * an order that was delayed. */
 struct az_node_run {
+	unsigned hyper clock_ms;
 	unsigned hyper job;
 	unsigned int step;
 	az_name name;
@@ -387,8 +390,10 @@
 
 /* received counts the run messages of this connection that free takes into account. The rest
  * speaks of the tasks of all gateways: speed, in percent of the expected one, and the numbers of
- * tasks that were done and that failed in this life of the upstream. */
+ * tasks that were done and that failed in this life of the upstream. clock_ms is the sidecar's
+ * steady clock. */
 struct az_node_report {
+	unsigned hyper clock_ms;
 	unsigned int received;
 	az_resources free;
 	unsigned int speed_percent;
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -439,6 +439,7 @@
 typedef struct az_run_task az_run_task;
 
 struct az_node_run {
+	u_quad_t clock_ms;
 	u_quad_t job;
 	u_int step;
 	az_name name;
@@ -494,6 +495,7 @@
 typedef struct az_task_progress az_task_progress;
 
 struct az_node_report {
+	u_quad_t clock_ms;
 	u_int received;
 	az_resources free;
 	u_int speed_percent;
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -768,6 +768,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->job))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->step))
@@ -948,6 +950,8 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->received))
 			 return FALSE;
 		 if (!xdr_az_resources (xdrs, &objp->free))
@@ -974,6 +978,8 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->received))
 			 return FALSE;
 		 if (!xdr_az_resources (xdrs, &objp->free))
@@ -1001,6 +1007,8 @@
 	 return TRUE;
 	}
 
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->received))
 		 return FALSE;
 	 if (!xdr_az_resources (xdrs, &objp->free))
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -65,6 +65,7 @@
   guint n_events = MIN (session->events->len, AZ_MAX_RUN);
 
   message.az_message_u.node_report = (struct az_node_report){
+    .clock_ms = (uint64_t)(sidecar->now_us / AZ_US_PER_MS),
     .received = session->received,
     .free = free,
     .speed_percent = (u_int)(sidecar->life.speed.value * 100),
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -113,13 +113,25 @@
   send_start (sidecar, handle);
 }
 
+/* A gateway that hears nothing for the time of a session counts its orders as lost and runs the
+ * tasks elsewhere. An order that was under way for longer, since the network or this process was
+ * held up, must not start them a second time. */
+static bool
+is_delayed (const struct az_sidecar *sidecar, const struct az_node_run *run)
+{
+  int64_t age_ms = sidecar->now_us / AZ_US_PER_MS - (int64_t)run->clock_ms;
+
+  return age_ms > sidecar->settings.session_ms;
+}
+
 void
 az_sidecar_run (struct az_sidecar *sidecar, struct session *session, const struct az_node_run *run)
 {
   g_autofree char *text = g_strndup (run->specification.az_specification_val,
                                      run->specification.az_specification_len);
   g_autoptr (GBytes) specification = g_bytes_new (text, strlen (text) + 1);
-  const char *closed = az_sidecar_closed_reason (sidecar);
+  const char *closed
+      = is_delayed (sidecar, run) ? "order-delayed" : az_sidecar_closed_reason (sidecar);
 
   for (u_int i = 0; i < run->tasks.tasks_len; i++)
     {
@@ -267,13 +279,24 @@
   g_free (task);
 }
 
+/* After a pause of this process, answers of the upstream may be read before the loss of a session
+ * is noticed. */
+static bool
+is_session_silent (const struct az_sidecar *sidecar, uint32_t handle)
+{
+  const struct session *session = az_sidecar_session (sidecar, handle);
+
+  return !session
+         || sidecar->now_us - session->heard_us > sidecar->settings.session_ms * AZ_US_PER_MS;
+}
+
 static void
 retry_start (struct az_sidecar *sidecar, uint32_t handle)
 {
   struct task *task = az_sidecar_task (sidecar, handle);
 
   if (++task->n_retries > RETRIES_MAX || task->is_recalled
-      || az_sidecar_closed_reason (sidecar) != NULL)
+      || az_sidecar_closed_reason (sidecar) != NULL || is_session_silent (sidecar, task->session))
     {
       az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
       return;
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -23,7 +23,8 @@
       const struct gateway_run run = { .session = session,
                                        .job = message->job,
                                        .index = message->tasks.tasks_val[i].index,
-                                       .attempt = message->tasks.tasks_val[i].attempt };
+                                       .attempt = message->tasks.tasks_val[i].attempt,
+                                       .clock_ms = (int64_t)message->clock_ms };
 
       rig->used[session] += message->need.cpu_milli;
       g_array_append_val (rig->runs, run);
@@ -160,6 +161,7 @@
   struct az_message message = { .proc = AZ_NODE_REPORT };
 
   message.az_message_u.node_report = (struct az_node_report){
+    .clock_ms = (uint64_t)(rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS),
     .received = rig->received[session],
     .free = { .cpu_milli = CORES - rig->used[session], .memory_mb = 65536 },
     .speed_percent = rig->speed[session],
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -8,12 +8,16 @@
 
 #define GATEWAY_RIG_ID "00000000000000%02x"
 
+/* The clocks of sidecars are ahead of the gateway's by this much. */
+#define GATEWAY_RIG_CLOCK_AHEAD_MS 5000
+
 struct gateway_run
 {
   uint32_t session;
   uint64_t job;
   uint32_t index;
   uint32_t attempt;
+  int64_t clock_ms; /* of the sidecar, as the order tells it */
 };
 
 struct gateway_answer
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -183,6 +183,7 @@
   struct az_run_task row = { .index = index, .attempt = 1 };
 
   message.az_message_u.node_run = (struct az_node_run){
+    .clock_ms = (uint64_t)(rig->now_ms - rig->order_age_ms),
     .job = job,
     .name = (char *)"job.0.0",
     .specification = { 4, (char *)"spec" },
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -235,6 +235,62 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against orders that a sidecar can't tell from delayed ones: they carry its own clock, as
+ * its last report and the time since then give it. */
+static void
+test_order_tells_when_it_was_sent (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  rig->now_ms += 70;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (rig->runs->len, 1);
+  assert_int_equal (gateway_rig_run (rig, 0)->clock_ms, rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a gateway that was paused and starts a job whose caller has given it up and sent
+ * it again elsewhere: freed room is read before the deadline is looked at. */
+static void
+test_paused_gateway_starts_nothing_late (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 8);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (rig->runs->len, 8);
+  rig->now_ms += 3000;
+  gateway_rig_end (rig, 0, AZ_TASK_DONE, 90);
+  assert_int_equal (rig->runs->len, 8);
+  gateway_rig_pass (rig, 40, 0);
+  assert_int_equal (rig->runs->len, 8);
+  assert_int_equal (gateway_rig_outcome (rig, 2), AZ_JOB_NOT_RUN);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a gateway that was paused and starts a job whose caller has left meanwhile, before
+ * it has read that. */
+static void
+test_paused_gateway_reads_first (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  rig->now_ms += 400;
+  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
+  az_gateway_tick (rig->core);
+  az_gateway_flush (rig->core);
+  az_gateway_caller_gone (rig->core, 2);
+  az_gateway_flush (rig->core);
+  assert_int_equal (rig->runs->len, 1);
+  assert_int_equal (gateway_rig_run (rig, 0)->job, 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against refusals in the moment after a start, before the sidecars have connected. */
 static void
 test_job_waits_for_the_first_upstream (void **state)
@@ -428,6 +484,9 @@
     cmocka_unit_test (test_configuration_never_goes_back),
     cmocka_unit_test (test_updates_come_from_peers_only_without_the_store),
     cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
+    cmocka_unit_test (test_order_tells_when_it_was_sent),
+    cmocka_unit_test (test_paused_gateway_starts_nothing_late),
+    cmocka_unit_test (test_paused_gateway_reads_first),
     cmocka_unit_test (test_job_waits_for_the_first_upstream),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
     cmocka_unit_test (test_failing_upstream_is_ejected),
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -341,6 +341,40 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a second run after the network or this process was held up: the gateway has given
+ * the session up meanwhile and runs the task elsewhere, but its order is still delivered. */
+static void
+test_delayed_order_starts_nothing (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  rig->order_age_ms = 451;
+  sidecar_rig_run (rig, 1, 1, 0);
+  assert_int_equal (rig->starts->len, 0);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CLOSED);
+  rig->order_age_ms = 450;
+  sidecar_rig_run (rig, 1, 1, 1);
+  assert_int_equal (rig->starts->len, 1);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against an order that is sent again after a pause, for a gateway that has given the
+ * session up meanwhile: answers of the upstream are read before the loss is noticed. */
+static void
+test_start_is_not_repeated_for_a_silent_session (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_run (rig, 1, 1, 0);
+  rig->now_ms += 3000;
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OLD);
+  assert_int_equal (rig->starts->len, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CLOSED);
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against a process that can't take over from its predecessor after its clock was set
  * back: the fence rises until the upstream takes it. */
 static void
@@ -462,6 +496,8 @@
     cmocka_unit_test (test_reborn_upstream_is_noticed_by_its_answers),
     cmocka_unit_test (test_heartbeat_follows_a_record),
     cmocka_unit_test (test_draining_or_withdrawn_upstream_takes_nothing),
+    cmocka_unit_test (test_delayed_order_starts_nothing),
+    cmocka_unit_test (test_start_is_not_repeated_for_a_silent_session),
     cmocka_unit_test (test_fence_rises_above_an_earlier_life),
     cmocka_unit_test (test_tasks_of_an_earlier_life_are_stopped_first),
     cmocka_unit_test (test_old_attempt_is_raised),
