--- a/Makefile
+++ b/Makefile
@@ -120,12 +120,18 @@
 asan:
 	$(MAKE) unit BUILD=build-asan CFLAGS="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
 
+comma := ,
+empty :=
+# The seeds of a fuzzer, NAME.json or NAME-*.json, joined by commas.
+fuzz_seeds = $(subst $(empty) $(empty),$(comma),$(wildcard tests/fuzz_seeds/$(1).json tests/fuzz_seeds/$(1)-*.json))
+
 # Fuzzers are built with clang into their own folder and run a fixed number of inputs.
-FUZZERS = message settings objects
+FUZZERS = message settings objects platform
 FUZZ_FLAGS = -seed=1 -max_len=4096 -timeout=5 -rss_limit_mb=1024 -print_final_stats=1
 fuzz_runs_message = 600000
 fuzz_runs_settings = 200000
 fuzz_runs_objects = 100000
+fuzz_runs_platform = 100000
 
 $(BUILD)/tests/fuzz_%: $(BUILD)/tests/fuzz_%.o $(LIB)
 	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $^ $(PKG_LIBS) -o $@
@@ -138,7 +144,7 @@
 	$(MAKE) fuzz-programs BUILD=build-fuzz CC=clang-14 CFLAGS="-O1 -g" \
 	  SANITIZE="-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all"
 	$(foreach f,$(FUZZERS),build-fuzz/tests/fuzz_$(f) $(FUZZ_FLAGS) -runs=$(fuzz_runs_$(f)) \
-	  $(addprefix -seed_inputs=,$(wildcard tests/fuzz_seeds/$(f).json)) && ) true
+	  $(addprefix -seed_inputs=,$(call fuzz_seeds,$(f))) && ) true
 
 .PHONY: format
 format:
--- a/src/sidecar/announcement_record.c
+++ b/src/sidecar/announcement_record.c
@@ -27,6 +27,23 @@
   return copy;
 }
 
+/* NULL unless all of @labels are strings. */
+static GPtrArray *
+unpack_labels (json_t *labels)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+
+  for (size_t i = 0; i < json_array_size (labels); i++)
+    {
+      const char *name = json_string_value (json_array_get (labels, i));
+
+      if (!name)
+        return NULL;
+      g_ptr_array_add (names, g_strdup (name));
+    }
+  return g_steal_pointer (&names);
+}
+
 static bool
 unpack (json_t *record, struct az_upstream_announcement *announcement)
 {
@@ -36,6 +53,7 @@
   const char *domain;
   json_int_t born_ms;
   json_t *labels;
+  GPtrArray *names;
   int is_draining;
   int cpu_milli;
   int memory_mb;
@@ -47,6 +65,12 @@
                    "accelerators", &accelerators, "labels", &labels)
       != 0)
     return false;
+  names = unpack_labels (labels);
+  if (!names || cpu_milli < 0 || memory_mb < 0 || accelerators < 0)
+    {
+      g_clear_pointer (&names, g_ptr_array_unref);
+      return false;
+    }
   *announcement = (struct az_upstream_announcement){
     .instance = g_strdup (instance),
     .service = g_strdup (service),
@@ -55,12 +79,9 @@
     .born_ms = born_ms,
     .is_draining = is_draining,
     .capacity = { (u_int)cpu_milli, (u_int)memory_mb, (u_int)accelerators },
-    .labels = g_ptr_array_new_with_free_func (g_free),
+    .labels = names,
     .clock_ms = -1,
   };
-  for (size_t i = 0; i < json_array_size (labels); i++)
-    g_ptr_array_add (announcement->labels,
-                     g_strdup (json_string_value (json_array_get (labels, i))));
   return true;
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -122,11 +122,18 @@
     "\"sequence\":1}",
     "{\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},\"sequence\":1}",
   };
+  static const char body[]
+      = "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
+        "\"sequence\":1}";
   struct az_upstream_announcement beat;
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
     assert_false (platform_decode_beat ("i", bodies[i], strlen (bodies[i]), &beat));
+  /* The instance stands in the path, whose bytes nobody has checked. */
+  assert_true (platform_decode_beat ("i", body, strlen (body), &beat));
+  az_upstream_announcement_clear (&beat);
+  assert_false (platform_decode_beat ("i\xff\xfe", body, strlen (body), &beat));
 }
 
 static void
@@ -337,6 +344,11 @@
   assert_string_equal (copy.labels->pdata[0], "a");
   az_upstream_announcement_clear (&copy);
   assert_false (az_announcement_record_decode ("{\"instance\":1}", &copy));
+  /* Guards against a record whose labels crash whoever compares them. */
+  assert_false (az_announcement_record_decode (
+      "{\"instance\":\"i\",\"service\":\"s\",\"address\":\"a\",\"domain\":\"d\",\"born_ms\":1,"
+      "\"draining\":false,\"cpu_milli\":1,\"memory_mb\":1,\"accelerators\":0,\"labels\":[7]}",
+      &copy));
   az_upstream_announcement_clear (&beat);
 }
 
