--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -54,7 +54,8 @@
   double gateway_weights[EMULATOR_GATEWAYS_MAX]; /* shares of the arrivals; all 0: equal */
   unsigned n_upstreams;
   unsigned n_domains;
-  double cores; /* of most upstreams; each third one has half as many again */
+  double cores;      /* of most upstreams; each third one has half as many again */
+  double task_cores; /* of a mean task */
   double length_s;
   double load; /* scales the arrivals */
   double cross_ms;
@@ -95,6 +96,10 @@
 struct emulator_scenario
 emulator_theatre_grown (double load);
 
+/** emulator_permits - the permit desk's kinds on eleven smaller upstreams in four domains */
+struct emulator_scenario
+emulator_permits (double load);
+
 /** emulator_swap_grown - 58 upstreams and 9 gateways in four domains, of which the busiest gateway
  * gets a quarter of the jobs */
 struct emulator_scenario
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -2,7 +2,7 @@
 #include <math.h>
 
 #define START_US 1500000
-#define MEAN_CPU_MILLI 3100.0
+#define CPU_SPREAD_MAX 1.52
 #define SLACK_FACTOR 1.6
 #define OBJECTIVE_US 60000
 #define LARGE_SHARE 0.1
@@ -78,13 +78,13 @@
   const struct emulator_kind *row = &scenario->kinds[kind];
   double run_us = row->mean_ms * 1000 * MIN (draw_factor (random, 0.4), 4);
   double n_tasks = row->mean_tasks * draw_factor (random, 0.4);
-  double mean_core_s = row->mean_ms / 1000 * row->mean_tasks * MEAN_CPU_MILLI / 1000;
+  double mean_core_s = row->mean_ms / 1000 * row->mean_tasks * scenario->task_cores;
   struct emu_job job = {
     .kind = kind,
     .arrives_us = at_us,
     .gateway = draw_gateway (scenario, random),
     .n_tasks = (unsigned)CLAMP (n_tasks + 0.5, 1, row->max_tasks),
-    .cpu_milli = MIN (MEAN_CPU_MILLI * draw_factor (random, 0.2), 4700),
+    .cpu_milli = 1000 * scenario->task_cores * MIN (draw_factor (random, 0.2), CPU_SPREAD_MAX),
     .estimate_ms = (int64_t)MAX (run_us / 1000 * draw_factor (random, 0.4), 1),
   };
 
--- a/bench/emulator/scenarios.c
+++ b/bench/emulator/scenarios.c
@@ -9,6 +9,7 @@
     .n_upstreams = 11,
     .n_domains = 3,
     .cores = 32,
+    .task_cores = 3.1,
     .length_s = 20,
     .load = load,
     .cross_ms = 0.9,
@@ -30,6 +31,19 @@
   return scenario;
 }
 
+struct emulator_scenario
+emulator_permits (double load)
+{
+  struct emulator_scenario scenario = emulator_theatre (load * 0.9);
+
+  scenario.n_gateways = 4;
+  scenario.n_domains = 4;
+  scenario.cores = 16;
+  scenario.task_cores = 1.6;
+  scenario.cross_ms = 1.4;
+  return scenario;
+}
+
 struct emulator_scenario
 emulator_swap_grown (double load)
 {
