Keep a sidecar closed until it knows the withdrawn domains

Change: without any news of withdrawals the upstream is closed. Gateways send theirs with the answer to a sidecar's hello and when they learn them for the first time, not at the next tick.

--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -554,11 +554,14 @@
 connect_all (struct world *world)
 {
   for (unsigned g = 0; g < world->scenario->n_gateways; g++)
-    for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
-      {
-        az_gateway_session_opened (world->gateways[g], s + 1, NULL);
-        az_sidecar_session_opened (world->sidecars[s], g + 1);
-      }
+    {
+      az_gateway_set_withdrawn (world->gateways[g], 1, 0, NULL, 0);
+      for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
+        {
+          az_gateway_session_opened (world->gateways[g], s + 1, NULL);
+          az_sidecar_session_opened (world->sidecars[s], g + 1);
+        }
+    }
   for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
     announce (world, s);
 }
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -214,6 +214,10 @@
                          const struct az_node_pulse *pulse);
 void
 az_gateway_relay_withdrawn (struct az_gateway *gateway);
+
+/** az_gateway_send_withdrawn - the withdrawn domains, if they are known */
+void
+az_gateway_send_withdrawn (struct az_gateway *gateway, struct session *session);
 bool
 az_gateway_is_withdrawn (const struct az_gateway *gateway, const char *domain);
 
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -25,8 +25,8 @@
   gateway->io.send (gateway->io.context, session->handle, &message);
 }
 
-static void
-send_withdrawn (struct az_gateway *gateway, struct session *session)
+void
+az_gateway_send_withdrawn (struct az_gateway *gateway, struct session *session)
 {
   struct az_message message = { .proc = AZ_NODE_WITHDRAWN };
   const struct evidence *evidence = &gateway->evidence;
@@ -49,7 +49,7 @@
 {
   if (gateway->catalog && gateway->catalog->version > pulse->catalog_version)
     send_catalog (gateway, session);
-  send_withdrawn (gateway, session);
+  az_gateway_send_withdrawn (gateway, session);
 }
 
 static GPtrArray *
@@ -177,14 +177,16 @@
 {
   struct evidence *evidence = &gateway->evidence;
   int64_t known_us;
+  bool is_first;
 
   gateway->now_us = az_now_us (gateway->clock);
   known_us = gateway->now_us - age_ms * AZ_US_PER_MS;
   if (revision < evidence->revision)
     return;
+  is_first = evidence->known_us == 0;
   evidence->revision = revision;
   evidence->known_us = MAX (evidence->known_us, known_us);
-  if (is_same_set (evidence, domains, n_domains))
+  if (!is_first && is_same_set (evidence, domains, n_domains))
     return;
   g_ptr_array_set_size (evidence->domains, 0);
   for (size_t i = 0; i < n_domains; i++)
@@ -194,7 +196,7 @@
           " age_ms=%" G_GINT64_FORMAT,
           n_domains, n_domains ? domains[0] : "-", revision, age_ms);
   gateway->needs_placing = true;
-  relay_to_all (gateway, send_withdrawn);
+  relay_to_all (gateway, az_gateway_send_withdrawn);
 }
 
 static void
@@ -206,7 +208,7 @@
   if (session->peer_address)
     return;
   if (gateway->now_us - session->evidence_us >= every_ms * AZ_US_PER_MS)
-    send_withdrawn (gateway, session);
+    az_gateway_send_withdrawn (gateway, session);
 }
 
 void
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -78,6 +78,8 @@
       az_gateway_add_member (gateway, hello->address);
       return;
     }
+  /* A sidecar that has just started takes nothing before it knows which domains are withdrawn. */
+  az_gateway_send_withdrawn (gateway, session);
   upstream = az_gateway_find_upstream (gateway, hello->instance, hello->domain);
   if (upstream->session && upstream->session != session->handle)
     {
--- a/src/sidecar/life.c
+++ b/src/sidecar/life.c
@@ -16,6 +16,8 @@
     return "no-upstream";
   if (sidecar->life.is_draining)
     return "upstream-draining";
+  if (withdrawal->known_us == 0)
+    return "withdrawals-unknown";
   if (withdrawal->is_withdrawn)
     return "domain-withdrawn";
   if (!sidecar->life.is_fenced || !sidecar->lease.is_known)
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -144,12 +144,16 @@
 sidecar_rig_open_session (struct sidecar_rig *rig, uint32_t session, const char *gateway)
 {
   struct az_message hello = { .proc = AZ_NODE_HELLO };
+  struct az_message withdrawn = { .proc = AZ_NODE_WITHDRAWN };
 
+  withdrawn.az_message_u.node_withdrawn.revision = 1;
   hello.az_message_u.node_hello.instance = (char *)gateway;
   hello.az_message_u.node_hello.domain = (char *)"d1";
   hello.az_message_u.node_hello.address = (char *)"127.0.0.1:9";
   az_sidecar_session_opened (rig->core, session);
   az_sidecar_received (rig->core, session, &hello);
+  if (!rig->hides_withdrawals)
+    az_sidecar_received (rig->core, session, &withdrawn);
 }
 
 bool
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -34,7 +34,8 @@
   unsigned n_closed;
   uint32_t free_milli; /* as last reported */
   uint32_t speed_percent;
-  int64_t order_age_ms; /* how long orders of gateways are under way */
+  bool hides_withdrawals; /* gateways don't tell which domains are withdrawn */
+  int64_t order_age_ms;   /* how long orders of gateways are under way */
 };
 
 /** sidecar_rig_create - with sessions 1 and 2 of gateways "g1" and "g2", and an upstream of 32
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -359,6 +359,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against starts in a withdrawn domain right after a restart: what the former process knew
+ * of withdrawals is gone, and a gateway may have older news. */
+static void
+test_started_sidecar_waits_for_the_withdrawals (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create_bare ();
+
+  (void)state;
+  rig->hides_withdrawals = true;
+  sidecar_rig_open_session (rig, 1, "g1");
+  sidecar_rig_announce (rig, "i1", 100, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_run (rig, 1, 1, 0);
+  assert_int_equal (rig->starts->len, 0);
+  assert_true (az_sidecar_needs_withdrawals (rig->core));
+  az_sidecar_withdrawn (rig->core, 1, 0, NULL, 0);
+  sidecar_rig_run (rig, 1, 1, 1);
+  assert_int_equal (rig->starts->len, 1);
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against an order that is sent again after a pause, for a gateway that has given the
  * session up meanwhile: answers of the upstream are read before the loss is noticed. */
 static void
@@ -496,6 +517,7 @@
     cmocka_unit_test (test_reborn_upstream_is_noticed_by_its_answers),
     cmocka_unit_test (test_heartbeat_follows_a_record),
     cmocka_unit_test (test_draining_or_withdrawn_upstream_takes_nothing),
+    cmocka_unit_test (test_started_sidecar_waits_for_the_withdrawals),
     cmocka_unit_test (test_delayed_order_starts_nothing),
     cmocka_unit_test (test_start_is_not_repeated_for_a_silent_session),
     cmocka_unit_test (test_fence_rises_above_an_earlier_life),
