Let no job wait for room beyond the time that its caller waits

Cause: the latest start of a job followed from its arrival alone. Callers that send a job again, after a loss of power for example, have little time left, down to nothing; such jobs waited in the queue until their deadline.

Change: the objective of a job is at most its caller's deadline, so it is refused as soon as the queue shows that the caller can't be answered.

The new test fails without the change.

Conclusion: few callers are concerned; they are told at once.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -74,6 +74,8 @@
   job->run_us = longest_chain_us (gateway, job);
   job->objective_us = gateway->now_us + (int64_t)(route->slack_factor * (double)job->run_us)
                       + route->objective_ms * AZ_US_PER_MS;
+  /* Callers that send a job again have less time left. */
+  job->objective_us = MIN (job->objective_us, job->deadline_us);
   g_hash_table_insert (gateway->jobs, &job->number, job);
   g_hash_table_insert (gateway->job_ids, job->id, job);
   az_gateway_count_arrival (gateway, job);
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -120,6 +120,7 @@
   const struct az_gateway_io io = { take_message, take_close, take_connect, take_answer, rig };
 
   rig->now_ms = 1000;
+  rig->wait_ms = 1500;
   rig->clock = (struct az_clock){ monotonic, monotonic, rig };
   rig->counters = az_counters_create ();
   rig->runs = g_array_new (FALSE, FALSE, sizeof (struct gateway_run));
@@ -217,7 +218,7 @@
                                            .need = { .cpu_milli = TASK_CPU, .memory_mb = 64 },
                                            .estimate_ms = 100 };
   az_gateway_submit (rig->core, caller, az_catalog_find (catalog, "host", path), id, &request,
-                     1500);
+                     rig->wait_ms);
   az_gateway_flush (rig->core);
 }
 
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -30,6 +30,7 @@
 struct gateway_rig
 {
   int64_t now_ms;
+  int64_t wait_ms; /* of callers */
   struct az_clock clock;
   struct az_counters *counters;
   struct az_gateway *core;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -235,6 +235,22 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a job that waits for room beyond the time at which its caller leaves: a caller
+ * that sends a job again has little time left. */
+static void
+test_caller_with_little_time_is_refused_in_time (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 8);
+  rig->wait_ms = 110;
+  gateway_rig_submit (rig, 2, "fast", 1);
+  gateway_rig_pass (rig, 20, 0);
+  assert_int_equal (gateway_rig_outcome (rig, 2), AZ_JOB_NOT_RUN);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against orders that a sidecar can't tell from delayed ones: they carry its own clock, as
  * its last report and the time since then give it. */
 static void
@@ -484,6 +500,7 @@
     cmocka_unit_test (test_configuration_never_goes_back),
     cmocka_unit_test (test_updates_come_from_peers_only_without_the_store),
     cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
+    cmocka_unit_test (test_caller_with_little_time_is_refused_in_time),
     cmocka_unit_test (test_order_tells_when_it_was_sent),
     cmocka_unit_test (test_paused_gateway_starts_nothing_late),
     cmocka_unit_test (test_paused_gateway_reads_first),
