Connect sidecars to gateways at their start

Change: a sidecar connects to its seeds and reads the list of gateways when it starts, and connects to what it has read at once.

--- a/src/sidecar/links.c
+++ b/src/sidecar/links.c
@@ -16,9 +16,9 @@
 #define RECONNECT_FIRST_MS 50
 #define RECONNECT_MAX_MS 250
 
-/* A process that starts reads the list of gateways soon: after a loss of power its seeds may return
- * later than others. */
-#define ALONE_AT_START_MS 60
+/* A process that starts doesn't wait before it reads the list of gateways: after a loss of power
+ * its seeds may return later than others. */
+#define ALONE_AT_START_MS 0
 #define ALONE_MS 1000
 #define MEMBERS_EVERY_MS 2000
 
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -151,6 +151,8 @@
     .context = program,
   };
   az_node_loop_open (&program->node, TICK_MS);
+  az_sidecar_program_connect (program);
+  az_sidecar_program_poll_store (program);
   az_program_on_stop (program->loop, on_stop, program);
   return true;
 }
--- a/src/sidecar/program_store.c
+++ b/src/sidecar/program_store.c
@@ -25,6 +25,7 @@
   for (size_t i = 0; i < answer->n_items; i++)
     if (answer->items[i].value)
       az_sidecar_program_add_gateway (program, answer->items[i].value);
+  az_sidecar_program_connect (program);
 }
 
 static void
