Keep the time bounds of sessions in one place

Cause: gateway and sidecar each defined the silence that ends a session and the factors for idle ones, and the bound after which lost tasks have ended stood beside neither of the times that it is made of.

No change of behaviour.

Figures: unit tests of both cores pass as before.

--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -1,3 +1,4 @@
+#include "dispatch/session_times.h"
 #include "emulator/world.h"
 #include <stdlib.h>
 #include <string.h>
@@ -434,8 +435,8 @@
     .instance = "gateway",
     .domain = g_intern_string (domain),
     .address = "127.0.0.1:1",
-    .session_ms = 450,
-    .loss_ms = 1250,
+    .session_ms = AZ_SESSION_MS,
+    .loss_ms = AZ_SESSION_LOSS_MS,
     .cross_domain_ms = 4,
     .remote_factor = 1.5,
   };
@@ -460,8 +461,8 @@
   const struct az_sidecar_settings settings = {
     .instance = g_intern_string (instance),
     .domain = g_intern_string (domain),
-    .lease_ms = 700,
-    .session_ms = 450,
+    .lease_ms = AZ_TASK_LEASE_MS,
+    .session_ms = AZ_SESSION_MS,
     .stop_ms = 50,
     .evidence_ms = 2500,
   };
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -1,17 +1,10 @@
 #include "azurerock/log.h"
 #include "azurerock/program.h"
+#include "dispatch/session_times.h"
 #include "gateway/program.h"
 
 #define TICK_MS 20
 
-/* A sidecar ends a session after this silence; both sides use the same bound. */
-#define SESSION_MS 450
-
-/* What ran in a lost session has ended: the sidecar may notice the loss after its session time-out
- * (450 ms), and if its upstream is silent too, the lease (700 ms on a clock 2% slow) and the stop
- * (50 ms) come on top. Callers send a job again after 1,300 ms. */
-#define LOSS_MS 1250
-
 /* Share of the time for a stop after which open jobs are given up. */
 #define ABANDON_SHARE 0.83
 
@@ -109,8 +102,8 @@
     .instance = options->instance,
     .domain = options->domain,
     .address = options->advertised_address,
-    .session_ms = SESSION_MS,
-    .loss_ms = LOSS_MS,
+    .session_ms = AZ_SESSION_MS,
+    .loss_ms = AZ_SESSION_LOSS_MS,
     .cross_domain_ms = 4,
     .remote_factor = options->remote_factor,
   };
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "dispatch/session_times.h"
 #include "gateway/board.h"
 #include <string.h>
 
@@ -8,10 +9,6 @@
 /* To peers, and to sidecars whose room isn't kept up with. */
 #define PULSE_DORMANT_MS 2000
 
-/* A session without tasks is given up later: nothing depends on it. */
-#define IDLE_SESSION_FACTOR 4
-#define DORMANT_SESSION_FACTOR 16
-
 void
 az_gateway_session_opened (struct az_gateway *gateway, uint32_t handle, const char *outgoing)
 {
@@ -192,7 +189,8 @@
 
   if (has_tasks (gateway, session))
     return gateway->now_us - MAX (session->heard_us, session->busy_us) > limit_ms * AZ_US_PER_MS;
-  limit_ms *= in_working_set (gateway, session) ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
+  limit_ms
+      *= in_working_set (gateway, session) ? AZ_IDLE_SESSION_FACTOR : AZ_DORMANT_SESSION_FACTOR;
   return gateway->now_us - session->heard_us > limit_ms * AZ_US_PER_MS;
 }
 
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -1,15 +1,10 @@
 #include "azurerock/log.h"
 #include "azurerock/program.h"
+#include "dispatch/session_times.h"
 #include "sidecar/program.h"
 
 #define TICK_MS 25
 
-/* A gateway ends a session after this silence; both sides use the same bound. */
-#define SESSION_MS 450
-
-/* Bounds the time after which what a silent upstream ran is known to have ended. */
-#define LEASE_MS 700
-
 /* News of withdrawals that gateways relay are renewed about every second. */
 #define EVIDENCE_MS 2500
 
@@ -114,8 +109,8 @@
   const struct az_sidecar_settings settings = {
     .instance = options->instance,
     .domain = options->domain,
-    .lease_ms = MIN (LEASE_MS, (int64_t)options->lease_max_ms),
-    .session_ms = SESSION_MS,
+    .lease_ms = MIN (AZ_TASK_LEASE_MS, (int64_t)options->lease_max_ms),
+    .session_ms = AZ_SESSION_MS,
     .stop_ms = (int64_t)options->stop_ms,
     .evidence_ms = EVIDENCE_MS,
   };
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -1,11 +1,8 @@
 #include "azurerock/log.h"
+#include "dispatch/session_times.h"
 #include "sidecar/board.h"
 #include <string.h>
 
-/* A session without tasks is given up later: nothing depends on it. */
-#define IDLE_SESSION_FACTOR 4
-#define DORMANT_SESSION_FACTOR 16
-
 struct session *
 az_sidecar_session (const struct az_sidecar *sidecar, uint32_t handle)
 {
@@ -136,7 +133,7 @@
       int64_t limit_ms = sidecar->settings.session_ms;
 
       if (session->n_tasks == 0)
-        limit_ms *= session->wants_reports ? IDLE_SESSION_FACTOR : DORMANT_SESSION_FACTOR;
+        limit_ms *= session->wants_reports ? AZ_IDLE_SESSION_FACTOR : AZ_DORMANT_SESSION_FACTOR;
       if (sidecar->now_us - session->heard_us <= limit_ms * AZ_US_PER_MS)
         continue;
       az_sidecar_session_closed (sidecar, handle, "gateway is silent");
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -1,4 +1,5 @@
 #include "gateway_rig.h"
+#include "dispatch/session_times.h"
 #include "testing.h"
 #include <string.h>
 
@@ -111,8 +112,8 @@
     .instance = "g1",
     .domain = "d1",
     .address = "127.0.0.1:9",
-    .session_ms = 450,
-    .loss_ms = 1250,
+    .session_ms = AZ_SESSION_MS,
+    .loss_ms = AZ_SESSION_LOSS_MS,
     .cross_domain_ms = 4,
     .remote_factor = 1.5,
   };
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -1,4 +1,5 @@
 #include "sidecar_rig.h"
+#include "dispatch/session_times.h"
 #include <string.h>
 
 #define TICK_MS 25
@@ -94,8 +95,8 @@
   static const struct az_sidecar_settings settings = {
     .instance = "s1",
     .domain = "d1",
-    .lease_ms = 700,
-    .session_ms = 450,
+    .lease_ms = AZ_TASK_LEASE_MS,
+    .session_ms = AZ_SESSION_MS,
     .stop_ms = 50,
     .evidence_ms = 2500,
   };
