Split the emulator's play by job

Cause: play.c had grown to 650 lines: links, calls to upstreams, troubles and the course of a run.

No change of behaviour.

--- /dev/null
+++ b/bench/emulator/calls.c
@@ -0,0 +1,167 @@
+#include "emulator/play.h"
+#include <stdlib.h>
+
+#define ORDER_TIMEOUT_US 30000
+#define HOLD_EXTRA_US 50000
+
+/* Answers of an upstream to its sidecar. */
+struct order_answer
+{
+  unsigned upstream;
+  uint32_t task;
+  bool is_stop;
+  enum az_upstream_result result;
+};
+
+static void
+order_answered (void *context, void *data)
+{
+  struct world *world = context;
+  const struct order_answer *row = data;
+  const struct az_upstream_answer answer
+      = { .result = row->result, .clock_ms = emu_now_us (world->events) / 1000 };
+
+  if (row->is_stop)
+    az_sidecar_stop_answered (world->sidecars[row->upstream], row->task, &answer);
+  else
+    az_sidecar_start_answered (world->sidecars[row->upstream], row->task, &answer);
+  az_sidecar_flush (world->sidecars[row->upstream]);
+}
+
+static void
+answer_order (struct world *world, const struct order_answer *answer)
+{
+  bool is_silent = answer->result == AZ_UPSTREAM_UNANSWERED;
+
+  emu_at (world->events, emu_now_us (world->events) + (is_silent ? ORDER_TIMEOUT_US : LOCAL_US),
+          order_answered, world, g_memdup2 (answer, sizeof *answer));
+}
+
+static bool
+is_answered (struct world *world, unsigned upstream)
+{
+  return !emu_upstream_is_down (world->upstreams[upstream])
+         && g_rand_double (world->random) >= world->unanswered_share;
+}
+
+static bool
+runs_elsewhere (const struct world *world, const char *task)
+{
+  for (unsigned i = 0; i < world->scenario->n_upstreams; i++)
+    if (emu_upstream_runs (world->upstreams[i], task))
+      return true;
+  return false;
+}
+
+void
+emu_start_task (void *context, uint32_t task, const struct az_upstream_start *start)
+{
+  const struct node_context *node = context;
+  struct world *world = node->world;
+  g_auto (GStrv) parts = g_strsplit (start->task, ".", 4);
+  guint index = GPOINTER_TO_UINT (g_hash_table_lookup (world->jobs, parts[0])) - 1;
+  const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, index);
+  struct order_answer answer = { .upstream = node->index, .task = task };
+  bool fails = g_rand_double (world->random) < world->fail_share[node->index];
+
+  if (!is_answered (world, node->index))
+    answer.result = AZ_UPSTREAM_UNANSWERED;
+  else
+    {
+      world->tally.result.n_overlaps += runs_elsewhere (world, start->task);
+      world->tally.result.n_runs++;
+      answer.result = emu_upstream_start (world->upstreams[node->index], start, job->cpu_milli,
+                                          job->work_us[atoi (parts[3])], fails);
+    }
+  answer_order (world, &answer);
+}
+
+void
+emu_stop_task (void *context, uint32_t task, const struct az_upstream_stop *stop)
+{
+  const struct node_context *node = context;
+  struct world *world = node->world;
+  struct order_answer answer = { .upstream = node->index, .task = task, .is_stop = true };
+
+  if (!is_answered (world, node->index))
+    answer.result = AZ_UPSTREAM_UNANSWERED;
+  else
+    emu_upstream_stop (world->upstreams[node->index], stop);
+  answer_order (world, &answer);
+}
+
+struct hold_event
+{
+  unsigned upstream;
+  uint64_t number;
+};
+
+static void
+hold_due (void *context, void *data)
+{
+  struct world *world = context;
+  const struct hold_event *event = data;
+  GArray *holds = world->holds[event->upstream];
+  struct az_upstream_lists lists = { 0 };
+  struct waiting_hold hold = { 0 };
+
+  lists.answer.clock_ms = emu_now_us (world->events) / 1000;
+  for (guint i = 0; i < holds->len; i++)
+    if (g_array_index (holds, struct waiting_hold, i).number == event->number)
+      {
+        hold = g_array_index (holds, struct waiting_hold, i);
+        g_array_remove_index (holds, i);
+      }
+  if (hold.number == 0)
+    return;
+  if (!hold.is_answered || emu_upstream_is_down (world->upstreams[event->upstream]))
+    lists.answer = (struct az_upstream_answer){ .result = AZ_UPSTREAM_UNANSWERED, .clock_ms = -1 };
+  else
+    emu_upstream_lists (world->upstreams[event->upstream], hold.seen, &lists);
+  az_sidecar_hold_answered (world->sidecars[event->upstream], event->number, &lists);
+  az_upstream_lists_clear (&lists);
+  az_sidecar_flush (world->sidecars[event->upstream]);
+}
+
+static void
+schedule_hold (struct world *world, unsigned upstream, uint64_t number, int64_t at_us)
+{
+  struct hold_event *event = g_new0 (struct hold_event, 1);
+
+  event->upstream = upstream;
+  event->number = number;
+  emu_at (world->events, at_us, hold_due, world, event);
+}
+
+void
+emu_hold_tasks (void *context, uint64_t number, const struct az_upstream_hold *call)
+{
+  const struct node_context *node = context;
+  struct world *world = node->world;
+  struct emu_upstream *upstream = world->upstreams[node->index];
+  struct waiting_hold hold = { .number = number, .seen = call->seen };
+  int64_t wait_us = call->wait_ms * 1000;
+
+  hold.is_answered = is_answered (world, node->index);
+  g_array_append_val (world->holds[node->index], hold);
+  if (!hold.is_answered)
+    wait_us += HOLD_EXTRA_US;
+  else if (emu_upstream_has_ends (upstream, hold.seen))
+    wait_us = 0;
+  schedule_hold (world, node->index, number, emu_now_us (world->events) + wait_us + LOCAL_US);
+}
+
+void
+emu_upstream_changed (void *context, unsigned upstream)
+{
+  struct world *world = context;
+  const GArray *holds = world->holds[upstream];
+
+  for (guint i = 0; i < holds->len; i++)
+    {
+      const struct waiting_hold *hold = &g_array_index (holds, struct waiting_hold, i);
+
+      if (hold->is_answered)
+        schedule_hold (world, upstream, hold->number, emu_now_us (world->events) + LOCAL_US);
+    }
+}
--- /dev/null
+++ b/bench/emulator/links.c
@@ -0,0 +1,113 @@
+#include "emulator/play.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define SAME_DOMAIN_US 200
+
+unsigned
+emu_domain_of_gateway (const struct world *world, unsigned gateway)
+{
+  return gateway % world->scenario->n_domains;
+}
+
+unsigned
+emu_domain_of_upstream (const struct world *world, unsigned upstream)
+{
+  return upstream % world->scenario->n_domains;
+}
+
+static int64_t
+link_us (const struct world *world, unsigned gateway, unsigned upstream)
+{
+  if (emu_domain_of_gateway (world, gateway) == emu_domain_of_upstream (world, upstream))
+    return SAME_DOMAIN_US;
+  return (int64_t)(world->scenario->cross_ms * 1000);
+}
+
+/* Messages travel encoded, as between processes. */
+struct packet
+{
+  unsigned gateway;
+  unsigned upstream;
+  guint length;
+  uint8_t bytes[];
+};
+
+static struct packet *
+pack (unsigned gateway, unsigned upstream, const struct az_message *message)
+{
+  g_autoptr (GByteArray) bytes = g_byte_array_new ();
+  struct packet *packet;
+
+  if (!az_message_encode (message, 0, bytes, NULL))
+    abort ();
+  packet = g_malloc (sizeof *packet + bytes->len);
+  packet->gateway = gateway;
+  packet->upstream = upstream;
+  packet->length = bytes->len;
+  memcpy (packet->bytes, bytes->data, bytes->len);
+  return packet;
+}
+
+static void
+deliver_to_sidecar (void *context, void *data)
+{
+  struct world *world = context;
+  const struct packet *packet = data;
+  struct az_message message;
+
+  if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
+    abort ();
+  az_sidecar_received (world->sidecars[packet->upstream], packet->gateway + 1, &message);
+  az_sidecar_flush (world->sidecars[packet->upstream]);
+  az_message_clear (&message);
+}
+
+static void
+deliver_to_gateway (void *context, void *data)
+{
+  struct world *world = context;
+  const struct packet *packet = data;
+  struct az_message message;
+
+  if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
+    abort ();
+  az_gateway_received (world->gateways[packet->gateway], packet->upstream + 1, &message);
+  az_gateway_flush (world->gateways[packet->gateway]);
+  az_message_clear (&message);
+}
+
+void
+emu_send_to_sidecar (void *context, uint32_t session, const struct az_message *message)
+{
+  const struct node_context *node = context;
+  struct world *world = node->world;
+
+  emu_at (world->events, emu_now_us (world->events) + link_us (world, node->index, session - 1),
+          deliver_to_sidecar, world, pack (node->index, session - 1, message));
+}
+
+void
+emu_send_to_gateway (void *context, uint32_t session, const struct az_message *message)
+{
+  const struct node_context *node = context;
+  struct world *world = node->world;
+
+  emu_at (world->events, emu_now_us (world->events) + link_us (world, session - 1, node->index),
+          deliver_to_gateway, world, pack (session - 1, node->index, message));
+}
+
+void
+emu_close_session (void *context, uint32_t session, const char *reason)
+{
+  (void)context;
+  (void)session;
+  (void)reason;
+}
+
+void
+emu_connect_to (void *context, const char *address)
+{
+  (void)context;
+  (void)address;
+}
