Offer freed room to as many waiting gateways as can fill it

Cause: a sidecar told every waiting gateway of freed room at once.

Change: the gateways that have heard nothing for longest are told first, until what they wait for fills the room; the others 4 ms later, if it is still there. The end of a task is told as before.

The new test fails without the change.

--- a/src/sidecar/board.h
+++ b/src/sidecar/board.h
@@ -122,6 +122,13 @@
   uint64_t seen;
 };
 
+/** struct offer - freed room that gateways with waiting tasks were told of since @made_us */
+struct offer
+{
+  int64_t made_us;
+  uint64_t cpu_milli; /* that they wait for */
+};
+
 struct withdrawal
 {
   uint64_t revision;
@@ -149,6 +156,7 @@
   struct az_lease lease;
   struct hold_state hold;
   struct withdrawal withdrawal;
+  struct offer offer;
   struct az_resources used;
   uint64_t fence;
   uint64_t fence_step;
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -9,6 +9,9 @@
 /* Freed room below this isn't worth a message of its own, in thousandths of a core. */
 #define FREE_CHANGE_MILLI 500
 
+/* A gateway that was offered room takes it within this time. */
+#define OFFER_MS 4
+
 struct az_resources
 az_sidecar_free (const struct az_sidecar *sidecar)
 {
@@ -92,14 +95,66 @@
     return true;
   if (!session->wants_reports && session->n_tasks == 0)
     return silent_us >= REPORT_DORMANT_MS * AZ_US_PER_MS;
-  if (session->waiting_cpu_milli > 0
-      && free_milli >= session->free_reported_milli + FREE_CHANGE_MILLI)
-    return true;
   if (session->n_tasks > 0 || free_milli != session->free_reported_milli)
     return silent_us >= REPORT_BUSY_MS * AZ_US_PER_MS;
   return silent_us >= REPORT_IDLE_MS * AZ_US_PER_MS;
 }
 
+/* Whether the session waits for room and doesn't know of what has become free. */
+static bool
+wants_offer (const struct az_sidecar *sidecar, const struct session *session)
+{
+  return session->gateway && session->waiting_cpu_milli > 0
+         && az_sidecar_free (sidecar).cpu_milli >= session->free_reported_milli + FREE_CHANGE_MILLI;
+}
+
+/* The one that has heard nothing for longest. */
+static struct session *
+next_for_offer (const struct az_sidecar *sidecar)
+{
+  struct session *next = NULL;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sidecar->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct session *session = value;
+
+      if (wants_offer (sidecar, session) && (!next || session->reported_us < next->reported_us))
+        next = session;
+    }
+  return next;
+}
+
+static void
+count_offer (struct az_sidecar *sidecar, const struct session *session)
+{
+  struct offer *offer = &sidecar->offer;
+
+  if (sidecar->now_us - offer->made_us >= OFFER_MS * AZ_US_PER_MS)
+    *offer = (struct offer){ .made_us = sidecar->now_us };
+  offer->cpu_milli += session->waiting_cpu_milli;
+}
+
+/* When many gateways wait, freed room is offered to as many as can fill it: all others would only
+ * be refused. */
+static void
+offer_room (struct az_sidecar *sidecar)
+{
+  const struct offer *offer = &sidecar->offer;
+  struct session *session;
+
+  while ((session = next_for_offer (sidecar)))
+    {
+      if (sidecar->now_us - offer->made_us < OFFER_MS * AZ_US_PER_MS
+          && offer->cpu_milli >= az_sidecar_free (sidecar).cpu_milli)
+        return;
+      count_offer (sidecar, session);
+      az_sidecar_report (sidecar, session);
+    }
+}
+
 void
 az_sidecar_flush (struct az_sidecar *sidecar)
 {
@@ -116,7 +171,11 @@
       report_upstream (sidecar, session);
       while (session->events->len > AZ_MAX_RUN)
         az_sidecar_report (sidecar, session);
-      if (is_report_due (sidecar, session))
-        az_sidecar_report (sidecar, session);
+      if (!is_report_due (sidecar, session))
+        continue;
+      if (wants_offer (sidecar, session))
+        count_offer (sidecar, session);
+      az_sidecar_report (sidecar, session);
     }
+  offer_room (sidecar);
 }
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -27,11 +27,11 @@
   struct sidecar_rig *rig = context;
   const struct az_node_report *report = &message->az_message_u.node_report;
 
-  (void)session;
   if (message->proc == AZ_NODE_UPSTREAM)
     rig->is_open = message->az_message_u.node_upstream.open;
   if (message->proc != AZ_NODE_REPORT)
     return;
+  rig->n_reports[session]++;
   rig->free_milli = report->free.cpu_milli;
   rig->speed_percent = report->speed_percent;
   g_array_append_vals (rig->events, report->events.events_val, report->events.events_len);
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -34,6 +34,7 @@
   unsigned n_closed;
   uint32_t free_milli; /* as last reported */
   uint32_t speed_percent;
+  unsigned n_reports[4];  /* by session */
   bool hides_withdrawals; /* gateways don't tell which domains are withdrawn */
   int64_t order_age_ms;   /* how long orders of gateways are under way */
 };
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -440,6 +440,52 @@
   sidecar_rig_destroy (rig);
 }
 
+static void
+wait_for_room (struct sidecar_rig *rig, uint32_t session, uint32_t cpu_milli)
+{
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  pulse.az_message_u.node_pulse.waiting_cpu_milli = cpu_milli;
+  pulse.az_message_u.node_pulse.wants_reports = true;
+  az_sidecar_received (rig->core, session, &pulse);
+}
+
+/* Load: many gateways wait for the room of full upstreams. Guards against telling all of them about
+ * room that only one can use: the others would be refused, and ask again. */
+static void
+test_freed_room_is_offered_to_those_who_can_fill_it (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  unsigned before;
+
+  (void)state;
+  sidecar_rig_open_session (rig, 3, "g3");
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      sidecar_rig_run (rig, 1, 1, i);
+      sidecar_rig_answer_start (rig, i, AZ_UPSTREAM_OK);
+    }
+  sidecar_rig_pass_held (rig, 100,
+                         "job.0.0.0 job.0.0.1 job.0.0.2 job.0.0.3 job.0.0.4 job.0.0.5 job.0.0.6 "
+                         "job.0.0.7");
+  wait_for_room (rig, 2, 4000);
+  wait_for_room (rig, 3, 4000);
+  az_sidecar_flush (rig->core);
+  before = rig->n_reports[2] + rig->n_reports[3];
+  sidecar_rig_answer_hold (
+      rig, "job.0.0.1 job.0.0.2 job.0.0.3 job.0.0.4 job.0.0.5 job.0.0.6 job.0.0.7", "job.0.0.0");
+  assert_int_equal (rig->free_milli, 4000);
+  assert_int_equal (rig->n_reports[2] + rig->n_reports[3], before + 1);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (rig->n_reports[2] + rig->n_reports[3], before + 1);
+  /* The first doesn't take it. */
+  rig->now_ms += 5;
+  sidecar_rig_pulse (rig, 1);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (rig->n_reports[2] + rig->n_reports[3], before + 2);
+  sidecar_rig_destroy (rig);
+}
+
 /* A job that is sent again starts its attempts anew; the upstream may have passed them. */
 static void
 test_old_attempt_is_raised (void **state)
@@ -522,6 +568,7 @@
     cmocka_unit_test (test_start_is_not_repeated_for_a_silent_session),
     cmocka_unit_test (test_fence_rises_above_an_earlier_life),
     cmocka_unit_test (test_tasks_of_an_earlier_life_are_stopped_first),
+    cmocka_unit_test (test_freed_room_is_offered_to_those_who_can_fill_it),
     cmocka_unit_test (test_old_attempt_is_raised),
     cmocka_unit_test (test_slow_upstream_is_found_from_all_tasks),
     cmocka_unit_test (test_one_underestimated_job_says_little),
