Ignore second hellos and absurd counts, offer room to sessions in use

Cause, found by reading: a peer that named itself twice on one connection left the first upstream with a session that was gone, and the next task placed there ended the gateway with a segmentation fault. A report with a count of ends near 2^32 kept it in a loop. Freed room was also offered to gateways that use other upstreams, whose news of waiting tasks may be 2 s old; they used up the offer of others.

Change: the first hello of a connection holds, a later one is logged; of the ends between two reports at most 1,000 are looked at; offers go to sessions with reports or tasks.

Conclusion: two more ways in which one malformed message could have stopped a gateway are closed.

--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -17,6 +17,16 @@
           speed, is_slow ? "probes-only" : "in-use");
 }
 
+/* More ends than this between two reports say nothing more than these. */
+#define ENDS_MAX 1000
+
+/* @counted is how much of @reported was taken into account. */
+static uint32_t
+skip_excess (uint32_t counted, uint32_t reported)
+{
+  return reported > ENDS_MAX ? MAX (counted, reported - ENDS_MAX) : counted;
+}
+
 /* The counts are of one life of the upstream and begin anew with it. */
 static void
 update_failures (struct az_gateway *gateway,
@@ -32,6 +42,8 @@
       upstream->has_counts = true;
       return;
     }
+  upstream->n_failed = skip_excess (upstream->n_failed, report->n_failed);
+  upstream->n_done = skip_excess (upstream->n_done, report->n_done);
   for (; upstream->n_failed < report->n_failed; upstream->n_failed++)
     az_ejector_report (gateway->ejector, upstream->handle, false);
   for (; upstream->n_done < report->n_done; upstream->n_done++)
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -65,12 +65,16 @@
       gateway->io.close (gateway->io.context, session->handle, "connected to itself");
       return;
     }
-  g_free (session->instance);
+  if (session->instance)
+    {
+      az_log (LOG_WARNING, "event=hello-ignored peer=%s claimed=%s", session->instance,
+              hello->instance);
+      return;
+    }
   session->instance = g_strdup (hello->instance);
   az_log (LOG_NOTICE, "event=session-opened peer=%s domain=%s", hello->instance, hello->domain);
   if (hello->address[0])
     {
-      g_free (session->peer_address);
       session->peer_address = g_strdup (hello->address);
       az_gateway_add_member (gateway, hello->address);
       return;
@@ -94,11 +98,10 @@
 
 static void
 handle_report (struct az_gateway *gateway,
+               struct session *session,
                struct upstream *upstream,
                const struct az_node_report *report)
 {
-  struct session *session = az_gateway_session (gateway, upstream->session);
-
   session->peer_clock_ms = (int64_t)report->clock_ms;
   session->peer_clock_us = gateway->now_us;
   az_gateway_handle_room (upstream, report);
@@ -157,7 +160,7 @@
       break;
     case AZ_NODE_REPORT:
       if (upstream)
-        handle_report (gateway, upstream, &message->az_message_u.node_report);
+        handle_report (gateway, session, upstream, &message->az_message_u.node_report);
       break;
     default:
       break;
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -104,7 +104,9 @@
 static bool
 wants_offer (const struct az_sidecar *sidecar, const struct session *session)
 {
-  return session->gateway && session->waiting_cpu_milli > 0
+  bool is_in_use = session->wants_reports || session->n_tasks > 0;
+
+  return session->gateway && is_in_use && session->waiting_cpu_milli > 0
          && az_sidecar_free (sidecar).cpu_milli >= session->free_reported_milli + FREE_CHANGE_MILLI;
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -335,6 +335,46 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a peer that names itself twice: the first name would be left with a session that
+ * is gone, and the next task placed there would end the process. */
+static void
+test_second_hello_is_ignored (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+  struct az_message hello = { .proc = AZ_NODE_HELLO };
+
+  (void)state;
+  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
+  hello.az_message_u.node_hello = (struct az_node_hello){
+    .incarnation = 101,
+    .instance = (char *)"s2",
+    .domain = (char *)"d1",
+    .address = (char *)"",
+  };
+  az_gateway_received (rig->core, 1, &hello);
+  az_gateway_session_closed (rig->core, 1, "reset");
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (rig->runs->len, 0);
+  gateway_rig_open_upstream (rig, 2, "s1", "d1", true);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a report whose counts keep the process busy for minutes. */
+static void
+test_absurd_counts_are_cut (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  rig->n_done[1] = UINT32_MAX;
+  rig->n_failed[1] = UINT32_MAX - 1;
+  gateway_rig_pass (rig, 20, 0);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_outcome (rig, 1), -1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against an upstream that fails all that it starts and so looks idle. */
 static void
 test_failing_upstream_is_ejected (void **state)
@@ -506,6 +546,8 @@
     cmocka_unit_test (test_paused_gateway_reads_first),
     cmocka_unit_test (test_job_waits_for_the_first_upstream),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
+    cmocka_unit_test (test_second_hello_is_ignored),
+    cmocka_unit_test (test_absurd_counts_are_cut),
     cmocka_unit_test (test_failing_upstream_is_ejected),
     cmocka_unit_test (test_first_report_of_a_life_is_no_news),
     cmocka_unit_test (test_stopping_gateway_takes_what_it_can_end),
