Start jobs without a specification, and fuzz sequences of messages

Cause: a specification that is empty, or left out, comes without bytes; the sidecar copied it as text and ended with a segmentation fault. One caller could so take down each sidecar that its job was sent to.

Change: the bytes are copied by their length. A fuzzer plays sequences of messages, sessions, time and jobs to the cores of gateway and sidecar; it found the fault.

Figures: test_empty_specification_is_started ends with the fault without the change.

Conclusion: mended.

--- a/Makefile
+++ b/Makefile
@@ -126,15 +126,18 @@
 fuzz_seeds = $(subst $(empty) $(empty),$(comma),$(wildcard tests/fuzz_seeds/$(1).json tests/fuzz_seeds/$(1)-*.json))
 
 # Fuzzers are built with clang into their own folder and run a fixed number of inputs.
-FUZZERS = message settings objects platform
+FUZZERS = message settings objects platform sessions
 FUZZ_FLAGS = -seed=1 -max_len=4096 -timeout=5 -rss_limit_mb=1024 -print_final_stats=1
 fuzz_runs_message = 600000
 fuzz_runs_settings = 200000
 fuzz_runs_objects = 100000
 fuzz_runs_platform = 100000
+fuzz_runs_sessions = 15000
 
-$(BUILD)/tests/fuzz_%: $(BUILD)/tests/fuzz_%.o $(LIB)
-	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $^ $(PKG_LIBS) -o $@
+RIG_OBJECTS = $(BUILD)/tests/gateway_rig.o $(BUILD)/tests/sidecar_rig.o
+
+$(BUILD)/tests/fuzz_%: $(BUILD)/tests/fuzz_%.o $(RIG_OBJECTS) $(LIB)
+	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $^ $(PKG_LIBS) $(shell pkg-config --libs cmocka) -o $@
 
 .PHONY: fuzz-programs
 fuzz-programs: $(FUZZERS:%=$(BUILD)/tests/fuzz_%)
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -124,12 +124,22 @@
   return age_ms > sidecar->settings.session_ms;
 }
 
+/* NUL-terminated. An empty specification comes without bytes. */
+static GBytes *
+copy_specification (const struct az_node_run *run)
+{
+  size_t length = run->specification.az_specification_len;
+  char *text = g_malloc0 (length + 1);
+
+  if (length > 0)
+    memcpy (text, run->specification.az_specification_val, length);
+  return g_bytes_new_take (text, length + 1);
+}
+
 void
 az_sidecar_run (struct az_sidecar *sidecar, struct session *session, const struct az_node_run *run)
 {
-  g_autofree char *text = g_strndup (run->specification.az_specification_val,
-                                     run->specification.az_specification_len);
-  g_autoptr (GBytes) specification = g_bytes_new (text, strlen (text) + 1);
+  g_autoptr (GBytes) specification = copy_specification (run);
   const char *closed
       = is_delayed (sidecar, run) ? "order-delayed" : az_sidecar_closed_reason (sidecar);
 
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -380,6 +380,28 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a caller whose job has no specification: it comes without bytes and used to end
+ * the process. */
+static void
+test_empty_specification_is_started (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  struct az_message message = { .proc = AZ_NODE_RUN };
+  struct az_run_task row = { .index = 0, .attempt = 1 };
+
+  (void)state;
+  message.az_message_u.node_run = (struct az_node_run){
+    .clock_ms = (uint64_t)rig->now_ms,
+    .job = 1,
+    .name = (char *)"job.0.0",
+    .need = { .cpu_milli = 4000, .memory_mb = 64 },
+    .tasks = { 1, &row },
+  };
+  az_sidecar_received (rig->core, 1, &message);
+  assert_int_equal (rig->starts->len, 1);
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against an order that is sent again after a pause, for a gateway that has given the
  * session up meanwhile: answers of the upstream are read before the loss is noticed. */
 static void
@@ -564,6 +586,7 @@
     cmocka_unit_test (test_heartbeat_follows_a_record),
     cmocka_unit_test (test_draining_or_withdrawn_upstream_takes_nothing),
     cmocka_unit_test (test_started_sidecar_waits_for_the_withdrawals),
+    cmocka_unit_test (test_empty_specification_is_started),
     cmocka_unit_test (test_delayed_order_starts_nothing),
     cmocka_unit_test (test_start_is_not_repeated_for_a_silent_session),
     cmocka_unit_test (test_fence_rises_above_an_earlier_life),
