Log incarnation and fence where they decide about a start

A restart under the same instance id couldn't be told from other losses: lines of starts and adopted tasks named neither the incarnation nor the fence, and the line of a new incarnation didn't say how many tasks of the former one were left.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -232,7 +232,8 @@
   task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
   task->state = TASK_RUNNING;
   task->acknowledged_at_hold = sidecar->hold.number;
-  az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u outcome=stopping", name, attempt);
+  az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u life=%" G_GUINT64_FORMAT " outcome=stopping",
+          name, attempt, task->life);
   az_sidecar_cancel_task (sidecar, handle);
 }
 
@@ -350,8 +351,11 @@
   if (answer->clock_ms >= 0 && task->life == sidecar->life.number)
     az_lease_observe (&sidecar->lease, answer->clock_ms, sidecar->now_us);
   if (answer->result != AZ_UPSTREAM_OK)
-    az_log (LOG_INFO, "event=start task=%s attempt=%u outcome=%s", task->name, task->attempt,
-            az_upstream_result_name (answer->result));
+    az_log (LOG_INFO,
+            "event=start task=%s attempt=%u outcome=%s life=%" G_GUINT64_FORMAT
+            " fence=%" G_GUINT64_FORMAT,
+            task->name, task->attempt, az_upstream_result_name (answer->result), task->life,
+            sidecar->fence);
   switch (answer->result)
     {
     case AZ_UPSTREAM_OK:
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -107,10 +107,11 @@
   sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
                                        .in_flight = sidecar->hold.in_flight };
   az_log (LOG_NOTICE,
-          "event=upstream-life instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
-          " cpu=%u",
-          life->instance, life->service, life->address, life->started_ms,
-          announcement->capacity.cpu_milli);
+          "event=upstream-life life=%" G_GUINT64_FORMAT
+          " instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
+          " cpu=%u fence=%" G_GUINT64_FORMAT " tasks=%u",
+          life->number, life->instance, life->service, life->address, life->started_ms,
+          announcement->capacity.cpu_milli, sidecar->fence, az_table_rows_count (sidecar->tasks));
 }
 
 static bool
