Keep tasks at a former address until their leases have ended

When an upstream appears at another address, its former incarnation may run on until the leases of its tasks have ended. If the new incarnation was replaced in that time, these tasks were reported as lost at once as well, although only the new incarnation was known to have ended; the gateway would start them elsewhere beside the present run. Only tasks of the incarnation that was replaced end now.

test_tasks_at_a_former_address_outlast_the_next_restart failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -55,6 +55,24 @@
   task->need = (struct az_resources){ 0 };
 }
 
+static void
+handle_former_task (struct az_sidecar *sidecar, uint32_t handle, enum replacement replacement)
+{
+  switch (replacement)
+    {
+    case REPLACED_BY_ANOTHER:
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+      break;
+    case REPLACED_SAME_ID:
+      az_sidecar_lose_or_suspend_task (sidecar, handle);
+      break;
+    case MOVED:
+      release_capacity (sidecar, az_sidecar_get_task (sidecar, handle));
+      break;
+    }
+}
+
+/* Tasks of an incarnation before the former one, at another address, end with their leases. */
 static void
 end_former_incarnation (struct az_sidecar *sidecar, enum replacement replacement)
 {
@@ -64,18 +82,8 @@
     {
       uint32_t next = az_table_rows_next (sidecar->tasks, handle);
 
-      switch (replacement)
-        {
-        case REPLACED_BY_ANOTHER:
-          az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
-          break;
-        case REPLACED_SAME_ID:
-          az_sidecar_lose_or_suspend_task (sidecar, handle);
-          break;
-        case MOVED:
-          release_capacity (sidecar, az_sidecar_get_task (sidecar, handle));
-          break;
-        }
+      if (az_sidecar_get_task (sidecar, handle)->life == sidecar->life.number)
+        handle_former_task (sidecar, handle, replacement);
       handle = next;
     }
 }
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -158,17 +158,18 @@
 }
 
 bool
-sidecar_rig_announce (struct sidecar_rig *rig,
-                      const char *instance,
-                      int64_t started_ms,
-                      uint64_t sequence,
-                      bool is_draining)
+sidecar_rig_announce_at (struct sidecar_rig *rig,
+                         const char *address,
+                         const char *instance,
+                         int64_t started_ms,
+                         uint64_t sequence,
+                         bool is_draining)
 {
   g_autoptr (GPtrArray) labels = g_ptr_array_new ();
   const struct az_upstream_announcement announcement = {
     .instance = (char *)instance,
     .service = (char *)"service",
-    .address = (char *)"127.0.0.1:1",
+    .address = (char *)address,
     .domain = (char *)"d1",
     .started_ms = started_ms,
     .sequence = sequence,
@@ -181,6 +182,16 @@
   return az_sidecar_upstream_announced (rig->core, &announcement);
 }
 
+bool
+sidecar_rig_announce (struct sidecar_rig *rig,
+                      const char *instance,
+                      int64_t started_ms,
+                      uint64_t sequence,
+                      bool is_draining)
+{
+  return sidecar_rig_announce_at (rig, "127.0.0.1:1", instance, started_ms, sequence, is_draining);
+}
+
 void
 sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index)
 {
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -62,6 +62,14 @@
                       uint64_t sequence,
                       bool is_draining);
 
+bool
+sidecar_rig_announce_at (struct sidecar_rig *rig,
+                         const char *address,
+                         const char *instance,
+                         int64_t started_ms,
+                         uint64_t sequence,
+                         bool is_draining);
+
 /** sidecar_rig_send_run - delivers a request from @session to run task "job.0.0.index" on 4 cores
  */
 void
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -215,6 +215,25 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a second run elsewhere while an incarnation at a former address may run the task.
+ */
+static void
+test_tasks_at_a_former_address_outlast_the_next_restart (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_announce_at (rig, "127.0.0.1:2", "i2", 200, 1, false);
+  sidecar_rig_announce_at (rig, "127.0.0.1:2", "i3", 300, 1, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_advance_answering_holds (rig, 800, "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -229,6 +248,7 @@
     cmocka_unit_test (test_late_start_of_earlier_attempt_is_stopped),
     cmocka_unit_test (test_restart_seen_in_an_answer_excludes_late_starts),
     cmocka_unit_test (test_incarnation_with_another_id_ends_the_tasks_at_once),
+    cmocka_unit_test (test_tasks_at_a_former_address_outlast_the_next_restart),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
