Repeat no start at an incarnation that the task wasn't sent to

If the upstream appears at another address while a start request is in flight, and the former incarnation answers that the attempt or the fence is too low, the request was repeated at the new incarnation. The task still counted as one of the former incarnation, whose leases aren't renewed, so it was reported as lost after one lease while it ran on. The task is now handed back as not started.

test_start_at_a_former_address_is_not_repeated failed before (two starts) and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -358,7 +358,8 @@
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
   if (++task->n_retries > START_RETRIES_MAX || task->is_cancelled
-      || az_sidecar_closed_reason (sidecar) != NULL || is_session_silent (sidecar, task->session))
+      || task->life != sidecar->life.number || az_sidecar_closed_reason (sidecar) != NULL
+      || is_session_silent (sidecar, task->session))
     {
       az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
       return;
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -234,6 +234,22 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a task that runs in the new incarnation but ends with the leases of the former. */
+static void
+test_start_at_a_former_address_is_not_repeated (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_announce_at (rig, "127.0.0.1:2", "i2", 200, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_STALE_ATTEMPT);
+  assert_int_equal (rig->starts->len, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CLOSED);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -249,6 +265,7 @@
     cmocka_unit_test (test_restart_seen_in_an_answer_excludes_late_starts),
     cmocka_unit_test (test_incarnation_with_another_id_ends_the_tasks_at_once),
     cmocka_unit_test (test_tasks_at_a_former_address_outlast_the_next_restart),
+    cmocka_unit_test (test_start_at_a_former_address_is_not_repeated),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
