Ignore the departure of a former incarnation

A departure named only the instance id. If it was delayed and the upstream had restarted under the same id, the present incarnation was taken for gone and, since only a newer birth time opens an upstream again, stayed closed for good.

--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -76,9 +76,10 @@
 az_sidecar_upstream_announced (struct az_sidecar *sidecar,
                                const struct az_upstream_announcement *announcement);
 
-/** az_sidecar_upstream_left - the upstream instance has deregistered because it ends */
+/** az_sidecar_upstream_left - the upstream instance that started at @started_ms (Unix time; 0 if
+ * not stated) has deregistered because it ends; ignored if it is a former incarnation */
 void
-az_sidecar_upstream_left (struct az_sidecar *sidecar, const char *instance);
+az_sidecar_upstream_left (struct az_sidecar *sidecar, const char *instance, int64_t started_ms);
 
 void
 az_sidecar_start_answered (struct az_sidecar *sidecar,
--- a/src/sidecar/program_registry.c
+++ b/src/sidecar/program_registry.c
@@ -43,7 +43,8 @@
       handle_heartbeat (program, request, instance);
       break;
     case PLATFORM_REGISTRY_DEREGISTER:
-      az_sidecar_upstream_left (program->sidecar, instance);
+      az_sidecar_upstream_left (program->sidecar, instance,
+                                platform_decode_departure (request->body, request->body_length));
       respond (program, request->handle, 200);
       break;
     case PLATFORM_REGISTRY_UNKNOWN:
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -355,6 +355,21 @@
   az_upstream_announcement_clear (&announcement);
 }
 
+/* Guards against a departure that is taken for one of the present incarnation, or that isn't
+ * believed because its body is missing or malformed. */
+static void
+test_birth_time_of_a_departure_is_decoded (void **state)
+{
+  static const char *const without[]
+      = { "", "{}", "[1]", "{\"born\":\"1\"}", "{\"born\":-1}", "x" };
+  const char *body = "{\"born\":1700000000123}";
+
+  (void)state;
+  assert_int_equal (platform_decode_departure (body, strlen (body)), 1700000000123);
+  for (size_t i = 0; i < G_N_ELEMENTS (without); i++)
+    assert_int_equal (platform_decode_departure (without[i], strlen (without[i])), 0);
+}
+
 int
 main (void)
 {
@@ -365,6 +380,7 @@
     cmocka_unit_test (test_heartbeat_is_decoded),
     cmocka_unit_test (test_malformed_heartbeats_are_rejected),
     cmocka_unit_test (test_registry_calls_are_identified),
+    cmocka_unit_test (test_birth_time_of_a_departure_is_decoded),
     cmocka_unit_test (test_order_results),
     cmocka_unit_test (test_malformed_rows_are_skipped),
     cmocka_unit_test (test_incomplete_lists_are_invalid),
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -250,6 +250,37 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a restarted upstream that stays closed after a late departure of the former. */
+static void
+test_late_departure_of_the_former_incarnation_is_ignored (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_upstream_left (rig->core, "i1", 100);
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  az_sidecar_upstream_left (rig->core, "i1", 200);
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a departure that isn't believed because it states no birth time. */
+static void
+test_departure_without_birth_time_closes_the_upstream (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  az_sidecar_upstream_left (rig->core, "i1", 0);
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -266,6 +297,8 @@
     cmocka_unit_test (test_incarnation_with_another_id_ends_the_tasks_at_once),
     cmocka_unit_test (test_tasks_at_a_former_address_outlast_the_next_restart),
     cmocka_unit_test (test_start_at_a_former_address_is_not_repeated),
+    cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
+    cmocka_unit_test (test_departure_without_birth_time_closes_the_upstream),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
