Recognize a restart under the same id after the clock was set back

Incarnations of one instance id are ordered by their birth times, which come from the wall clock. If the clock had been set back before the restart, each announcement of the new incarnation was taken for an old one, and the upstream stayed closed until its clock had passed the former birth time. The birth time in an answer belongs to the incarnation that runs now, so an announcement that states it is accepted.

--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -294,7 +294,7 @@
     {
       bool has_same_id = lists->answer.result != AZ_UPSTREAM_OTHER_INSTANCE;
 
-      az_sidecar_handle_replacement (sidecar, has_same_id);
+      az_sidecar_handle_replacement (sidecar, has_same_id, lists->answer.started_ms);
       return;
     }
   switch (lists->answer.result)
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -84,18 +84,27 @@
   GArray *progress; /* struct az_task_progress */
 };
 
-/** struct life - the current incarnation of the upstream; NODE_UPSTREAM reports @number as life */
+/**
+ * struct life - the current incarnation of the upstream
+ * @number: counts the incarnations, 0 before the first announcement; NODE_UPSTREAM reports it as
+ * life
+ * @sequence: number of the last heartbeat
+ * @successor_started_ms: birth time of the incarnation that has answered in place of this one, 0 if
+ * none has or it isn't known
+ * @is_fenced: the upstream accepted the fence and runs no task of a former sidecar process
+ */
 struct life
 {
-  uint64_t number; /* counts the incarnations; 0 before the first announcement */
+  uint64_t number;
   char *instance;
   char *service;
   char *address;
   int64_t started_ms;
-  uint64_t sequence; /* number of the last heartbeat */
+  int64_t successor_started_ms;
+  uint64_t sequence;
   bool is_draining;
   bool has_left;
-  bool is_fenced; /* the upstream accepted the fence and runs no task of a former sidecar process */
+  bool is_fenced;
   struct az_resources capacity;
   GPtrArray *labels;
   struct az_speed speed;
@@ -247,11 +256,16 @@
 
 /* upstream_incarnation.c */
 
-/** az_sidecar_handle_replacement - call when another incarnation answers at the upstream's address:
- * the tasks of the former one are lost or suspended; nothing starts until the new incarnation has
- * announced itself */
+/**
+ * az_sidecar_handle_replacement - another incarnation answers at the upstream's address
+ * @has_same_id: it has the instance id of the former one
+ * @started_ms: its birth time, 0 if it isn't known
+ *
+ * The tasks of the former incarnation are lost or suspended. Nothing starts until the new one has
+ * announced itself.
+ */
 void
-az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id);
+az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id, int64_t started_ms);
 bool
 az_sidecar_is_open (const struct az_sidecar *sidecar);
 
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -103,8 +103,9 @@
 }
 
 void
-az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id)
+az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id, int64_t started_ms)
 {
+  sidecar->life.successor_started_ms = has_same_id ? started_ms : 0;
   if (sidecar->life.has_left)
     return;
   az_log (LOG_NOTICE, "event=upstream-replaced former=%s same_id=%s tasks=%u",
@@ -168,13 +169,17 @@
           announcement->capacity.cpu_milli, sidecar->fence, az_table_rows_count (sidecar->tasks));
 }
 
+/* Birth times come from the wall clock of the upstream's machine, which may have been set back. The
+ * one that a restarted upstream has answered with belongs to the present incarnation. */
 static bool
 is_newer_incarnation (const struct life *life, const struct az_upstream_announcement *announcement)
 {
   if (life->number == 0)
     return true;
   if (!strcmp (life->instance, announcement->instance))
-    return announcement->started_ms > life->started_ms;
+    return announcement->started_ms > life->started_ms
+           || (life->has_left && life->successor_started_ms > 0
+               && announcement->started_ms == life->successor_started_ms);
   return announcement->started_ms >= life->started_ms || life->has_left;
 }
 
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -281,6 +281,24 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a restarted upstream that stays closed because its clock was set back. */
+static void
+test_restart_with_clock_set_back_is_recognized (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  const struct az_upstream_lists restarted
+      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5, .started_ms = 60 } };
+
+  (void)state;
+  assert_false (sidecar_rig_announce (rig, "i1", 60, 1, false));
+  az_sidecar_hold_answered (rig->core, rig->hold, &restarted);
+  assert_false (sidecar_rig_announce (rig, "i1", 50, 9, false));
+  assert_true (sidecar_rig_announce (rig, "i1", 60, 2, false));
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -299,6 +317,7 @@
     cmocka_unit_test (test_start_at_a_former_address_is_not_repeated),
     cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
     cmocka_unit_test (test_departure_without_birth_time_closes_the_upstream),
+    cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
