Reproduce two runs of a task after an upstream starts again under its id

The stand-in executor can start again under the id that it had, with a new birth time and clock, fence 0, no known attempts and ends numbered from 1. An order that got no answer is carried out 0.3 to 12 s later, before it was 0.3 to 6 s, by whichever incarnation then has the expected id. The executor announces itself at its start, and a crash breaks the connections of waiting holds. A start of an executor that is up ends its tasks first, since faults may overlap.

The new soak fault "rebirth" leaves half of the orders of an executor unanswered and restarts it up to three times under its id.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -56,8 +56,9 @@
         now = time.monotonic()
         running_on = self.running.setdefault(name, set())
         if running_on:
-            self.report_violation("TWICE", "%s starts on %s while it runs on %s"
-                                  % (name, machine, running_on))
+            self.report_violation("TWICE", "%s attempt %d starts%s on %s while it runs on %s (%s)"
+                                  % (name, attempt, " late" if is_late else "", machine,
+                                     running_on, time.strftime("%H:%M:%S")))
         running_on.add(machine)
         self.runs.setdefault(name.split(".")[0], []).append(name)
         if is_late:
@@ -407,6 +408,19 @@
         for executor in self.executors:
             executor.delayed_share = 0.0
 
+    async def fault_rebirth(self):
+        """An executor doesn't answer half of its orders and starts again under its id; the
+        incarnation that is up then carries the orders out."""
+        executor = self.random.choice(self.executors)
+        executor.delayed_share = 0.5
+        await asyncio.sleep(self.random.uniform(0.2, 1))
+        for _ in range(self.random.randint(1, 3)):
+            executor.crash()
+            await asyncio.sleep(self.random.uniform(0.05, 1.5))
+            executor.start(keeps_id=True)
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+        executor.delayed_share = 0.0
+
     async def fault_failing(self):
         executor = self.random.choice(self.executors)
         executor.failing_share = 1.0
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -10,6 +10,7 @@
 
 LEASE_CHECK_S = 0.02
 HEARTBEAT_S = 1.5
+LATE_ORDER_S = (0.3, 12)
 
 
 class Store:
@@ -99,8 +100,8 @@
     """An executor. @is_unresponsive: runs and answers no orders and sends no heartbeats;
     @drops_answers: runs orders and answers none; @unanswered_share: share of the calls that are
     neither run nor answered; @failing_share: share of the tasks that fail; @delayed_share: share of
-    the orders that are not answered and run seconds later; @speed: of the tasks, 0 for no
-    progress."""
+    the orders that are not answered and run seconds later, even by a later incarnation if it has
+    the same id; @speed: of the tasks, 0 for no progress."""
 
     def __init__(self, name, host, port, registry, zone, history, seed):
         self.machine, self.host, self.port = name, host, port
@@ -110,24 +111,30 @@
             False, 0.0, 0.0, 1.0
         self.drops_answers, self.delayed_share = False, 0.0
         self.is_up, self.is_draining, self.draining_acknowledged_s = False, False, None
-        self.incarnation = 0
+        self.incarnation, self.labels = 0, ["a", "r1"]
         self.task_ended = asyncio.Event()
         self.server = None
 
-    def start(self, fence=0):
+    def start(self, fence=0, keeps_id=False):
+        """Starts an incarnation, after a crash if one is up, and sends its first heartbeat."""
+        if self.is_up:
+            self.crash()
         self.incarnation += 1
-        self.id = "i-%s-%d" % (self.machine, self.incarnation)
+        if not keeps_id:
+            self.id = "i-%s-%d" % (self.machine, self.incarnation)
         self.born = int(time.time() * 1000)
         self.start_time_s = time.monotonic()
         self.sequence, self.fence, self.lease_end = 0, fence, 0
         self.tasks, self.ended_tasks, self.n_ended, self.stopped_attempts = {}, [], 0, {}
         self.is_up, self.is_draining, self.draining_acknowledged_s = True, False, None
+        asyncio.ensure_future(self.try_heartbeat())
 
     def crash(self):
         self.is_up = False
         for name in list(self.tasks):
             self.history.record_end(self.machine, name, self.tasks[name]["attempt"], "crash")
         self.tasks = {}
+        self.wake_holds()
 
     def clock(self):
         return int((time.monotonic() - self.start_time_s) * 1000)
@@ -138,23 +145,26 @@
         asyncio.ensure_future(self.send_heartbeats())
 
     async def send_heartbeats(self):
-        host, port = self.registry.split(":")
         while True:
-            if self.is_up and not self.is_unresponsive:
-                try:
-                    await self.send_heartbeat(host, int(port))
-                except (OSError, TimeoutError):
-                    pass
             await asyncio.sleep(HEARTBEAT_S)
+            await self.try_heartbeat()
+
+    async def try_heartbeat(self):
+        if self.is_up and not self.is_unresponsive:
+            try:
+                await self.send_heartbeat()
+            except (OSError, TimeoutError):
+                pass
 
-    async def send_heartbeat(self, host, port):
-        client = standin_http.HttpClient(host, port)
+    async def send_heartbeat(self):
+        host, port = self.registry.split(":")
+        client = standin_http.HttpClient(host, int(port))
         self.sequence += 1
         was_draining, incarnation_before = self.is_draining, self.incarnation
         body = {"service": "service", "address": "%s:%d" % (self.host, self.port),
                 "zone": self.zone, "version": "v1", "slots": 8, "sequence": self.sequence,
                 "state": "draining" if was_draining else "ready", "cold-remaining-ms": 0,
-                "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0}, "labels": ["a", "r1"],
+                "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0}, "labels": self.labels,
                 "clock-ms": self.clock(), "born": self.born}
         status, _, _ = await client.call("POST", "/azurerock/Executors.Heartbeat/" + self.id,
                                          {}, body, 1.0)
@@ -170,6 +180,9 @@
         self.ended_tasks.append([self.n_ended, name, task["attempt"], how, ""])
         self.stopped_attempts[name] = max(self.stopped_attempts.get(name, 0), task["attempt"])
         self.history.record_end(self.machine, name, task["attempt"], how)
+        self.wake_holds()
+
+    def wake_holds(self):
         self.task_ended.set()
         self.task_ended = asyncio.Event()
 
@@ -197,9 +210,12 @@
         call = json.loads(body)
         name = target.rsplit("/", 1)[1].replace("-", "_")
         if name != "hold" and self.random.random() < self.delayed_share:
-            asyncio.ensure_future(self.run_order_late(name, dict(call, is_late=True)))
+            asyncio.ensure_future(self.run_order_late(name, call, self.id))
             raise standin_http.NoAnswer
+        incarnation_before = self.incarnation
         answer = await self.run_order(name, call)
+        if not self.is_up or self.incarnation != incarnation_before:
+            raise standin_http.ResetConnection
         if self.drops_answers:
             raise standin_http.NoAnswer
         return answer
@@ -210,11 +226,10 @@
         self.fence = call.get("fencing-token", 0)
         return await getattr(self, name)(call)
 
-    async def run_order_late(self, name, call):
-        id_before = self.id
-        await asyncio.sleep(self.random.uniform(0.3, 6))
-        if self.is_up and self.id == id_before:
-            await self.run_order(name, call)
+    async def run_order_late(self, name, call, expected_id):
+        await asyncio.sleep(self.random.uniform(*LATE_ORDER_S))
+        if self.is_up and self.id == expected_id:
+            await self.run_order(name, dict(call, is_late=True))
 
     def reject(self, reason):
         return 409, {"clock-ms": self.clock(), "born": self.born, "reason": reason}
