--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -6,7 +6,8 @@
  * the upstream has seen a higher one or the attempt before was stopped. */
 #define START_RETRIES_MAX 6
 
-/* Tasks that a former process of this sidecar started have leases of at most one second. */
+/* Leases that this process didn't ask for, of tasks that a former process started or that the
+ * upstream started late, are at most one second long. */
 #define ADOPTED_LEASE_MAX_MS 1100
 
 struct task *
@@ -232,7 +233,54 @@
   task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
   task->state = TASK_RUNNING;
   task->acknowledged_at_hold = sidecar->hold.number;
-  az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u outcome=stopping", name, attempt);
+  az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u life=%" G_GUINT64_FORMAT " outcome=stopping",
+          name, attempt, task->life);
+  az_sidecar_cancel_task (sidecar, handle);
+}
+
+static bool
+may_start_late (const struct task *task)
+{
+  return task->state != TASK_RUNNING || task->has_unanswered_start;
+}
+
+void
+az_sidecar_lose_or_suspend_task (struct az_sidecar *sidecar, uint32_t handle)
+{
+  struct task *task = az_sidecar_get_task (sidecar, handle);
+
+  if (!may_start_late (task))
+    {
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+      return;
+    }
+  task->state = TASK_SUSPENDED;
+  task->is_stop_requested = false;
+  task->is_stop_in_flight = false;
+  task->is_stop_acknowledged = false;
+  task->acknowledged_at_hold = UINT64_MAX;
+  /* The lease of a late start would begin when it is carried out, so no time is a bound. */
+  task->latest_end_us = INT64_MAX;
+}
+
+void
+az_sidecar_transfer_task (const struct az_sidecar *sidecar, struct task *task)
+{
+  task->life = sidecar->life.number;
+  task->acknowledged_at_hold = sidecar->hold.number;
+}
+
+void
+az_sidecar_stop_late_start (struct az_sidecar *sidecar, uint32_t handle, uint32_t attempt)
+{
+  struct task *task = az_sidecar_get_task (sidecar, handle);
+
+  az_log (LOG_NOTICE,
+          "event=late-start task=%s attempt=%u life=%" G_GUINT64_FORMAT " outcome=stopping",
+          task->name, attempt, task->life);
+  task->attempt = attempt;
+  task->state = TASK_RUNNING;
+  task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
   az_sidecar_cancel_task (sidecar, handle);
 }
 
@@ -350,8 +398,11 @@
   if (answer->clock_ms >= 0 && task->life == sidecar->life.number)
     az_lease_observe (&sidecar->lease, answer->clock_ms, sidecar->now_us);
   if (answer->result != AZ_UPSTREAM_OK)
-    az_log (LOG_INFO, "event=start task=%s attempt=%u outcome=%s", task->name, task->attempt,
-            az_upstream_result_name (answer->result));
+    az_log (LOG_INFO,
+            "event=start task=%s attempt=%u outcome=%s life=%" G_GUINT64_FORMAT
+            " fence=%" G_GUINT64_FORMAT,
+            task->name, task->attempt, az_upstream_result_name (answer->result), task->life,
+            sidecar->fence);
   switch (answer->result)
     {
     case AZ_UPSTREAM_OK:
@@ -382,6 +433,7 @@
       /* Only a stop of the same attempt, or the end of the lease, proves that the attempt won't
        * run. */
       task->state = TASK_UNCERTAIN;
+      task->has_unanswered_start = true;
       request_stop (sidecar, handle);
       break;
     }
