Answer requests that arrive while an HTTP server is destroyed

Callers saw: a stopping gateway read a job's request, logged "not run, the gateway is stopping" and closed the connection without an answer.

Cause: az_http_server_destroy() shut down both directions of every connection, but requests that were already in a socket were still read and passed to the handlers, whose responses could not be written any more. A response that was partly written was cut off too. In the sidecar such a request reached the core after its HTTP clients were destroyed.

Change: a destroyed server closes only the reading side, answers the requests that have arrived with 503 without calling the handlers, and closes the remaining connections after 100 ms. The process ends when the last connection is closed, as before.

--- a/include/azurerock/http_server.h
+++ b/include/azurerock/http_server.h
@@ -92,6 +92,13 @@
  * close after the response to their request */
 void
 az_http_server_stop_accepting (struct az_http_server *server);
+
+/** az_http_server_destroy - stops serving; the loop must run until the server is closed
+ *
+ * Handlers aren't called any more. Requests without a response, and those that have already
+ * arrived, get status 503. Connections close when their callers have received all responses, or
+ * after a short time.
+ */
 void
 az_http_server_destroy (struct az_http_server *server);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -11,9 +11,15 @@
  * requests. */
 #define IDLE_TIMEOUT_MS 60000
 
+/* How long a destroyed server waits for its callers to read the responses. Processes destroy their
+ * servers near the end of their grace period. */
+#define DRAIN_TIMEOUT_MS 100
+
 /* Common non-IANA status for a caller that disconnected before the response. */
 #define STATUS_CLIENT_CLOSED_REQUEST 499
 
+#define STATUS_UNAVAILABLE 503
+
 GQuark
 az_http_error_quark (void)
 {
@@ -23,7 +29,7 @@
 struct az_http_server
 {
   uv_tcp_t listener;
-  uv_timer_t dispose_timer;
+  uv_timer_t close_timer;
   h2o_globalconf_t configuration;
   h2o_context_t context;
   h2o_accept_ctx_t accept;
@@ -84,7 +90,7 @@
     return;
   server->listener_closed = false;
   h2o_context_dispose (&server->context);
-  uv_timer_start (&server->dispose_timer, on_context_disposed, 0, 0);
+  uv_timer_start (&server->close_timer, on_context_disposed, 0, 0);
 }
 
 static void
@@ -193,6 +199,11 @@
     received.query = copy_text (request, request->path.base + path_length + 1,
                                 request->path.len - path_length - 1);
   received.handle = track_request (server, request);
+  if (server->destroyed)
+    {
+      send_response (server, received.handle, STATUS_UNAVAILABLE, "text/plain", "", 0);
+      return 0;
+    }
   server->handlers.request (server->handlers.context, &received);
   return 0;
 }
@@ -279,8 +290,8 @@
   init_configuration (server, max_body);
   h2o_context_init (&server->context, loop, &server->configuration);
   uv_tcp_init (loop, &server->listener);
-  uv_timer_init (loop, &server->dispose_timer);
-  server->listener.data = server->dispose_timer.data = server;
+  uv_timer_init (loop, &server->close_timer);
+  server->listener.data = server->close_timer.data = server;
   status = start_listening (server, &bound);
   if (status < 0)
     {
@@ -396,6 +407,15 @@
   for_each_caller (server, az_http_caller_close_if_idle);
 }
 
+/* Responses that callers haven't read by now are lost. */
+static void
+on_drain_timeout (uv_timer_t *timer)
+{
+  struct az_http_server *server = timer->data;
+
+  for_each_caller (server, az_http_caller_close_now);
+}
+
 void
 az_http_server_destroy (struct az_http_server *server)
 {
@@ -406,7 +426,8 @@
   server->destroyed = true;
   close_listener (server);
   while ((handle = az_table_rows_next (server->requests, 0)))
-    send_response (server, handle, 503, "text/plain", "", 0);
-  for_each_caller (server, az_http_caller_close_now);
+    send_response (server, handle, STATUS_UNAVAILABLE, "text/plain", "", 0);
+  for_each_caller (server, az_http_caller_close_if_idle);
+  uv_timer_start (&server->close_timer, on_drain_timeout, DRAIN_TIMEOUT_MS, 0);
   dispose_if_unused (server);
 }
--- a/tests/net_testing.c
+++ b/tests/net_testing.c
@@ -138,6 +138,23 @@
   return data;
 }
 
+size_t
+net_read_to_end (uv_loop_t *loop, int socket)
+{
+  static char data[1024 * 1024];
+  size_t length = 0;
+  ssize_t n_read;
+
+  do
+    {
+      run_until_readable (loop, socket);
+      n_read = read (socket, data, sizeof data);
+      length += n_read > 0 ? (size_t)n_read : 0;
+    }
+  while (n_read > 0);
+  return length;
+}
+
 bool
 net_is_closed (uv_loop_t *loop, int socket)
 {
--- a/tests/net_testing.h
+++ b/tests/net_testing.h
@@ -38,6 +38,11 @@
 const char *
 net_read_until (uv_loop_t *loop, int socket, const char *text);
 
+/** net_read_to_end - reads and discards data until the peer closes or resets the connection;
+ * returns the number of bytes */
+size_t
+net_read_to_end (uv_loop_t *loop, int socket);
+
 /** net_is_closed - reads and discards data; returns whether the peer closed or reset the
  * connection */
 bool
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -213,6 +213,79 @@
   close (busy);
 }
 
+static void
+destroy_server (struct fixture *fixture)
+{
+  az_http_server_destroy (fixture->server);
+  fixture->server = NULL;
+}
+
+/* Guards against requests that are read, and handed to the process, but never answered because they
+ * arrived just before the server was destroyed. */
+static void
+test_request_arrives_before_destroy (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = connect_caller (fixture);
+
+  net_write (caller, "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_read_until (&fixture->loop, caller, "GET /1");
+  net_write (caller, "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n");
+  destroy_server (fixture);
+  net_read_until (&fixture->loop, caller, " 503 ");
+  assert_true (net_is_closed (&fixture->loop, caller));
+  assert_int_equal (fixture->requests, 1);
+  close (caller);
+}
+
+/* More than the socket buffers of both sides hold together. */
+#define LARGE_RESPONSE_BYTES (8 * 1024 * 1024)
+
+static void
+respond_large (struct fixture *fixture, int caller)
+{
+  char *text = g_malloc0 (LARGE_RESPONSE_BYTES);
+
+  fixture->answer = false;
+  net_write (caller, "GET /large HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_run_until (&fixture->loop, &fixture->requests, 1);
+  az_http_server_respond (fixture->server, fixture->handle, 200, "text/plain", text,
+                          LARGE_RESPONSE_BYTES);
+  g_free (text);
+}
+
+/* Guards against responses cut off because the server was destroyed before they were written. */
+static void
+test_response_in_progress_at_destroy (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = connect_caller (fixture);
+
+  respond_large (fixture, caller);
+  destroy_server (fixture);
+  assert_true (net_read_to_end (&fixture->loop, caller) > LARGE_RESPONSE_BYTES);
+  close (caller);
+}
+
+/* Guards against a process that can't exit because a caller doesn't read its response. */
+static void
+test_caller_that_does_not_read_at_destroy (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = connect_caller (fixture);
+  uint64_t destroyed_ms;
+
+  respond_large (fixture, caller);
+  destroyed_ms = uv_hrtime () / 1000000;
+  destroy_server (fixture);
+  while (uv_loop_alive (&fixture->loop))
+    {
+      assert_true (uv_hrtime () / 1000000 - destroyed_ms < 400);
+      uv_run (&fixture->loop, UV_RUN_NOWAIT);
+    }
+  close (caller);
+}
+
 /* Guards against start-up errors that don't name the address. */
 static void
 test_address_in_use (void **state)
@@ -241,6 +314,9 @@
     TEST (test_incomplete_request),
     TEST (test_caller_resets_before_response),
     TEST (test_graceful_stop),
+    TEST (test_request_arrives_before_destroy),
+    TEST (test_response_in_progress_at_destroy),
+    TEST (test_caller_that_does_not_read_at_destroy),
     TEST (test_address_in_use),
   };
 
