Report a changed capacity of an upstream to gateways

Cause: the sidecar took a new capacity from the upstream's heartbeats, but sent NODE_UPSTREAM only when the incarnation or the open state changed. Gateways kept the capacity of the first heartbeat: they accepted jobs with tasks that fit no upstream any more, answered jobs that fit again as failed, and measured wrong loads.

Change: the sidecar compares the capacity with the one it last reported to the session. The gateway logs the change.

Evidence: test_changed_capacity_is_reported failed before (32000 instead of 8000) and passes now.

--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -60,12 +60,16 @@
                             struct upstream *upstream,
                             const struct az_node_upstream *update)
 {
+  bool is_changed;
+
   if (upstream->life != update->life || strcmp (upstream->service, update->service) != 0)
     start_life (gateway, upstream, update);
+  is_changed = upstream->is_open != update->open
+               || upstream->capacity.cpu_milli != update->capacity.cpu_milli;
   upstream->capacity = update->capacity;
-  if (upstream->is_open != update->open)
+  if (is_changed)
     az_log (LOG_NOTICE, "event=upstream instance=%s life=%" G_GUINT64_FORMAT " open=%s cpu=%u",
-            upstream->instance, upstream->life, update->open ? "yes" : "no",
+            upstream->instance, update->life, update->open ? "yes" : "no",
             upstream->capacity.cpu_milli);
   upstream->is_open = update->open;
   /* A sidecar accepts tasks in a session only when the tasks of this gateway's former sessions have
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -39,6 +39,12 @@
     g_array_append_val (session->progress, *progress);
 }
 
+static bool
+are_equal (const struct az_resources *a, const struct az_resources *b)
+{
+  return az_resources_fit (a, b) && az_resources_fit (b, a);
+}
+
 static void
 report_upstream (struct az_sidecar *sidecar, struct session *session)
 {
@@ -48,9 +54,11 @@
       = az_sidecar_is_open (sidecar)
         && (session->is_reported_open || !az_sidecar_has_orphans (sidecar, session->gateway));
 
-  if (session->reported_life == life->number && session->is_reported_open == is_open)
+  if (session->reported_life == life->number && session->is_reported_open == is_open
+      && are_equal (&session->reported_capacity, &life->capacity))
     return;
   session->reported_life = life->number;
+  session->reported_capacity = life->capacity;
   session->is_reported_open = is_open;
   message.az_message_u.node_upstream = (struct az_node_upstream){
     .life = life->number,
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -74,6 +74,7 @@
   bool wants_reports;
   bool is_reported_open;
   uint64_t reported_life;
+  struct az_resources reported_capacity;
   uint32_t reported_free_milli;
   GArray *events;   /* struct az_task_event */
   GArray *progress; /* struct az_task_progress */
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define TICK_MS 25
-#define CORES 32000
+#define CAPACITY_MILLI 32000
 
 static void
 monotonic (void *context, struct timespec *now)
@@ -28,7 +28,11 @@
   const struct az_node_report *report = &message->az_message_u.node_report;
 
   if (message->proc == AZ_NODE_UPSTREAM)
-    rig->is_open = message->az_message_u.node_upstream.open;
+    {
+      rig->is_open = message->az_message_u.node_upstream.open;
+      rig->reported_capacity_milli[session]
+          = message->az_message_u.node_upstream.capacity.cpu_milli;
+    }
   if (message->proc != AZ_NODE_REPORT)
     return;
   rig->n_reports[session]++;
@@ -106,6 +110,7 @@
 
   rig->now_ms = 1000;
   rig->wall_ms = 1700000000000;
+  rig->capacity_milli = CAPACITY_MILLI;
   rig->clock = (struct az_clock){ monotonic, wall, rig };
   rig->counters = az_counters_create ();
   rig->starts = g_array_new (FALSE, FALSE, sizeof (struct sidecar_request));
@@ -173,7 +178,7 @@
     .started_ms = started_ms,
     .sequence = sequence,
     .is_draining = is_draining,
-    .capacity = { .cpu_milli = CORES, .memory_mb = 65536 },
+    .capacity = { .cpu_milli = rig->capacity_milli, .memory_mb = 65536 },
     .labels = labels,
     .clock_ms = -1,
   };
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -33,7 +33,9 @@
   uint64_t hold_last_processed_end;
   bool is_open; /* as last reported to any session */
   unsigned n_closed;
-  uint32_t free_milli; /* as last reported */
+  uint32_t capacity_milli;             /* of the upstream, as it announces it */
+  uint32_t reported_capacity_milli[4]; /* as last reported to each session */
+  uint32_t free_milli;                 /* as last reported */
   uint32_t speed_percent;
   unsigned n_reports[4];  /* number of reports to each session */
   bool hides_withdrawals; /* opened sessions don't send NODE_WITHDRAWN */
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -17,6 +17,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against gateways that count on the former capacity of an upstream whose capacity has
+ * shrunk or grown again. */
+static void
+test_changed_capacity_is_reported (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  assert_int_equal (rig->reported_capacity_milli[1], 32000);
+  rig->capacity_milli = 8000;
+  sidecar_rig_announce (rig, "i1", 100, 2, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (rig->reported_capacity_milli[1], 8000);
+  assert_int_equal (rig->reported_capacity_milli[2], 8000);
+  rig->capacity_milli = 32000;
+  sidecar_rig_announce (rig, "i1", 100, 3, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (rig->reported_capacity_milli[1], 32000);
+  sidecar_rig_destroy (rig);
+}
+
 static void
 test_end_is_reported_and_frees_capacity (void **state)
 {
@@ -581,6 +602,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_capacity_is_never_exceeded),
+    cmocka_unit_test (test_changed_capacity_is_reported),
     cmocka_unit_test (test_end_is_reported_and_frees_capacity),
     cmocka_unit_test (test_unanswered_start_is_repeated_after_acknowledged_stop),
     cmocka_unit_test (test_hold_sent_before_the_stop_proves_nothing),
