Don't repeat a start beyond a capacity that has shrunk

Cause: a start that the upstream refused as fenced or outdated, or that has provably never run, was repeated without a look at the capacity. An upstream that doesn't guard its capacity would be brought over it if the capacity had shrunk since the first start.

Change: retry_start() ends the task as refused for want of room when the tasks at the upstream, this one included, exceed the capacity.

Evidence: test_start_is_not_repeated_beyond_a_shrunk_capacity failed before (3 starts instead of 2) and passes now.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -315,6 +315,12 @@
       az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
       return;
     }
+  /* The capacity may have shrunk since the first start. */
+  if (!az_resources_fit (&sidecar->used, &sidecar->life.capacity))
+    {
+      az_sidecar_end_task (sidecar, handle, AZ_TASK_NO_ROOM);
+      return;
+    }
   send_start (sidecar, handle);
 }
 
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -38,6 +38,25 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a repeated start of a task that no longer fits, because the upstream's capacity
+ * has shrunk since the first start. */
+static void
+test_start_is_not_repeated_beyond_a_shrunk_capacity (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_send_run (rig, 1, 1, 1);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  rig->capacity_milli = 4000;
+  sidecar_rig_announce (rig, "i1", 100, 2, false);
+  sidecar_rig_answer_start (rig, 1, AZ_UPSTREAM_FENCED);
+  assert_int_equal (rig->starts->len, 2);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_NO_ROOM);
+  sidecar_rig_destroy (rig);
+}
+
 static void
 test_end_is_reported_and_frees_capacity (void **state)
 {
@@ -603,6 +622,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_capacity_is_never_exceeded),
     cmocka_unit_test (test_changed_capacity_is_reported),
+    cmocka_unit_test (test_start_is_not_repeated_beyond_a_shrunk_capacity),
     cmocka_unit_test (test_end_is_reported_and_frees_capacity),
     cmocka_unit_test (test_unanswered_start_is_repeated_after_acknowledged_stop),
     cmocka_unit_test (test_hold_sent_before_the_stop_proves_nothing),
