Start nothing while an upstream's capacity is exceeded

Cause: the free resources are clamped at 0, so after the capacity had shrunk below the use, a task that needs nothing of the exceeded resource was still started.

Change: the sidecar refuses tasks while any resource is exceeded.

Evidence: test_nothing_starts_beyond_a_shrunk_capacity failed before and passes now.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -137,6 +137,13 @@
   return g_bytes_new_take (text, length + 1);
 }
 
+/* The capacity may shrink while tasks run. */
+static bool
+is_over_capacity (const struct az_sidecar *sidecar)
+{
+  return !az_resources_fit (&sidecar->used, &sidecar->life.capacity);
+}
+
 void
 az_sidecar_run_tasks (struct az_sidecar *sidecar,
                       struct session *session,
@@ -160,7 +167,7 @@
         refuse_task (sidecar, session, run, row, AZ_TASK_CLOSED, "slow-upstream-is-probed");
       else if (az_sidecar_find_task (sidecar, name))
         refuse_task (sidecar, session, run, row, AZ_TASK_CLOSED, "earlier-run-present");
-      else if (!az_resources_fit (&run->need, &free))
+      else if (is_over_capacity (sidecar) || !az_resources_fit (&run->need, &free))
         refuse_task (sidecar, session, run, row, AZ_TASK_NO_ROOM, "no-room");
       else
         start_task (sidecar, session, run, row, name, specification);
@@ -315,8 +322,7 @@
       az_sidecar_end_task (sidecar, handle, AZ_TASK_CLOSED);
       return;
     }
-  /* The capacity may have shrunk since the first start. */
-  if (!az_resources_fit (&sidecar->used, &sidecar->life.capacity))
+  if (is_over_capacity (sidecar))
     {
       az_sidecar_end_task (sidecar, handle, AZ_TASK_NO_ROOM);
       return;
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -111,6 +111,7 @@
   rig->now_ms = 1000;
   rig->wall_ms = 1700000000000;
   rig->capacity_milli = CAPACITY_MILLI;
+  rig->need = (struct az_resources){ .cpu_milli = 4000, .memory_mb = 64 };
   rig->clock = (struct az_clock){ monotonic, wall, rig };
   rig->counters = az_counters_create ();
   rig->starts = g_array_new (FALSE, FALSE, sizeof (struct sidecar_request));
@@ -197,7 +198,7 @@
     .job = job,
     .name = (char *)"job.0.0",
     .specification = { 4, (char *)"spec" },
-    .need = { .cpu_milli = 4000, .memory_mb = 64 },
+    .need = rig->need,
     .expected_ms = 100,
     .deadline_ms = 1500,
     .tasks = { 1, &row },
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -37,9 +37,10 @@
   uint32_t reported_capacity_milli[4]; /* as last reported to each session */
   uint32_t free_milli;                 /* as last reported */
   uint32_t speed_percent;
-  unsigned n_reports[4];  /* number of reports to each session */
-  bool hides_withdrawals; /* opened sessions don't send NODE_WITHDRAWN */
-  int64_t request_age_ms; /* delay of the run requests of gateways */
+  unsigned n_reports[4];    /* number of reports to each session */
+  bool hides_withdrawals;   /* opened sessions don't send NODE_WITHDRAWN */
+  struct az_resources need; /* of the tasks that gateways request to run */
+  int64_t request_age_ms;   /* delay of the run requests of gateways */
 };
 
 /** sidecar_rig_create - creates a core with sessions 1 and 2 of gateways "g1" and "g2", and an open
@@ -64,8 +65,8 @@
                       uint64_t sequence,
                       bool is_draining);
 
-/** sidecar_rig_send_run - delivers a request from @session to run task "job.0.0.index" on 4 cores
- */
+/** sidecar_rig_send_run - delivers a request from @session to run task "job.0.0.index", on 4
+ * cores unless the test changes the need */
 void
 sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index);
 void
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -57,6 +57,24 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a start at an upstream that already uses more than its shrunk capacity, by a task
+ * that needs nothing of the exceeded resource. */
+static void
+test_nothing_starts_beyond_a_shrunk_capacity (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  rig->capacity_milli = 2000;
+  sidecar_rig_announce (rig, "i1", 100, 2, false);
+  rig->need.cpu_milli = 0;
+  sidecar_rig_send_run (rig, 1, 1, 1);
+  assert_int_equal (rig->starts->len, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_NO_ROOM);
+  sidecar_rig_destroy (rig);
+}
+
 static void
 test_end_is_reported_and_frees_capacity (void **state)
 {
@@ -623,6 +641,7 @@
     cmocka_unit_test (test_capacity_is_never_exceeded),
     cmocka_unit_test (test_changed_capacity_is_reported),
     cmocka_unit_test (test_start_is_not_repeated_beyond_a_shrunk_capacity),
+    cmocka_unit_test (test_nothing_starts_beyond_a_shrunk_capacity),
     cmocka_unit_test (test_end_is_reported_and_frees_capacity),
     cmocka_unit_test (test_unanswered_start_is_repeated_after_acknowledged_stop),
     cmocka_unit_test (test_hold_sent_before_the_stop_proves_nothing),
