Don't fail jobs that fit an upstream before its capacity shrank

Cause: a job with a task larger than every present capacity was answered as failed, that is, as one that can never run. An upstream whose capacity has shrunk may grow again, and callers don't repeat a failed job.

Change: the gateway remembers the largest capacity of each incarnation. A job that fits there but nowhere at present is answered as not run.

Evidence: test_job_beyond_a_shrunk_capacity_is_not_failed failed before (failed instead of not run) and passes now; test_job_beyond_every_known_capacity_has_failed passes before and after.

A gateway that starts, or a sidecar that starts, while the capacity is shrunk doesn't know the larger one and still answers failed.

--- a/src/dispatch/resources.c
+++ b/src/dispatch/resources.c
@@ -1,4 +1,5 @@
 #include "azurerock/resources.h"
+#include <glib.h>
 
 bool
 az_resources_fit (const struct az_resources *need, const struct az_resources *available)
@@ -15,6 +16,14 @@
   to->accelerators += amount->accelerators;
 }
 
+void
+az_resources_raise (struct az_resources *to, const struct az_resources *other)
+{
+  to->cpu_milli = MAX (to->cpu_milli, other->cpu_milli);
+  to->memory_mb = MAX (to->memory_mb, other->memory_mb);
+  to->accelerators = MAX (to->accelerators, other->accelerators);
+}
+
 static void
 subtract_clamped (u_int *from, u_int amount)
 {
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -41,13 +41,7 @@
 raise_to_free (struct az_resources *most, const GPtrArray *upstreams)
 {
   for (guint i = 0; i < upstreams->len; i++)
-    {
-      const struct az_resources *free = &((const struct upstream *)upstreams->pdata[i])->free;
-
-      most->cpu_milli = MAX (most->cpu_milli, free->cpu_milli);
-      most->memory_mb = MAX (most->memory_mb, free->memory_mb);
-      most->accelerators = MAX (most->accelerators, free->accelerators);
-    }
+    az_resources_raise (most, &((const struct upstream *)upstreams->pdata[i])->free);
 }
 
 void
--- a/src/gateway/feasibility.c
+++ b/src/gateway/feasibility.c
@@ -8,44 +8,72 @@
 /* After a start, or after the loss of all upstreams, sidecars are given this time to connect. */
 #define RECONNECT_GRACE_MS 1500
 
+/* struct fit - upstreams of a service that can run a step: now, or at their largest capacity */
+struct fit
+{
+  bool is_known;
+  bool is_possible;
+  bool is_possible_later;
+};
+
 static bool
-can_run_step (const struct az_job_step *step, const struct upstream *upstream)
+has_label (const struct upstream *upstream, const char *label)
+{
+  return !label || g_ptr_array_find_with_equal_func (upstream->labels, label, g_str_equal, NULL);
+}
+
+static struct fit
+find_fit (const struct az_gateway *gateway, const char *service, const struct az_job_step *step)
 {
-  return az_resources_fit (&step->need, &upstream->capacity)
-         && (!step->required_label
-             || g_ptr_array_find_with_equal_func (upstream->labels, step->required_label,
-                                                  g_str_equal, NULL));
+  struct fit fit = { 0 };
+
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      const struct upstream *upstream = gateway->upstreams->pdata[i];
+
+      if (strcmp (upstream->service, service) != 0)
+        continue;
+      fit.is_known = true;
+      if (!has_label (upstream, step->required_label))
+        continue;
+      fit.is_possible |= az_resources_fit (&step->need, &upstream->capacity);
+      fit.is_possible_later |= az_resources_fit (&step->need, &upstream->largest_capacity);
+    }
+  return fit;
+}
+
+static bool
+is_any_open (const struct az_gateway *gateway, const char *service)
+{
+  for (guint i = 0; i < gateway->upstreams->len; i++)
+    {
+      const struct upstream *upstream = gateway->upstreams->pdata[i];
+
+      if (upstream->is_open && !strcmp (upstream->service, service))
+        return true;
+    }
+  return false;
 }
 
 const char *
 az_gateway_check_feasibility (struct az_gateway *gateway, const struct job *job, bool *is_permanent)
 {
-  bool any_open = false;
+  const char *service = job->queue->service;
 
   *is_permanent = false;
   for (size_t i = 0; i < job->request.n_steps; i++)
     {
-      bool is_known = false;
-      bool fits = false;
-
-      for (guint u = 0; u < gateway->upstreams->len; u++)
-        {
-          const struct upstream *upstream = gateway->upstreams->pdata[u];
-
-          if (strcmp (upstream->service, job->queue->service) != 0)
-            continue;
-          is_known = true;
-          any_open |= upstream->is_open;
-          fits |= can_run_step (&job->request.steps[i], upstream);
-        }
-      if (is_known && !fits)
-        {
-          /* If there are more gateways, an upstream without a session with this one may fit. */
-          *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX;
-          return "no upstream has the capacity or label that a task needs";
-        }
+      struct fit fit = find_fit (gateway, service, &job->request.steps[i]);
+
+      if (!fit.is_known || fit.is_possible)
+        continue;
+      if (fit.is_possible_later)
+        return "no upstream has at present the capacity that a task needs";
+      /* If there are more gateways, an upstream without a session with this one may fit. */
+      *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX;
+      return "no upstream has the capacity or label that a task needs";
     }
-  if (any_open)
+  if (is_any_open (gateway, service))
     gateway->last_open_us = gateway->now_us;
   if (gateway->now_us - gateway->last_open_us < RECONNECT_GRACE_MS * AZ_US_PER_MS)
     return NULL;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -49,6 +49,8 @@
  * @session: handle of the session with the sidecar, 0 while there is none
  * @life: number of the upstream's incarnation, from the sidecar
  * @is_open: the sidecar accepts tasks
+ * @largest_capacity: maximum of each resource that @capacity had in this incarnation; the capacity
+ *   may shrink and grow again
  * @free: @reported_free less @reservations
  * @n_runs_sent: number of run messages sent in the present session
  * @n_tasks: number of this gateway's tasks at the upstream in %TASK_SENT
@@ -72,6 +74,7 @@
   char *service;
   GPtrArray *labels;
   struct az_resources capacity;
+  struct az_resources largest_capacity;
   struct az_resources reported_free;
   struct az_resources free;
   GArray *reservations; /* struct reservation */
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -43,6 +43,7 @@
             const struct az_node_upstream *update)
 {
   upstream->life = update->life;
+  upstream->largest_capacity = (struct az_resources){ 0 };
   upstream->speed = 1;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
@@ -67,6 +68,7 @@
   is_changed = upstream->is_open != update->open
                || upstream->capacity.cpu_milli != update->capacity.cpu_milli;
   upstream->capacity = update->capacity;
+  az_resources_raise (&upstream->largest_capacity, &update->capacity);
   if (is_changed)
     az_log (LOG_NOTICE, "event=upstream instance=%s life=%" G_GUINT64_FORMAT " open=%s cpu=%u",
             upstream->instance, update->life, update->open ? "yes" : "no",
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -128,7 +128,11 @@
   rig->stops = g_array_new (FALSE, FALSE, sizeof (struct gateway_run));
   rig->answers = g_array_new (FALSE, FALSE, sizeof (struct gateway_answer));
   for (size_t i = 0; i < G_N_ELEMENTS (rig->speed); i++)
-    rig->speed[i] = 100;
+    {
+      rig->speed[i] = 100;
+      rig->capacity_milli[i] = CAPACITY_CPU_MILLI;
+      rig->incarnation[i] = 100 + i;
+    }
   rig->connects = g_ptr_array_new_with_free_func (g_free);
   rig->core = az_gateway_create (&settings, 5, &rig->clock, &io, rig->counters);
   az_gateway_set_store_reachable (rig->core, true);
@@ -165,17 +169,35 @@
   message.az_message_u.node_report = (struct az_node_report){
     .clock_ms = (uint64_t)(rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS),
     .received = rig->received[session],
-    .free = { .cpu_milli = CAPACITY_CPU_MILLI - rig->used_cpu_milli[session], .memory_mb = 65536 },
+    .free = { .memory_mb = 65536 },
     .speed_percent = rig->speed[session],
     .n_done = rig->n_done[session],
     .n_failed = rig->n_failed[session],
     .events = { event ? 1 : 0, event },
     .progress = { progress ? 1 : 0, progress },
   };
+  if (rig->capacity_milli[session] > rig->used_cpu_milli[session])
+    message.az_message_u.node_report.free.cpu_milli
+        = rig->capacity_milli[session] - rig->used_cpu_milli[session];
   az_gateway_received (rig->core, session, &message);
   az_gateway_flush (rig->core);
 }
 
+void
+gateway_rig_report_upstream (struct gateway_rig *rig, uint32_t session, bool is_open)
+{
+  struct az_message message = { .proc = AZ_NODE_UPSTREAM };
+
+  message.az_message_u.node_upstream = (struct az_node_upstream){
+    .life = 1,
+    .open = is_open,
+    .service = (char *)"service",
+    .capacity = { .cpu_milli = rig->capacity_milli[session], .memory_mb = 65536 },
+  };
+  az_gateway_received (rig->core, session, &message);
+  send_report (rig, session, NULL, NULL);
+}
+
 void
 gateway_rig_open_upstream (struct gateway_rig *rig,
                            uint32_t session,
@@ -186,24 +208,16 @@
   struct az_message message = { .proc = AZ_NODE_HELLO };
 
   message.az_message_u.node_hello = (struct az_node_hello){
-    .incarnation = 100 + session,
+    .incarnation = rig->incarnation[session],
     .instance = (char *)instance,
     .domain = (char *)domain,
     .address = (char *)"",
   };
   az_gateway_session_opened (rig->core, session, NULL);
   az_gateway_received (rig->core, session, &message);
-  message = (struct az_message){ .proc = AZ_NODE_UPSTREAM };
-  message.az_message_u.node_upstream = (struct az_node_upstream){
-    .life = 1,
-    .open = is_open,
-    .service = (char *)"service",
-    .capacity = { .cpu_milli = CAPACITY_CPU_MILLI, .memory_mb = 65536 },
-  };
   rig->received[session] = 0;
   rig->used_cpu_milli[session] = 0;
-  az_gateway_received (rig->core, session, &message);
-  send_report (rig, session, NULL, NULL);
+  gateway_rig_report_upstream (rig, session, is_open);
 }
 
 void
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -43,6 +43,8 @@
   unsigned n_catalogs_sent;    /* configurations sent to peers */
   uint32_t received[16];       /* run messages per session */
   uint32_t used_cpu_milli[16]; /* in use on the upstream of each session */
+  uint32_t capacity_milli[16]; /* of the upstream of each session */
+  uint64_t incarnation[16];    /* of the sidecar process of each session */
   uint32_t speed[16];          /* of the upstream of each session, percent of normal */
   uint32_t n_done[16];
   uint32_t n_failed[16];
@@ -62,6 +64,10 @@
                            const char *domain,
                            bool is_open);
 
+/** gateway_rig_report_upstream - reports the state of the session's upstream, in its first life */
+void
+gateway_rig_report_upstream (struct gateway_rig *rig, uint32_t session, bool is_open);
+
 /** gateway_rig_submit - submits a job to @route ("fast" or "big"); each task takes 4 cores and is
  * estimated at 100 ms */
 void
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -339,6 +339,39 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against jobs answered as failed that could be done, because an upstream has shrunk and may
+ * grow again. */
+static void
+test_job_beyond_a_shrunk_capacity_is_not_failed (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  rig->capacity_milli[1] = 2000;
+  gateway_rig_report_upstream (rig, 1, true);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  rig->capacity_milli[1] = 32000;
+  gateway_rig_report_upstream (rig, 1, true);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against callers that repeat a job that no upstream has ever had the capacity for. */
+static void
+test_job_beyond_every_known_capacity_has_failed (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  rig->capacity_milli[1] = 2000;
+  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_FAILED);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a crash after two hellos on one connection: the upstream of the first one would
  * keep the handle of the session after its end, and placing a task there would dereference NULL. */
 static void
@@ -573,6 +606,8 @@
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
     cmocka_unit_test (test_job_waits_for_upstreams_after_the_start),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
+    cmocka_unit_test (test_job_beyond_a_shrunk_capacity_is_not_failed),
+    cmocka_unit_test (test_job_beyond_every_known_capacity_has_failed),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
     cmocka_unit_test (test_failing_upstream_is_ejected),
