Refuse waiting jobs that a shrunk capacity no longer fits

Cause: whether a job fits is checked when it is submitted. After the only upstream with room for it had shrunk, a job that waited for its first start was held until its deadline.

Change: when a capacity shrinks, the gateway answers jobs that no task has been placed of and that fit no upstream as not run.

Evidence: test_waiting_job_beyond_a_shrunk_capacity_is_refused failed before (no answer) and passes now.

--- a/src/gateway/feasibility.c
+++ b/src/gateway/feasibility.c
@@ -56,14 +56,14 @@
 }
 
 const char *
-az_gateway_check_feasibility (struct az_gateway *gateway, const struct job *job, bool *is_permanent)
+az_gateway_find_unfit_reason (const struct az_gateway *gateway,
+                              const struct job *job,
+                              bool *is_permanent)
 {
-  const char *service = job->queue->service;
-
   *is_permanent = false;
   for (size_t i = 0; i < job->request.n_steps; i++)
     {
-      struct fit fit = find_fit (gateway, service, &job->request.steps[i]);
+      struct fit fit = find_fit (gateway, job->queue->service, &job->request.steps[i]);
 
       if (!fit.is_known || fit.is_possible)
         continue;
@@ -73,7 +73,17 @@
       *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX;
       return "no upstream has the capacity or label that a task needs";
     }
-  if (is_any_open (gateway, service))
+  return NULL;
+}
+
+const char *
+az_gateway_check_feasibility (struct az_gateway *gateway, const struct job *job, bool *is_permanent)
+{
+  const char *reason = az_gateway_find_unfit_reason (gateway, job, is_permanent);
+
+  if (reason)
+    return reason;
+  if (is_any_open (gateway, job->queue->service))
     gateway->last_open_us = gateway->now_us;
   if (gateway->now_us - gateway->last_open_us < RECONNECT_GRACE_MS * AZ_US_PER_MS)
     return NULL;
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -299,6 +299,23 @@
     expire_job (gateway, link->data);
 }
 
+void
+az_gateway_refuse_unfit_jobs (struct az_gateway *gateway)
+{
+  g_autoptr (GList) jobs = g_hash_table_get_values (gateway->jobs);
+
+  for (GList *link = jobs; link; link = link->next)
+    {
+      struct job *job = link->data;
+      bool is_permanent;
+      const char *reason
+          = job->was_placed ? NULL : az_gateway_find_unfit_reason (gateway, job, &is_permanent);
+
+      if (reason)
+        az_gateway_end_job (gateway, job, AZ_JOB_NOT_RUN, 1000, reason);
+    }
+}
+
 void
 az_gateway_stop (struct az_gateway *gateway, int64_t left_ms)
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -340,6 +340,11 @@
 void
 az_gateway_expire_jobs (struct az_gateway *gateway);
 
+/** az_gateway_refuse_unfit_jobs - refuses the jobs that wait for their first start with a task that
+ * fits no upstream; call when a capacity has shrunk */
+void
+az_gateway_refuse_unfit_jobs (struct az_gateway *gateway);
+
 /* events.c */
 void
 az_gateway_handle_task_event (struct az_gateway *gateway,
@@ -508,4 +513,10 @@
                               const struct job *job,
                               bool *is_permanent);
 
+/** az_gateway_find_unfit_reason - returns why a task of the job fits no upstream, or NULL */
+const char *
+az_gateway_find_unfit_reason (const struct az_gateway *gateway,
+                              const struct job *job,
+                              bool *is_permanent);
+
 #endif
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -62,11 +62,13 @@
                             const struct az_node_upstream *update)
 {
   bool is_changed;
+  bool is_shrunk;
 
   if (upstream->life != update->life || strcmp (upstream->service, update->service) != 0)
     start_life (gateway, upstream, update);
   is_changed = upstream->is_open != update->open
                || upstream->capacity.cpu_milli != update->capacity.cpu_milli;
+  is_shrunk = !az_resources_fit (&upstream->capacity, &update->capacity);
   upstream->capacity = update->capacity;
   az_resources_raise (&upstream->largest_capacity, &update->capacity);
   if (is_changed)
@@ -78,6 +80,8 @@
    * ended. */
   if (update->open)
     az_gateway_requeue_orphans (gateway, upstream);
+  if (is_shrunk)
+    az_gateway_refuse_unfit_jobs (gateway);
   gateway->needs_placing = true;
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -358,6 +358,24 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against jobs that wait to their deadline although their tasks fit nowhere, because an
+ * upstream has shrunk since they were submitted. */
+static void
+test_waiting_job_beyond_a_shrunk_capacity_is_refused (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 8);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 2), -1);
+  rig->capacity_milli[1] = 2000;
+  gateway_rig_report_upstream (rig, 1, true);
+  assert_int_equal (gateway_rig_get_outcome (rig, 2), AZ_JOB_NOT_RUN);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), -1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against callers that repeat a job that no upstream has ever had the capacity for. */
 static void
 test_job_beyond_every_known_capacity_has_failed (void **state)
@@ -607,6 +625,7 @@
     cmocka_unit_test (test_job_waits_for_upstreams_after_the_start),
     cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
     cmocka_unit_test (test_job_beyond_a_shrunk_capacity_is_not_failed),
+    cmocka_unit_test (test_waiting_job_beyond_a_shrunk_capacity_is_refused),
     cmocka_unit_test (test_job_beyond_every_known_capacity_has_failed),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
