Take a restarted sidecar's first life of its upstream for a new one

Cause: each sidecar process counts the incarnations of its upstream, and the ends of tasks in them, from the start. The gateway identified an incarnation by the instance and this number alone, so it took life 1 of a restarted sidecar for life 1 of the former process. It kept speed and ejection, and compared the new counts with the old ones: failures weren't seen until they exceeded the former number.

Change: the gateway remembers the sidecar process that the life comes from, by the incarnation in its hello; another process begins a new life, a reconnect of the same process doesn't.

Evidence: test_failures_at_a_restarted_sidecar_are_counted failed before (40 of 40 tasks ran on the failing upstream) and passes now (at most 8); test_reconnected_sidecar_stays_ejected passes before and after.

--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -91,6 +91,9 @@
     }
   session->upstream = upstream->handle;
   upstream->session = session->handle;
+  if (upstream->sidecar != hello->incarnation)
+    upstream->life = 0;
+  upstream->sidecar = hello->incarnation;
   upstream->in_working_set = true;
   upstream->n_runs_sent = 0;
   g_array_set_size (upstream->reservations, 0);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -47,7 +47,8 @@
 /**
  * struct upstream - one upstream instance, identified by the instance name of its sidecar
  * @session: handle of the session with the sidecar, 0 while there is none
- * @life: number of the upstream's incarnation, from the sidecar
+ * @sidecar: incarnation of the sidecar process that @life comes from
+ * @life: number of the upstream's incarnation, which each sidecar process counts from 1; 0 is none
  * @is_open: the sidecar accepts tasks
  * @largest_capacity: maximum of each resource that @capacity had in this incarnation; the capacity
  *   may shrink and grow again
@@ -69,6 +70,7 @@
   char *instance;
   char *domain;
   uint32_t session;
+  uint64_t sidecar;
   uint64_t life;
   bool is_open;
   char *service;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -475,6 +475,59 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against failures that aren't counted because they are compared with the counts of the
+ * sidecar's former process. */
+static void
+test_failures_at_a_restarted_sidecar_are_counted (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+  unsigned n_on_failing = 0;
+
+  (void)state;
+  for (uint32_t session = 1; session <= 8; session++)
+    {
+      g_autofree char *instance = g_strdup_printf ("s%u", session % 4);
+
+      rig->n_failed[session] = session <= 4 ? 100 : 0;
+      rig->n_done[session] = session <= 4 ? 1000 : 0;
+      gateway_rig_open_upstream (rig, session, instance, "d1", true);
+    }
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      guint first = rig->runs->len;
+
+      gateway_rig_submit (rig, 1 + i, "fast", 1);
+      for (guint run = first; run < rig->runs->len; run++)
+        {
+          bool fails
+              = gateway_rig_get_run (rig, run)->session == gateway_rig_get_run (rig, 0)->session;
+
+          n_on_failing += fails;
+          gateway_rig_end_run (rig, run, fails ? AZ_TASK_FAILED : AZ_TASK_DONE, 90);
+        }
+      gateway_rig_advance (rig, 20, 0);
+    }
+  assert_in_range (n_on_failing, 1, 8);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against an ejected upstream that is used again because its sidecar has reconnected. */
+static void
+test_reconnected_sidecar_stays_ejected (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (3);
+
+  (void)state;
+  rig->n_failed[1] = 20;
+  gateway_rig_advance (rig, 20, 0);
+  rig->n_failed[4] = 20;
+  rig->incarnation[4] = rig->incarnation[1];
+  gateway_rig_open_upstream (rig, 4, "s1", "d1", true);
+  gateway_rig_submit (rig, 1, "fast", 24);
+  assert_in_range (rig->runs->len, 16, 17);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a stopping gateway that refuses jobs it could still serve. */
 static void
 test_stopping_gateway_accepts_jobs_that_end_in_time (void **state)
@@ -631,6 +684,8 @@
     cmocka_unit_test (test_implausible_counts_are_limited),
     cmocka_unit_test (test_failing_upstream_is_ejected),
     cmocka_unit_test (test_first_report_sets_the_failure_baseline),
+    cmocka_unit_test (test_failures_at_a_restarted_sidecar_are_counted),
+    cmocka_unit_test (test_reconnected_sidecar_stays_ejected),
     cmocka_unit_test (test_stopping_gateway_accepts_jobs_that_end_in_time),
     cmocka_unit_test (test_stalled_task_is_moved),
     cmocka_unit_test (test_slow_upstream_gets_single_tasks),
