Take an unexpected answer to a start request as no answer

Cause: every status but success, 409, 421, 429 and 503 was read as "invalid", and the sidecar reported the task as not run. Nothing proves that for a 500, 502 or 504: the task may run, and the gateway starts it elsewhere.

Change: only 400 is read as a malformed request.

--- a/include/azurerock/upstream_call.h
+++ b/include/azurerock/upstream_call.h
@@ -54,9 +54,10 @@
   AZ_UPSTREAM_NO_ROOM,        /* not enough free resources; nothing was started */
   AZ_UPSTREAM_UNHEALTHY,      /* refused without any effect */
   AZ_UPSTREAM_OTHER_INSTANCE, /* another incarnation answered */
-  AZ_UPSTREAM_INVALID,        /* the request or the answer was malformed */
+  AZ_UPSTREAM_INVALID,        /* refused as malformed, or the lists in the answer were malformed */
   AZ_UPSTREAM_NOT_SENT,
-  AZ_UPSTREAM_UNANSWERED, /* the request may have taken effect, or may do so later */
+  AZ_UPSTREAM_UNANSWERED, /* no answer or an unexpected one: the request may have taken effect, or
+                             may do so later */
 };
 
 /**
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -157,7 +157,9 @@
 }
 
 /* Guards against a wrong reading of the response to a start or stop: a refused request had no
- * effect, while one without a response may have been carried out. */
+ * effect, while one without a response, or with one that isn't a refusal, may have been carried
+ * out.
+ */
 static void
 test_order_results (void **state)
 {
@@ -177,6 +179,11 @@
     { 429, "", AZ_UPSTREAM_UNHEALTHY },
     { 503, "", AZ_UPSTREAM_UNHEALTHY },
     { 400, "", AZ_UPSTREAM_INVALID },
+    { 304, "", AZ_UPSTREAM_UNANSWERED },
+    { 404, "", AZ_UPSTREAM_UNANSWERED },
+    { 500, "", AZ_UPSTREAM_UNANSWERED },
+    { 502, "{\"clock-ms\":5}", AZ_UPSTREAM_UNANSWERED },
+    { 504, "", AZ_UPSTREAM_UNANSWERED },
   };
   struct az_http_response lost = { .result = AZ_HTTP_LOST, .body = "" };
 
