--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -47,8 +47,11 @@
 /**
  * struct upstream - one upstream instance, identified by the instance name of its sidecar
  * @session: handle of the session with the sidecar, 0 while there is none
- * @life: number of the upstream's incarnation, from the sidecar
+ * @sidecar: incarnation of the sidecar process that @life comes from
+ * @life: number of the upstream's incarnation, which each sidecar process counts from 1; 0 is none
  * @is_open: the sidecar accepts tasks
+ * @largest_capacity: maximum of each resource that @capacity had in this incarnation; the capacity
+ *   may shrink and grow again
  * @free: @reported_free less @reservations
  * @n_runs_sent: number of run messages sent in the present session
  * @n_tasks: number of this gateway's tasks at the upstream in %TASK_SENT
@@ -67,11 +70,13 @@
   char *instance;
   char *domain;
   uint32_t session;
+  uint64_t sidecar;
   uint64_t life;
   bool is_open;
   char *service;
   GPtrArray *labels;
   struct az_resources capacity;
+  struct az_resources largest_capacity;
   struct az_resources reported_free;
   struct az_resources free;
   GArray *reservations; /* struct reservation */
@@ -337,6 +342,11 @@
 void
 az_gateway_expire_jobs (struct az_gateway *gateway);
 
+/** az_gateway_refuse_unfit_jobs - refuses the jobs that wait for their first start with a task that
+ * fits no upstream; call when a capacity has shrunk */
+void
+az_gateway_refuse_unfit_jobs (struct az_gateway *gateway);
+
 /* events.c */
 void
 az_gateway_handle_task_event (struct az_gateway *gateway,
@@ -505,4 +515,10 @@
                               const struct job *job,
                               bool *is_permanent);
 
+/** az_gateway_find_unfit_reason - returns why a task of the job fits no upstream, or NULL */
+const char *
+az_gateway_find_unfit_reason (const struct az_gateway *gateway,
+                              const struct job *job,
+                              bool *is_permanent);
+
 #endif
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -43,6 +43,7 @@
             const struct az_node_upstream *update)
 {
   upstream->life = update->life;
+  upstream->largest_capacity = (struct az_resources){ 0 };
   upstream->speed = 1;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
@@ -60,18 +61,27 @@
                             struct upstream *upstream,
                             const struct az_node_upstream *update)
 {
+  bool is_changed;
+  bool is_shrunk;
+
   if (upstream->life != update->life || strcmp (upstream->service, update->service) != 0)
     start_life (gateway, upstream, update);
+  is_changed = upstream->is_open != update->open
+               || upstream->capacity.cpu_milli != update->capacity.cpu_milli;
+  is_shrunk = !az_resources_fit (&upstream->capacity, &update->capacity);
   upstream->capacity = update->capacity;
-  if (upstream->is_open != update->open)
+  az_resources_raise (&upstream->largest_capacity, &update->capacity);
+  if (is_changed)
     az_log (LOG_NOTICE, "event=upstream instance=%s life=%" G_GUINT64_FORMAT " open=%s cpu=%u",
-            upstream->instance, upstream->life, update->open ? "yes" : "no",
+            upstream->instance, update->life, update->open ? "yes" : "no",
             upstream->capacity.cpu_milli);
   upstream->is_open = update->open;
   /* A sidecar accepts tasks in a session only when the tasks of this gateway's former sessions have
    * ended. */
   if (update->open)
     az_gateway_requeue_orphans (gateway, upstream);
+  if (is_shrunk)
+    az_gateway_refuse_unfit_jobs (gateway);
   gateway->needs_placing = true;
 }
 
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define TICK_MS 25
-#define CORES 32000
+#define CAPACITY_MILLI 32000
 
 static void
 monotonic (void *context, struct timespec *now)
@@ -28,7 +28,11 @@
   const struct az_node_report *report = &message->az_message_u.node_report;
 
   if (message->proc == AZ_NODE_UPSTREAM)
-    rig->is_open = message->az_message_u.node_upstream.open;
+    {
+      rig->is_open = message->az_message_u.node_upstream.open;
+      rig->reported_capacity_milli[session]
+          = message->az_message_u.node_upstream.capacity.cpu_milli;
+    }
   if (message->proc != AZ_NODE_REPORT)
     return;
   rig->n_reports[session]++;
@@ -106,6 +110,8 @@
 
   rig->now_ms = 1000;
   rig->wall_ms = 1700000000000;
+  rig->capacity_milli = CAPACITY_MILLI;
+  rig->need = (struct az_resources){ .cpu_milli = 4000, .memory_mb = 64 };
   rig->clock = (struct az_clock){ monotonic, wall, rig };
   rig->counters = az_counters_create ();
   rig->starts = g_array_new (FALSE, FALSE, sizeof (struct sidecar_request));
@@ -174,7 +180,7 @@
     .started_ms = started_ms,
     .sequence = sequence,
     .is_draining = is_draining,
-    .capacity = { .cpu_milli = CORES, .memory_mb = 65536 },
+    .capacity = { .cpu_milli = rig->capacity_milli, .memory_mb = 65536 },
     .labels = labels,
     .clock_ms = -1,
   };
@@ -203,7 +209,7 @@
     .job = job,
     .name = (char *)"job.0.0",
     .specification = { 4, (char *)"spec" },
-    .need = { .cpu_milli = 4000, .memory_mb = 64 },
+    .need = rig->need,
     .expected_ms = 100,
     .deadline_ms = 1500,
     .tasks = { 1, &row },
