Add messages for crashes of upstreams to the protocol

Cause: a crash of an upstream reaches a gateway only as lost tasks, and other gateways learn nothing of the job under which it crashed.

Change: AZ_TASK_CRASHED tells a task whose upstream crashed from one whose end wasn't observed. NODE_RUN names the queue and the id of the job, and NODE_CRASH, from a sidecar to all its gateways, names those of the task that had started last. The name of a queue is cut to the bound of the message, since the configuration doesn't bound it. Nothing sends NODE_CRASH or AZ_TASK_CRASHED yet.

Result: unit tests, 41 passed, with the new message and fields in the round trips of tests/test_message.c.

--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -219,12 +219,17 @@
   const struct az_job_step *step = &job->request.steps[step_index];
   struct az_message message = { .proc = AZ_NODE_RUN };
   char name[AZ_MAX_NAME];
+  char queue[AZ_MAX_NAME + 1];
 
   g_snprintf (name, sizeof name, "%s.0.%zu", job->id, step_index);
+  /* The configuration doesn't bound the names of routes, but the message does. */
+  g_strlcpy (queue, job->queue->name, sizeof queue);
   message.az_message_u.node_run = (struct az_node_run){
     .clock_ms
     = estimate_peer_clock_ms (gateway, az_gateway_get_session (gateway, upstream->session)),
     .job = job->number,
+    .queue = queue,
+    .job_id = job->id,
     .step = (u_int)step_index,
     .name = name,
     .specification = { (u_int)strlen (job->request.specification), job->request.specification },
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -435,14 +435,17 @@
 /*
  * Gateway to sidecar: runs tasks of one step. clock_ms is the sidecar's clock at the time of
  * sending, which the gateway estimates from the last report; the sidecar refuses a message that
- * was delayed for long. job is the number of the job at the gateway. name is that of the step, to
- * which the sidecar appends "." and the index of the task. need is what each task takes.
+ * was delayed for long. job is the number of the job at the gateway. queue and job_id name the job
+ * to all gateways. name is that of the step, to which the sidecar appends "." and the index of the
+ * task. need is what each task takes.
  * expected_ms is the run time of a task on an upstream of normal speed. deadline_ms is the time
  * until the job's deadline.
  */
 struct az_node_run {
 	unsigned hyper clock_ms;
 	unsigned hyper job;
+	az_name queue;
+	az_job_id job_id;
 	unsigned int step;
 	az_name name;
 	az_specification specification;
@@ -465,7 +468,8 @@
  * NO_ROOM: the upstream has not enough free resources.
  * CLOSED: the sidecar starts no such task at present, or the upstream did not take the request.
  * UNHEALTHY: the upstream refused the request.
- * A task that ended with one of the last three has not run.
+ * CRASHED: the upstream crashed while the task ran, or may have run.
+ * A task that ended with NO_ROOM, CLOSED or UNHEALTHY has not run.
  */
 enum az_task_end {
 	AZ_TASK_DONE = 0,
@@ -474,7 +478,8 @@
 	AZ_TASK_LOST = 3,
 	AZ_TASK_NO_ROOM = 4,
 	AZ_TASK_CLOSED = 5,
-	AZ_TASK_UNHEALTHY = 6
+	AZ_TASK_UNHEALTHY = 6,
+	AZ_TASK_CRASHED = 7
 };
 
 /* attempt is the one that ran; it may be higher than the one in NODE_RUN. */
@@ -530,6 +535,15 @@
 	unsigned hyper catalog_version;
 };
 
+/*
+ * Sidecar to all gateways: its upstream has crashed. queue and job_id are those of the task that
+ * had started last, or empty if no task was running.
+ */
+struct az_node_crash {
+	az_name queue;
+	az_job_id job_id;
+};
+
 enum az_proc {
 	AZ_PROC_NULL = 0,
 	AZ_HELLO = 1,
@@ -565,7 +579,8 @@
 	AZ_NODE_RUN = 31,
 	AZ_NODE_STOP = 32,
 	AZ_NODE_REPORT = 33,
-	AZ_NODE_PULSE = 34
+	AZ_NODE_PULSE = 34,
+	AZ_NODE_CRASH = 35
 };
 
 union az_message switch (az_proc proc) {
@@ -639,4 +654,6 @@
 	az_node_report node_report;
 case AZ_NODE_PULSE:
 	az_node_pulse node_pulse;
+case AZ_NODE_CRASH:
+	az_node_crash node_crash;
 };
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -441,6 +441,8 @@
 struct az_node_run {
 	u_quad_t clock_ms;
 	u_quad_t job;
+	az_name queue;
+	az_job_id job_id;
 	u_int step;
 	az_name name;
 	az_specification specification;
@@ -472,6 +474,7 @@
 	AZ_TASK_NO_ROOM = 4,
 	AZ_TASK_CLOSED = 5,
 	AZ_TASK_UNHEALTHY = 6,
+	AZ_TASK_CRASHED = 7,
 };
 typedef enum az_task_end az_task_end;
 
@@ -520,6 +523,12 @@
 };
 typedef struct az_node_pulse az_node_pulse;
 
+struct az_node_crash {
+	az_name queue;
+	az_job_id job_id;
+};
+typedef struct az_node_crash az_node_crash;
+
 enum az_proc {
 	AZ_PROC_NULL = 0,
 	AZ_HELLO = 1,
@@ -556,6 +565,7 @@
 	AZ_NODE_STOP = 32,
 	AZ_NODE_REPORT = 33,
 	AZ_NODE_PULSE = 34,
+	AZ_NODE_CRASH = 35,
 };
 typedef enum az_proc az_proc;
 
@@ -596,6 +606,7 @@
 		az_node_stop node_stop;
 		az_node_report node_report;
 		az_node_pulse node_pulse;
+		az_node_crash node_crash;
 	} az_message_u;
 };
 typedef struct az_message az_message;
@@ -662,6 +673,7 @@
 extern  bool_t xdr_az_task_progress (XDR *, az_task_progress*);
 extern  bool_t xdr_az_node_report (XDR *, az_node_report*);
 extern  bool_t xdr_az_node_pulse (XDR *, az_node_pulse*);
+extern  bool_t xdr_az_node_crash (XDR *, az_node_crash*);
 extern  bool_t xdr_az_proc (XDR *, az_proc*);
 extern  bool_t xdr_az_message (XDR *, az_message*);
 
@@ -725,6 +737,7 @@
 extern bool_t xdr_az_task_progress ();
 extern bool_t xdr_az_node_report ();
 extern bool_t xdr_az_node_pulse ();
+extern bool_t xdr_az_node_crash ();
 extern bool_t xdr_az_proc ();
 extern bool_t xdr_az_message ();
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -772,6 +772,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->job))
 		 return FALSE;
+	 if (!xdr_az_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_az_job_id (xdrs, &objp->job_id))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->step))
 		 return FALSE;
 	 if (!xdr_az_name (xdrs, &objp->name))
@@ -1083,6 +1087,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_az_node_crash (XDR *xdrs, az_node_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_az_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_az_job_id (xdrs, &objp->job_id))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_az_proc (XDR *xdrs, az_proc *objp)
 {
@@ -1239,6 +1255,10 @@
 		 if (!xdr_az_node_pulse (xdrs, &objp->az_message_u.node_pulse))
 			 return FALSE;
 		break;
+	case AZ_NODE_CRASH:
+		 if (!xdr_az_node_crash (xdrs, &objp->az_message_u.node_crash))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/proto/message.c
+++ b/src/proto/message.c
@@ -70,6 +70,7 @@
   [AZ_NODE_STOP] = { "NODE_STOP", (xdrproc_t)xdr_az_node_stop },
   [AZ_NODE_REPORT] = { "NODE_REPORT", (xdrproc_t)xdr_az_node_report },
   [AZ_NODE_PULSE] = { "NODE_PULSE", (xdrproc_t)xdr_az_node_pulse },
+  [AZ_NODE_CRASH] = { "NODE_CRASH", (xdrproc_t)xdr_az_node_crash },
 };
 
 static const struct procedure *
@@ -260,7 +261,7 @@
   if (message->proc == AZ_NODE_REPORT)
     for (u_int i = 0; i < message->az_message_u.node_report.events.events_len; i++)
       valid &= (unsigned)message->az_message_u.node_report.events.events_val[i].how
-               <= AZ_TASK_UNHEALTHY;
+               <= AZ_TASK_CRASHED;
   if (message->proc == AZ_ANSWER)
     valid &= (unsigned)message->az_message_u.answer.outcome <= AZ_OUTCOME_UNKNOWN;
   return valid;
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -32,7 +32,7 @@
 static char *addresses[] = { (char *)"10.0.0.1:7720", (char *)"10.0.0.2:7720" };
 static struct az_run_task run_tasks[] = { { 0, 1 }, { 17, 2 } };
 static u_int indexes[] = { 4, 5 };
-static struct az_task_event task_events[] = { { 3, 1, 17, 2, AZ_TASK_UNHEALTHY, 61 } };
+static struct az_task_event task_events[] = { { 3, 1, 17, 2, AZ_TASK_CRASHED, 61 } };
 static struct az_task_progress task_progress[] = { { 3, 1, 17, 200, 900 } };
 
 #define BODY(member, ...) .az_message_u.member = { __VA_ARGS__ }
@@ -74,6 +74,8 @@
   { AZ_NODE_RUN, BODY (node_run,
                        81000,
                        3,
+                       (char *)"fast",
+                       (char *)"5c0e7a21d94b36f8",
                        1,
                        (char *)"5c0e7a21d94b36f8.0.1",
                        PAYLOAD,
@@ -92,6 +94,7 @@
                           { 1, task_events },
                           { 1, task_progress }) },
   { AZ_NODE_PULSE, BODY (node_pulse, 4000, TRUE, TRUE, 7) },
+  { AZ_NODE_CRASH, BODY (node_crash, (char *)"fast", (char *)"5c0e7a21d94b36f8") },
 };
 
 static GByteArray *
@@ -133,7 +136,7 @@
 static void
 test_every_procedure_round_trip (void **state)
 {
-  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_PULSE + 1);
+  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_CRASH + 1);
   for (size_t i = 0; i < G_N_ELEMENTS (samples); i++)
     {
       GByteArray *record = encode (&samples[i]);
@@ -215,7 +218,7 @@
   put_word (record, VERSION_OFFSET, 2);
   assert_rejected (record, AZ_MESSAGE_ERROR_VERSION);
   put_word (record, VERSION_OFFSET, 1);
-  put_word (record, PROCEDURE_OFFSET, AZ_NODE_PULSE + 1);
+  put_word (record, PROCEDURE_OFFSET, AZ_NODE_CRASH + 1);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
   put_word (record, PROCEDURE_OFFSET, 0xffffffff);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
