Detect crashes of the upstream in the sidecar

Cause: the sidecar took a crash for any other loss: its gateways learned of it as lost tasks when the leases had ended, and nobody learned which task had started last.

Change: an open upstream that refuses a connection has crashed, unless it drains or has left. The sidecar logs it, counts it and sends NODE_CRASH with the task that had started last to all gateways at once. Tasks of that incarnation still end only by the end of their leases or by the next incarnation, but as crashed.

--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -41,6 +41,8 @@
                                                 "Tasks whose end was not seen at the upstream");
   sidecar->stopped_counter = az_counters_register (counters, "azurerock_sidecar_stopped_total",
                                                    "Tasks that were stopped");
+  sidecar->crashes_counter = az_counters_register (counters, "azurerock_sidecar_crashes_total",
+                                                   "Crashes of the upstream");
   az_histogram_init (&sidecar->run_times_ms, counters, "azurerock_sidecar_run_ms",
                      "Time from the order to start a task to its end as done");
   az_speed_init (&sidecar->life.speed);
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -289,6 +289,7 @@
     {
     case AZ_UPSTREAM_OK:
       hold->n_consecutive_failures = 0;
+      az_sidecar_clear_crash (sidecar);
       handle_lists (sidecar, &sent, lists);
       break;
     case AZ_UPSTREAM_FENCED:
@@ -302,6 +303,8 @@
         az_log (LOG_WARNING, "event=hold-failed instance=%s outcome=%s in_a_row=%u tasks=%u",
                 sidecar->life.instance, az_upstream_result_name (lists->answer.result),
                 hold->n_consecutive_failures, az_table_rows_count (sidecar->tasks));
+      if (lists->answer.result == AZ_UPSTREAM_NOT_SENT)
+        az_sidecar_detect_crash (sidecar, sent.sent_us);
       break;
     }
   az_sidecar_send_due_holds (sidecar);
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -22,6 +22,7 @@
  * @session: 0 once the session is closed; the end of the task is not reported then
  * @owner_gateway: gateway instance; NULL if a former process of this sidecar started the task
  * @life: number of the upstream's incarnation that the task was sent to
+ * @has_upstream_crashed: that incarnation crashed while the task ran, or may have run
  * @is_cancelled: the task is not started again if its start fails
  * @is_stop_requested: the task must be stopped; the request is repeated until it is acknowledged
  * @is_stop_acknowledged: the upstream acknowledged a stop request, so the attempt can't start later
@@ -36,9 +37,12 @@
   uint32_t session;
   char *owner_gateway;
   uint64_t life;
+  bool has_upstream_crashed;
   uint64_t job;
   uint32_t step;
   uint32_t index;
+  char *queue;  /* NULL, like @job_id, if a former process of this sidecar started the task */
+  char *job_id; /* of the caller; the same at all gateways */
   char *name;
   uint32_t attempt;
   uint32_t n_retries;
@@ -90,6 +94,7 @@
   uint64_t sequence; /* number of the last heartbeat */
   bool is_draining;
   bool has_left;
+  bool has_crashed;
   bool is_fenced; /* the upstream accepted the fence and runs no task of a former sidecar process */
   struct az_resources capacity;
   GPtrArray *labels;
@@ -156,6 +161,7 @@
   uint32_t refusals_counter;
   uint32_t lost_counter;
   uint32_t stopped_counter;
+  uint32_t crashes_counter;
   struct az_histogram run_times_ms; /* run times of tasks that ended as done */
   int64_t now_us;
   GHashTable *sessions; /* handle -> struct session * */
@@ -257,6 +263,18 @@
 void
 az_sidecar_raise_fence (struct az_sidecar *sidecar);
 
+/* crash.c */
+
+/** az_sidecar_detect_crash - call when a hold wasn't sent for want of a connection: if the open
+ * upstream refuses connections, it has crashed, and all gateways are told once */
+void
+az_sidecar_detect_crash (struct az_sidecar *sidecar, int64_t hold_sent_us);
+
+/** az_sidecar_clear_crash - call when the current incarnation has answered: it runs, so none of its
+ * tasks ended by a crash */
+void
+az_sidecar_clear_crash (struct az_sidecar *sidecar);
+
 /* reports.c */
 struct az_resources
 az_sidecar_available_capacity (const struct az_sidecar *sidecar);
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -102,6 +102,8 @@
   task->session = session->handle;
   task->owner_gateway = g_strdup (session->gateway);
   task->job = run->job;
+  task->queue = g_strdup (run->queue);
+  task->job_id = g_strdup (run->job_id);
   task->step = run->step;
   task->index = row->index;
   task->attempt = row->attempt;
@@ -262,14 +264,16 @@
     .step = task->step,
     .index = task->index,
     .attempt = task->attempt,
-    .how = how,
     .run_ms = (u_int)((sidecar->now_us - task->start_sent_us) / AZ_US_PER_MS),
   };
 
+  if (how == AZ_TASK_LOST && task->has_upstream_crashed)
+    how = AZ_TASK_CRASHED;
+  event.how = how;
   record_end (sidecar, task, how);
   if (how == AZ_TASK_DONE)
     az_histogram_observe (&sidecar->run_times_ms, event.run_ms);
-  if (how == AZ_TASK_LOST)
+  if (how == AZ_TASK_LOST || how == AZ_TASK_CRASHED)
     az_counters_add (sidecar->counters, sidecar->lost_counter, 1);
   if (how == AZ_TASK_STOPPED)
     az_counters_add (sidecar->counters, sidecar->stopped_counter, 1);
@@ -288,6 +292,8 @@
   if (task->specification)
     g_bytes_unref (task->specification);
   g_free (task->owner_gateway);
+  g_free (task->queue);
+  g_free (task->job_id);
   g_free (task->name);
   g_free (task);
 }
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -27,6 +27,14 @@
   struct sidecar_rig *rig = context;
   const struct az_node_report *report = &message->az_message_u.node_report;
 
+  if (message->proc == AZ_NODE_CRASH)
+    {
+      rig->n_crashes[session]++;
+      g_strlcpy (rig->crashed_job_id, message->az_message_u.node_crash.job_id,
+                 sizeof rig->crashed_job_id);
+      g_strlcpy (rig->crashed_queue, message->az_message_u.node_crash.queue,
+                 sizeof rig->crashed_queue);
+    }
   if (message->proc == AZ_NODE_UPSTREAM)
     rig->is_open = message->az_message_u.node_upstream.open;
   if (message->proc != AZ_NODE_REPORT)
@@ -186,10 +194,13 @@
 {
   struct az_message message = { .proc = AZ_NODE_RUN };
   struct az_run_task row = { .index = index, .attempt = 1 };
+  g_autofree char *job_id = g_strdup_printf ("job%" G_GUINT64_FORMAT, job);
 
   message.az_message_u.node_run = (struct az_node_run){
     .clock_ms = (uint64_t)(rig->now_ms - rig->request_age_ms),
     .job = job,
+    .queue = (char *)"fast",
+    .job_id = job_id,
     .name = (char *)"job.0.0",
     .specification = { 4, (char *)"spec" },
     .need = { .cpu_milli = 4000, .memory_mb = 64 },
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -35,7 +35,10 @@
   unsigned n_closed;
   uint32_t free_milli; /* as last reported */
   uint32_t speed_percent;
-  unsigned n_reports[4];  /* number of reports to each session */
+  unsigned n_reports[4];                  /* number of reports to each session */
+  unsigned n_crashes[4];                  /* number of NODE_CRASH messages to each session */
+  char crashed_job_id[AZ_MAX_JOB_ID + 1]; /* from the last NODE_CRASH, like crashed_queue */
+  char crashed_queue[AZ_MAX_NAME + 1];
   bool hides_withdrawals; /* opened sessions don't send NODE_WITHDRAWN */
   int64_t request_age_ms; /* delay of the run requests of gateways */
 };
@@ -62,8 +65,8 @@
                       uint64_t sequence,
                       bool is_draining);
 
-/** sidecar_rig_send_run - delivers a request from @session to run task "job.0.0.index" on 4 cores
- */
+/** sidecar_rig_send_run - delivers a request from @session to run task "job.0.0.index" of queue
+ * "fast" and job id "job" followed by the number @job on 4 cores */
 void
 sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index);
 void
