Give up a job under which two upstreams have crashed

Cause: the gateway requeued a task without limit when its upstream crashed, so that one task took upstream after upstream out of use. The next gateway, or the next submission of the job, began from zero.

Change: a crash counts against the job that the sidecar names in NODE_CRASH, and against each task that ends as crashed, but only once where it does both: a crash is identified by the upstream and its incarnation. A job is answered as failed when a task, together with its job, reaches two crashes; NODE_CRASH leads to the answer at once. A bounded record keeps the crashes of named jobs for 60 s, so that they count when the job is submitted again or ran for another gateway. Crashed tasks don't count as failures of the upstream.

--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -55,6 +55,8 @@
     { &gateway->c_expired, "azurerock_gateway_expired_total", "Jobs whose deadline passed" },
     { &gateway->c_given_up, "azurerock_gateway_given_up_total", "Jobs whose caller has gone" },
     { &gateway->c_retried, "azurerock_gateway_retries_total", "Tasks that had to be sent again" },
+    { &gateway->c_crashed, "azurerock_gateway_crashed_total",
+      "Jobs given up because upstreams crashed under them" },
     { &gateway->c_moved, "azurerock_gateway_moves_total", "Tasks moved off a slow upstream" },
     { &gateway->c_examined, "azurerock_gateway_examined_total",
       "Upstreams examined in the search for room" },
@@ -92,6 +94,7 @@
   gateway->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_queue);
   gateway->withdrawals.domains = g_ptr_array_new_with_free_func (g_free);
   gateway->ejector = az_ejector_create (clock);
+  gateway->crash_record = az_crash_record_create ();
   az_ejector_set_policy (gateway->ejector, &ejection_policy);
   register_counters (gateway);
   return gateway;
@@ -120,6 +123,7 @@
   g_hash_table_unref (gateway->queues);
   g_ptr_array_unref (gateway->withdrawals.domains);
   az_ejector_destroy (gateway->ejector);
+  az_crash_record_destroy (gateway->crash_record);
   az_catalog_destroy (gateway->catalog);
   if (gateway->catalog_text)
     g_bytes_unref (gateway->catalog_text);
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -67,6 +67,10 @@
     case AZ_TASK_FAILED:
       fail_task (gateway, job, event->step, task);
       break;
+    case AZ_TASK_CRASHED:
+      az_gateway_requeue_task (gateway, job, event->step, task);
+      az_gateway_count_task_crash (gateway, job, task);
+      break;
     case AZ_TASK_NO_ROOM:
     case AZ_TASK_CLOSED:
     case AZ_TASK_UNHEALTHY:
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -133,6 +133,12 @@
           key, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
           job->request.steps[0].estimate_ms, wait_ms,
           (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
+  az_gateway_recall_crashes (gateway, job);
+  if (job->is_answered)
+    {
+      az_gateway_release_job (gateway, job);
+      return;
+    }
   reason = az_gateway_check_feasibility (gateway, job, &is_permanent);
   if (!reason && would_outlast_stop (gateway, job))
     reason = "the gateway is stopping";
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -186,6 +186,7 @@
   upstream->last_assigned_us = gateway->now_us;
   task->state = TASK_SENT;
   task->upstream = upstream->handle;
+  task->life = upstream->life;
   task->attempt++;
   task->sent_us = gateway->now_us;
   task->is_stopping = false;
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -158,6 +158,10 @@
       if (upstream)
         az_gateway_handle_upstream (gateway, upstream, &message->az_message_u.node_upstream);
       break;
+    case AZ_NODE_CRASH:
+      if (upstream)
+        az_gateway_handle_crash (gateway, upstream, &message->az_message_u.node_crash);
+      break;
     case AZ_NODE_REPORT:
       if (upstream)
         handle_report (gateway, session, upstream, &message->az_message_u.node_report);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -6,6 +6,7 @@
 #include "azurerock/histogram.h"
 #include "azurerock/resources.h"
 #include "azurerock/table.h"
+#include "dispatch/crash_record.h"
 #include "dispatch/retry_after.h"
 #include "dispatch/run_estimate.h"
 #include "dispatch/time_us.h"
@@ -96,12 +97,15 @@
   TASK_DONE,
 };
 
+/** struct task - @n_crashes doesn't include the crashes that the job's count includes */
 struct task
 {
   enum task_state state;
   uint32_t upstream; /* handle of the one that runs, or last ran, the task; 0 if it never ran */
+  uint64_t life;     /* of @upstream, when the task was sent */
   uint32_t attempt;
   uint32_t n_failed;
+  uint32_t n_crashes;
   uint32_t n_moved;
   bool is_stopping;
   int64_t sent_us;
@@ -122,6 +126,8 @@
  * @n_in_flight: tasks that are sent or orphaned; an orphaned task may still run, but the session
  *   with its upstream is lost
  * @n_started: starts of tasks, certain or possible; a start that the upstream refused isn't counted
+ * @n_crashes: crashes of upstreams after which the sidecar named this job, whichever gateway had
+ *   sent the task
  * @was_placed: at least one task was sent to an upstream
  * @is_answered: the job only waits for its last tasks in flight
  */
@@ -145,6 +151,7 @@
   uint32_t n_in_flight;
   uint32_t n_done;
   uint32_t n_started;
+  uint32_t n_crashes;
   bool was_placed;
   bool is_answered;
 };
@@ -199,6 +206,7 @@
   GHashTable *callers;  /* caller -> struct job * */
   GHashTable *queues;   /* route name -> struct queue * */
   struct az_ejector *ejector;
+  struct az_crash_record *crash_record;
   struct az_catalog *catalog;
   uint64_t catalog_revision;
   GBytes *catalog_text;
@@ -223,6 +231,7 @@
   uint32_t c_expired;
   uint32_t c_given_up;
   uint32_t c_retried;
+  uint32_t c_crashed;
   uint32_t c_moved;
   uint32_t c_examined;
   struct az_histogram response_ms; /* response times of completed jobs */
@@ -343,6 +352,25 @@
                               struct upstream *upstream,
                               const struct az_task_event *event);
 
+/*
+ * crashes.c: a crash counts against a job if the sidecar names the job in NODE_CRASH, and against a
+ * task if the task ends as crashed. A crash that does both counts once. A job is given up when a
+ * task reaches the limit together with its job.
+ */
+
+/** az_gateway_recall_crashes - gives up a new job if the record of crashes shows that it has
+ * crashed too many upstreams before; otherwise these crashes count */
+void
+az_gateway_recall_crashes (struct az_gateway *gateway, struct job *job);
+
+/** az_gateway_count_task_crash - counts the crash of the upstream that ran the task */
+void
+az_gateway_count_task_crash (struct az_gateway *gateway, struct job *job, struct task *task);
+void
+az_gateway_handle_crash (struct az_gateway *gateway,
+                         const struct upstream *upstream,
+                         const struct az_node_crash *message);
+
 /* tasks.c */
 bool
 az_gateway_is_step_ready (const struct job *job, size_t step);
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -176,6 +176,20 @@
   az_gateway_flush (rig->core);
 }
 
+static void
+announce_upstream (struct gateway_rig *rig, uint32_t session, uint64_t life, bool is_open)
+{
+  struct az_message message = { .proc = AZ_NODE_UPSTREAM };
+
+  message.az_message_u.node_upstream = (struct az_node_upstream){
+    .life = life,
+    .open = is_open,
+    .service = (char *)"service",
+    .capacity = { .cpu_milli = CAPACITY_CPU_MILLI, .memory_mb = 65536 },
+  };
+  az_gateway_received (rig->core, session, &message);
+}
+
 void
 gateway_rig_open_upstream (struct gateway_rig *rig,
                            uint32_t session,
@@ -193,16 +207,9 @@
   };
   az_gateway_session_opened (rig->core, session, NULL);
   az_gateway_received (rig->core, session, &message);
-  message = (struct az_message){ .proc = AZ_NODE_UPSTREAM };
-  message.az_message_u.node_upstream = (struct az_node_upstream){
-    .life = 1,
-    .open = is_open,
-    .service = (char *)"service",
-    .capacity = { .cpu_milli = CAPACITY_CPU_MILLI, .memory_mb = 65536 },
-  };
   rig->received[session] = 0;
   rig->used_cpu_milli[session] = 0;
-  az_gateway_received (rig->core, session, &message);
+  announce_upstream (rig, session, 1, is_open);
   send_report (rig, session, NULL, NULL);
 }
 
@@ -247,6 +254,26 @@
   send_report (rig, ended.session, &event, NULL);
 }
 
+void
+gateway_rig_report_crash (struct gateway_rig *rig, uint32_t session, uint32_t caller)
+{
+  g_autofree char *id = g_strdup_printf (GATEWAY_RIG_ID, caller);
+  struct az_message message = { .proc = AZ_NODE_CRASH };
+
+  message.az_message_u.node_crash = (struct az_node_crash){ .queue = (char *)"fast", .job_id = id };
+  az_gateway_received (rig->core, session, &message);
+  az_gateway_flush (rig->core);
+}
+
+void
+gateway_rig_begin_life (struct gateway_rig *rig, uint32_t session, uint64_t life)
+{
+  rig->used_cpu_milli[session] = 0;
+  rig->n_done[session] = rig->n_failed[session] = 0;
+  announce_upstream (rig, session, life, true);
+  send_report (rig, session, NULL, NULL);
+}
+
 void
 gateway_rig_report_progress (struct gateway_rig *rig,
                              guint run,
