Count crashes of upstreams for each task instead of each job

Cause: a job was given up after one crash under each of two tasks. It may be given up only when two upstreams have crashed under the same task.

Change: NODE_CRASH states step and index of the task. The record of crashes and the count of a task distinguish the tasks of a job.

--- a/src/dispatch/crash_record.c
+++ b/src/dispatch/crash_record.c
@@ -2,8 +2,8 @@
 #include "dispatch/time_us.h"
 #include <glib.h>
 
-/* More crashes of one job aren't told apart. */
-#define CRASHES_PER_JOB_MAX 4
+/* Further crashes under a job aren't recorded. */
+#define CRASHES_PER_JOB_MAX 8
 
 struct entry
 {
@@ -88,11 +88,18 @@
   return entry;
 }
 
+static bool
+is_under (const struct az_crash *crash, uint32_t step, uint32_t index)
+{
+  return crash->step == step && crash->index == index;
+}
+
 static bool
 has_crash (const struct entry *entry, const struct az_crash *crash)
 {
   for (uint32_t i = 0; i < entry->n_crashes; i++)
-    if (entry->crashes[i].upstream == crash->upstream && entry->crashes[i].life == crash->life)
+    if (entry->crashes[i].upstream == crash->upstream && entry->crashes[i].life == crash->life
+        && is_under (&entry->crashes[i], crash->step, crash->index))
       return true;
   return false;
 }
@@ -128,9 +135,16 @@
 }
 
 uint32_t
-az_crash_record_count (struct az_crash_record *record, const char *job_id, int64_t now_us)
+az_crash_record_count (struct az_crash_record *record,
+                       const char *job_id,
+                       uint32_t step,
+                       uint32_t index,
+                       int64_t now_us)
 {
   const struct entry *entry = find_entry (record, job_id, now_us);
+  uint32_t count = 0;
 
-  return entry ? entry->n_crashes : 0;
+  for (uint32_t i = 0; entry && i < entry->n_crashes; i++)
+    count += is_under (&entry->crashes[i], step, index);
+  return count;
 }
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -7,8 +7,8 @@
   return g_hash_table_lookup (gateway->jobs, &number);
 }
 
-static struct task *
-find_task (struct job *job, uint32_t step, uint32_t index)
+struct task *
+az_gateway_find_task (struct job *job, uint32_t step, uint32_t index)
 {
   if (step >= job->request.n_steps || index >= job->request.steps[step].n_tasks)
     return NULL;
@@ -42,7 +42,7 @@
                               const struct az_task_event *event)
 {
   struct job *job = find_job (gateway, event->job);
-  struct task *task = job ? find_task (job, event->step, event->index) : NULL;
+  struct task *task = job ? az_gateway_find_task (job, event->step, event->index) : NULL;
 
   if (event->how == AZ_TASK_NO_ROOM || event->how == AZ_TASK_CLOSED)
     az_ejector_record_cancel (gateway->ejector, upstream->handle);
@@ -69,7 +69,7 @@
       break;
     case AZ_TASK_CRASHED:
       az_gateway_requeue_task (gateway, job, event->step, task);
-      az_gateway_count_task_crash (gateway, job, task);
+      az_gateway_count_task_crash (gateway, job, task, event);
       break;
     case AZ_TASK_NO_ROOM:
     case AZ_TASK_CLOSED:
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -97,7 +97,9 @@
   TASK_DONE,
 };
 
-/** struct task - @n_crashes doesn't include the crashes that the job's count includes */
+/** struct task - @n_crashes counts the upstreams that crashed under it, whichever gateway had sent
+ * it
+ */
 struct task
 {
   enum task_state state;
@@ -126,8 +128,6 @@
  * @n_in_flight: tasks that are sent or orphaned; an orphaned task may still run, but the session
  *   with its upstream is lost
  * @n_started: starts of tasks, certain or possible; a start that the upstream refused isn't counted
- * @n_crashes: crashes of upstreams after which the sidecar named this job, whichever gateway had
- *   sent the task
  * @was_placed: at least one task was sent to an upstream
  * @is_answered: the job only waits for its last tasks in flight
  */
@@ -151,7 +151,6 @@
   uint32_t n_in_flight;
   uint32_t n_done;
   uint32_t n_started;
-  uint32_t n_crashes;
   bool was_placed;
   bool is_answered;
 };
@@ -347,25 +346,31 @@
 az_gateway_expire_jobs (struct az_gateway *gateway);
 
 /* events.c */
+
+/** az_gateway_find_task - returns NULL if the job has no such task */
+struct task *
+az_gateway_find_task (struct job *job, uint32_t step, uint32_t index);
 void
 az_gateway_handle_task_event (struct az_gateway *gateway,
                               struct upstream *upstream,
                               const struct az_task_event *event);
 
 /*
- * crashes.c: a crash counts against a job if the sidecar names the job in NODE_CRASH, and against a
- * task if the task ends as crashed. A crash that does both counts once. A job is given up when a
- * task reaches the limit together with its job.
+ * crashes.c: a crash counts against the task that the sidecar names in NODE_CRASH, and against each
+ * task that ends as crashed. A crash that does both counts once.
  */
 
-/** az_gateway_recall_crashes - gives up a new job if the record of crashes shows that it has
- * crashed too many upstreams before; otherwise these crashes count */
+/** az_gateway_recall_crashes - counts the recorded crashes under the tasks of a new job, and gives
+ * it up if these are too many */
 void
 az_gateway_recall_crashes (struct az_gateway *gateway, struct job *job);
 
 /** az_gateway_count_task_crash - counts the crash of the upstream that ran the task */
 void
-az_gateway_count_task_crash (struct az_gateway *gateway, struct job *job, struct task *task);
+az_gateway_count_task_crash (struct az_gateway *gateway,
+                             struct job *job,
+                             struct task *task,
+                             const struct az_task_event *event);
 void
 az_gateway_handle_crash (struct az_gateway *gateway,
                          const struct upstream *upstream,
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -536,12 +536,14 @@
 };
 
 /*
- * Sidecar to all gateways: its upstream has crashed. queue and job_id are those of the task that
- * had started last, or empty if no task was running.
+ * Sidecar to all gateways: its upstream has crashed. The fields name the task that had started last;
+ * queue and job_id are empty if no task was running.
  */
 struct az_node_crash {
 	az_name queue;
 	az_job_id job_id;
+	unsigned int step;
+	unsigned int index;
 };
 
 enum az_proc {
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -526,6 +526,8 @@
 struct az_node_crash {
 	az_name queue;
 	az_job_id job_id;
+	u_int step;
+	u_int index;
 };
 typedef struct az_node_crash az_node_crash;
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1096,6 +1096,10 @@
 		 return FALSE;
 	 if (!xdr_az_job_id (xdrs, &objp->job_id))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/sidecar/crash.c
+++ b/src/sidecar/crash.c
@@ -66,6 +66,8 @@
   message.az_message_u.node_crash = (struct az_node_crash){
     .queue = last_started ? last_started->queue : (char *)"",
     .job_id = last_started ? last_started->job_id : (char *)"",
+    .step = last_started ? last_started->step : 0,
+    .index = last_started ? last_started->index : 0,
   };
   g_hash_table_iter_init (&iterator, sidecar->sessions);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -34,6 +34,7 @@
                  sizeof rig->crashed_job_id);
       g_strlcpy (rig->crashed_queue, message->az_message_u.node_crash.queue,
                  sizeof rig->crashed_queue);
+      rig->crashed_index = message->az_message_u.node_crash.index;
     }
   if (message->proc == AZ_NODE_UPSTREAM)
     rig->is_open = message->az_message_u.node_upstream.open;
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -39,6 +39,7 @@
   unsigned n_crashes[4];                  /* number of NODE_CRASH messages to each session */
   char crashed_job_id[AZ_MAX_JOB_ID + 1]; /* from the last NODE_CRASH, like crashed_queue */
   char crashed_queue[AZ_MAX_NAME + 1];
+  uint32_t crashed_index;
   bool hides_withdrawals; /* opened sessions don't send NODE_WITHDRAWN */
   int64_t request_age_ms; /* delay of the run requests of gateways */
 };
--- a/tests/test_sidecar_crash.c
+++ b/tests/test_sidecar_crash.c
@@ -31,6 +31,7 @@
   assert_int_equal (rig->n_crashes[2], 1);
   assert_string_equal (rig->crashed_job_id, "job2");
   assert_string_equal (rig->crashed_queue, "fast");
+  assert_int_equal (rig->crashed_index, 1);
   assert_int_equal (sidecar_rig_last_event (rig), -1);
   sidecar_rig_destroy (rig);
 }
