Break the cyclic dependency of the crash count on jobs

Change: crashes.c only counts and returns whether the limit is reached; jobs.c and events.c give up the job.

--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -7,14 +7,6 @@
   return g_hash_table_lookup (gateway->jobs, &number);
 }
 
-struct task *
-az_gateway_find_task (struct job *job, uint32_t step, uint32_t index)
-{
-  if (step >= job->request.n_steps || index >= job->request.steps[step].n_tasks)
-    return NULL;
-  return &job->tasks[job->steps[step].first_task + index];
-}
-
 static void
 finish_task (struct az_gateway *gateway, struct job *job, uint32_t step, struct task *task)
 {
@@ -69,7 +61,8 @@
       break;
     case AZ_TASK_CRASHED:
       az_gateway_requeue_task (gateway, job, event->step, task);
-      az_gateway_count_task_crash (gateway, job, task, event);
+      if (az_gateway_count_ended_task (gateway, job, task, event))
+        az_gateway_give_up_crashed_job (gateway, job);
       break;
     case AZ_TASK_NO_ROOM:
     case AZ_TASK_CLOSED:
@@ -84,3 +77,19 @@
     }
   az_gateway_release_job (gateway, job);
 }
+
+void
+az_gateway_handle_crash (struct az_gateway *gateway,
+                         const struct upstream *upstream,
+                         const struct az_node_crash *message)
+{
+  struct job *job = g_hash_table_lookup (gateway->job_ids, message->job_id);
+
+  az_log (LOG_NOTICE, "event=upstream-crashed instance=%s queue=%s job=%s task=%u.%u",
+          upstream->instance, message->queue[0] ? message->queue : "-",
+          message->job_id[0] ? message->job_id : "-", message->step, message->index);
+  if (!message->job_id[0] || !az_gateway_count_named_task (gateway, job, upstream, message))
+    return;
+  az_gateway_give_up_crashed_job (gateway, job);
+  az_gateway_release_job (gateway, job);
+}
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -133,9 +133,9 @@
           key, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
           job->request.steps[0].estimate_ms, wait_ms,
           (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
-  az_gateway_recall_crashes (gateway, job);
-  if (job->is_answered)
+  if (az_gateway_recall_crashes (gateway, job))
     {
+      az_gateway_give_up_crashed_job (gateway, job);
       az_gateway_release_job (gateway, job);
       return;
     }
@@ -211,6 +211,15 @@
   drop_waiting_tasks (job);
 }
 
+void
+az_gateway_give_up_crashed_job (struct az_gateway *gateway, struct job *job)
+{
+  if (job->is_answered)
+    return;
+  az_counters_add (gateway->counters, gateway->c_crashed, 1);
+  az_gateway_end_job (gateway, job, AZ_JOB_FAILED, 0, "a task has crashed its upstreams");
+}
+
 void
 az_gateway_release_job (struct az_gateway *gateway, struct job *job)
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -339,6 +339,11 @@
                     int64_t retry_after_ms,
                     const char *reason);
 
+/** az_gateway_give_up_crashed_job - answers as failed a job under which too many upstreams crashed
+ */
+void
+az_gateway_give_up_crashed_job (struct az_gateway *gateway, struct job *job);
+
 /** az_gateway_release_job - frees the job if it is answered and no task is in flight */
 void
 az_gateway_release_job (struct az_gateway *gateway, struct job *job);
@@ -346,37 +351,45 @@
 az_gateway_expire_jobs (struct az_gateway *gateway);
 
 /* events.c */
-
-/** az_gateway_find_task - returns NULL if the job has no such task */
-struct task *
-az_gateway_find_task (struct job *job, uint32_t step, uint32_t index);
 void
 az_gateway_handle_task_event (struct az_gateway *gateway,
                               struct upstream *upstream,
                               const struct az_task_event *event);
+void
+az_gateway_handle_crash (struct az_gateway *gateway,
+                         const struct upstream *upstream,
+                         const struct az_node_crash *message);
 
 /*
  * crashes.c: a crash counts against the task that the sidecar names in NODE_CRASH, and against each
- * task that ends as crashed. A crash that does both counts once.
+ * task that ends as crashed. A crash that does both counts once. The functions return whether a
+ * task of the job has reached the limit, so that the job has to be given up.
  */
 
-/** az_gateway_recall_crashes - counts the recorded crashes under the tasks of a new job, and gives
- * it up if these are too many */
-void
+/** az_gateway_recall_crashes - counts the recorded crashes under the tasks of a new job */
+bool
 az_gateway_recall_crashes (struct az_gateway *gateway, struct job *job);
 
-/** az_gateway_count_task_crash - counts the crash of the upstream that ran the task */
-void
-az_gateway_count_task_crash (struct az_gateway *gateway,
-                             struct job *job,
+/** az_gateway_count_ended_task - counts the crash of the upstream that ran the task */
+bool
+az_gateway_count_ended_task (struct az_gateway *gateway,
+                             const struct job *job,
                              struct task *task,
                              const struct az_task_event *event);
-void
-az_gateway_handle_crash (struct az_gateway *gateway,
-                         const struct upstream *upstream,
-                         const struct az_node_crash *message);
+
+/** az_gateway_count_named_task - records the crash under the named task; @job is NULL if the job
+ * isn't present */
+bool
+az_gateway_count_named_task (struct az_gateway *gateway,
+                             struct job *job,
+                             const struct upstream *upstream,
+                             const struct az_node_crash *message);
 
 /* tasks.c */
+
+/** az_gateway_find_task - returns NULL if the job has no such task */
+struct task *
+az_gateway_find_task (struct job *job, uint32_t step, uint32_t index);
 bool
 az_gateway_is_step_ready (const struct job *job, size_t step);
 
--- a/src/gateway/tasks.c
+++ b/src/gateway/tasks.c
@@ -12,6 +12,14 @@
   return true;
 }
 
+struct task *
+az_gateway_find_task (struct job *job, uint32_t step, uint32_t index)
+{
+  if (step >= job->request.n_steps || index >= job->request.steps[step].n_tasks)
+    return NULL;
+  return &job->tasks[job->steps[step].first_task + index];
+}
+
 void
 az_gateway_detach_task (struct az_gateway *gateway,
                         struct job *job,
