Count a crash only against tasks whose start was acknowledged

Change: a task whose start wasn't acknowledged when its upstream crashed ends as lost. NODE_CRASH names the queue of such a task, but no job.

--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -468,7 +468,7 @@
  * NO_ROOM: the upstream has not enough free resources.
  * CLOSED: the sidecar starts no such task at present, or the upstream did not take the request.
  * UNHEALTHY: the upstream refused the request.
- * CRASHED: the upstream crashed while the task ran, or may have run.
+ * CRASHED: the upstream crashed after it had acknowledged the start of the task.
  * A task that ended with NO_ROOM, CLOSED or UNHEALTHY has not run.
  */
 enum az_task_end {
@@ -537,7 +537,8 @@
 
 /*
  * Sidecar to all gateways: its upstream has crashed. The fields name the task that had started last;
- * queue and job_id are empty if no task was running.
+ * queue and job_id are empty if no task was running, and job_id also if the start of the task wasn't
+ * acknowledged, since it may not have started then.
  */
 struct az_node_crash {
 	az_name queue;
--- a/src/sidecar/crash.c
+++ b/src/sidecar/crash.c
@@ -6,18 +6,14 @@
  * 50 ms. */
 #define REFUSED_WITHIN_MS 25
 
-static bool
-has_unanswered_start (const struct task *task)
-{
-  return task->state != TASK_RUNNING;
-}
-
 /* Prefers tasks whose start was acknowledged, since the other ones may never have started. */
 static bool
 started_after (const struct task *task, const struct task *other)
 {
-  if (!other || has_unanswered_start (task) != has_unanswered_start (other))
-    return !other || !has_unanswered_start (task);
+  bool is_running = task->state == TASK_RUNNING;
+
+  if (!other || is_running != (other->state == TASK_RUNNING))
+    return !other || is_running;
   return task->start_sent_us > other->start_sent_us;
 }
 
@@ -38,10 +34,12 @@
   return last;
 }
 
+/* A task counts as crashed only if it has certainly started: its job may be answered as failed only
+ * if the crashes occurred under the task. Returns the number of tasks of the incarnation. */
 static uint32_t
 mark_tasks (struct az_sidecar *sidecar, bool has_crashed)
 {
-  uint32_t n_marked = 0;
+  uint32_t n_tasks = 0;
   uint32_t handle = 0;
 
   while ((handle = az_table_rows_next (sidecar->tasks, handle)))
@@ -50,22 +48,23 @@
 
       if (task->life != sidecar->life.number)
         continue;
-      task->has_upstream_crashed = has_crashed;
-      n_marked++;
+      task->has_upstream_crashed = has_crashed && task->state == TASK_RUNNING;
+      n_tasks++;
     }
-  return n_marked;
+  return n_tasks;
 }
 
 static void
 send_crash (struct az_sidecar *sidecar, const struct task *last_started)
 {
   struct az_message message = { .proc = AZ_NODE_CRASH };
+  bool has_started = last_started && last_started->state == TASK_RUNNING;
   GHashTableIter iterator;
   gpointer value;
 
   message.az_message_u.node_crash = (struct az_node_crash){
     .queue = last_started ? last_started->queue : (char *)"",
-    .job_id = last_started ? last_started->job_id : (char *)"",
+    .job_id = has_started ? last_started->job_id : (char *)"",
     .step = last_started ? last_started->step : 0,
     .index = last_started ? last_started->index : 0,
   };
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -22,7 +22,7 @@
  * @session: 0 once the session is closed; the end of the task is not reported then
  * @owner_gateway: gateway instance; NULL if a former process of this sidecar started the task
  * @life: number of the upstream's incarnation that the task was sent to
- * @has_upstream_crashed: that incarnation crashed while the task ran, or may have run
+ * @has_upstream_crashed: that incarnation crashed after it had acknowledged the start
  * @is_cancelled: the task is not started again if its start fails
  * @is_stop_requested: the task must be stopped; the request is repeated until it is acknowledged
  * @is_stop_acknowledged: the upstream acknowledged a stop request, so the attempt can't start later
