--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -6,6 +6,7 @@
 #include "azurerock/histogram.h"
 #include "azurerock/resources.h"
 #include "azurerock/table.h"
+#include "dispatch/crash_record.h"
 #include "dispatch/retry_after.h"
 #include "dispatch/run_estimate.h"
 #include "dispatch/time_us.h"
@@ -101,12 +102,17 @@
   TASK_DONE,
 };
 
+/** struct task - @n_crashes counts the upstreams that crashed under it, whichever gateway had sent
+ * it
+ */
 struct task
 {
   enum task_state state;
   uint32_t upstream; /* handle of the one that runs, or last ran, the task; 0 if it never ran */
+  uint64_t life;     /* of @upstream, when the task was sent */
   uint32_t attempt;
   uint32_t n_failed;
+  uint32_t n_crashes;
   uint32_t n_moved;
   bool is_stopping;
   int64_t sent_us;
@@ -204,6 +210,7 @@
   GHashTable *callers;  /* caller -> struct job * */
   GHashTable *queues;   /* route name -> struct queue * */
   struct az_ejector *ejector;
+  struct az_crash_record *crash_record;
   struct az_catalog *catalog;
   uint64_t catalog_revision;
   GBytes *catalog_text;
@@ -228,6 +235,7 @@
   uint32_t c_expired;
   uint32_t c_given_up;
   uint32_t c_retried;
+  uint32_t c_crashed;
   uint32_t c_moved;
   uint32_t c_examined;
   struct az_histogram response_ms; /* response times of completed jobs */
@@ -336,6 +344,11 @@
                     int64_t retry_after_ms,
                     const char *reason);
 
+/** az_gateway_give_up_crashed_job - answers as failed a job under which too many upstreams crashed
+ */
+void
+az_gateway_give_up_crashed_job (struct az_gateway *gateway, struct job *job);
+
 /** az_gateway_release_job - frees the job if it is answered and no task is in flight */
 void
 az_gateway_release_job (struct az_gateway *gateway, struct job *job);
@@ -352,8 +365,41 @@
 az_gateway_handle_task_event (struct az_gateway *gateway,
                               struct upstream *upstream,
                               const struct az_task_event *event);
+void
+az_gateway_handle_crash (struct az_gateway *gateway,
+                         const struct upstream *upstream,
+                         const struct az_node_crash *message);
+
+/*
+ * crashes.c: a crash counts against the task that the sidecar names in NODE_CRASH, and against each
+ * task that ends as crashed. A crash that does both counts once. The functions return whether a
+ * task of the job has reached the limit, so that the job has to be given up.
+ */
+
+/** az_gateway_recall_crashes - counts the recorded crashes under the tasks of a new job */
+bool
+az_gateway_recall_crashes (struct az_gateway *gateway, struct job *job);
+
+/** az_gateway_count_ended_task - counts the crash of the upstream that ran the task */
+bool
+az_gateway_count_ended_task (struct az_gateway *gateway,
+                             const struct job *job,
+                             struct task *task,
+                             const struct az_task_event *event);
+
+/** az_gateway_count_named_task - records the crash under the named task; @job is NULL if the job
+ * isn't present */
+bool
+az_gateway_count_named_task (struct az_gateway *gateway,
+                             struct job *job,
+                             const struct upstream *upstream,
+                             const struct az_node_crash *message);
 
 /* tasks.c */
+
+/** az_gateway_find_task - returns NULL if the job has no such task */
+struct task *
+az_gateway_find_task (struct job *job, uint32_t step, uint32_t index);
 bool
 az_gateway_is_step_ready (const struct job *job, size_t step);
 
