Let the event loop check the settings file

Cause: the programs of gateway and sidecar each held the same handlers that log a SIGHUP, check the settings file on it and in the tick, and add and free the seeds.

Change: the settings watch passes changed seeds to a callback, and the event loop of both programs checks the watch on SIGHUP and before a tick. What a process does on a change is the same, but that the check comes before the core's tick instead of after it.

--- a/src/dispatch/event_loop.c
+++ b/src/dispatch/event_loop.c
@@ -26,6 +26,7 @@
 {
   struct az_event_loop *event_loop = timer->data;
 
+  az_settings_watch_check_if_due (event_loop->settings, (int64_t)(uv_hrtime () / 1000));
   event_loop->tick (event_loop->context);
 }
 
@@ -35,7 +36,8 @@
   struct az_event_loop *event_loop = signal->data;
 
   (void)number;
-  event_loop->hangup (event_loop->context);
+  az_log (LOG_NOTICE, "event=hangup");
+  az_settings_watch_check (event_loop->settings);
 }
 
 void
--- a/src/dispatch/event_loop.h
+++ b/src/dispatch/event_loop.h
@@ -1,7 +1,7 @@
 #ifndef AZUREROCK_DISPATCH_EVENT_LOOP_H
 #define AZUREROCK_DISPATCH_EVENT_LOOP_H
 
-#include <stdbool.h>
+#include "dispatch/settings_watch.h"
 #include <uv.h>
 
 /** The kernel retransmits a lost SYN only after one second. A shorter timeout with a new attempt
@@ -12,15 +12,15 @@
  * struct az_event_loop - callbacks from the event loop of a gateway or sidecar
  * @flush: called before and after each poll; sends the messages of this loop iteration
  * @tick: called at a fixed interval
- * @hangup: called on SIGHUP
+ * @settings: checked on SIGHUP and before a tick if a check is due; opened and closed by the caller
  */
 struct az_event_loop
 {
   uv_loop_t *loop;
   void (*flush) (void *context);
   void (*tick) (void *context);
-  void (*hangup) (void *context);
   void *context;
+  struct az_settings_watch *settings;
   uv_timer_t timer;
   uv_prepare_t prepare;
   uv_check_t check;
--- a/src/dispatch/settings_watch.c
+++ b/src/dispatch/settings_watch.c
@@ -26,26 +26,27 @@
   g_clear_pointer (&watch->contents, g_free);
 }
 
-static GPtrArray *
+static void
 load_seeds (struct az_settings_watch *watch)
 {
   g_autofree char *settings = g_malloc0 (watch->size);
   GPtrArray **seeds = (void *)(settings + watch->seeds_offset);
   g_autoptr (GError) error = NULL;
-  GPtrArray *loaded = NULL;
 
-  if (az_settings_load_text (watch->contents, strlen (watch->contents), watch->path, watch->schema,
-                             watch->n_schema, settings, &error))
-    loaded = g_steal_pointer (seeds);
-  else
-    az_log (LOG_ERR, "event=reload outcome=invalid reason=\"%s\"", error->message);
+  if (!az_settings_load_text (watch->contents, strlen (watch->contents), watch->path, watch->schema,
+                              watch->n_schema, settings, &error))
+    {
+      az_log (LOG_ERR, "event=reload outcome=invalid reason=\"%s\"", error->message);
+    }
+  else if (*seeds)
+    {
+      az_log (LOG_NOTICE, "event=reload outcome=read seeds=%u", (*seeds)->len);
+      watch->add_seeds (watch->context, *seeds);
+    }
   az_settings_clear (watch->schema, watch->n_schema, settings);
-  if (loaded)
-    az_log (LOG_NOTICE, "event=reload outcome=read seeds=%u", loaded->len);
-  return loaded;
 }
 
-GPtrArray *
+void
 az_settings_watch_check (struct az_settings_watch *watch)
 {
   char *contents = read_file (watch->path);
@@ -54,18 +55,18 @@
   if (!contents || !g_strcmp0 (contents, watch->contents))
     {
       g_free (contents);
-      return NULL;
+      return;
     }
   g_free (watch->contents);
   watch->contents = contents;
-  return load_seeds (watch);
+  load_seeds (watch);
 }
 
-GPtrArray *
+void
 az_settings_watch_check_if_due (struct az_settings_watch *watch, int64_t now_us)
 {
   if (now_us - watch->last_checked_us < CHECK_INTERVAL_US)
-    return NULL;
+    return;
   watch->last_checked_us = now_us;
-  return az_settings_watch_check (watch);
+  az_settings_watch_check (watch);
 }
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -86,7 +86,7 @@
 void
 az_gateway_program_connect (void *context, const char *address);
 void
-az_gateway_program_add_seeds (struct az_gateway_program *program, const GPtrArray *seeds);
+az_gateway_program_add_seeds (void *context, const GPtrArray *seeds);
 
 /* program_store.c: configuration, withdrawn domains and members in the store */
 
--- a/src/gateway/program_rpc.c
+++ b/src/gateway/program_rpc.c
@@ -74,8 +74,10 @@
 }
 
 void
-az_gateway_program_add_seeds (struct az_gateway_program *program, const GPtrArray *seeds)
+az_gateway_program_add_seeds (void *context, const GPtrArray *seeds)
 {
+  struct az_gateway_program *program = context;
+
   for (guint i = 0; seeds && i < seeds->len; i++)
     {
       g_autofree char *address = az_seed_address (seeds->pdata[i], program->options->seed_port);
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -37,24 +37,6 @@
   az_program_close_signal_handles ();
 }
 
-static void
-handle_seeds (struct az_gateway_program *program, GPtrArray *seeds)
-{
-  if (!seeds)
-    return;
-  az_gateway_program_add_seeds (program, seeds);
-  g_ptr_array_unref (seeds);
-}
-
-static void
-on_hangup (void *context)
-{
-  struct az_gateway_program *program = context;
-
-  az_log (LOG_NOTICE, "event=hangup");
-  handle_seeds (program, az_settings_watch_check (&program->settings));
-}
-
 static void
 on_tick (void *context)
 {
@@ -64,8 +46,6 @@
 
   az_gateway_program_check_store (program);
   az_gateway_tick (program->gateway);
-  handle_seeds (
-      program, az_settings_watch_check_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
   if (!program->is_stopping)
     return;
   is_idle = az_gateway_n_jobs (program->gateway) == 0
@@ -127,6 +107,8 @@
     .n_schema = az_gateway_n_schema,
     .size = sizeof *program->options,
     .seeds_offset = offsetof (struct az_gateway_options, seeds),
+    .add_seeds = az_gateway_program_add_seeds,
+    .context = program,
   };
   az_settings_watch_open (&program->settings);
   az_gateway_program_add_seeds (program, program->options->seeds);
@@ -135,8 +117,8 @@
     .loop = program->loop,
     .flush = on_flush,
     .tick = on_tick,
-    .hangup = on_hangup,
     .context = program,
+    .settings = &program->settings,
   };
   az_event_loop_open (&program->event_loop, TICK_MS);
   az_program_set_stop_handler (program->loop, on_stop, program);
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -73,7 +73,7 @@
 void
 az_sidecar_program_add_gateway (struct az_sidecar_program *program, const char *address);
 void
-az_sidecar_program_add_seeds (struct az_sidecar_program *program, const GPtrArray *seeds);
+az_sidecar_program_add_seeds (void *context, const GPtrArray *seeds);
 void
 az_sidecar_program_connect (struct az_sidecar_program *program);
 
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -77,8 +77,10 @@
 }
 
 void
-az_sidecar_program_add_seeds (struct az_sidecar_program *program, const GPtrArray *seeds)
+az_sidecar_program_add_seeds (void *context, const GPtrArray *seeds)
 {
+  struct az_sidecar_program *program = context;
+
   for (guint i = 0; seeds && i < seeds->len; i++)
     {
       g_autofree char *address = az_seed_address (seeds->pdata[i], program->options->seed_port);
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -53,32 +53,12 @@
     close_program (program);
 }
 
-static void
-add_seeds (struct az_sidecar_program *program, GPtrArray *seeds)
-{
-  if (!seeds)
-    return;
-  az_sidecar_program_add_seeds (program, seeds);
-  g_ptr_array_unref (seeds);
-}
-
-static void
-on_hangup (void *context)
-{
-  struct az_sidecar_program *program = context;
-
-  az_log (LOG_NOTICE, "event=hangup");
-  add_seeds (program, az_settings_watch_check (&program->settings));
-}
-
 static void
 on_tick (void *context)
 {
   struct az_sidecar_program *program = context;
 
   az_sidecar_tick (program->sidecar);
-  add_seeds (program,
-             az_settings_watch_check_if_due (&program->settings, (int64_t)(uv_hrtime () / 1000)));
   az_sidecar_program_connect (program);
   az_sidecar_program_poll_store (program);
   if (program->is_stopping)
@@ -134,6 +114,8 @@
     .n_schema = az_sidecar_n_schema,
     .size = sizeof *program->options,
     .seeds_offset = offsetof (struct az_sidecar_options, seeds),
+    .add_seeds = az_sidecar_program_add_seeds,
+    .context = program,
   };
   az_settings_watch_open (&program->settings);
   az_sidecar_program_add_seeds (program, program->options->seeds);
@@ -143,8 +125,8 @@
     .loop = program->loop,
     .flush = on_flush,
     .tick = on_tick,
-    .hangup = on_hangup,
     .context = program,
+    .settings = &program->settings,
   };
   az_event_loop_open (&program->event_loop, TICK_MS);
   az_sidecar_program_connect (program);
