End requests whose caller had gone before they were read

Cause: a disconnect of a caller is noticed on a duplicate of its socket. If a connection's request and its end arrive together, as after a pause of the process, the disconnect is noticed first, while no request is in progress, and was forgotten. The request was then served as if the caller waited. A gateway that had been paused for 0.2 s started the job of a caller that had left meanwhile.

Change: the connection remembers the disconnect, and the handler is told of it right after the request. The gateway places tasks only later, so such a job starts nothing.

--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -15,6 +15,7 @@
   int watched_fd;
   struct az_http_caller_owner owner;
   uint32_t request_handle;
+  bool is_disconnected;
   unsigned n_open_handles;
 };
 
@@ -52,6 +53,7 @@
   (void)status;
   (void)events;
   uv_poll_stop (watch);
+  caller->is_disconnected = true;
   caller->request_handle = 0;
   if (request_handle)
     caller->owner.disconnected (caller->owner.context, request_handle);
@@ -118,6 +120,12 @@
   caller->request_handle = handle;
 }
 
+bool
+az_http_caller_is_disconnected (const struct az_http_caller *caller)
+{
+  return caller->is_disconnected;
+}
+
 static void
 shut_down_socket (struct az_http_caller *caller, int how)
 {
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -34,6 +34,11 @@
 void
 az_http_caller_set_request (struct az_http_caller *caller, uint32_t handle);
 
+/** az_http_caller_is_disconnected - whether the caller has disconnected, also if no request was in
+ * progress then */
+bool
+az_http_caller_is_disconnected (const struct az_http_caller *caller);
+
 /** az_http_caller_close_if_idle - closes the connection unless it has a request in progress */
 void
 az_http_caller_close_if_idle (struct az_http_caller *caller);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -181,6 +181,16 @@
   return tracker->handle;
 }
 
+/* After the process was paused, a disconnect may be noticed before the request is read. */
+static void
+end_if_disconnected (struct az_http_server *server, uint32_t handle)
+{
+  const struct pending *pending = az_table_rows_get (server->requests, handle);
+
+  if (pending && az_http_caller_is_disconnected (pending->caller))
+    on_caller_disconnected (server, handle);
+}
+
 static int
 handle_request (h2o_handler_t *handler, h2o_req_t *request)
 {
@@ -205,6 +215,7 @@
       return 0;
     }
   server->handlers.request (server->handlers.context, &received);
+  end_if_disconnected (server, received.handle);
   return 0;
 }
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -154,6 +154,26 @@
   assert_int_equal (fixture->n_disconnected, 1);
 }
 
+/* Guards against keeping the request of a caller that disconnected before it was read. */
+static void
+test_caller_disconnects_before_request_is_read (void **state)
+{
+  struct fixture *fixture = *state;
+
+  fixture->answer = false;
+  for (int is_accepted = 0; is_accepted < 2; is_accepted++)
+    {
+      int caller = connect_caller (fixture);
+
+      if (is_accepted)
+        net_run_for (&fixture->loop, 50);
+      net_write (caller, "GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+      close (caller);
+      net_run_for (&fixture->loop, 100);
+      assert_int_equal (fixture->n_disconnected, fixture->requests);
+    }
+}
+
 /* Guards against calling the handler for a request whose body is incomplete when the caller
  * disconnects. */
 static void
@@ -311,6 +331,7 @@
     TEST (test_pipelined_requests),
     TEST (test_oversized_bodies),
     TEST (test_caller_disconnects),
+    TEST (test_caller_disconnects_before_request_is_read),
     TEST (test_incomplete_request),
     TEST (test_caller_resets_before_response),
     TEST (test_graceful_stop),
