--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -311,6 +311,36 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against run messages that a sidecar can't tell from delayed ones, in a session without a
+ * report from which its clock is known. */
+static void
+test_nothing_is_sent_before_the_first_report_of_a_session (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+  struct az_message hello = { .proc = AZ_NODE_HELLO };
+  struct az_message opened = { .proc = AZ_NODE_UPSTREAM };
+
+  (void)state;
+  az_gateway_session_closed (rig->core, 1, "reset");
+  hello.az_message_u.node_hello = (struct az_node_hello){
+    .incarnation = 300, .instance = (char *)"s1", .domain = (char *)"d1", .address = (char *)""
+  };
+  opened.az_message_u.node_upstream = (struct az_node_upstream){
+    .life = 1,
+    .open = true,
+    .service = (char *)"service",
+    .capacity = { .cpu_milli = 32000, .memory_mb = 65536 },
+  };
+  az_gateway_session_opened (rig->core, 2, NULL);
+  az_gateway_received (rig->core, 2, &hello);
+  az_gateway_received (rig->core, 2, &opened);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (rig->runs->len, 0);
+  gateway_rig_advance (rig, 20, ~(1u << 2));
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against refusals just after the start of the process, before sidecars have connected. */
 static void
 test_job_waits_for_upstreams_after_the_start (void **state)
@@ -673,6 +703,7 @@
     cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
     cmocka_unit_test (test_job_with_short_deadline_is_refused_early),
     cmocka_unit_test (test_run_message_carries_the_sidecar_clock),
+    cmocka_unit_test (test_nothing_is_sent_before_the_first_report_of_a_session),
     cmocka_unit_test (test_paused_gateway_starts_no_expired_job),
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
     cmocka_unit_test (test_job_waits_for_upstreams_after_the_start),
