Start no task whose request waited for a connection

Cause: an agent checks the start conditions before it passes a task to its HTTP client. If no connection to the upstream was free, the request waited there, up to the time-out of the task, and was then sent without another check. A start that waited for a connection for four seconds or more, which a busy upstream or a paused agent can cause, began in a domain that had been withdrawn meanwhile, against rule R3 (3 s).

Change: the HTTP client can limit the wait for a connection. The limit is checked again right before a request is written, on the clock of that moment. The agent uses 300 ms, so that evidence of 2,500 ms and the wait stay below 3 s. A request that isn't sent counts as not started.

The new test of the HTTP client fails with the limit switched off.

--- a/include/azurerock/http_client.h
+++ b/include/azurerock/http_client.h
@@ -39,6 +39,11 @@
 void
 az_http_client_destroy (struct az_http_client *client);
 
+/** az_http_client_limit_wait - requests that have waited for a connection for @limit_ms end with
+ * AZ_HTTP_NOT_SENT; for requests whose reasons may be outdated later */
+void
+az_http_client_limit_wait (struct az_http_client *client, int64_t limit_ms);
+
 /**
  * az_http_client_request - sends one request, once a connection is free
  * @path: path and query
--- a/src/agent/program_upstream.c
+++ b/src/agent/program_upstream.c
@@ -1,4 +1,6 @@
 #include "agent/program.h"
+#include "azurerock/limits.h"
+#include <assert.h>
 #include <string.h>
 
 /* The core cancels a task at its timeout. The HTTP timeout, which is later by this margin, only
@@ -8,6 +10,13 @@
 /* HTTP timeout of a task without a timeout of its own. */
 #define TIMEOUT_DEFAULT_MS 3600000
 
+/* The start conditions are checked before a request waits for a connection to the upstream. Their
+ * evidence may be 2,500 ms old then, and nothing may start 3 s after a withdrawal. */
+#define CONNECTION_WAIT_MAX_MS 300
+
+static_assert (AZ_FRESHNESS_LIMIT_MS + CONNECTION_WAIT_MAX_MS < 3000,
+               "tasks may start too late after a withdrawal");
+
 #define STATUS_STOPPED_BY_GUARD 507
 
 /** struct az_agent_run - a task and its HTTP request to the upstream, by their handles */
@@ -103,6 +112,7 @@
   program->runs = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   program->upstream = az_http_client_create (program->loop, program->options->upstream_address,
                                              (unsigned)program->options->connections);
+  az_http_client_limit_wait (program->upstream, CONNECTION_WAIT_MAX_MS);
 }
 
 void
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -7,6 +7,8 @@
 /* A deadline timer that fires later than this indicates that the process was paused. */
 #define PAUSE_THRESHOLD_MS 5
 
+#define NS_PER_MS 1000000
+
 struct az_http_client
 {
   uv_loop_t *loop;
@@ -14,6 +16,7 @@
   struct sockaddr_storage target;
   bool is_target_valid;
   unsigned max_connections;
+  int64_t wait_limit_ms; /* 0 if the wait for a connection is not limited */
   unsigned n_connecting;
   GPtrArray *connections;
   GPtrArray *idle; /* most recently used last */
@@ -159,16 +162,66 @@
   g_ptr_array_add (client->connections, az_http_connection_create (&owner));
 }
 
+/* Removes an exchange from the queue or from its connection, which is closed because it can't be
+ * reused. Returns the result for the caller. */
+static enum az_http_result
+detach_exchange (struct az_http_client *client, struct az_http_exchange *exchange)
+{
+  if (!exchange->connection)
+    {
+      g_queue_remove (&client->waiting, exchange);
+      return AZ_HTTP_NOT_SENT;
+    }
+  remove_connection (client, exchange->connection);
+  az_http_connection_drop (exchange->connection);
+  return AZ_HTTP_LOST;
+}
+
+static void
+on_completion_timer (uv_timer_t *timer);
+
+static void
+schedule_completion (struct az_http_client *client,
+                     struct az_http_exchange *exchange,
+                     enum az_http_result result,
+                     const char *error)
+{
+  exchange->is_ended = true;
+  exchange->result = result;
+  exchange->error = error;
+  g_queue_push_tail (&client->ended, exchange);
+  uv_timer_start (&client->completion_timer, on_completion_timer, 0, 0);
+}
+
+static void
+end_exchange (struct az_http_client *client, struct az_http_exchange *exchange, const char *error)
+{
+  schedule_completion (client, exchange, detach_exchange (client, exchange), error);
+}
+
+/* Reads the clock again: the process may have been paused since the loop did. */
+static bool
+has_waited_too_long (const struct az_http_exchange *exchange)
+{
+  return uv_hrtime () / NS_PER_MS > exchange->send_by_ms;
+}
+
 /* Sends waiting requests on idle connections and opens more connections up to the limit. */
 static void
 dispatch_waiting (struct az_http_client *client)
 {
   while (!g_queue_is_empty (&client->waiting) && client->idle->len > 0)
     {
-      struct az_http_connection *connection
-          = g_ptr_array_steal_index (client->idle, client->idle->len - 1);
+      struct az_http_exchange *exchange = g_queue_peek_head (&client->waiting);
+      struct az_http_connection *connection;
 
-      if (az_http_connection_send (connection, g_queue_peek_head (&client->waiting)))
+      if (has_waited_too_long (exchange))
+        {
+          end_exchange (client, exchange, "no connection in time");
+          continue;
+        }
+      connection = g_ptr_array_steal_index (client->idle, client->idle->len - 1);
+      if (az_http_connection_send (connection, exchange))
         {
           g_queue_pop_head (&client->waiting);
           continue;
@@ -181,21 +234,6 @@
     open_connection (client);
 }
 
-/* Removes an exchange from the queue or from its connection, which is closed because it can't be
- * reused. Returns the result for the caller. */
-static enum az_http_result
-detach_exchange (struct az_http_client *client, struct az_http_exchange *exchange)
-{
-  if (!exchange->connection)
-    {
-      g_queue_remove (&client->waiting, exchange);
-      return AZ_HTTP_NOT_SENT;
-    }
-  remove_connection (client, exchange->connection);
-  az_http_connection_drop (exchange->connection);
-  return AZ_HTTP_LOST;
-}
-
 static void
 on_completion_timer (uv_timer_t *timer)
 {
@@ -208,19 +246,6 @@
     dispatch_waiting (client);
 }
 
-static void
-schedule_completion (struct az_http_client *client,
-                     struct az_http_exchange *exchange,
-                     enum az_http_result result,
-                     const char *error)
-{
-  exchange->is_ended = true;
-  exchange->result = result;
-  exchange->error = error;
-  g_queue_push_tail (&client->ended, exchange);
-  uv_timer_start (&client->completion_timer, on_completion_timer, 0, 0);
-}
-
 static void
 on_deadline_timer (uv_timer_t *timer);
 
@@ -256,6 +281,13 @@
   return true;
 }
 
+static uint64_t
+next_deadline_ms (const struct az_http_exchange *exchange)
+{
+  return exchange->connection ? exchange->deadline_ms
+                              : MIN (exchange->deadline_ms, exchange->send_by_ms);
+}
+
 /* Ends the exchanges whose deadline has passed and arms the timer for the next deadline. */
 static void
 on_deadline_timer (uv_timer_t *timer)
@@ -272,10 +304,11 @@
 
       if (exchange->is_ended)
         continue;
-      if (exchange->deadline_ms <= now_ms)
-        schedule_completion (client, exchange, detach_exchange (client, exchange), "timed out");
+      if (next_deadline_ms (exchange) <= now_ms)
+        end_exchange (client, exchange,
+                      exchange->deadline_ms <= now_ms ? "timed out" : "no connection in time");
       else
-        arm_deadline_timer (client, exchange->deadline_ms);
+        arm_deadline_timer (client, next_deadline_ms (exchange));
     }
 }
 
@@ -301,6 +334,12 @@
   return client;
 }
 
+void
+az_http_client_limit_wait (struct az_http_client *client, int64_t limit_ms)
+{
+  client->wait_limit_ms = limit_ms;
+}
+
 void
 az_http_client_destroy (struct az_http_client *client)
 {
@@ -349,12 +388,15 @@
   exchange->done = done;
   exchange->context = context;
   exchange->deadline_ms = uv_now (client->loop) + (uint64_t)MAX (timeout_ms, 1);
+  exchange->send_by_ms = client->wait_limit_ms > 0
+                             ? uv_hrtime () / NS_PER_MS + (uint64_t)client->wait_limit_ms
+                             : UINT64_MAX;
   if (!client->is_target_valid)
     {
       schedule_completion (client, exchange, AZ_HTTP_NOT_SENT, "not a numeric address and port");
       return exchange->handle;
     }
-  arm_deadline_timer (client, exchange->deadline_ms);
+  arm_deadline_timer (client, next_deadline_ms (exchange));
   g_queue_push_tail (&client->waiting, exchange);
   dispatch_waiting (client);
   return exchange->handle;
@@ -367,5 +409,5 @@
 
   if (!exchange || exchange->is_ended || client->destroyed)
     return;
-  schedule_completion (client, exchange, detach_exchange (client, exchange), "cancelled");
+  end_exchange (client, exchange, "cancelled");
 }
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -8,6 +8,7 @@
 
 /**
  * struct az_http_exchange - one request and its result
+ * @send_by_ms: the request is not sent after this time; UINT64_MAX if that is not limited
  * @connection: connection that carries the request; NULL while no byte of it was written
  * @is_ended: @result and @error are set, but @done has not been called yet
  */
@@ -17,6 +18,7 @@
   GByteArray *request;
   bool is_head;
   uint64_t deadline_ms;
+  uint64_t send_by_ms;
   struct az_http_connection *connection;
   bool is_ended;
   enum az_http_result result;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -306,6 +306,24 @@
   close (server);
 }
 
+/* Guards against sending a request long after its sender decided to, as after a pause. */
+static void
+test_request_that_waited_too_long_is_not_sent (void **state)
+{
+  struct fixture *fixture = *state;
+  char byte;
+  int server;
+
+  az_http_client_limit_wait (fixture->client, 50);
+  request (fixture, "one", TIMEOUT_MS);
+  uv_sleep (100);
+  expect_result (fixture, 1, AZ_HTTP_NOT_SENT);
+  server = net_accept (&fixture->loop, fixture->listener);
+  net_run_for (&fixture->loop, 20);
+  assert_int_equal (recv (server, &byte, 1, MSG_DONTWAIT), -1);
+  close (server);
+}
+
 int
 main (void)
 {
@@ -317,6 +335,7 @@
     TEST (test_idle_connection_closed_by_server),
     TEST (test_connection_limit),
     TEST (test_timeouts),
+    TEST (test_request_that_waited_too_long_is_not_sent),
     TEST (test_chunked_response_in_single_bytes),
     TEST (test_ambiguous_responses),
     TEST (test_destroy_ends_requests),
