Send nothing at all before the first report of a session

Cause: before the first report of a session the free resources counted as none, but a task that needs no resources fits that too and was sent with the time on the gateway's own clock.

Change: an upstream is a candidate only after its session has reported. This replaces the reset of the free resources.

--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -2,12 +2,22 @@
 #include "gateway/state.h"
 #include <string.h>
 
+/* The first report of a session tells the sidecar's clock, which run messages state. */
+static bool
+has_reported (const struct az_gateway *gateway, const struct upstream *upstream)
+{
+  const struct session *session = az_gateway_get_session (gateway, upstream->session);
+
+  return session && session->peer_clock_received_us > 0;
+}
+
 static bool
 accepts_tasks (const struct az_gateway *gateway,
                const struct upstream *upstream,
                const char *service)
 {
-  return upstream->is_open && upstream->session && strcmp (upstream->service, service) == 0
+  return upstream->is_open && has_reported (gateway, upstream)
+         && strcmp (upstream->service, service) == 0
          && !az_gateway_is_withdrawn (gateway, upstream->domain);
 }
 
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -97,8 +97,6 @@
   upstream->in_working_set = true;
   upstream->n_runs_sent = 0;
   g_array_set_size (upstream->reservations, 0);
-  /* Until the first report, the sidecar's clock isn't known, so nothing may be sent. */
-  upstream->reported_free = upstream->free = (struct az_resources){ 0 };
 }
 
 static void
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -311,6 +311,19 @@
   gateway_rig_destroy (rig);
 }
 
+static void
+submit_without_needs (struct gateway_rig *rig, uint32_t caller)
+{
+  const struct az_catalog *catalog = az_gateway_catalog (rig->core);
+  struct az_job_request request = { .specification = g_strdup ("spec"), .n_steps = 1 };
+
+  request.steps = g_new0 (struct az_job_step, 1);
+  request.steps[0] = (struct az_job_step){ .n_tasks = 1, .estimate_ms = 100 };
+  az_gateway_submit (rig->core, caller, az_catalog_find_route (catalog, "host", "/fast/"), "00ab",
+                     &request, rig->wait_ms);
+  az_gateway_flush (rig->core);
+}
+
 /* Guards against run messages that a sidecar can't tell from delayed ones, in a session without a
  * report from which its clock is known. */
 static void
@@ -335,9 +348,10 @@
   az_gateway_received (rig->core, 2, &hello);
   az_gateway_received (rig->core, 2, &opened);
   gateway_rig_submit (rig, 1, "fast", 1);
+  submit_without_needs (rig, 2);
   assert_int_equal (rig->runs->len, 0);
   gateway_rig_advance (rig, 20, ~(1u << 2));
-  assert_int_equal (rig->runs->len, 1);
+  assert_int_equal (rig->runs->len, 2);
   gateway_rig_destroy (rig);
 }
 
