Split the tests of upstream incarnations

tests/test_sidecar_incarnation.c covered every way in which an incarnation replaces another. Restarts under the same instance id are now in test_sidecar_restart.c, and tasks that may start late after such a restart in test_sidecar_suspension.c. The answer of a restarted upstream moves into the rig.

--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -294,6 +294,16 @@
   az_sidecar_flush (rig->core);
 }
 
+void
+sidecar_rig_answer_hold_as (struct sidecar_rig *rig, int64_t started_ms)
+{
+  const struct az_upstream_lists lists
+      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5, .started_ms = started_ms } };
+
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  az_sidecar_flush (rig->core);
+}
+
 static void
 tick (struct sidecar_rig *rig)
 {
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -94,6 +94,11 @@
 void
 sidecar_rig_fail_hold (struct sidecar_rig *rig, enum az_upstream_result result);
 
+/** sidecar_rig_answer_hold_as - answers the last hold as an incarnation with this birth time that
+ * runs nothing */
+void
+sidecar_rig_answer_hold_as (struct sidecar_rig *rig, int64_t started_ms);
+
 /** sidecar_rig_advance - advances the clock in ticks of 25 ms */
 void
 sidecar_rig_advance (struct sidecar_rig *rig, int64_t ms);
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -17,30 +17,6 @@
   sidecar_rig_destroy (rig);
 }
 
-/* Guards against an upstream that has restarted under the same name and is taken for its former
- * incarnation: the tasks are lost, the numbers of ended tasks start again, and its capacity may
- * differ, so nothing starts before it has announced itself. */
-static void
-test_restarted_upstream_is_detected_by_its_answers (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-  struct az_upstream_lists lists
-      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5, .started_ms = 200 } };
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
-  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
-  az_sidecar_flush (rig->core);
-  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
-  assert_false (rig->is_open);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  sidecar_rig_answer_hold (rig, "", "");
-  assert_true (rig->is_open);
-  assert_int_equal (rig->hold_last_processed_end, 0);
-  sidecar_rig_destroy (rig);
-}
-
 /* Guards against a heartbeat that is ignored after the announcement was read from the store: the
  * stored announcement has sequence 0, so that every heartbeat is newer. */
 static void
@@ -59,146 +35,6 @@
   sidecar_rig_destroy (rig);
 }
 
-static void
-test_new_incarnation_at_the_address_ends_the_tasks (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  az_sidecar_flush (rig->core);
-  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
-  sidecar_rig_destroy (rig);
-}
-
-/* Answers the last hold as an incarnation that runs @attempt of task "job.0.0.0", which it was not
- * sent. */
-static void
-list_late_start (struct sidecar_rig *rig, uint32_t attempt)
-{
-  struct az_upstream_active active
-      = { .task = (char *)"job.0.0.0", .attempt = attempt, .percent = 10 };
-  const struct az_upstream_lists lists = {
-    .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5 },
-    .active = &active,
-    .n_active = 1,
-  };
-
-  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
-  az_sidecar_flush (rig->core);
-}
-
-/* Guards against a late start of a former incarnation that the new one accepts. */
-static void
-test_each_incarnation_has_a_higher_fence (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-  uint64_t former_fence;
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  former_fence = sidecar_rig_get_start (rig, 0)->fence;
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  assert_true (rig->hold_fence > former_fence);
-  sidecar_rig_destroy (rig);
-}
-
-/* Guards against a second run elsewhere while the new incarnation may still carry out the start. */
-static void
-test_late_start_is_excluded_before_its_task_is_lost (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  az_sidecar_flush (rig->core);
-  assert_int_equal (sidecar_rig_last_event (rig), -1);
-  sidecar_rig_answer_hold (rig, "", "");
-  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
-  assert_true (rig->is_open);
-  sidecar_rig_destroy (rig);
-}
-
-/* Guards against a late start that runs on in the new incarnation beside a run elsewhere. */
-static void
-test_late_start_in_new_incarnation_is_stopped (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-  guint n_stops;
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  n_stops = rig->stops->len;
-  list_late_start (rig, 1);
-  assert_int_equal (sidecar_rig_last_event (rig), -1);
-  assert_false (rig->is_open);
-  assert_int_equal (rig->stops->len, n_stops + 1);
-  sidecar_rig_answer_stop (rig, n_stops, AZ_UPSTREAM_OK);
-  sidecar_rig_answer_hold (rig, "", "");
-  sidecar_rig_answer_hold (rig, "", "");
-  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_STOPPED);
-  sidecar_rig_destroy (rig);
-}
-
-/* Guards against a late start of an earlier attempt than the one that ran when the upstream
- * restarted. */
-static void
-test_late_start_of_earlier_attempt_is_stopped (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-  guint n_stops;
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
-  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
-  sidecar_rig_answer_hold (rig, "", "");
-  sidecar_rig_answer_start (rig, 1, AZ_UPSTREAM_OK);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  n_stops = rig->stops->len;
-  list_late_start (rig, 1);
-  assert_int_equal (sidecar_rig_last_event (rig), -1);
-  assert_int_equal (rig->stops->len, n_stops + 1);
-  assert_int_equal (g_array_index (rig->stops, struct sidecar_request, n_stops).attempt, 1);
-  sidecar_rig_destroy (rig);
-}
-
-/* Guards against a task that is reported as lost, or whose late start gets a lease, between the
- * first answer of a restarted upstream and its announcement. */
-static void
-test_restart_seen_in_an_answer_excludes_late_starts (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-  const struct az_upstream_lists restarted
-      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5, .started_ms = 200 } };
-  uint64_t former_fence = rig->hold_fence;
-
-  (void)state;
-  sidecar_rig_send_run (rig, 1, 1, 0);
-  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
-  az_sidecar_hold_answered (rig->core, rig->hold, &restarted);
-  sidecar_rig_advance (rig, 25);
-  assert_true (rig->hold_fence > former_fence);
-  assert_int_equal (rig->hold_lease_end_clock_ms, 0);
-  for (int i = 0; i < 60; i++)
-    {
-      sidecar_rig_send_pulse (rig, 1);
-      sidecar_rig_advance (rig, 25);
-    }
-  assert_int_equal (sidecar_rig_last_event (rig), -1);
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  sidecar_rig_answer_hold (rig, "", "");
-  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
-  sidecar_rig_destroy (rig);
-}
-
 /* Guards against tasks that wait for a proof that isn't needed: a start names the instance, so one
  * with another id refuses it. */
 static void
@@ -250,24 +86,6 @@
   sidecar_rig_destroy (rig);
 }
 
-/* Guards against a restarted upstream that stays closed after a late departure of the former. */
-static void
-test_late_departure_of_the_former_incarnation_is_ignored (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-
-  (void)state;
-  sidecar_rig_announce (rig, "i1", 200, 1, false);
-  sidecar_rig_answer_hold (rig, "", "");
-  az_sidecar_upstream_left (rig->core, "i1", 100);
-  az_sidecar_flush (rig->core);
-  assert_true (rig->is_open);
-  az_sidecar_upstream_left (rig->core, "i1", 200);
-  az_sidecar_flush (rig->core);
-  assert_false (rig->is_open);
-  sidecar_rig_destroy (rig);
-}
-
 /* Guards against a departure that isn't believed because it states no birth time. */
 static void
 test_departure_without_birth_time_closes_the_upstream (void **state)
@@ -281,43 +99,16 @@
   sidecar_rig_destroy (rig);
 }
 
-/* Guards against a restarted upstream that stays closed because its clock was set back. */
-static void
-test_restart_with_clock_set_back_is_recognized (void **state)
-{
-  struct sidecar_rig *rig = sidecar_rig_create ();
-  const struct az_upstream_lists restarted
-      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5, .started_ms = 60 } };
-
-  (void)state;
-  assert_false (sidecar_rig_announce (rig, "i1", 60, 1, false));
-  az_sidecar_hold_answered (rig->core, rig->hold, &restarted);
-  assert_false (sidecar_rig_announce (rig, "i1", 50, 9, false));
-  assert_true (sidecar_rig_announce (rig, "i1", 60, 2, false));
-  sidecar_rig_answer_hold (rig, "", "");
-  assert_true (rig->is_open);
-  sidecar_rig_destroy (rig);
-}
-
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stale_announcements_are_ignored),
-    cmocka_unit_test (test_new_incarnation_at_the_address_ends_the_tasks),
-    cmocka_unit_test (test_restarted_upstream_is_detected_by_its_answers),
     cmocka_unit_test (test_heartbeat_is_newer_than_stored_announcement),
-    cmocka_unit_test (test_each_incarnation_has_a_higher_fence),
-    cmocka_unit_test (test_late_start_is_excluded_before_its_task_is_lost),
-    cmocka_unit_test (test_late_start_in_new_incarnation_is_stopped),
-    cmocka_unit_test (test_late_start_of_earlier_attempt_is_stopped),
-    cmocka_unit_test (test_restart_seen_in_an_answer_excludes_late_starts),
     cmocka_unit_test (test_incarnation_with_another_id_ends_the_tasks_at_once),
     cmocka_unit_test (test_tasks_at_a_former_address_outlast_the_next_restart),
     cmocka_unit_test (test_start_at_a_former_address_is_not_repeated),
-    cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
     cmocka_unit_test (test_departure_without_birth_time_closes_the_upstream),
-    cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_sidecar_restart.c
@@ -0,0 +1,101 @@
+#include "sidecar_rig.h"
+#include "testing.h"
+
+/* Guards against an upstream that has restarted under the same name and is taken for its former
+ * incarnation: the tasks are lost, the numbers of ended tasks start again, and its capacity may
+ * differ, so nothing starts before it has announced itself. */
+static void
+test_restarted_upstream_is_detected_by_its_answers (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold_as (rig, 200);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  assert_false (rig->is_open);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  assert_int_equal (rig->hold_last_processed_end, 0);
+  sidecar_rig_destroy (rig);
+}
+
+static void
+test_new_incarnation_at_the_address_ends_the_tasks (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a late start of a former incarnation that the new one accepts. */
+static void
+test_each_incarnation_has_a_higher_fence (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  uint64_t former_fence;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  former_fence = sidecar_rig_get_start (rig, 0)->fence;
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  assert_true (rig->hold_fence > former_fence);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a restarted upstream that stays closed after a late departure of the former. */
+static void
+test_late_departure_of_the_former_incarnation_is_ignored (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_upstream_left (rig->core, "i1", 100);
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  az_sidecar_upstream_left (rig->core, "i1", 200);
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a restarted upstream that stays closed because its clock was set back. */
+static void
+test_restart_with_clock_set_back_is_recognized (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  assert_false (sidecar_rig_announce (rig, "i1", 60, 1, false));
+  sidecar_rig_answer_hold_as (rig, 60);
+  assert_false (sidecar_rig_announce (rig, "i1", 50, 9, false));
+  assert_true (sidecar_rig_announce (rig, "i1", 60, 2, false));
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_restarted_upstream_is_detected_by_its_answers),
+    cmocka_unit_test (test_new_incarnation_at_the_address_ends_the_tasks),
+    cmocka_unit_test (test_each_incarnation_has_a_higher_fence),
+    cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
+    cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_sidecar_suspension.c
@@ -0,0 +1,123 @@
+#include "sidecar_rig.h"
+#include "testing.h"
+
+/* Answers the last hold as an incarnation that runs @attempt of task "job.0.0.0", which it was not
+ * sent. */
+static void
+list_late_start (struct sidecar_rig *rig, uint32_t attempt)
+{
+  struct az_upstream_active active
+      = { .task = (char *)"job.0.0.0", .attempt = attempt, .percent = 10 };
+  const struct az_upstream_lists lists = {
+    .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5 },
+    .active = &active,
+    .n_active = 1,
+  };
+
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  az_sidecar_flush (rig->core);
+}
+
+/* Guards against a second run elsewhere while the new incarnation may still carry out the start. */
+static void
+test_late_start_is_excluded_before_its_task_is_lost (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a late start that runs on in the new incarnation beside a run elsewhere. */
+static void
+test_late_start_in_new_incarnation_is_stopped (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  guint n_stops;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  n_stops = rig->stops->len;
+  list_late_start (rig, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_false (rig->is_open);
+  assert_int_equal (rig->stops->len, n_stops + 1);
+  sidecar_rig_answer_stop (rig, n_stops, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_STOPPED);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a late start of an earlier attempt than the one that ran when the upstream
+ * restarted. */
+static void
+test_late_start_of_earlier_attempt_is_stopped (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  guint n_stops;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_start (rig, 1, AZ_UPSTREAM_OK);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  n_stops = rig->stops->len;
+  list_late_start (rig, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_int_equal (rig->stops->len, n_stops + 1);
+  assert_int_equal (g_array_index (rig->stops, struct sidecar_request, n_stops).attempt, 1);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a task that is reported as lost, or whose late start gets a lease, between the
+ * first answer of a restarted upstream and its announcement. */
+static void
+test_restart_seen_in_an_answer_excludes_late_starts (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  uint64_t former_fence = rig->hold_fence;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_answer_hold_as (rig, 200);
+  sidecar_rig_advance (rig, 25);
+  assert_true (rig->hold_fence > former_fence);
+  assert_int_equal (rig->hold_lease_end_clock_ms, 0);
+  for (int i = 0; i < 60; i++)
+    {
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+    }
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_late_start_is_excluded_before_its_task_is_lost),
+    cmocka_unit_test (test_late_start_in_new_incarnation_is_stopped),
+    cmocka_unit_test (test_late_start_of_earlier_attempt_is_stopped),
+    cmocka_unit_test (test_restart_seen_in_an_answer_excludes_late_starts),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
