Begin the new incarnation with the first answer of a restarted upstream

Cause: when an answer showed that the upstream had restarted under its id, the sidecar only closed the former incarnation and kept using its state until the next announcement. Three faults followed, each of which lets a late start run beside a second run elsewhere: - After a deregistration the restart was ignored: holds kept the former fence and renewed leases of the new incarnation. - Without tasks no hold was sent, so the new incarnation got no higher fence before it announced itself. - Holds of the former incarnation stayed in flight, and an answer that had been overtaken passed the check of the birth time. A task that was suspended got the lease bound of the former incarnation and was reported as lost.

Change: az_sidecar_handle_restart() begins the next incarnation at once: a higher fence, no known lease, no hold in flight, and a hold that is sent immediately. It stays closed until it is announced (is_announced). Another instance id at the address is handled apart, since it refuses late starts by itself. The three faults have one cause and are fixed together.

Result: test_restart_after_departure_excludes_late_starts, test_restart_seen_without_tasks_raises_the_fence_at_once and test_overtaken_answer_of_former_incarnation_is_ignored failed before and pass now, as do the other tests of the sidecar core.

--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -289,12 +289,14 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   if (!remove_in_flight (hold, number, &sent))
     return;
-  if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE
-      || (lists->answer.started_ms > 0 && lists->answer.started_ms != sidecar->life.started_ms))
+  if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE)
     {
-      bool has_same_id = lists->answer.result != AZ_UPSTREAM_OTHER_INSTANCE;
-
-      az_sidecar_handle_replacement (sidecar, has_same_id, lists->answer.started_ms);
+      az_sidecar_handle_other_instance (sidecar);
+      return;
+    }
+  if (lists->answer.started_ms > 0 && lists->answer.started_ms != sidecar->life.started_ms)
+    {
+      az_sidecar_handle_restart (sidecar, lists->answer.started_ms);
       return;
     }
   switch (lists->answer.result)
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -94,8 +94,7 @@
  * @number: counts the incarnations, 0 before the first announcement; NODE_UPSTREAM reports it as
  * life
  * @sequence: number of the last heartbeat
- * @successor_started_ms: birth time of the incarnation that has answered in place of this one, 0 if
- * none has or it isn't known
+ * @is_announced: false if the incarnation is only known from an answer of the upstream
  * @is_fenced: the upstream accepted the fence and runs no task of a former sidecar process
  */
 struct life
@@ -105,8 +104,8 @@
   char *service;
   char *address;
   int64_t started_ms;
-  int64_t successor_started_ms;
   uint64_t sequence;
+  bool is_announced;
   bool is_draining;
   bool has_left;
   bool has_crashed;
@@ -263,16 +262,16 @@
 
 /* upstream_incarnation.c */
 
-/**
- * az_sidecar_handle_replacement - another incarnation answers at the upstream's address
- * @has_same_id: it has the instance id of the former one
- * @started_ms: its birth time, 0 if it isn't known
- *
- * The tasks of the former incarnation are lost or suspended. Nothing starts until the new one has
- * announced itself.
+/** az_sidecar_handle_restart - the upstream has answered as another incarnation of the same
+ * instance id, born at @started_ms; nothing starts until that has announced itself */
+void
+az_sidecar_handle_restart (struct az_sidecar *sidecar, int64_t started_ms);
+
+/** az_sidecar_handle_other_instance - another instance id answers at the upstream's address: all
+ * tasks of the former incarnation are lost; nothing starts until the new one has announced itself
  */
 void
-az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id, int64_t started_ms);
+az_sidecar_handle_other_instance (struct az_sidecar *sidecar);
 bool
 az_sidecar_is_open (const struct az_sidecar *sidecar);
 
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -15,6 +15,8 @@
     return "stopping";
   if (sidecar->life.number == 0 || sidecar->life.has_left)
     return "no-upstream";
+  if (!sidecar->life.is_announced)
+    return "upstream-not-announced";
   if (sidecar->life.is_draining)
     return "upstream-draining";
   if (withdrawal->confirmed_us == 0)
@@ -44,7 +46,7 @@
 enum replacement
 {
   REPLACED_BY_ANOTHER, /* the former one has ended; the new one refuses requests to its id */
-  REPLACED_SAME_ID,    /* the former one has ended; the new one may carry out requests to it */
+  RESTARTED,           /* the former one has ended; the new one may carry out requests to it */
   MOVED,               /* at another address: the former one runs until its leases have ended */
 };
 
@@ -63,7 +65,7 @@
     case REPLACED_BY_ANOTHER:
       az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
       break;
-    case REPLACED_SAME_ID:
+    case RESTARTED:
       az_sidecar_lose_or_suspend_task (sidecar, handle);
       break;
     case MOVED:
@@ -88,6 +90,15 @@
     }
 }
 
+static void
+clear_life (struct life *life)
+{
+  g_free (life->instance);
+  g_free (life->service);
+  g_free (life->address);
+  g_clear_pointer (&life->labels, g_ptr_array_unref);
+}
+
 static void
 transfer_suspended_tasks (struct az_sidecar *sidecar)
 {
@@ -102,87 +113,128 @@
     }
 }
 
-void
-az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id, int64_t started_ms)
+static void
+log_life (const struct az_sidecar *sidecar)
 {
-  sidecar->life.successor_started_ms = has_same_id ? started_ms : 0;
-  if (sidecar->life.has_left)
-    return;
-  az_log (LOG_NOTICE, "event=upstream-replaced former=%s same_id=%s tasks=%u",
-          sidecar->life.instance, has_same_id ? "yes" : "no", az_table_rows_count (sidecar->tasks));
-  end_former_incarnation (sidecar, has_same_id ? REPLACED_SAME_ID : REPLACED_BY_ANOTHER);
-  az_sidecar_begin_fence (sidecar);
-  sidecar->lease.is_known = false;
-  sidecar->life.is_fenced = false;
-  sidecar->life.has_left = true;
+  const struct life *life = &sidecar->life;
+
+  az_log (LOG_NOTICE,
+          "event=upstream-life life=%" G_GUINT64_FORMAT
+          " instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
+          " cpu=%u fence=%" G_GUINT64_FORMAT " tasks=%u",
+          life->number, life->instance, life->service, life->address, life->started_ms,
+          life->capacity.cpu_milli, sidecar->fence, az_table_rows_count (sidecar->tasks));
 }
 
+/* Takes over @next, which replaces the present incarnation. A restarted upstream has lost the fence
+ * and the attempts that it knew, and its clock starts again, so only a higher fence excludes
+ * requests that were sent before. */
 static void
-clear_incarnation (struct life *life)
+begin_life (struct az_sidecar *sidecar, const struct life *next, enum replacement replacement)
 {
-  g_free (life->instance);
-  g_free (life->service);
-  g_free (life->address);
-  g_clear_pointer (&life->labels, g_ptr_array_unref);
+  struct life *life = &sidecar->life;
+  uint64_t former_life = life->number;
+
+  if (former_life > 0)
+    {
+      end_former_incarnation (sidecar, replacement);
+      az_sidecar_begin_fence (sidecar);
+    }
+  clear_life (life);
+  *life = *next;
+  life->number = former_life + 1;
+  az_speed_init (&life->speed);
+  sidecar->lease.is_known = false;
+  g_array_set_size (sidecar->hold.in_flight, 0);
+  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
+                                       .in_flight = sidecar->hold.in_flight };
+  transfer_suspended_tasks (sidecar);
+  log_life (sidecar);
+}
+
+void
+az_sidecar_handle_restart (struct az_sidecar *sidecar, int64_t started_ms)
+{
+  const struct life *life = &sidecar->life;
+  const struct life next = {
+    .instance = g_strdup (life->instance),
+    .service = g_strdup (life->service),
+    .address = g_strdup (life->address),
+    .started_ms = started_ms,
+    .capacity = life->capacity,
+    .labels = g_ptr_array_new_with_free_func (g_free),
+  };
+
+  begin_life (sidecar, &next, RESTARTED);
+  az_sidecar_send_due_holds (sidecar);
+}
+
+void
+az_sidecar_handle_other_instance (struct az_sidecar *sidecar)
+{
+  if (sidecar->life.has_left)
+    return;
+  az_log (LOG_NOTICE, "event=upstream-replaced former=%s tasks=%u", sidecar->life.instance,
+          az_table_rows_count (sidecar->tasks));
+  end_former_incarnation (sidecar, REPLACED_BY_ANOTHER);
+  sidecar->life.has_left = true;
 }
 
 static enum replacement
 compare_incarnations (const struct life *life, const struct az_upstream_announcement *announcement)
 {
-  if (!strcmp (life->instance, announcement->instance))
-    return REPLACED_SAME_ID;
+  if (!life->instance || !strcmp (life->instance, announcement->instance))
+    return RESTARTED;
   return strcmp (life->address, announcement->address) != 0 ? MOVED : REPLACED_BY_ANOTHER;
 }
 
-/* A restarted upstream has lost the fence and the attempts that it knew, and its clock starts
- * again, so only a higher fence excludes requests that were sent before. */
 static void
-begin_incarnation (struct az_sidecar *sidecar, const struct az_upstream_announcement *announcement)
+begin_announced_life (struct az_sidecar *sidecar,
+                      const struct az_upstream_announcement *announcement)
 {
-  struct life *life = &sidecar->life;
-
-  if (life->number > 0)
-    {
-      end_former_incarnation (sidecar, compare_incarnations (life, announcement));
-      az_sidecar_begin_fence (sidecar);
-    }
-  clear_incarnation (life);
-  *life = (struct life){
-    .number = life->number + 1,
+  const struct life next = {
     .instance = g_strdup (announcement->instance),
     .service = g_strdup (announcement->service),
     .address = g_strdup (announcement->address),
     .started_ms = announcement->started_ms,
+    .capacity = announcement->capacity,
     .labels = g_ptr_array_new_with_free_func (g_free),
   };
-  az_speed_init (&life->speed);
-  sidecar->lease.is_known = false;
-  g_array_set_size (sidecar->hold.in_flight, 0);
-  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
-                                       .in_flight = sidecar->hold.in_flight };
-  transfer_suspended_tasks (sidecar);
-  az_log (LOG_NOTICE,
-          "event=upstream-life life=%" G_GUINT64_FORMAT
-          " instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
-          " cpu=%u fence=%" G_GUINT64_FORMAT " tasks=%u",
-          life->number, life->instance, life->service, life->address, life->started_ms,
-          announcement->capacity.cpu_milli, sidecar->fence, az_table_rows_count (sidecar->tasks));
+
+  begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
 }
 
-/* Birth times come from the wall clock of the upstream's machine, which may have been set back. The
- * one that a restarted upstream has answered with belongs to the present incarnation. */
 static bool
 is_newer_incarnation (const struct life *life, const struct az_upstream_announcement *announcement)
 {
   if (life->number == 0)
     return true;
   if (!strcmp (life->instance, announcement->instance))
-    return announcement->started_ms > life->started_ms
-           || (life->has_left && life->successor_started_ms > 0
-               && announcement->started_ms == life->successor_started_ms);
+    return announcement->started_ms > life->started_ms;
   return announcement->started_ms >= life->started_ms || life->has_left;
 }
 
+/* An incarnation that was first seen in an answer has the service and address of the former one
+ * until it announces itself. */
+static void
+update_life (struct life *life, const struct az_upstream_announcement *announcement)
+{
+  if (!life->is_announced)
+    {
+      g_free (life->service);
+      g_free (life->address);
+      life->service = g_strdup (announcement->service);
+      life->address = g_strdup (announcement->address);
+    }
+  life->is_announced = true;
+  life->sequence = announcement->sequence;
+  life->is_draining = announcement->is_draining;
+  life->capacity = announcement->capacity;
+  g_ptr_array_set_size (life->labels, 0);
+  for (guint i = 0; i < announcement->labels->len; i++)
+    g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
+}
+
 bool
 az_sidecar_upstream_announced (struct az_sidecar *sidecar,
                                const struct az_upstream_announcement *announcement)
@@ -191,10 +243,10 @@
 
   sidecar->now_us = az_now_us (sidecar->clock);
   if (is_newer_incarnation (life, announcement))
-    begin_incarnation (sidecar, announcement);
+    begin_announced_life (sidecar, announcement);
   else if (strcmp (life->instance, announcement->instance) != 0
            || announcement->started_ms != life->started_ms
-           || announcement->sequence <= life->sequence)
+           || (life->is_announced && announcement->sequence <= life->sequence))
     {
       az_log (LOG_INFO,
               "event=announcement-ignored instance=%s born_ms=%" G_GINT64_FORMAT
@@ -205,12 +257,7 @@
     }
   if (announcement->is_draining && !life->is_draining)
     az_log (LOG_NOTICE, "event=upstream-draining instance=%s", life->instance);
-  life->sequence = announcement->sequence;
-  life->is_draining = announcement->is_draining;
-  life->capacity = announcement->capacity;
-  g_ptr_array_set_size (life->labels, 0);
-  for (guint i = 0; i < announcement->labels->len; i++)
-    g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
+  update_life (life, announcement);
   az_sidecar_send_due_holds (sidecar);
   return true;
 }
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -86,6 +86,81 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a restart that is ignored because the former incarnation has deregistered: a late
+ * start gets its lease renewed and isn't excluded. */
+static void
+test_restart_after_departure_excludes_late_starts (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  uint64_t former_fence = rig->hold_fence;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  az_sidecar_upstream_left (rig->core, "i1", 100);
+  sidecar_rig_answer_hold_as (rig, 200);
+  sidecar_rig_advance (rig, 25);
+  assert_int_equal (rig->hold_lease_end_clock_ms, 0);
+  assert_true (rig->hold_fence > former_fence);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a restarted upstream that gets no higher fence before it announces itself, because
+ * no task is left: the start of a task that is lost already may be carried out late. */
+static void
+test_restart_seen_without_tasks_raises_the_fence_at_once (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  uint64_t former_fence = rig->hold_fence;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  for (int i = 0; i < 36; i++)
+    {
+      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_NOT_SENT);
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+    }
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_advance (rig, 50);
+  sidecar_rig_answer_hold_as (rig, 200);
+  sidecar_rig_advance (rig, 100);
+  assert_true (rig->hold_fence > former_fence);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against an overtaken answer of the former incarnation that is taken for one of the new
+ * one, so that a suspended task is lost after a lease that the new one doesn't know. */
+static void
+test_overtaken_answer_of_former_incarnation_is_ignored (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  struct az_upstream_active active = { .task = (char *)"job.0.0.0", .attempt = 1, .percent = 10 };
+  const struct az_upstream_lists former = {
+    .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5000, .started_ms = 100 },
+    .active = &active,
+    .n_active = 1,
+  };
+  uint64_t former_hold;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_advance (rig, 25);
+  assert_true (rig->n_holds >= 3);
+  former_hold = rig->hold - 1;
+  sidecar_rig_answer_hold_as (rig, 200);
+  az_sidecar_hold_answered (rig->core, former_hold, &former);
+  for (int i = 0; i < 60; i++)
+    {
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+    }
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -95,6 +170,9 @@
     cmocka_unit_test (test_each_incarnation_has_a_higher_fence),
     cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
     cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
+    cmocka_unit_test (test_restart_after_departure_excludes_late_starts),
+    cmocka_unit_test (test_restart_seen_without_tasks_raises_the_fence_at_once),
+    cmocka_unit_test (test_overtaken_answer_of_former_incarnation_is_ignored),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
