Ignore late heartbeats of a former incarnation after the clock was set back

Cause: incarnations of one instance id are ordered by their birth times. If the clock of the upstream's machine had been set back before the restart, a late heartbeat of the former incarnation stated a higher birth time than that of the present one, was taken for a restart, and ended all tasks while they ran on.

Change: the highest birth time of the former incarnations of the id is kept. A heartbeat begins an incarnation only if it states a higher one; otherwise only an answer of the upstream does.

--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -94,6 +94,7 @@
  * @number: counts the incarnations, 0 before the first announcement; NODE_UPSTREAM reports it as
  * life
  * @sequence: number of the last heartbeat
+ * @former_started_ms: highest birth time of former incarnations of the same instance id
  * @is_announced: false if the incarnation is only known from an answer of the upstream
  * @is_fenced: the upstream accepted the fence and runs no task of a former sidecar process
  */
@@ -104,6 +105,7 @@
   char *service;
   char *address;
   int64_t started_ms;
+  int64_t former_started_ms;
   uint64_t sequence;
   bool is_announced;
   bool is_draining;
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -133,6 +133,7 @@
 begin_life (struct az_sidecar *sidecar, const struct life *next, enum replacement replacement)
 {
   struct life *life = &sidecar->life;
+  int64_t former_started_ms = MAX (life->started_ms, life->former_started_ms);
   uint64_t former_life = life->number;
 
   if (former_life > 0)
@@ -143,6 +144,8 @@
   clear_life (life);
   *life = *next;
   life->number = former_life + 1;
+  if (replacement == RESTARTED)
+    life->former_started_ms = former_started_ms;
   az_speed_init (&life->speed);
   sidecar->lease.is_known = false;
   g_array_set_size (sidecar->hold.in_flight, 0);
@@ -204,13 +207,15 @@
   begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
 }
 
+/* Birth times come from the wall clock of the upstream's machine, which may have been set back, so
+ * one that is lower than a former one doesn't show which incarnation is newer. */
 static bool
 is_newer_incarnation (const struct life *life, const struct az_upstream_announcement *announcement)
 {
   if (life->number == 0)
     return true;
   if (!strcmp (life->instance, announcement->instance))
-    return announcement->started_ms > life->started_ms;
+    return announcement->started_ms > MAX (life->started_ms, life->former_started_ms);
   return announcement->started_ms >= life->started_ms || life->has_left;
 }
 
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -161,6 +161,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a late heartbeat of the former incarnation that ends the tasks of the present one,
+ * whose machine's clock was set back. */
+static void
+test_late_heartbeat_after_clock_set_back_is_ignored (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_answer_hold_as (rig, 60);
+  sidecar_rig_announce (rig, "i1", 60, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "job.0.0.0", "");
+  assert_false (sidecar_rig_announce (rig, "i1", 100, 2, false));
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -170,6 +191,7 @@
     cmocka_unit_test (test_each_incarnation_has_a_higher_fence),
     cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
     cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
+    cmocka_unit_test (test_late_heartbeat_after_clock_set_back_is_ignored),
     cmocka_unit_test (test_restart_after_departure_excludes_late_starts),
     cmocka_unit_test (test_restart_seen_without_tasks_raises_the_fence_at_once),
     cmocka_unit_test (test_overtaken_answer_of_former_incarnation_is_ignored),
