Ignore late departures of a former incarnation after the clock was set back

Cause: a departure with a birth time above that of the present incarnation was believed. If the clock of the upstream's machine had been set back before the restart, that was the departure of the former incarnation, and the present one stayed closed for good, since only another birth time opens an upstream that has left.

Change: a departure that states another birth time than the present one is ignored unless that time is above those of all former incarnations of the id.

Result: test_late_departure_after_clock_set_back_is_ignored failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -270,14 +270,17 @@
 void
 az_sidecar_upstream_left (struct az_sidecar *sidecar, const char *instance, int64_t started_ms)
 {
-  if (sidecar->life.number == 0 || strcmp (sidecar->life.instance, instance) != 0)
+  const struct life *life = &sidecar->life;
+
+  if (life->number == 0 || strcmp (life->instance, instance) != 0)
     return;
-  if (started_ms > 0 && started_ms < sidecar->life.started_ms)
+  if (started_ms > 0 && started_ms != life->started_ms
+      && started_ms <= MAX (life->started_ms, life->former_started_ms))
     {
       az_log (LOG_INFO,
               "event=departure-ignored instance=%s born_ms=%" G_GINT64_FORMAT
               " present_born_ms=%" G_GINT64_FORMAT,
-              instance, started_ms, sidecar->life.started_ms);
+              instance, started_ms, life->started_ms);
       return;
     }
   sidecar->life.has_left = true;
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -182,6 +182,26 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a late departure of the former incarnation that closes the present one for good,
+ * whose machine's clock was set back. */
+static void
+test_late_departure_after_clock_set_back_is_ignored (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_answer_hold_as (rig, 60);
+  sidecar_rig_announce (rig, "i1", 60, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_upstream_left (rig->core, "i1", 100);
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  az_sidecar_upstream_left (rig->core, "i1", 60);
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -192,6 +212,7 @@
     cmocka_unit_test (test_late_departure_of_the_former_incarnation_is_ignored),
     cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
     cmocka_unit_test (test_late_heartbeat_after_clock_set_back_is_ignored),
+    cmocka_unit_test (test_late_departure_after_clock_set_back_is_ignored),
     cmocka_unit_test (test_restart_after_departure_excludes_late_starts),
     cmocka_unit_test (test_restart_seen_without_tasks_raises_the_fence_at_once),
     cmocka_unit_test (test_overtaken_answer_of_former_incarnation_is_ignored),
