Report no task as lost that a restarted upstream may run

Cause: callers saw two runs of one task. When the sidecar noticed that its upstream had restarted under its id, it reported each task whose starts had all been answered as lost. The answer may have come from the new incarnation: if it accepts a start before the sidecar notices the restart, it runs the task, and the gateway starts it elsewhere as well.

Change: all tasks are suspended at a restart. The first hold that the new incarnation accepts with the higher fence decides: a task that it lists is stopped and then reported, any other one is lost. Whether a start is unanswered no longer matters and isn't recorded.

Result: test_start_accepted_before_an_answer_shows_the_restart_is_not_lost and test_start_accepted_before_the_announcement_is_not_lost failed before and pass now. The other tests of the sidecar core pass.

--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -15,7 +15,7 @@
   TASK_STARTING,  /* the start request is in flight */
   TASK_RUNNING,   /* the upstream has accepted the start */
   TASK_UNCERTAIN, /* the start request failed without an answer and may still be carried out */
-  TASK_SUSPENDED, /* the upstream has restarted under the same id, which may start the task late */
+  TASK_SUSPENDED, /* the upstream has restarted; whether it runs the task isn't known yet */
 };
 
 /**
@@ -27,8 +27,6 @@
  * @is_cancelled: the task is not started again if its start fails
  * @is_stop_requested: the task must be stopped; the request is repeated until it is acknowledged
  * @is_stop_acknowledged: the upstream acknowledged a stop request, so the attempt can't start later
- * @has_unanswered_start: a start request got no answer, so it may be carried out late; within the
- * incarnation an acknowledged stop excludes that, after a restart only a higher fence does
  * @acknowledged_at_hold: number of the last hold sent before the start or stop was acknowledged, or
  * before the restarted upstream got its first hold; UINT64_MAX until then. A later hold that
  * doesn't list the task proves that it has ended.
@@ -59,7 +57,6 @@
   bool is_stop_requested;
   bool is_stop_in_flight;
   bool is_stop_acknowledged;
-  bool has_unanswered_start;
   uint64_t acknowledged_at_hold;
   uint64_t last_listed_hold;
   int64_t start_sent_us;
@@ -233,13 +230,14 @@
 az_sidecar_adopt_task (struct az_sidecar *sidecar, const char *name, uint32_t attempt);
 
 /**
- * az_sidecar_lose_or_suspend_task - handles a task whose upstream has restarted under the same id
+ * az_sidecar_suspend_task - handles a task whose upstream has restarted under the same id
  *
- * Ends it as lost if all of its start requests were answered. Otherwise the new incarnation may
- * carry out one of them, so the task is suspended until the fence excludes that.
+ * The new incarnation may have accepted the start before the restart was noticed, or may carry out
+ * an unanswered start late. The first hold that it accepts with the higher fence excludes a later
+ * start and shows whether it runs the task.
  */
 void
-az_sidecar_lose_or_suspend_task (struct az_sidecar *sidecar, uint32_t handle);
+az_sidecar_suspend_task (struct az_sidecar *sidecar, uint32_t handle);
 
 /** az_sidecar_transfer_task - moves a suspended task to the new incarnation, which gets a higher
  * fence; its first hold that doesn't list the task ends the task as lost */
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -247,22 +247,11 @@
   az_sidecar_cancel_task (sidecar, handle);
 }
 
-static bool
-may_start_late (const struct task *task)
-{
-  return task->state != TASK_RUNNING || task->has_unanswered_start;
-}
-
 void
-az_sidecar_lose_or_suspend_task (struct az_sidecar *sidecar, uint32_t handle)
+az_sidecar_suspend_task (struct az_sidecar *sidecar, uint32_t handle)
 {
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
-  if (!may_start_late (task))
-    {
-      az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
-      return;
-    }
   task->state = TASK_SUSPENDED;
   task->is_stop_requested = false;
   task->is_stop_in_flight = false;
@@ -452,7 +441,6 @@
       /* Only a stop of the same attempt, or the end of the lease, proves that the attempt won't
        * run. */
       task->state = TASK_UNCERTAIN;
-      task->has_unanswered_start = true;
       request_stop (sidecar, handle);
       break;
     }
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -46,7 +46,7 @@
 enum replacement
 {
   REPLACED_BY_ANOTHER, /* the former one has ended; the new one refuses requests to its id */
-  RESTARTED,           /* the former one has ended; the new one may carry out requests to it */
+  RESTARTED,           /* the former one has ended; the new one accepts requests to it */
   MOVED,               /* at another address: the former one runs until its leases have ended */
 };
 
@@ -66,7 +66,7 @@
       az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
       break;
     case RESTARTED:
-      az_sidecar_lose_or_suspend_task (sidecar, handle);
+      az_sidecar_suspend_task (sidecar, handle);
       break;
     case MOVED:
       release_capacity (sidecar, az_sidecar_get_task (sidecar, handle));
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -13,10 +13,12 @@
   sidecar_rig_send_run (rig, 1, 1, 0);
   sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
   sidecar_rig_answer_hold_as (rig, 200);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_answer_hold (rig, "", "");
   assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
   assert_false (rig->is_open);
   sidecar_rig_announce (rig, "i1", 200, 1, false);
-  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_flush (rig->core);
   assert_true (rig->is_open);
   assert_int_equal (rig->hold_last_processed_end, 0);
   sidecar_rig_destroy (rig);
@@ -32,6 +34,8 @@
   sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
   sidecar_rig_announce (rig, "i1", 200, 1, false);
   az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_answer_hold (rig, "", "");
   assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
   sidecar_rig_destroy (rig);
 }
--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -109,6 +109,44 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a second run of a task whose start the restarted upstream has accepted before an
+ * answer shows the restart. */
+static void
+test_start_accepted_before_an_answer_shows_the_restart_is_not_lost (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold_as (rig, 200);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  list_late_start (rig, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_int_equal (rig->stops->len, 1);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a second run of a task whose start the restarted upstream has accepted before it
+ * announces itself. */
+static void
+test_start_accepted_before_the_announcement_is_not_lost (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  const struct az_upstream_answer answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5 };
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  az_sidecar_start_answered (rig->core, sidecar_rig_get_start (rig, 0)->task, &answer);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  list_late_start (rig, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_int_equal (rig->stops->len, 1);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -117,6 +155,8 @@
     cmocka_unit_test (test_late_start_in_new_incarnation_is_stopped),
     cmocka_unit_test (test_late_start_of_earlier_attempt_is_stopped),
     cmocka_unit_test (test_restart_seen_in_an_answer_excludes_late_starts),
+    cmocka_unit_test (test_start_accepted_before_an_answer_shows_the_restart_is_not_lost),
+    cmocka_unit_test (test_start_accepted_before_the_announcement_is_not_lost),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
