--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -147,6 +147,48 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a second run of a task whose earlier attempt may start late at the restarted
+ * upstream, which refuses the present attempt. */
+static void
+test_start_refused_by_the_restarted_upstream_is_not_handed_back (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  const struct az_upstream_answer refusal
+      = { .result = AZ_UPSTREAM_NO_ROOM, .clock_ms = 5, .started_ms = 200 };
+  uint64_t former_fence = rig->hold_fence;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_start_answered (rig->core, sidecar_rig_get_start (rig, 1)->task, &refusal);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_true (rig->hold_fence > former_fence);
+  list_late_start (rig, 1);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_int_equal (rig->stops->len, 2);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against another instance that is taken for a restart under the same id, since its refusal
+ * states its birth time. */
+static void
+test_refusal_by_another_instance_is_no_restart (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  const struct az_upstream_answer refusal
+      = { .result = AZ_UPSTREAM_OTHER_INSTANCE, .clock_ms = 5, .started_ms = 200 };
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  az_sidecar_start_answered (rig->core, sidecar_rig_get_start (rig, 0)->task, &refusal);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CLOSED);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -157,6 +199,8 @@
     cmocka_unit_test (test_restart_seen_in_an_answer_excludes_late_starts),
     cmocka_unit_test (test_start_accepted_before_an_answer_shows_the_restart_is_not_lost),
     cmocka_unit_test (test_start_accepted_before_the_announcement_is_not_lost),
+    cmocka_unit_test (test_start_refused_by_the_restarted_upstream_is_not_handed_back),
+    cmocka_unit_test (test_refusal_by_another_instance_is_no_restart),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
