Match the acknowledgement of a stop with its attempt and incarnation

Cause: the answer to a stop was taken for the present attempt at the present incarnation. After a restart under the same id it may concern a later attempt, for example if the session was closed meanwhile, or come from the former incarnation. The late start was then never stopped; it ran until its lease expired, and its task could be reported as stopped.

Change: the task records which attempt was stopped at which incarnation. An answer to any other stop is dropped, and the stop is sent in the next tick. A stop in flight at the restart stays in flight until it is answered or its request times out, because its answer can't be told from that of a second one. test_late_start_in_new_incarnation_is_stopped therefore lets the stop at the former incarnation fail before the restart; its checks are the same.

Result: test_late_start_is_stopped_after_the_session_was_closed and test_stop_acknowledged_by_the_former_incarnation_is_repeated failed before and pass now, as do the other tests of the sidecar core.

--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -26,6 +26,8 @@
  * @has_upstream_crashed: that incarnation crashed after it had acknowledged the start
  * @is_cancelled: the task is not started again if its start fails
  * @is_stop_requested: the task must be stopped; the request is repeated until it is acknowledged
+ * @stopped_attempt: attempt that the last stop request named
+ * @stopped_life: incarnation to which the last stop request was sent
  * @is_stop_acknowledged: the upstream acknowledged a stop request, so the attempt can't start later
  * @acknowledged_at_hold: number of the last hold sent before the start or stop was acknowledged, or
  * before the restarted upstream got its first hold; UINT64_MAX until then. A later hold that
@@ -46,6 +48,8 @@
   char *job_id; /* of the caller; the same at all gateways */
   char *name;
   uint32_t attempt;
+  uint32_t stopped_attempt;
+  uint64_t stopped_life;
   uint32_t n_retries;
   struct az_resources need;
   int64_t expected_us;
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -189,9 +189,19 @@
   };
 
   task->is_stop_in_flight = true;
+  task->stopped_attempt = task->attempt;
+  task->stopped_life = task->life;
   sidecar->io.stop (sidecar->io.context, handle, &stop);
 }
 
+/* Drops the stop of another attempt or incarnation. */
+static void
+reset_stop (struct task *task)
+{
+  task->is_stop_requested = false;
+  task->is_stop_acknowledged = false;
+}
+
 static void
 request_stop (struct az_sidecar *sidecar, uint32_t handle)
 {
@@ -253,9 +263,7 @@
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
   task->state = TASK_SUSPENDED;
-  task->is_stop_requested = false;
-  task->is_stop_in_flight = false;
-  task->is_stop_acknowledged = false;
+  reset_stop (task);
   task->acknowledged_at_hold = UINT64_MAX;
   /* The lease of a late start would begin when it is carried out, so no time is a bound. */
   task->latest_end_us = INT64_MAX;
@@ -278,6 +286,7 @@
           task->name, attempt, task->life);
   task->attempt = attempt;
   task->state = TASK_RUNNING;
+  reset_stop (task);
   task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
   az_sidecar_cancel_task (sidecar, handle);
 }
@@ -387,8 +396,7 @@
     }
   /* The attempt has never run, and the acknowledged stop prevents it from starting later. */
   task->attempt++;
-  task->is_stop_requested = false;
-  task->is_stop_acknowledged = false;
+  reset_stop (task);
   task->acknowledged_at_hold = UINT64_MAX;
   retry_start (sidecar, handle);
 }
@@ -471,6 +479,8 @@
   if (!task)
     return;
   task->is_stop_in_flight = false;
+  if (task->stopped_attempt != task->attempt || task->stopped_life != task->life)
+    return;
   if (answer->result == AZ_UPSTREAM_OK)
     {
       task->is_stop_acknowledged = true;
--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -46,6 +46,7 @@
   (void)state;
   sidecar_rig_send_run (rig, 1, 1, 0);
   sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_UNANSWERED);
   sidecar_rig_announce (rig, "i1", 200, 1, false);
   n_stops = rig->stops->len;
   list_late_start (rig, 1);
@@ -189,6 +190,58 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a late start of an earlier attempt that runs on because the later one was stopped
+ * when its session was closed. */
+static void
+test_late_start_is_stopped_after_the_session_was_closed (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  guint n_stops;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_start (rig, 1, AZ_UPSTREAM_OK);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  az_sidecar_session_closed (rig->core, 1, "test");
+  n_stops = rig->stops->len;
+  list_late_start (rig, 1);
+  sidecar_rig_answer_stop (rig, n_stops - 1, AZ_UPSTREAM_OK);
+  sidecar_rig_advance (rig, 100);
+  assert_true (rig->stops->len > n_stops);
+  assert_int_equal (g_array_index (rig->stops, struct sidecar_request, rig->stops->len - 1).attempt,
+                    1);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a late start that runs on because the former incarnation acknowledged a stop of
+ * the same attempt. */
+static void
+test_stop_acknowledged_by_the_former_incarnation_is_repeated (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  assert_int_equal (rig->stops->len, 1);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  list_late_start (rig, 1);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_advance (rig, 50);
+  assert_int_equal (rig->stops->len, 2);
+  sidecar_rig_answer_stop (rig, 1, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_advance (rig, 50);
+  assert_int_equal (rig->stops->len, 3);
+  sidecar_rig_answer_stop (rig, 2, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_STOPPED);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -201,6 +254,8 @@
     cmocka_unit_test (test_start_accepted_before_the_announcement_is_not_lost),
     cmocka_unit_test (test_start_refused_by_the_restarted_upstream_is_not_handed_back),
     cmocka_unit_test (test_refusal_by_another_instance_is_no_restart),
+    cmocka_unit_test (test_late_start_is_stopped_after_the_session_was_closed),
+    cmocka_unit_test (test_stop_acknowledged_by_the_former_incarnation_is_repeated),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
