End a suspended task if the restarted upstream stays silent

Cause: a suspended task ended only with a hold that the new incarnation accepted. If that answered nothing any more and no other instance took its place, the task was kept for good and used capacity; its job was answered at its deadline.

Change: a suspended task ends as lost 16.1 s after the restart was noticed. The protocol states no bound for a request that is carried out late ("seconds later"), so REQUEST_DELAY_MAX_MS is named as the assumption that it is. A task whose start was acknowledged gets no shorter bound: the new incarnation may run it under a lease that an unanswered hold of the former fence, of which there are usually two at a restart, renews when it is carried out late.

Result: test_suspended_task_of_a_silent_upstream_ends failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -10,6 +10,10 @@
  * upstream started late, are at most one second long. */
 #define ADOPTED_LEASE_MAX_MS 1100
 
+/* A request without an answer is assumed not to be carried out later than this. The protocol states
+ * no bound, only that it may take seconds. */
+#define REQUEST_DELAY_MAX_MS 15000
+
 struct task *
 az_sidecar_get_task (const struct az_sidecar *sidecar, uint32_t handle)
 {
@@ -265,8 +269,9 @@
   task->state = TASK_SUSPENDED;
   reset_stop (task);
   task->acknowledged_at_hold = UINT64_MAX;
-  /* The lease of a late start would begin when it is carried out, so no time is a bound. */
-  task->latest_end_us = INT64_MAX;
+  /* A late start gets a new lease, and unanswered holds renew that of a start accepted before. */
+  task->latest_end_us
+      = sidecar->now_us + (REQUEST_DELAY_MAX_MS + ADOPTED_LEASE_MAX_MS) * AZ_US_PER_MS;
 }
 
 void
--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -242,6 +242,35 @@
   sidecar_rig_destroy (rig);
 }
 
+static void
+advance_with_silent_upstream (struct sidecar_rig *rig, int64_t ms)
+{
+  for (int64_t elapsed = 0; elapsed < ms; elapsed += 25)
+    {
+      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+    }
+}
+
+/* Guards against a suspended task that is kept for good if the restarted upstream answers nothing,
+ * and against one that ends while a late request may still be carried out. */
+static void
+test_suspended_task_of_a_silent_upstream_ends (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold_as (rig, 200);
+  advance_with_silent_upstream (rig, 16000);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  advance_with_silent_upstream (rig, 200);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -256,6 +285,7 @@
     cmocka_unit_test (test_refusal_by_another_instance_is_no_restart),
     cmocka_unit_test (test_late_start_is_stopped_after_the_session_was_closed),
     cmocka_unit_test (test_stop_acknowledged_by_the_former_incarnation_is_repeated),
+    cmocka_unit_test (test_suspended_task_of_a_silent_upstream_ends),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
