Decide on a suspended task only by the incarnation that may run it

Cause: if an upstream restarted under its id and another instance appeared at another address before the first accepted hold, the suspended task was moved to that instance. Its first hold, which didn't list the task, ended it as lost, although the restarted upstream could still carry out the start.

Change: only tasks of the incarnation that has restarted move to its successor. Others keep their bound, and don't use capacity of the new instance.

Result: test_suspended_task_is_not_proven_ended_by_another_address failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -100,7 +100,7 @@
 }
 
 static void
-transfer_suspended_tasks (struct az_sidecar *sidecar)
+transfer_suspended_tasks (struct az_sidecar *sidecar, uint64_t former_life)
 {
   uint32_t handle = 0;
 
@@ -108,7 +108,7 @@
     {
       struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->state == TASK_SUSPENDED)
+      if (task->life == former_life && task->state == TASK_SUSPENDED)
         az_sidecar_transfer_task (sidecar, task);
     }
 }
@@ -151,7 +151,8 @@
   g_array_set_size (sidecar->hold.in_flight, 0);
   sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
                                        .in_flight = sidecar->hold.in_flight };
-  transfer_suspended_tasks (sidecar);
+  if (replacement == RESTARTED)
+    transfer_suspended_tasks (sidecar, former_life);
   log_life (sidecar);
 }
 
--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -271,6 +271,29 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a suspended task that is lost when an incarnation at another address doesn't run
+ * it. */
+static void
+test_suspended_task_is_not_proven_ended_by_another_address (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_answer_hold_as (rig, 200);
+  sidecar_rig_announce_at (rig, "127.0.0.1:2", "i2", 300, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  assert_int_equal (rig->free_milli, 32000);
+  sidecar_rig_announce_at (rig, "127.0.0.1:2", "i2", 400, 1, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_advance_answering_holds (rig, 16200, "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -286,6 +309,7 @@
     cmocka_unit_test (test_late_start_is_stopped_after_the_session_was_closed),
     cmocka_unit_test (test_stop_acknowledged_by_the_former_incarnation_is_repeated),
     cmocka_unit_test (test_suspended_task_of_a_silent_upstream_ends),
+    cmocka_unit_test (test_suspended_task_is_not_proven_ended_by_another_address),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
