Send no stop for a suspended task before it is listed

Cause: if a gateway cancelled a suspended task, or the sidecar was stopping, a stop was sent in each tick until the upstream answered, 40 a second for each task.

Change: a suspended task is only marked as cancelled. The hold that is due anyway excludes its start and shows whether it runs; if so it is stopped. No stop is needed to be certain.

Result: test_suspended_task_is_not_stopped_in_each_tick failed before and passes now, as do the other tests of the sidecar core. test_cancelled_suspended_task_ends_with_the_first_hold is new and passed before; it shows that a cancelled task still ends.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -211,7 +211,8 @@
 {
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
-  if (task->is_stop_requested)
+  /* The first accepted hold decides on a suspended task; it is stopped only if it is listed. */
+  if (task->is_stop_requested || task->state == TASK_SUSPENDED)
     return;
   task->is_stop_requested = true;
   if (task->life == sidecar->life.number && !task->is_stop_in_flight)
--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -271,6 +271,65 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a stop request in each tick for a suspended task whose upstream doesn't return. */
+static void
+test_suspended_task_is_not_stopped_in_each_tick (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  guint n_stops;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  az_sidecar_cancel_all (rig->core);
+  n_stops = rig->stops->len;
+  for (int i = 0; i < 40; i++)
+    {
+      if (rig->stops->len > 0)
+        sidecar_rig_answer_stop (rig, rig->stops->len - 1, AZ_UPSTREAM_NOT_SENT);
+      advance_with_silent_upstream (rig, 25);
+    }
+  assert_int_equal (rig->stops->len, n_stops);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against a suspended task that is forgotten or runs on after its gateway asked for a stop.
+ */
+static void
+test_cancelled_suspended_task_ends_with_the_first_hold (void **state)
+{
+  const struct
+  {
+    uint32_t listed_attempt;
+    int end;
+  } cases[] = { { 0, AZ_TASK_LOST }, { 1, AZ_TASK_STOPPED } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct sidecar_rig *rig = sidecar_rig_create ();
+
+      sidecar_rig_send_run (rig, 1, 1, 0);
+      sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+      sidecar_rig_announce (rig, "i1", 200, 1, false);
+      az_sidecar_stop (rig->core);
+      az_sidecar_cancel_all (rig->core);
+      assert_int_equal (sidecar_rig_last_event (rig), -1);
+      if (cases[i].listed_attempt > 0)
+        {
+          list_late_start (rig, cases[i].listed_attempt);
+          assert_int_equal (rig->stops->len, 1);
+          sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+          sidecar_rig_answer_hold (rig, "", "");
+        }
+      sidecar_rig_answer_hold (rig, "", "");
+      assert_int_equal (sidecar_rig_last_event (rig), cases[i].end);
+      assert_true (az_sidecar_is_idle (rig->core));
+      sidecar_rig_destroy (rig);
+    }
+}
+
 /* Guards against a suspended task that is lost when an incarnation at another address doesn't run
  * it. */
 static void
@@ -309,6 +368,8 @@
     cmocka_unit_test (test_late_start_is_stopped_after_the_session_was_closed),
     cmocka_unit_test (test_stop_acknowledged_by_the_former_incarnation_is_repeated),
     cmocka_unit_test (test_suspended_task_of_a_silent_upstream_ends),
+    cmocka_unit_test (test_suspended_task_is_not_stopped_in_each_tick),
+    cmocka_unit_test (test_cancelled_suspended_task_ends_with_the_first_hold),
     cmocka_unit_test (test_suspended_task_is_not_proven_ended_by_another_address),
   };
 
