Report the end of a late start with the attempt of the gateway

Cause: when a late start of an earlier attempt was stopped, its end was reported with that attempt. The gateway ignores the end of an attempt below the one that it has sent, so it waited for the task until the job's deadline.

Change: the sidecar keeps the attempt that the gateway sent and never reports a lower one.

--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -24,6 +24,7 @@
  * @owner_gateway: gateway instance; NULL if a former process of this sidecar started the task
  * @life: number of the upstream's incarnation that the task was sent to
  * @has_upstream_crashed: that incarnation crashed after it had acknowledged the start
+ * @ordered_attempt: attempt that the gateway sent; it ignores the end of a lower one
  * @is_cancelled: the task is not started again if its start fails
  * @is_stop_requested: the task must be stopped; the request is repeated until it is acknowledged
  * @stopped_attempt: attempt that the last stop request named
@@ -48,6 +49,7 @@
   char *job_id; /* of the caller; the same at all gateways */
   char *name;
   uint32_t attempt;
+  uint32_t ordered_attempt;
   uint32_t stopped_attempt;
   uint64_t stopped_life;
   uint32_t n_retries;
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -111,7 +111,7 @@
   task->job_id = g_strdup (run->job_id);
   task->step = run->step;
   task->index = row->index;
-  task->attempt = row->attempt;
+  task->attempt = task->ordered_attempt = row->attempt;
   task->need = run->need;
   task->expected_us = (int64_t)run->expected_ms * AZ_US_PER_MS;
   task->specification = g_bytes_ref (specification);
@@ -322,7 +322,7 @@
     .job = task->job,
     .step = task->step,
     .index = task->index,
-    .attempt = task->attempt,
+    .attempt = MAX (task->attempt, task->ordered_attempt),
     .run_ms = (u_int)((sidecar->now_us - task->start_sent_us) / AZ_US_PER_MS),
   };
 
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -208,10 +208,14 @@
 }
 
 void
-sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index)
+sidecar_rig_send_attempt (struct sidecar_rig *rig,
+                          uint32_t session,
+                          uint64_t job,
+                          uint32_t index,
+                          uint32_t attempt)
 {
   struct az_message message = { .proc = AZ_NODE_RUN };
-  struct az_run_task row = { .index = index, .attempt = 1 };
+  struct az_run_task row = { .index = index, .attempt = attempt };
   g_autofree char *job_id = g_strdup_printf ("job%" G_GUINT64_FORMAT, job);
 
   message.az_message_u.node_run = (struct az_node_run){
@@ -230,6 +234,12 @@
   az_sidecar_flush (rig->core);
 }
 
+void
+sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index)
+{
+  sidecar_rig_send_attempt (rig, session, job, index, 1);
+}
+
 static struct az_upstream_answer
 make_answer (const struct sidecar_rig *rig, enum az_upstream_result result)
 {
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -82,6 +82,14 @@
  */
 void
 sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index);
+
+/** sidecar_rig_send_attempt - the same with this attempt, instead of the first */
+void
+sidecar_rig_send_attempt (struct sidecar_rig *rig,
+                          uint32_t session,
+                          uint64_t job,
+                          uint32_t index,
+                          uint32_t attempt);
 void
 sidecar_rig_answer_start (struct sidecar_rig *rig, guint request, enum az_upstream_result result);
 void
--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -353,6 +353,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a job that is never answered: a gateway ignores the end of a lower attempt than
+ * the one that it has sent. */
+static void
+test_end_of_late_start_has_the_attempt_of_the_gateway (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_attempt (rig, 1, 1, 0, 2);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  list_late_start (rig, 1);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_STOPPED);
+  assert_int_equal (g_array_index (rig->events, struct az_task_event, rig->events->len - 1).attempt,
+                    2);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -371,6 +392,7 @@
     cmocka_unit_test (test_suspended_task_is_not_stopped_in_each_tick),
     cmocka_unit_test (test_cancelled_suspended_task_ends_with_the_first_hold),
     cmocka_unit_test (test_suspended_task_is_not_proven_ended_by_another_address),
+    cmocka_unit_test (test_end_of_late_start_has_the_attempt_of_the_gateway),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
