End the tasks of a departed upstream when another instance answers

Cause: after a deregistration the refusal of a hold by another instance at the same address was dropped. It didn't count as a failed hold either, so further holds renewed the lease bound of the former tasks, which were never reported until the other instance announced itself.

Change: such an answer ends the tasks also after the departure. The upstream is logged as replaced only if its departure wasn't.

Result: test_tasks_of_a_departed_upstream_end_when_another_answers failed before (no end after 3 s) and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -176,10 +176,9 @@
 void
 az_sidecar_handle_other_instance (struct az_sidecar *sidecar)
 {
-  if (sidecar->life.has_left)
-    return;
-  az_log (LOG_NOTICE, "event=upstream-replaced former=%s tasks=%u", sidecar->life.instance,
-          az_table_rows_count (sidecar->tasks));
+  if (!sidecar->life.has_left)
+    az_log (LOG_NOTICE, "event=upstream-replaced former=%s tasks=%u", sidecar->life.instance,
+            az_table_rows_count (sidecar->tasks));
   end_former_incarnation (sidecar, REPLACED_BY_ANOTHER);
   sidecar->life.has_left = true;
 }
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -86,6 +86,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against tasks that never end after their upstream has left: the answers of the instance
+ * that takes its place would renew the bound of their leases. */
+static void
+test_tasks_of_a_departed_upstream_end_when_another_answers (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  az_sidecar_upstream_left (rig->core, "i1", 100);
+  for (int i = 0; i < 120; i++)
+    {
+      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_OTHER_INSTANCE);
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+    }
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against a departure that isn't believed because it states no birth time. */
 static void
 test_departure_without_birth_time_closes_the_upstream (void **state)
@@ -108,6 +129,7 @@
     cmocka_unit_test (test_incarnation_with_another_id_ends_the_tasks_at_once),
     cmocka_unit_test (test_tasks_at_a_former_address_outlast_the_next_restart),
     cmocka_unit_test (test_start_at_a_former_address_is_not_repeated),
+    cmocka_unit_test (test_tasks_of_a_departed_upstream_end_when_another_answers),
     cmocka_unit_test (test_departure_without_birth_time_closes_the_upstream),
   };
 
