Move the handling of suspended tasks into a file of its own

What concerns tasks of a restarted upstream moves into suspension.c, which uses tasks.c but isn't used by it. The behaviour is unchanged; the tests of the sidecar core pass.

--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -10,6 +10,10 @@
 #include "sidecar/lease.h"
 #include <glib.h>
 
+/* Leases that this process didn't ask for, of tasks that a former process started or that the
+ * upstream started late, are at most one second long. */
+#define ADOPTED_LEASE_MAX_MS 1100
+
 enum task_state
 {
   TASK_STARTING,  /* the start request is in flight */
@@ -225,6 +229,10 @@
 void
 az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle);
 
+/** az_sidecar_reset_stop - drops the stop of another attempt or incarnation */
+void
+az_sidecar_reset_stop (struct task *task);
+
 /** az_sidecar_handle_missing_task - handles a task that the upstream neither runs nor lists as
  * ended: starts it again if it has provably never run and isn't cancelled; otherwise ends it */
 void
@@ -235,6 +243,19 @@
 void
 az_sidecar_adopt_task (struct az_sidecar *sidecar, const char *name, uint32_t attempt);
 
+/** az_sidecar_end_task - reports the end to the gateway, and frees the capacity and the task */
+void
+az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how);
+void
+az_sidecar_expire_tasks (struct az_sidecar *sidecar);
+
+/** az_sidecar_has_orphans - whether a task of a closed session of the gateway, or of a former
+ * process of this sidecar, may still run */
+bool
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner_gateway);
+
+/* suspension.c */
+
 /**
  * az_sidecar_suspend_task - handles a task whose upstream has restarted under the same id
  *
@@ -255,17 +276,6 @@
 void
 az_sidecar_stop_late_start (struct az_sidecar *sidecar, uint32_t handle, uint32_t attempt);
 
-/** az_sidecar_end_task - reports the end to the gateway, and frees the capacity and the task */
-void
-az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how);
-void
-az_sidecar_expire_tasks (struct az_sidecar *sidecar);
-
-/** az_sidecar_has_orphans - whether a task of a closed session of the gateway, or of a former
- * process of this sidecar, may still run */
-bool
-az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner_gateway);
-
 /* upstream_incarnation.c */
 
 /** az_sidecar_handle_restart - the upstream has answered as another incarnation of the same
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -6,14 +6,6 @@
  * the upstream has seen a higher one or the attempt before was stopped. */
 #define START_RETRIES_MAX 6
 
-/* Leases that this process didn't ask for, of tasks that a former process started or that the
- * upstream started late, are at most one second long. */
-#define ADOPTED_LEASE_MAX_MS 1100
-
-/* A request without an answer is assumed not to be carried out later than this. The protocol states
- * no bound, only that it may take seconds. */
-#define REQUEST_DELAY_MAX_MS 15000
-
 struct task *
 az_sidecar_get_task (const struct az_sidecar *sidecar, uint32_t handle)
 {
@@ -198,9 +190,8 @@
   sidecar->io.stop (sidecar->io.context, handle, &stop);
 }
 
-/* Drops the stop of another attempt or incarnation. */
-static void
-reset_stop (struct task *task)
+void
+az_sidecar_reset_stop (struct task *task)
 {
   task->is_stop_requested = false;
   task->is_stop_acknowledged = false;
@@ -262,41 +253,6 @@
   az_sidecar_cancel_task (sidecar, handle);
 }
 
-void
-az_sidecar_suspend_task (struct az_sidecar *sidecar, uint32_t handle)
-{
-  struct task *task = az_sidecar_get_task (sidecar, handle);
-
-  task->state = TASK_SUSPENDED;
-  reset_stop (task);
-  task->acknowledged_at_hold = UINT64_MAX;
-  /* A late start gets a new lease, and unanswered holds renew that of a start accepted before. */
-  task->latest_end_us
-      = sidecar->now_us + (REQUEST_DELAY_MAX_MS + ADOPTED_LEASE_MAX_MS) * AZ_US_PER_MS;
-}
-
-void
-az_sidecar_transfer_task (const struct az_sidecar *sidecar, struct task *task)
-{
-  task->life = sidecar->life.number;
-  task->acknowledged_at_hold = sidecar->hold.number;
-}
-
-void
-az_sidecar_stop_late_start (struct az_sidecar *sidecar, uint32_t handle, uint32_t attempt)
-{
-  struct task *task = az_sidecar_get_task (sidecar, handle);
-
-  az_log (LOG_NOTICE,
-          "event=late-start task=%s attempt=%u life=%" G_GUINT64_FORMAT " outcome=stopping",
-          task->name, attempt, task->life);
-  task->attempt = attempt;
-  task->state = TASK_RUNNING;
-  reset_stop (task);
-  task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
-  az_sidecar_cancel_task (sidecar, handle);
-}
-
 static void
 record_end (struct az_sidecar *sidecar, const struct task *task, enum az_task_end how)
 {
@@ -402,7 +358,7 @@
     }
   /* The attempt has never run, and the acknowledged stop prevents it from starting later. */
   task->attempt++;
-  reset_stop (task);
+  az_sidecar_reset_stop (task);
   task->acknowledged_at_hold = UINT64_MAX;
   retry_start (sidecar, handle);
 }
