Repeat no start for a gateway that gave up its session during a pause

Cause: after a pause of the sidecar, messages that the gateway had sent before are still unread. Each counted as received now, so the session of a gateway that had closed it, or had ended, didn't expire. If a start then got no answer, it was repeated with a new lease, while the gateway had the task run elsewhere: two runs for up to the session time-out and a stop.

Change: sessions with tasks that have been silent for longer than the session time-out are closed before a message is handled, as the next tick would do. The gateway has received nothing for as long and closes the session too.

Result: test_no_start_is_repeated_after_a_pause failed before (two starts) and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -72,6 +72,64 @@
   return !session || session->n_tasks == 0;
 }
 
+static int64_t
+silence_limit_ms (const struct az_sidecar *sidecar, const struct session *session)
+{
+  int64_t limit_ms = sidecar->settings.session_timeout_ms;
+
+  if (session->n_tasks > 0)
+    return limit_ms;
+  return limit_ms
+         * (session->wants_reports ? AZ_IDLE_SESSION_TIMEOUT_FACTOR
+                                   : AZ_DORMANT_SESSION_TIMEOUT_FACTOR);
+}
+
+/* Returns NULL if there is none. */
+static struct session *
+find_expired (const struct az_sidecar *sidecar, bool includes_idle)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, sidecar->sessions);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct session *session = value;
+      int64_t silence_us = sidecar->now_us - session->last_received_us;
+
+      if ((session->n_tasks > 0 || includes_idle)
+          && silence_us > silence_limit_ms (sidecar, session) * AZ_US_PER_MS)
+        return session;
+    }
+  return NULL;
+}
+
+static void
+close_expired (struct az_sidecar *sidecar, bool includes_idle)
+{
+  const struct session *session;
+
+  while ((session = find_expired (sidecar, includes_idle)))
+    {
+      uint32_t handle = session->handle;
+
+      az_sidecar_session_closed (sidecar, handle, "gateway is silent");
+      sidecar->io.close (sidecar->io.context, handle, "silent");
+    }
+}
+
+void
+az_sidecar_expire_sessions (struct az_sidecar *sidecar)
+{
+  close_expired (sidecar, true);
+}
+
+void
+az_sidecar_expire_task_sessions (struct az_sidecar *sidecar)
+{
+  close_expired (sidecar, false);
+}
+
 static void
 handle_hello (struct session *session, const struct az_node_hello *hello)
 {
@@ -91,11 +149,13 @@
 void
 az_sidecar_received (struct az_sidecar *sidecar, uint32_t handle, const struct az_message *message)
 {
-  struct session *session = az_sidecar_get_session (sidecar, handle);
+  struct session *session;
 
+  sidecar->now_us = az_now_us (sidecar->clock);
+  az_sidecar_expire_task_sessions (sidecar);
+  session = az_sidecar_get_session (sidecar, handle);
   if (!session)
     return;
-  sidecar->now_us = az_now_us (sidecar->clock);
   session->last_received_us = sidecar->now_us;
   switch (message->proc)
     {
@@ -120,24 +180,3 @@
       break;
     }
 }
-
-void
-az_sidecar_expire_sessions (struct az_sidecar *sidecar)
-{
-  g_autoptr (GList) sessions = g_hash_table_get_values (sidecar->sessions);
-
-  for (GList *link = sessions; link; link = link->next)
-    {
-      struct session *session = link->data;
-      uint32_t handle = session->handle;
-      int64_t limit_ms = sidecar->settings.session_timeout_ms;
-
-      if (session->n_tasks == 0)
-        limit_ms *= session->wants_reports ? AZ_IDLE_SESSION_TIMEOUT_FACTOR
-                                           : AZ_DORMANT_SESSION_TIMEOUT_FACTOR;
-      if (sidecar->now_us - session->last_received_us <= limit_ms * AZ_US_PER_MS)
-        continue;
-      az_sidecar_session_closed (sidecar, handle, "gateway is silent");
-      sidecar->io.close (sidecar->io.context, handle, "silent");
-    }
-}
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -207,6 +207,15 @@
 void
 az_sidecar_expire_sessions (struct az_sidecar *sidecar);
 
+/**
+ * az_sidecar_expire_task_sessions - closes the sessions with tasks that have expired
+ *
+ * Call before an input is handled: after a pause of this process, inputs that are read before the
+ * next tick would repeat starts and renew leases for a gateway that has given up its tasks.
+ */
+void
+az_sidecar_expire_task_sessions (struct az_sidecar *sidecar);
+
 /* tasks.c */
 struct task *
 az_sidecar_get_task (const struct az_sidecar *sidecar, uint32_t handle);
