Renew no lease for a session that expired during a pause

Cause: after a pause of the sidecar, answers of the upstream may be handled before the next tick closes the expired sessions. The hold that followed such an answer renewed the leases of their tasks. If the upstream then became silent, the tasks ended up to 764 ms after the pause instead of after the last renewal before it, later than gateways and callers wait before they start them again.

Change: sessions with tasks are expired before the answer to a hold or stop is handled, and a hold renews leases only if there is a task that isn't being stopped. A task whose session was closed ends with its stop or its lease.

Result: test_no_lease_is_renewed_for_an_expired_session and test_no_lease_is_renewed_after_a_stop_of_an_expired_session failed before and pass now, as do the other tests of the sidecar core.

--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -50,13 +50,25 @@
     }
 }
 
+/* Tasks that are being stopped may end with their leases. */
+static bool
+has_tasks_to_keep (const struct az_sidecar *sidecar)
+{
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    if (!az_sidecar_get_task (sidecar, handle)->is_cancelled)
+      return true;
+  return false;
+}
+
 static void
 send_hold (struct az_sidecar *sidecar, int64_t wait_ms)
 {
   struct hold_state *hold = &sidecar->hold;
   /* While holds fail, leases aren't renewed, so that the tasks end at a known time. */
   bool renews = sidecar->lease.is_known && sidecar->life.is_fenced
-                && hold->n_consecutive_failures == 0 && az_table_rows_count (sidecar->tasks) > 0;
+                && hold->n_consecutive_failures == 0 && has_tasks_to_keep (sidecar);
   const struct sent_hold sent = { .number = ++hold->number, .sent_us = sidecar->now_us };
   struct az_upstream_hold call = {
     .instance = sidecar->life.instance,
@@ -287,6 +299,7 @@
   struct sent_hold sent;
 
   sidecar->now_us = az_now_us (sidecar->clock);
+  az_sidecar_expire_task_sessions (sidecar);
   if (!remove_in_flight (hold, number, &sent))
     return;
   if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE)
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -438,6 +438,7 @@
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
   sidecar->now_us = az_now_us (sidecar->clock);
+  az_sidecar_expire_task_sessions (sidecar);
   if (!task)
     return;
   task->is_stop_in_flight = false;
--- a/tests/test_sidecar_pause.c
+++ b/tests/test_sidecar_pause.c
@@ -19,11 +19,47 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against leases that are renewed after a pause for a session that has expired. */
+static void
+test_no_lease_is_renewed_for_an_expired_session (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  rig->now_ms += 600;
+  rig->hold_lease_end_clock_ms = 0;
+  sidecar_rig_answer_hold (rig, "job.0.0.0", "");
+  assert_int_equal (rig->hold_lease_end_clock_ms, 0);
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against the same if the acknowledgement of a stop is read first. */
+static void
+test_no_lease_is_renewed_after_a_stop_of_an_expired_session (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  unsigned n_holds;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_UNANSWERED);
+  rig->now_ms += 600;
+  n_holds = rig->n_holds;
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  assert_int_equal (rig->n_holds, n_holds + 1);
+  assert_int_equal (rig->hold_lease_end_clock_ms, 0);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_no_start_is_repeated_after_a_pause),
+    cmocka_unit_test (test_no_lease_is_renewed_for_an_expired_session),
+    cmocka_unit_test (test_no_lease_is_renewed_after_a_stop_of_an_expired_session),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
