Recognize a restart by a clock that went back

Cause: the answer to a start may state no birth time. If a restarted upstream accepted a start and then answered no hold, the task was reported as lost after 764 ms, the lease that was asked for. Its lease end was a time on the former clock, far ahead of the new one, so the upstream granted its longest lease of one second: up to 300 ms of two runs.

Change: an answer without a birth time whose clock is more than one second behind that of an earlier answer begins a new incarnation, as another birth time does. The fence is raised at once and the task is suspended. If the conclusion is wrong, the next answer with a birth time corrects it.

Result: test_start_of_restarted_silent_upstream_is_not_lost_before_its_longest_lease failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -307,7 +307,7 @@
       az_sidecar_handle_other_instance (sidecar);
       return;
     }
-  if (lists->answer.started_ms > 0 && lists->answer.started_ms != sidecar->life.started_ms)
+  if (az_sidecar_shows_restart (sidecar, &lists->answer))
     {
       az_sidecar_handle_restart (sidecar, lists->answer.started_ms);
       return;
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -287,8 +287,15 @@
 
 /* upstream_incarnation.c */
 
+/** az_sidecar_shows_restart - whether the answer to a request to the present incarnation comes from
+ * another one of the same instance id */
+bool
+az_sidecar_shows_restart (const struct az_sidecar *sidecar,
+                          const struct az_upstream_answer *answer);
+
 /** az_sidecar_handle_restart - the upstream has answered as another incarnation of the same
- * instance id, born at @started_ms; nothing starts until that has announced itself */
+ * instance id, born at @started_ms, or at an unknown time if that is 0; nothing starts until that
+ * has announced itself */
 void
 az_sidecar_handle_restart (struct az_sidecar *sidecar, int64_t started_ms);
 
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -363,15 +363,6 @@
   retry_start (sidecar, handle);
 }
 
-static bool
-is_from_restarted_upstream (const struct az_sidecar *sidecar,
-                            const struct task *task,
-                            const struct az_upstream_answer *answer)
-{
-  return answer->result != AZ_UPSTREAM_OTHER_INSTANCE && task->life == sidecar->life.number
-         && answer->started_ms > 0 && answer->started_ms != sidecar->life.started_ms;
-}
-
 void
 az_sidecar_start_answered (struct az_sidecar *sidecar,
                            uint32_t handle,
@@ -382,7 +373,7 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   if (!task || task->state != TASK_STARTING)
     return;
-  if (is_from_restarted_upstream (sidecar, task, answer))
+  if (task->life == sidecar->life.number && az_sidecar_shows_restart (sidecar, answer))
     {
       az_sidecar_handle_restart (sidecar, answer->started_ms);
       return;
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -6,6 +6,11 @@
  * started. */
 #define UNREACHABLE_AFTER_FAILURES 2
 
+/* An answer that states no birth time and whose clock is behind that of an earlier answer by more
+ * than this comes from another incarnation: answers overtake each other by at most the time-out of
+ * a request, which is shorter. */
+#define ANSWER_DELAY_MAX_MS 1000
+
 const char *
 az_sidecar_closed_reason (const struct az_sidecar *sidecar)
 {
@@ -156,6 +161,17 @@
   log_life (sidecar);
 }
 
+bool
+az_sidecar_shows_restart (const struct az_sidecar *sidecar, const struct az_upstream_answer *answer)
+{
+  if (answer->result == AZ_UPSTREAM_OTHER_INSTANCE)
+    return false;
+  if (answer->started_ms > 0)
+    return answer->started_ms != sidecar->life.started_ms;
+  return sidecar->lease.is_known && answer->clock_ms >= 0
+         && answer->clock_ms < sidecar->lease.clock_ms - ANSWER_DELAY_MAX_MS;
+}
+
 void
 az_sidecar_handle_restart (struct az_sidecar *sidecar, int64_t started_ms)
 {
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -206,6 +206,31 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a task that is lost while the restarted upstream, which has accepted its start
+ * before the restart was noticed, runs it: the lease end of the start is far in the future of the
+ * new clock, so that the upstream grants the longest lease, one second. */
+static void
+test_start_of_restarted_silent_upstream_is_not_lost_before_its_longest_lease (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  const struct az_upstream_answer answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5 };
+
+  (void)state;
+  rig->now_ms += 60000;
+  sidecar_rig_send_pulse (rig, 1);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  az_sidecar_start_answered (rig->core, sidecar_rig_get_start (rig, 0)->task, &answer);
+  for (int i = 0; i < 38; i++)
+    {
+      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+    }
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -219,6 +244,7 @@
     cmocka_unit_test (test_late_departure_after_clock_set_back_is_ignored),
     cmocka_unit_test (test_restart_after_departure_excludes_late_starts),
     cmocka_unit_test (test_restart_seen_without_tasks_raises_the_fence_at_once),
+    cmocka_unit_test (test_start_of_restarted_silent_upstream_is_not_lost_before_its_longest_lease),
     cmocka_unit_test (test_overtaken_answer_of_former_incarnation_is_ignored),
   };
 
