Keep closed to a gateway whose other session has tasks

Cause: a gateway that sees the sidecar open in a new session takes its tasks of the former session for ended and starts them elsewhere. The sidecar considered only tasks of closed sessions. If it connected a second time to a gateway that it knew by two addresses, the new session was reported open before the end of the first one was read, and the tasks ran on for that time.

Change: tasks of all other sessions of the gateway count, closed or not.

Result: test_second_session_of_a_gateway_is_not_open_beside_its_tasks failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -50,9 +50,8 @@
 {
   struct az_message message = { .proc = AZ_NODE_UPSTREAM };
   struct life *life = &sidecar->life;
-  bool is_open
-      = az_sidecar_is_open (sidecar)
-        && (session->is_reported_open || !az_sidecar_has_orphans (sidecar, session->gateway));
+  bool is_open = az_sidecar_is_open (sidecar)
+                 && (session->is_reported_open || !az_sidecar_has_orphans (sidecar, session));
 
   if (session->reported_life == life->number && session->is_reported_open == is_open
       && are_equal (&session->reported_capacity, &life->capacity))
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -258,10 +258,10 @@
 void
 az_sidecar_expire_tasks (struct az_sidecar *sidecar);
 
-/** az_sidecar_has_orphans - whether a task of a closed session of the gateway, or of a former
- * process of this sidecar, may still run */
+/** az_sidecar_has_orphans - whether a task of another session of the same gateway, closed or not,
+ * or of a former process of this sidecar, may still run */
 bool
-az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner_gateway);
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const struct session *session);
 
 /* suspension.c */
 
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -473,7 +473,7 @@
 }
 
 bool
-az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner_gateway)
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const struct session *session)
 {
   uint32_t handle = 0;
 
@@ -481,8 +481,8 @@
     {
       const struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->session == 0
-          && (!task->owner_gateway || !g_strcmp0 (task->owner_gateway, owner_gateway)))
+      if (task->session != session->handle
+          && (!task->owner_gateway || !g_strcmp0 (task->owner_gateway, session->gateway)))
         return true;
     }
   return false;
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -562,6 +562,29 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a gateway that takes its tasks for ended because the sidecar is open in a second
+ * session, while they run in the first one. */
+static void
+test_second_session_of_a_gateway_is_not_open_beside_its_tasks (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  rig->is_open = false;
+  sidecar_rig_open_session (rig, 3, "g1");
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  az_sidecar_session_closed (rig->core, 1, "test");
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_answer_hold (rig, "", "");
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -592,6 +615,7 @@
     cmocka_unit_test (test_old_attempt_is_raised),
     cmocka_unit_test (test_slow_upstream_is_detected_from_all_tasks),
     cmocka_unit_test (test_one_underestimated_job_is_not_a_slow_upstream),
+    cmocka_unit_test (test_second_session_of_a_gateway_is_not_open_beside_its_tasks),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
