Ask a departed upstream that announces another birth time which one it has

Cause: if an upstream left, and started again under its id after its clock was set back, its announcements stated a lower birth time and were ignored. No hold is sent to an upstream that has left without tasks, so no answer showed the restart, and the upstream stayed closed.

Change: such an announcement sends one hold. If the announcement was only late, this costs one request.

Result: test_restart_after_departure_with_clock_set_back_opens failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -235,6 +235,14 @@
   return announcement->started_ms >= life->started_ms || life->has_left;
 }
 
+/* Only an answer can tell a restart after the clock was set back from a late announcement. */
+static bool
+may_be_restarted (const struct life *life, const struct az_upstream_announcement *announcement)
+{
+  return !strcmp (life->instance, announcement->instance)
+         && announcement->started_ms != life->started_ms;
+}
+
 /* An incarnation that was first seen in an answer has the service and address of the former one
  * until it announces itself. */
 static void
@@ -274,6 +282,8 @@
               " sequence=%" G_GUINT64_FORMAT " present=%s",
               announcement->instance, announcement->started_ms, announcement->sequence,
               life->instance);
+      if (life->has_left && may_be_restarted (life, announcement))
+        az_sidecar_send_immediate_hold (sidecar);
       return false;
     }
   if (announcement->is_draining && !life->is_draining)
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -231,6 +231,29 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against an upstream that deregisters, restarts under its id after its clock was set back
+ * and stays closed, because no request is sent that would show the new birth time. */
+static void
+test_restart_after_departure_with_clock_set_back_opens (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  unsigned n_holds;
+
+  (void)state;
+  az_sidecar_upstream_left (rig->core, "i1", 100);
+  sidecar_rig_fail_hold (rig, AZ_UPSTREAM_NOT_SENT);
+  n_holds = rig->n_holds;
+  sidecar_rig_announce (rig, "i1", 60, 1, false);
+  sidecar_rig_advance (rig, 200);
+  sidecar_rig_announce (rig, "i1", 60, 2, false);
+  assert_true (rig->n_holds > n_holds);
+  sidecar_rig_answer_hold_as (rig, 60);
+  sidecar_rig_announce (rig, "i1", 60, 3, false);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -242,6 +265,7 @@
     cmocka_unit_test (test_restart_with_clock_set_back_is_recognized),
     cmocka_unit_test (test_late_heartbeat_after_clock_set_back_is_ignored),
     cmocka_unit_test (test_late_departure_after_clock_set_back_is_ignored),
+    cmocka_unit_test (test_restart_after_departure_with_clock_set_back_opens),
     cmocka_unit_test (test_restart_after_departure_excludes_late_starts),
     cmocka_unit_test (test_restart_seen_without_tasks_raises_the_fence_at_once),
     cmocka_unit_test (test_start_of_restarted_silent_upstream_is_not_lost_before_its_longest_lease),
