Take an answer with unreadable rows for no proof that a task has ended

Cause: rows that can't be read were skipped, and a task that the rest didn't list counted as ended, or the upstream as empty. If the unreadable row was that of a running task, it was reported as lost while it ran.

Change: such an answer ends only tasks that it lists as ended, and doesn't open the upstream.

Result: test_answer_with_unreadable_rows_proves_no_end failed before and passes now, as do the other tests of the sidecar core.

--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -264,9 +264,10 @@
   if (lists->n_ended > 0)
     sidecar->hold.last_end_listed_us = sidecar->now_us;
   handle_active (sidecar, lists, hold->number);
-  handle_missing_tasks (sidecar, hold);
+  if (lists->n_unreadable == 0)
+    handle_missing_tasks (sidecar, hold);
   sidecar->hold.newest_answered = MAX (sidecar->hold.newest_answered, hold->number);
-  if (!sidecar->life.is_fenced && lists->n_active == 0)
+  if (!sidecar->life.is_fenced && lists->n_active == 0 && lists->n_unreadable == 0)
     {
       sidecar->life.is_fenced = true;
       az_log (LOG_NOTICE, "event=upstream-open instance=%s fence=%" G_GUINT64_FORMAT,
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -585,6 +585,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a task that is lost, or an upstream that counts as empty, because of an answer
+ * whose rows could not all be read. */
+static void
+test_answer_with_unreadable_rows_proves_no_end (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  struct az_upstream_lists lists
+      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 1025 }, .n_unreadable = 1 };
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_advance (rig, 25);
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  sidecar_rig_advance (rig, 25);
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  az_sidecar_flush (rig->core);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -616,6 +637,7 @@
     cmocka_unit_test (test_slow_upstream_is_detected_from_all_tasks),
     cmocka_unit_test (test_one_underestimated_job_is_not_a_slow_upstream),
     cmocka_unit_test (test_second_session_of_a_gateway_is_not_open_beside_its_tasks),
+    cmocka_unit_test (test_answer_with_unreadable_rows_proves_no_end),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
