Accept another upstream with a lower birth time if the present one is abandoned

Cause: an announcement of another instance with a lower birth time counts as late. If the clock of its machine had been set back, it was ignored for good, although the present upstream refused connections and had no tasks. A sidecar that had read the record of the former upstream from the store was closed in the same way.

Change: such an announcement is accepted if the present upstream has failed its holds and no task is left. If it was only late, the next announcement of the present upstream replaces it.

--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -223,16 +223,28 @@
   begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
 }
 
+/* Whether nothing is lost if an older announcement replaces the present incarnation. If that
+ * answers after all, its next announcement replaces the older one. */
+static bool
+is_abandoned (const struct az_sidecar *sidecar)
+{
+  return sidecar->hold.n_consecutive_failures >= UNREACHABLE_AFTER_FAILURES
+         && az_table_rows_count (sidecar->tasks) == 0;
+}
+
 /* Birth times come from the wall clock of the upstream's machine, which may have been set back, so
  * one that is lower than a former one doesn't show which incarnation is newer. */
 static bool
-is_newer_incarnation (const struct life *life, const struct az_upstream_announcement *announcement)
+is_newer_incarnation (const struct az_sidecar *sidecar,
+                      const struct az_upstream_announcement *announcement)
 {
+  const struct life *life = &sidecar->life;
+
   if (life->number == 0)
     return true;
   if (!strcmp (life->instance, announcement->instance))
     return announcement->started_ms > MAX (life->started_ms, life->former_started_ms);
-  return announcement->started_ms >= life->started_ms || life->has_left;
+  return announcement->started_ms >= life->started_ms || life->has_left || is_abandoned (sidecar);
 }
 
 /* Only an answer can tell a restart after the clock was set back from a late announcement. */
@@ -271,7 +283,7 @@
   struct life *life = &sidecar->life;
 
   sidecar->now_us = az_now_us (sidecar->clock);
-  if (is_newer_incarnation (life, announcement))
+  if (is_newer_incarnation (sidecar, announcement))
     begin_announced_life (sidecar, announcement);
   else if (strcmp (life->instance, announcement->instance) != 0
            || announcement->started_ms != life->started_ms
--- a/tests/test_sidecar_incarnation.c
+++ b/tests/test_sidecar_incarnation.c
@@ -120,6 +120,30 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against an upstream with another id and address that is ignored for good because its clock
+ * was set back, although the former one doesn't answer any more. */
+static void
+test_other_upstream_with_clock_set_back_opens (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  rig->is_open = false;
+  for (int i = 0; i < 200; i++)
+    {
+      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_NOT_SENT);
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_advance (rig, 25);
+      sidecar_rig_announce_at (rig, "127.0.0.1:2", "i2", 60, (uint64_t)i + 1, false);
+    }
+  sidecar_rig_advance (rig, 50);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_true (sidecar_rig_announce_at (rig, "127.0.0.1:2", "i2", 60, 1000, false));
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -130,6 +154,7 @@
     cmocka_unit_test (test_tasks_at_a_former_address_outlast_the_next_restart),
     cmocka_unit_test (test_start_at_a_former_address_is_not_repeated),
     cmocka_unit_test (test_tasks_of_a_departed_upstream_end_when_another_answers),
+    cmocka_unit_test (test_other_upstream_with_clock_set_back_opens),
     cmocka_unit_test (test_departure_without_birth_time_closes_the_upstream),
   };
 
