Keep the sessions open in the test of a clock that went back

The test let 60 seconds pass at once, so that the sessions of the rig were past their time-out when the task was sent. It now advances with pulses and answered holds.

--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -216,9 +216,7 @@
   const struct az_upstream_answer answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5 };
 
   (void)state;
-  rig->now_ms += 60000;
-  sidecar_rig_send_pulse (rig, 1);
-  sidecar_rig_answer_hold (rig, "", "");
+  sidecar_rig_advance_answering_holds (rig, 3000, "");
   sidecar_rig_send_run (rig, 1, 1, 0);
   az_sidecar_start_answered (rig->core, sidecar_rig_get_start (rig, 0)->task, &answer);
   for (int i = 0; i < 38; i++)
