Test several restarts of an upstream in a row

A task stays suspended over three restarts, one of them announced, one seen in an answer and one after the clock was set back; an answer of the second incarnation that arrives after the third has announced itself decides nothing, and the assumed bound counts from the last restart. The upstream of the rig now fails both holds in flight while it is silent; before, one stayed unanswered and no other was sent.

The test passes, as do the other tests of the sidecar core. It fails if holds to a former incarnation stay in flight.

--- a/tests/test_sidecar_suspension.c
+++ b/tests/test_sidecar_suspension.c
@@ -242,12 +242,19 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Fails the two holds that may be in flight. */
 static void
 advance_with_silent_upstream (struct sidecar_rig *rig, int64_t ms)
 {
+  const struct az_upstream_lists unanswered
+      = { .answer = { .result = AZ_UPSTREAM_UNANSWERED, .clock_ms = -1 } };
+
   for (int64_t elapsed = 0; elapsed < ms; elapsed += 25)
     {
-      sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+      uint64_t last_hold = rig->hold;
+
+      az_sidecar_hold_answered (rig->core, last_hold - 1, &unanswered);
+      az_sidecar_hold_answered (rig->core, last_hold, &unanswered);
       sidecar_rig_send_pulse (rig, 1);
       sidecar_rig_advance (rig, 25);
     }
@@ -374,6 +381,36 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a suspended task that is decided on by an answer of an incarnation that has ended
+ * as well, and against a bound that counts from the first of several restarts. */
+static void
+test_suspended_task_outlasts_further_restarts (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  const struct az_upstream_lists second
+      = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 5, .started_ms = 200 } };
+  uint64_t second_hold;
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_hold_as (rig, 200);
+  az_sidecar_cancel_all (rig->core);
+  advance_with_silent_upstream (rig, 10000);
+  sidecar_rig_advance (rig, 50);
+  second_hold = rig->hold;
+  sidecar_rig_announce (rig, "i1", 300, 1, false);
+  az_sidecar_hold_answered (rig->core, second_hold, &second);
+  advance_with_silent_upstream (rig, 10000);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_advance (rig, 50);
+  sidecar_rig_answer_hold_as (rig, 250);
+  assert_int_equal (sidecar_rig_last_event (rig), -1);
+  sidecar_rig_answer_hold (rig, "", "");
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -389,6 +426,7 @@
     cmocka_unit_test (test_late_start_is_stopped_after_the_session_was_closed),
     cmocka_unit_test (test_stop_acknowledged_by_the_former_incarnation_is_repeated),
     cmocka_unit_test (test_suspended_task_of_a_silent_upstream_ends),
+    cmocka_unit_test (test_suspended_task_outlasts_further_restarts),
     cmocka_unit_test (test_suspended_task_is_not_stopped_in_each_tick),
     cmocka_unit_test (test_cancelled_suspended_task_ends_with_the_first_hold),
     cmocka_unit_test (test_suspended_task_is_not_proven_ended_by_another_address),
