--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -50,13 +50,25 @@
     }
 }
 
+/* Tasks that are being stopped may end with their leases. */
+static bool
+has_tasks_to_keep (const struct az_sidecar *sidecar)
+{
+  uint32_t handle = 0;
+
+  while ((handle = az_table_rows_next (sidecar->tasks, handle)))
+    if (!az_sidecar_get_task (sidecar, handle)->is_cancelled)
+      return true;
+  return false;
+}
+
 static void
 send_hold (struct az_sidecar *sidecar, int64_t wait_ms)
 {
   struct hold_state *hold = &sidecar->hold;
   /* While holds fail, leases aren't renewed, so that the tasks end at a known time. */
   bool renews = sidecar->lease.is_known && sidecar->life.is_fenced
-                && hold->n_consecutive_failures == 0 && az_table_rows_count (sidecar->tasks) > 0;
+                && hold->n_consecutive_failures == 0 && has_tasks_to_keep (sidecar);
   const struct sent_hold sent = { .number = ++hold->number, .sent_us = sidecar->now_us };
   struct az_upstream_hold call = {
     .instance = sidecar->life.instance,
@@ -252,9 +264,10 @@
   if (lists->n_ended > 0)
     sidecar->hold.last_end_listed_us = sidecar->now_us;
   handle_active (sidecar, lists, hold->number);
-  handle_missing_tasks (sidecar, hold);
+  if (lists->n_unreadable == 0)
+    handle_missing_tasks (sidecar, hold);
   sidecar->hold.newest_answered = MAX (sidecar->hold.newest_answered, hold->number);
-  if (!sidecar->life.is_fenced && lists->n_active == 0)
+  if (!sidecar->life.is_fenced && lists->n_active == 0 && lists->n_unreadable == 0)
     {
       sidecar->life.is_fenced = true;
       az_log (LOG_NOTICE, "event=upstream-open instance=%s fence=%" G_GUINT64_FORMAT,
@@ -287,14 +300,17 @@
   struct sent_hold sent;
 
   sidecar->now_us = az_now_us (sidecar->clock);
+  az_sidecar_expire_task_sessions (sidecar);
   if (!remove_in_flight (hold, number, &sent))
     return;
-  if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE
-      || (lists->answer.started_ms > 0 && lists->answer.started_ms != sidecar->life.started_ms))
+  if (lists->answer.result == AZ_UPSTREAM_OTHER_INSTANCE)
     {
-      bool has_same_id = lists->answer.result != AZ_UPSTREAM_OTHER_INSTANCE;
-
-      az_sidecar_handle_replacement (sidecar, has_same_id, lists->answer.started_ms);
+      az_sidecar_handle_other_instance (sidecar);
+      return;
+    }
+  if (az_sidecar_shows_restart (sidecar, &lists->answer))
+    {
+      az_sidecar_handle_restart (sidecar, lists->answer.started_ms);
       return;
     }
   switch (lists->answer.result)
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -10,12 +10,16 @@
 #include "sidecar/lease.h"
 #include <glib.h>
 
+/* Leases that this process didn't ask for, of tasks that a former process started or that the
+ * upstream started late, are at most one second long. */
+#define ADOPTED_LEASE_MAX_MS 1100
+
 enum task_state
 {
   TASK_STARTING,  /* the start request is in flight */
   TASK_RUNNING,   /* the upstream has accepted the start */
   TASK_UNCERTAIN, /* the start request failed without an answer and may still be carried out */
-  TASK_SUSPENDED, /* the upstream has restarted under the same id, which may start the task late */
+  TASK_SUSPENDED, /* the upstream has restarted; whether it runs the task isn't known yet */
 };
 
 /**
@@ -24,11 +28,12 @@
  * @owner_gateway: gateway instance; NULL if a former process of this sidecar started the task
  * @life: number of the upstream's incarnation that the task was sent to
  * @has_upstream_crashed: that incarnation crashed after it had acknowledged the start
+ * @ordered_attempt: attempt that the gateway sent; it ignores the end of a lower one
  * @is_cancelled: the task is not started again if its start fails
  * @is_stop_requested: the task must be stopped; the request is repeated until it is acknowledged
+ * @stopped_attempt: attempt that the last stop request named
+ * @stopped_life: incarnation to which the last stop request was sent
  * @is_stop_acknowledged: the upstream acknowledged a stop request, so the attempt can't start later
- * @has_unanswered_start: a start request got no answer, so it may be carried out late; within the
- * incarnation an acknowledged stop excludes that, after a restart only a higher fence does
  * @acknowledged_at_hold: number of the last hold sent before the start or stop was acknowledged, or
  * before the restarted upstream got its first hold; UINT64_MAX until then. A later hold that
  * doesn't list the task proves that it has ended.
@@ -48,6 +53,9 @@
   char *job_id; /* of the caller; the same at all gateways */
   char *name;
   uint32_t attempt;
+  uint32_t ordered_attempt;
+  uint32_t stopped_attempt;
+  uint64_t stopped_life;
   uint32_t n_retries;
   struct az_resources need;
   int64_t expected_us;
@@ -59,7 +67,6 @@
   bool is_stop_requested;
   bool is_stop_in_flight;
   bool is_stop_acknowledged;
-  bool has_unanswered_start;
   uint64_t acknowledged_at_hold;
   uint64_t last_listed_hold;
   int64_t start_sent_us;
@@ -94,8 +101,8 @@
  * @number: counts the incarnations, 0 before the first announcement; NODE_UPSTREAM reports it as
  * life
  * @sequence: number of the last heartbeat
- * @successor_started_ms: birth time of the incarnation that has answered in place of this one, 0 if
- * none has or it isn't known
+ * @former_started_ms: highest birth time of former incarnations of the same instance id
+ * @is_announced: false if the incarnation is only known from an answer of the upstream
  * @is_fenced: the upstream accepted the fence and runs no task of a former sidecar process
  */
 struct life
@@ -105,8 +112,9 @@
   char *service;
   char *address;
   int64_t started_ms;
-  int64_t successor_started_ms;
+  int64_t former_started_ms;
   uint64_t sequence;
+  bool is_announced;
   bool is_draining;
   bool has_left;
   bool has_crashed;
@@ -199,6 +207,15 @@
 void
 az_sidecar_expire_sessions (struct az_sidecar *sidecar);
 
+/**
+ * az_sidecar_expire_task_sessions - closes the sessions with tasks that have expired
+ *
+ * Call before an input is handled: after a pause of this process, inputs that are read before the
+ * next tick would repeat starts and renew leases for a gateway that has given up its tasks.
+ */
+void
+az_sidecar_expire_task_sessions (struct az_sidecar *sidecar);
+
 /* tasks.c */
 struct task *
 az_sidecar_get_task (const struct az_sidecar *sidecar, uint32_t handle);
@@ -221,6 +238,10 @@
 void
 az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle);
 
+/** az_sidecar_reset_stop - drops the stop of another attempt or incarnation */
+void
+az_sidecar_reset_stop (struct task *task);
+
 /** az_sidecar_handle_missing_task - handles a task that the upstream neither runs nor lists as
  * ended: starts it again if it has provably never run and isn't cancelled; otherwise ends it */
 void
@@ -231,14 +252,28 @@
 void
 az_sidecar_adopt_task (struct az_sidecar *sidecar, const char *name, uint32_t attempt);
 
+/** az_sidecar_end_task - reports the end to the gateway, and frees the capacity and the task */
+void
+az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how);
+void
+az_sidecar_expire_tasks (struct az_sidecar *sidecar);
+
+/** az_sidecar_has_orphans - whether a task of another session of the same gateway, closed or not,
+ * or of a former process of this sidecar, may still run */
+bool
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const struct session *session);
+
+/* suspension.c */
+
 /**
- * az_sidecar_lose_or_suspend_task - handles a task whose upstream has restarted under the same id
+ * az_sidecar_suspend_task - handles a task whose upstream has restarted under the same id
  *
- * Ends it as lost if all of its start requests were answered. Otherwise the new incarnation may
- * carry out one of them, so the task is suspended until the fence excludes that.
+ * The new incarnation may have accepted the start before the restart was noticed, or may carry out
+ * an unanswered start late. The first hold that it accepts with the higher fence excludes a later
+ * start and shows whether it runs the task.
  */
 void
-az_sidecar_lose_or_suspend_task (struct az_sidecar *sidecar, uint32_t handle);
+az_sidecar_suspend_task (struct az_sidecar *sidecar, uint32_t handle);
 
 /** az_sidecar_transfer_task - moves a suspended task to the new incarnation, which gets a higher
  * fence; its first hold that doesn't list the task ends the task as lost */
@@ -250,29 +285,25 @@
 void
 az_sidecar_stop_late_start (struct az_sidecar *sidecar, uint32_t handle, uint32_t attempt);
 
-/** az_sidecar_end_task - reports the end to the gateway, and frees the capacity and the task */
-void
-az_sidecar_end_task (struct az_sidecar *sidecar, uint32_t handle, enum az_task_end how);
-void
-az_sidecar_expire_tasks (struct az_sidecar *sidecar);
+/* upstream_incarnation.c */
 
-/** az_sidecar_has_orphans - whether a task of a closed session of the gateway, or of a former
- * process of this sidecar, may still run */
+/** az_sidecar_shows_restart - whether the answer to a request to the present incarnation comes from
+ * another one of the same instance id */
 bool
-az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner_gateway);
+az_sidecar_shows_restart (const struct az_sidecar *sidecar,
+                          const struct az_upstream_answer *answer);
 
-/* upstream_incarnation.c */
+/** az_sidecar_handle_restart - the upstream has answered as another incarnation of the same
+ * instance id, born at @started_ms, or at an unknown time if that is 0; nothing starts until that
+ * has announced itself */
+void
+az_sidecar_handle_restart (struct az_sidecar *sidecar, int64_t started_ms);
 
-/**
- * az_sidecar_handle_replacement - another incarnation answers at the upstream's address
- * @has_same_id: it has the instance id of the former one
- * @started_ms: its birth time, 0 if it isn't known
- *
- * The tasks of the former incarnation are lost or suspended. Nothing starts until the new one has
- * announced itself.
+/** az_sidecar_handle_other_instance - another instance id answers at the upstream's address: all
+ * tasks of the former incarnation are lost; nothing starts until the new one has announced itself
  */
 void
-az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id, int64_t started_ms);
+az_sidecar_handle_other_instance (struct az_sidecar *sidecar);
 bool
 az_sidecar_is_open (const struct az_sidecar *sidecar);
 
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -6,10 +6,6 @@
  * the upstream has seen a higher one or the attempt before was stopped. */
 #define START_RETRIES_MAX 6
 
-/* Leases that this process didn't ask for, of tasks that a former process started or that the
- * upstream started late, are at most one second long. */
-#define ADOPTED_LEASE_MAX_MS 1100
-
 struct task *
 az_sidecar_get_task (const struct az_sidecar *sidecar, uint32_t handle)
 {
@@ -107,7 +103,7 @@
   task->job_id = g_strdup (run->job_id);
   task->step = run->step;
   task->index = row->index;
-  task->attempt = row->attempt;
+  task->attempt = task->ordered_attempt = row->attempt;
   task->need = run->need;
   task->expected_us = (int64_t)run->expected_ms * AZ_US_PER_MS;
   task->specification = g_bytes_ref (specification);
@@ -189,15 +185,25 @@
   };
 
   task->is_stop_in_flight = true;
+  task->stopped_attempt = task->attempt;
+  task->stopped_life = task->life;
   sidecar->io.stop (sidecar->io.context, handle, &stop);
 }
 
+void
+az_sidecar_reset_stop (struct task *task)
+{
+  task->is_stop_requested = false;
+  task->is_stop_acknowledged = false;
+}
+
 static void
 request_stop (struct az_sidecar *sidecar, uint32_t handle)
 {
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
-  if (task->is_stop_requested)
+  /* The first accepted hold decides on a suspended task; it is stopped only if it is listed. */
+  if (task->is_stop_requested || task->state == TASK_SUSPENDED)
     return;
   task->is_stop_requested = true;
   if (task->life == sidecar->life.number && !task->is_stop_in_flight)
@@ -247,52 +253,6 @@
   az_sidecar_cancel_task (sidecar, handle);
 }
 
-static bool
-may_start_late (const struct task *task)
-{
-  return task->state != TASK_RUNNING || task->has_unanswered_start;
-}
-
-void
-az_sidecar_lose_or_suspend_task (struct az_sidecar *sidecar, uint32_t handle)
-{
-  struct task *task = az_sidecar_get_task (sidecar, handle);
-
-  if (!may_start_late (task))
-    {
-      az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
-      return;
-    }
-  task->state = TASK_SUSPENDED;
-  task->is_stop_requested = false;
-  task->is_stop_in_flight = false;
-  task->is_stop_acknowledged = false;
-  task->acknowledged_at_hold = UINT64_MAX;
-  /* The lease of a late start would begin when it is carried out, so no time is a bound. */
-  task->latest_end_us = INT64_MAX;
-}
-
-void
-az_sidecar_transfer_task (const struct az_sidecar *sidecar, struct task *task)
-{
-  task->life = sidecar->life.number;
-  task->acknowledged_at_hold = sidecar->hold.number;
-}
-
-void
-az_sidecar_stop_late_start (struct az_sidecar *sidecar, uint32_t handle, uint32_t attempt)
-{
-  struct task *task = az_sidecar_get_task (sidecar, handle);
-
-  az_log (LOG_NOTICE,
-          "event=late-start task=%s attempt=%u life=%" G_GUINT64_FORMAT " outcome=stopping",
-          task->name, attempt, task->life);
-  task->attempt = attempt;
-  task->state = TASK_RUNNING;
-  task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
-  az_sidecar_cancel_task (sidecar, handle);
-}
-
 static void
 record_end (struct az_sidecar *sidecar, const struct task *task, enum az_task_end how)
 {
@@ -318,7 +278,7 @@
     .job = task->job,
     .step = task->step,
     .index = task->index,
-    .attempt = task->attempt,
+    .attempt = MAX (task->attempt, task->ordered_attempt),
     .run_ms = (u_int)((sidecar->now_us - task->start_sent_us) / AZ_US_PER_MS),
   };
 
@@ -398,8 +358,7 @@
     }
   /* The attempt has never run, and the acknowledged stop prevents it from starting later. */
   task->attempt++;
-  task->is_stop_requested = false;
-  task->is_stop_acknowledged = false;
+  az_sidecar_reset_stop (task);
   task->acknowledged_at_hold = UINT64_MAX;
   retry_start (sidecar, handle);
 }
@@ -414,6 +373,11 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   if (!task || task->state != TASK_STARTING)
     return;
+  if (task->life == sidecar->life.number && az_sidecar_shows_restart (sidecar, answer))
+    {
+      az_sidecar_handle_restart (sidecar, answer->started_ms);
+      return;
+    }
   if (answer->clock_ms >= 0 && task->life == sidecar->life.number)
     az_lease_observe (&sidecar->lease, answer->clock_ms, sidecar->now_us);
   if (answer->result != AZ_UPSTREAM_OK)
@@ -452,7 +416,6 @@
       /* Only a stop of the same attempt, or the end of the lease, proves that the attempt won't
        * run. */
       task->state = TASK_UNCERTAIN;
-      task->has_unanswered_start = true;
       request_stop (sidecar, handle);
       break;
     }
@@ -466,9 +429,12 @@
   struct task *task = az_sidecar_get_task (sidecar, handle);
 
   sidecar->now_us = az_now_us (sidecar->clock);
+  az_sidecar_expire_task_sessions (sidecar);
   if (!task)
     return;
   task->is_stop_in_flight = false;
+  if (task->stopped_attempt != task->attempt || task->stopped_life != task->life)
+    return;
   if (answer->result == AZ_UPSTREAM_OK)
     {
       task->is_stop_acknowledged = true;
@@ -507,7 +473,7 @@
 }
 
 bool
-az_sidecar_has_orphans (const struct az_sidecar *sidecar, const char *owner_gateway)
+az_sidecar_has_orphans (const struct az_sidecar *sidecar, const struct session *session)
 {
   uint32_t handle = 0;
 
@@ -515,8 +481,8 @@
     {
       const struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->session == 0
-          && (!task->owner_gateway || !g_strcmp0 (task->owner_gateway, owner_gateway)))
+      if (task->session != session->handle
+          && (!task->owner_gateway || !g_strcmp0 (task->owner_gateway, session->gateway)))
         return true;
     }
   return false;
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -6,6 +6,11 @@
  * started. */
 #define UNREACHABLE_AFTER_FAILURES 2
 
+/* An answer that states no birth time and whose clock is behind that of an earlier answer by more
+ * than this comes from another incarnation: answers overtake each other by at most the time-out of
+ * a request, which is shorter. */
+#define ANSWER_DELAY_MAX_MS 1000
+
 const char *
 az_sidecar_closed_reason (const struct az_sidecar *sidecar)
 {
@@ -15,6 +20,8 @@
     return "stopping";
   if (sidecar->life.number == 0 || sidecar->life.has_left)
     return "no-upstream";
+  if (!sidecar->life.is_announced)
+    return "upstream-not-announced";
   if (sidecar->life.is_draining)
     return "upstream-draining";
   if (withdrawal->confirmed_us == 0)
@@ -44,7 +51,7 @@
 enum replacement
 {
   REPLACED_BY_ANOTHER, /* the former one has ended; the new one refuses requests to its id */
-  REPLACED_SAME_ID,    /* the former one has ended; the new one may carry out requests to it */
+  RESTARTED,           /* the former one has ended; the new one accepts requests to it */
   MOVED,               /* at another address: the former one runs until its leases have ended */
 };
 
@@ -63,8 +70,8 @@
     case REPLACED_BY_ANOTHER:
       az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
       break;
-    case REPLACED_SAME_ID:
-      az_sidecar_lose_or_suspend_task (sidecar, handle);
+    case RESTARTED:
+      az_sidecar_suspend_task (sidecar, handle);
       break;
     case MOVED:
       release_capacity (sidecar, az_sidecar_get_task (sidecar, handle));
@@ -89,7 +96,16 @@
 }
 
 static void
-transfer_suspended_tasks (struct az_sidecar *sidecar)
+clear_life (struct life *life)
+{
+  g_free (life->instance);
+  g_free (life->service);
+  g_free (life->address);
+  g_clear_pointer (&life->labels, g_ptr_array_unref);
+}
+
+static void
+transfer_suspended_tasks (struct az_sidecar *sidecar, uint64_t former_life)
 {
   uint32_t handle = 0;
 
@@ -97,90 +113,167 @@
     {
       struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->state == TASK_SUSPENDED)
+      if (task->life == former_life && task->state == TASK_SUSPENDED)
         az_sidecar_transfer_task (sidecar, task);
     }
 }
 
-void
-az_sidecar_handle_replacement (struct az_sidecar *sidecar, bool has_same_id, int64_t started_ms)
+static void
+log_life (const struct az_sidecar *sidecar)
 {
-  sidecar->life.successor_started_ms = has_same_id ? started_ms : 0;
-  if (sidecar->life.has_left)
-    return;
-  az_log (LOG_NOTICE, "event=upstream-replaced former=%s same_id=%s tasks=%u",
-          sidecar->life.instance, has_same_id ? "yes" : "no", az_table_rows_count (sidecar->tasks));
-  end_former_incarnation (sidecar, has_same_id ? REPLACED_SAME_ID : REPLACED_BY_ANOTHER);
-  az_sidecar_begin_fence (sidecar);
-  sidecar->lease.is_known = false;
-  sidecar->life.is_fenced = false;
-  sidecar->life.has_left = true;
+  const struct life *life = &sidecar->life;
+
+  az_log (LOG_NOTICE,
+          "event=upstream-life life=%" G_GUINT64_FORMAT
+          " instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
+          " cpu=%u fence=%" G_GUINT64_FORMAT " tasks=%u",
+          life->number, life->instance, life->service, life->address, life->started_ms,
+          life->capacity.cpu_milli, sidecar->fence, az_table_rows_count (sidecar->tasks));
 }
 
+/* Takes over @next, which replaces the present incarnation. A restarted upstream has lost the fence
+ * and the attempts that it knew, and its clock starts again, so only a higher fence excludes
+ * requests that were sent before. */
 static void
-clear_incarnation (struct life *life)
+begin_life (struct az_sidecar *sidecar, const struct life *next, enum replacement replacement)
 {
-  g_free (life->instance);
-  g_free (life->service);
-  g_free (life->address);
-  g_clear_pointer (&life->labels, g_ptr_array_unref);
+  struct life *life = &sidecar->life;
+  int64_t former_started_ms = MAX (life->started_ms, life->former_started_ms);
+  uint64_t former_life = life->number;
+
+  if (former_life > 0)
+    {
+      end_former_incarnation (sidecar, replacement);
+      az_sidecar_begin_fence (sidecar);
+    }
+  clear_life (life);
+  *life = *next;
+  life->number = former_life + 1;
+  if (replacement == RESTARTED)
+    life->former_started_ms = former_started_ms;
+  az_speed_init (&life->speed);
+  sidecar->lease.is_known = false;
+  g_array_set_size (sidecar->hold.in_flight, 0);
+  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
+                                       .in_flight = sidecar->hold.in_flight };
+  if (replacement == RESTARTED)
+    transfer_suspended_tasks (sidecar, former_life);
+  log_life (sidecar);
+}
+
+bool
+az_sidecar_shows_restart (const struct az_sidecar *sidecar, const struct az_upstream_answer *answer)
+{
+  if (answer->result == AZ_UPSTREAM_OTHER_INSTANCE)
+    return false;
+  if (answer->started_ms > 0)
+    return answer->started_ms != sidecar->life.started_ms;
+  return sidecar->lease.is_known && answer->clock_ms >= 0
+         && answer->clock_ms < sidecar->lease.clock_ms - ANSWER_DELAY_MAX_MS;
+}
+
+void
+az_sidecar_handle_restart (struct az_sidecar *sidecar, int64_t started_ms)
+{
+  const struct life *life = &sidecar->life;
+  const struct life next = {
+    .instance = g_strdup (life->instance),
+    .service = g_strdup (life->service),
+    .address = g_strdup (life->address),
+    .started_ms = started_ms,
+    .capacity = life->capacity,
+    .labels = g_ptr_array_new_with_free_func (g_free),
+  };
+
+  begin_life (sidecar, &next, RESTARTED);
+  az_sidecar_send_due_holds (sidecar);
+}
+
+void
+az_sidecar_handle_other_instance (struct az_sidecar *sidecar)
+{
+  if (!sidecar->life.has_left)
+    az_log (LOG_NOTICE, "event=upstream-replaced former=%s tasks=%u", sidecar->life.instance,
+            az_table_rows_count (sidecar->tasks));
+  end_former_incarnation (sidecar, REPLACED_BY_ANOTHER);
+  sidecar->life.has_left = true;
 }
 
 static enum replacement
 compare_incarnations (const struct life *life, const struct az_upstream_announcement *announcement)
 {
-  if (!strcmp (life->instance, announcement->instance))
-    return REPLACED_SAME_ID;
+  if (!life->instance || !strcmp (life->instance, announcement->instance))
+    return RESTARTED;
   return strcmp (life->address, announcement->address) != 0 ? MOVED : REPLACED_BY_ANOTHER;
 }
 
-/* A restarted upstream has lost the fence and the attempts that it knew, and its clock starts
- * again, so only a higher fence excludes requests that were sent before. */
 static void
-begin_incarnation (struct az_sidecar *sidecar, const struct az_upstream_announcement *announcement)
+begin_announced_life (struct az_sidecar *sidecar,
+                      const struct az_upstream_announcement *announcement)
 {
-  struct life *life = &sidecar->life;
-
-  if (life->number > 0)
-    {
-      end_former_incarnation (sidecar, compare_incarnations (life, announcement));
-      az_sidecar_begin_fence (sidecar);
-    }
-  clear_incarnation (life);
-  *life = (struct life){
-    .number = life->number + 1,
+  const struct life next = {
     .instance = g_strdup (announcement->instance),
     .service = g_strdup (announcement->service),
     .address = g_strdup (announcement->address),
     .started_ms = announcement->started_ms,
+    .capacity = announcement->capacity,
     .labels = g_ptr_array_new_with_free_func (g_free),
   };
-  az_speed_init (&life->speed);
-  sidecar->lease.is_known = false;
-  g_array_set_size (sidecar->hold.in_flight, 0);
-  sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
-                                       .in_flight = sidecar->hold.in_flight };
-  transfer_suspended_tasks (sidecar);
-  az_log (LOG_NOTICE,
-          "event=upstream-life life=%" G_GUINT64_FORMAT
-          " instance=%s service=%s address=%s born_ms=%" G_GINT64_FORMAT
-          " cpu=%u fence=%" G_GUINT64_FORMAT " tasks=%u",
-          life->number, life->instance, life->service, life->address, life->started_ms,
-          announcement->capacity.cpu_milli, sidecar->fence, az_table_rows_count (sidecar->tasks));
+
+  begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
+}
+
+/* Whether nothing is lost if an older announcement replaces the present incarnation. If that
+ * answers after all, its next announcement replaces the older one. */
+static bool
+is_abandoned (const struct az_sidecar *sidecar)
+{
+  return sidecar->hold.n_consecutive_failures >= UNREACHABLE_AFTER_FAILURES
+         && az_table_rows_count (sidecar->tasks) == 0;
 }
 
-/* Birth times come from the wall clock of the upstream's machine, which may have been set back. The
- * one that a restarted upstream has answered with belongs to the present incarnation. */
+/* Birth times come from the wall clock of the upstream's machine, which may have been set back, so
+ * one that is lower than a former one doesn't show which incarnation is newer. */
 static bool
-is_newer_incarnation (const struct life *life, const struct az_upstream_announcement *announcement)
+is_newer_incarnation (const struct az_sidecar *sidecar,
+                      const struct az_upstream_announcement *announcement)
 {
+  const struct life *life = &sidecar->life;
+
   if (life->number == 0)
     return true;
   if (!strcmp (life->instance, announcement->instance))
-    return announcement->started_ms > life->started_ms
-           || (life->has_left && life->successor_started_ms > 0
-               && announcement->started_ms == life->successor_started_ms);
-  return announcement->started_ms >= life->started_ms || life->has_left;
+    return announcement->started_ms > MAX (life->started_ms, life->former_started_ms);
+  return announcement->started_ms >= life->started_ms || life->has_left || is_abandoned (sidecar);
+}
+
+/* Only an answer can tell a restart after the clock was set back from a late announcement. */
+static bool
+may_be_restarted (const struct life *life, const struct az_upstream_announcement *announcement)
+{
+  return !strcmp (life->instance, announcement->instance)
+         && announcement->started_ms != life->started_ms;
+}
+
+/* An incarnation that was first seen in an answer has the service and address of the former one
+ * until it announces itself. */
+static void
+update_life (struct life *life, const struct az_upstream_announcement *announcement)
+{
+  if (!life->is_announced)
+    {
+      g_free (life->service);
+      g_free (life->address);
+      life->service = g_strdup (announcement->service);
+      life->address = g_strdup (announcement->address);
+    }
+  life->is_announced = true;
+  life->sequence = announcement->sequence;
+  life->is_draining = announcement->is_draining;
+  life->capacity = announcement->capacity;
+  g_ptr_array_set_size (life->labels, 0);
+  for (guint i = 0; i < announcement->labels->len; i++)
+    g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
 }
 
 bool
@@ -190,27 +283,24 @@
   struct life *life = &sidecar->life;
 
   sidecar->now_us = az_now_us (sidecar->clock);
-  if (is_newer_incarnation (life, announcement))
-    begin_incarnation (sidecar, announcement);
+  if (is_newer_incarnation (sidecar, announcement))
+    begin_announced_life (sidecar, announcement);
   else if (strcmp (life->instance, announcement->instance) != 0
            || announcement->started_ms != life->started_ms
-           || announcement->sequence <= life->sequence)
+           || (life->is_announced && announcement->sequence <= life->sequence))
     {
       az_log (LOG_INFO,
               "event=announcement-ignored instance=%s born_ms=%" G_GINT64_FORMAT
               " sequence=%" G_GUINT64_FORMAT " present=%s",
               announcement->instance, announcement->started_ms, announcement->sequence,
               life->instance);
+      if (life->has_left && may_be_restarted (life, announcement))
+        az_sidecar_send_immediate_hold (sidecar);
       return false;
     }
   if (announcement->is_draining && !life->is_draining)
     az_log (LOG_NOTICE, "event=upstream-draining instance=%s", life->instance);
-  life->sequence = announcement->sequence;
-  life->is_draining = announcement->is_draining;
-  life->capacity = announcement->capacity;
-  g_ptr_array_set_size (life->labels, 0);
-  for (guint i = 0; i < announcement->labels->len; i++)
-    g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
+  update_life (life, announcement);
   az_sidecar_send_due_holds (sidecar);
   return true;
 }
@@ -218,14 +308,17 @@
 void
 az_sidecar_upstream_left (struct az_sidecar *sidecar, const char *instance, int64_t started_ms)
 {
-  if (sidecar->life.number == 0 || strcmp (sidecar->life.instance, instance) != 0)
+  const struct life *life = &sidecar->life;
+
+  if (life->number == 0 || strcmp (life->instance, instance) != 0)
     return;
-  if (started_ms > 0 && started_ms < sidecar->life.started_ms)
+  if (started_ms > 0 && started_ms != life->started_ms
+      && started_ms <= MAX (life->started_ms, life->former_started_ms))
     {
       az_log (LOG_INFO,
               "event=departure-ignored instance=%s born_ms=%" G_GINT64_FORMAT
               " present_born_ms=%" G_GINT64_FORMAT,
-              instance, started_ms, sidecar->life.started_ms);
+              instance, started_ms, life->started_ms);
       return;
     }
   sidecar->life.has_left = true;
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -82,6 +82,14 @@
  */
 void
 sidecar_rig_send_run (struct sidecar_rig *rig, uint32_t session, uint64_t job, uint32_t index);
+
+/** sidecar_rig_send_attempt - the same with this attempt, instead of the first */
+void
+sidecar_rig_send_attempt (struct sidecar_rig *rig,
+                          uint32_t session,
+                          uint64_t job,
+                          uint32_t index,
+                          uint32_t attempt);
 void
 sidecar_rig_answer_start (struct sidecar_rig *rig, guint request, enum az_upstream_result result);
 void
@@ -94,6 +102,11 @@
 void
 sidecar_rig_fail_hold (struct sidecar_rig *rig, enum az_upstream_result result);
 
+/** sidecar_rig_answer_hold_as - answers the last hold as an incarnation with this birth time that
+ * runs nothing */
+void
+sidecar_rig_answer_hold_as (struct sidecar_rig *rig, int64_t started_ms);
+
 /** sidecar_rig_advance - advances the clock in ticks of 25 ms */
 void
 sidecar_rig_advance (struct sidecar_rig *rig, int64_t ms);
--- a/tests/test_gateway_pause.py
+++ b/tests/test_gateway_pause.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 
-from test_upstream_rebirth import HOST, Cluster, wait_for
+from rebirth_cluster import HOST, Cluster, ClusterExecutor, wait_for
 
 PAUSE_S = 0.2
 WAIT_S = 0.5
@@ -28,8 +28,7 @@
 async def play():
     """Returns the ids of the jobs that have run."""
     with tempfile.TemporaryDirectory() as folder:
-        cluster = Cluster(folder)
-        cluster.withheld.set_result(None)
+        cluster = Cluster(folder, ClusterExecutor)
         await cluster.open()
         try:
             await wait_for(cluster.submit())
