Raise the fence when an unstopped start is given up

Cause: a start request without an answer, whose stop wasn't acknowledged either, ended as lost with its lease, and the task ran elsewhere. Nothing but the lease end that the request states excluded that the upstream carries it out later. Holds extend the upstream's deadline meanwhile, and the protocol doesn't say that the request's own deadline still limits the start then; if it doesn't, callers' tasks run twice.

Change: the fence rises when such a task ends, so that a late start is refused once the upstream has answered a hold.

Result: test_start_lost_with_its_lease_is_excluded_by_the_fence and test_start_that_expired_unstopped_is_excluded_by_the_fence failed before and pass now; test_stopped_start_raises_no_fence passes before and after.

--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -345,6 +345,20 @@
   send_start (sidecar, handle);
 }
 
+/* Ends a task that doesn't run at present. A start request that was neither answered nor stopped
+ * may still be carried out, unless the upstream knows a higher fence by then. */
+static void
+lose_task (struct az_sidecar *sidecar, uint32_t handle)
+{
+  const struct task *task = az_sidecar_get_task (sidecar, handle);
+  bool may_start_late = (task->state == TASK_STARTING || task->state == TASK_UNCERTAIN)
+                        && !task->is_stop_acknowledged && task->life == sidecar->life.number;
+
+  if (may_start_late)
+    az_sidecar_begin_fence (sidecar);
+  az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+}
+
 void
 az_sidecar_handle_missing_task (struct az_sidecar *sidecar, uint32_t handle)
 {
@@ -352,8 +366,10 @@
 
   if (task->state != TASK_UNCERTAIN || !task->is_stop_acknowledged || task->is_cancelled)
     {
-      az_sidecar_end_task (sidecar, handle,
-                           task->is_stop_acknowledged ? AZ_TASK_STOPPED : AZ_TASK_LOST);
+      if (task->is_stop_acknowledged)
+        az_sidecar_end_task (sidecar, handle, AZ_TASK_STOPPED);
+      else
+        lose_task (sidecar, handle);
       return;
     }
   /* The attempt has never run, and the acknowledged stop prevents it from starting later. */
@@ -464,7 +480,7 @@
       bool is_current = task->life == sidecar->life.number;
 
       if (sidecar->now_us >= task->latest_end_us)
-        az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+        lose_task (sidecar, handle);
       else if (task->is_stop_requested && !task->is_stop_in_flight && !task->is_stop_acknowledged
                && is_current)
         send_stop (sidecar, handle);
