--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -134,6 +134,7 @@
         { EMULATOR_CRASH, 2, 18, 1, 2, 1 },
         { EMULATOR_POWER_LOSS, 8, 9.8, 0, 0, 1 } } },
     { "busy, two crash", 1.0, { { EMULATOR_CRASH, 5, 9, 5, 2, 1 } } },
+    { "busy, tasks that crash", 1.0, { { EMULATOR_CRASHING_JOBS, 2, 20, 0, 0, 0.1 } } },
   };
   unsigned first = argc > 1 ? (unsigned)atoi (argv[1]) : 1;
   unsigned count = argc > 2 ? (unsigned)atoi (argv[2]) : 5;
--- a/bench/emulator/calls.c
+++ b/bench/emulator/calls.c
@@ -75,6 +75,8 @@
       world->metrics.result.n_runs++;
       answer.result = emu_upstream_start (world->upstreams[node->index], start, job->cpu_milli,
                                           job->work_us[atoi (parts[3])], fails);
+      if (answer.result == AZ_UPSTREAM_OK && job->crashes_upstream && atoi (parts[3]) == 0)
+        emu_schedule_crash (world, node->index, start->task);
     }
   schedule_call_answer (world, &answer);
 }
@@ -97,6 +99,7 @@
 {
   unsigned upstream;
   uint64_t number;
+  bool is_refused;
 };
 
 static void
@@ -117,7 +120,9 @@
       }
   if (hold.number == 0 || !world->is_powered)
     return;
-  if (!hold.is_call_delivered || emu_upstream_is_down (world->upstreams[event->upstream]))
+  if (event->is_refused)
+    lists.answer = (struct az_upstream_answer){ .result = AZ_UPSTREAM_NOT_SENT, .clock_ms = -1 };
+  else if (!hold.is_call_delivered || emu_upstream_is_down (world->upstreams[event->upstream]))
     lists.answer = (struct az_upstream_answer){ .result = AZ_UPSTREAM_UNANSWERED, .clock_ms = -1 };
   else
     emu_upstream_list_tasks (world->upstreams[event->upstream], hold.last_processed_end, &lists);
@@ -127,12 +132,17 @@
 }
 
 static void
-schedule_hold_answer (struct world *world, unsigned upstream, uint64_t number, int64_t at_us)
+schedule_hold_answer (struct world *world,
+                      unsigned upstream,
+                      uint64_t number,
+                      int64_t at_us,
+                      bool is_refused)
 {
   struct hold_event *event = g_new0 (struct hold_event, 1);
 
   event->upstream = upstream;
   event->number = number;
+  event->is_refused = is_refused;
   emu_schedule (world->events, at_us, answer_hold, world, event);
 }
 
@@ -147,12 +157,15 @@
 
   hold.is_call_delivered = is_call_delivered (world, node->index);
   g_array_append_val (world->holds[node->index], hold);
-  if (!hold.is_call_delivered)
+  if (world->refuses_connections[node->index])
+    wait_us = 0;
+  else if (!hold.is_call_delivered)
     wait_us += HOLD_TIMEOUT_EXTRA_US;
   else if (emu_upstream_has_new_ends (upstream, hold.last_processed_end))
     wait_us = 0;
   schedule_hold_answer (world, node->index, number,
-                        emu_now_us (world->events) + wait_us + LOCAL_CALL_US);
+                        emu_now_us (world->events) + wait_us + LOCAL_CALL_US,
+                        world->refuses_connections[node->index]);
 }
 
 void
@@ -167,6 +180,6 @@
 
       if (hold->is_call_delivered)
         schedule_hold_answer (world, upstream, hold->number,
-                              emu_now_us (world->events) + LOCAL_CALL_US);
+                              emu_now_us (world->events) + LOCAL_CALL_US, false);
     }
 }
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -28,14 +28,17 @@
 
 enum emulator_fault_kind
 {
-  EMULATOR_SLOW,       /* run times are multiplied by the factor */
-  EMULATOR_STALL,      /* running tasks make no progress */
-  EMULATOR_FAIL,       /* the factor is the share of tasks that fail */
-  EMULATOR_CRASH,      /* the upstreams are down and have lost their tasks */
-  EMULATOR_WITHDRAW,   /* a failure domain is withdrawn from service */
-  EMULATOR_BURST,      /* the arrival rate is multiplied by the factor */
-  EMULATOR_CALL_LOSS,  /* the factor is the share of calls to upstreams that are lost */
-  EMULATOR_POWER_LOSS, /* all gateways and sidecars lose power and their state */
+  EMULATOR_SLOW,           /* run times are multiplied by the factor */
+  EMULATOR_STALL,          /* running tasks make no progress */
+  EMULATOR_FAIL,           /* the factor is the share of tasks that fail */
+  EMULATOR_CRASH,          /* the upstreams are down and have lost their tasks */
+  EMULATOR_WITHDRAW,       /* a failure domain is withdrawn from service */
+  EMULATOR_BURST,          /* the arrival rate is multiplied by the factor */
+  EMULATOR_CALL_LOSS,      /* the factor is the share of calls to upstreams that are lost */
+  EMULATOR_POWER_LOSS,     /* all gateways and sidecars lose power and their state */
+  EMULATOR_CRASHING_JOBS,  /* the factor is the share of jobs of the kind @first that have a task
+                            * which crashes its upstream shortly after its start */
+  EMULATOR_RANDOM_CRASHES, /* upstreams crash by themselves; the factor is the rate per second */
 };
 
 /** struct emulator_fault - affects @count upstreams from @first on, the domain @first, or all */
@@ -88,6 +91,8 @@
   double late_core_s;     /* work of the jobs that were completed late */
   double mean_refusal_ms; /* from arrival to refusal */
   unsigned n_runs;
+  unsigned n_crashes;          /* of upstreams, caused by tasks or random */
+  unsigned n_suspected;        /* times that a gateway suspected a queue */
   unsigned n_overlapping_runs; /* starts of a task that was still running */
   unsigned n_unanswered;       /* jobs without an answer at the end */
   unsigned n_returned;         /* refused jobs that were sent again */
--- a/bench/emulator/ideal.c
+++ b/bench/emulator/ideal.c
@@ -43,7 +43,8 @@
         *is_closed = true;
       else if (fault->kind == EMULATOR_WITHDRAW)
         *is_closed |= upstream % ideal->scenario->n_domains == fault->first;
-      else if (fault->kind != EMULATOR_BURST && fault->kind != EMULATOR_CALL_LOSS)
+      else if (fault->kind != EMULATOR_BURST && fault->kind != EMULATOR_CALL_LOSS
+               && fault->kind != EMULATOR_CRASHING_JOBS && fault->kind != EMULATOR_RANDOM_CRASHES)
         *is_closed |= is_affected;
     }
   return speed_factor;
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -72,6 +72,22 @@
   return scenario->n_gateways - 1;
 }
 
+/* Draws nothing without such a fault, so that the load of other scenarios is the same with any
+ * kind of fault. */
+static bool
+draw_crashing (const struct emulator_scenario *scenario, unsigned kind, double at_s, GRand *random)
+{
+  for (unsigned i = 0; i < scenario->n_faults; i++)
+    {
+      const struct emulator_fault *fault = &scenario->faults[i];
+
+      if (fault->kind == EMULATOR_CRASHING_JOBS && fault->first == kind && at_s >= fault->from_s
+          && at_s < fault->to_s)
+        return g_rand_double (random) < fault->factor;
+    }
+  return false;
+}
+
 static struct emu_job
 draw_job (const struct emulator_scenario *scenario, unsigned kind, int64_t at_us, GRand *random)
 {
@@ -164,6 +180,7 @@
           if (at_s >= scenario->duration_s)
             break;
           job = draw_job (scenario, kind, ARRIVALS_START_US + (int64_t)(at_s * 1e6), random);
+          job.crashes_upstream = draw_crashing (scenario, kind, at_s, random);
           g_array_append_val (load->jobs, job);
         }
       mark_large_jobs (load->jobs, kind);
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -308,6 +308,7 @@
   world->holds = g_new0 (GArray *, n_upstreams);
   world->incarnations = g_new0 (unsigned, n_upstreams);
   world->task_failure_share = g_new0 (double, n_upstreams);
+  world->refuses_connections = g_new0 (bool, n_upstreams);
   world->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   emu_metrics_init (&world->metrics, scenario);
   for (unsigned i = 0; i < n_upstreams; i++)
@@ -339,6 +340,7 @@
   g_free (world->holds);
   g_free (world->incarnations);
   g_free (world->task_failure_share);
+  g_free (world->refuses_connections);
 }
 
 struct emulator_result
@@ -353,6 +355,9 @@
     continue;
   for (unsigned i = 0; i < scenario->n_upstreams; i++)
     world.metrics.result.wasted_core_s += emu_upstream_wasted_core_s (world.upstreams[i]);
+  world.metrics.result.n_suspected = (unsigned)az_counters_get (
+      world.counters,
+      az_counters_register (world.counters, "azurerock_gateway_suspected_queues_total", ""));
   result = emu_metrics_finish (&world.metrics, world.load);
   destroy_world (&world);
   return result;
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -38,6 +38,7 @@
   struct node_context *sidecar_contexts;
   unsigned *incarnations;
   double *task_failure_share;
+  bool *refuses_connections; /* per upstream: its process has crashed, its machine runs */
   double call_loss_share;
   bool is_powered;
   int withdrawn_domain; /* -1 if none is withdrawn */
@@ -76,12 +77,14 @@
 void
 emu_answer_waiting_holds (void *context, unsigned upstream);
 
-/* troubles.c: faults, announcements of upstreams and of the withdrawn domain */
+/* troubles.c: crashes by tasks, faults, announcements of upstreams and of the withdrawn domain */
 void
 emu_announce_upstream (struct world *world, unsigned index);
 void
 emu_send_withdrawn (struct world *world);
 void
+emu_schedule_crash (struct world *world, unsigned index, const char *task);
+void
 emu_schedule_fault (struct world *world, unsigned index, bool begins, double at_s);
 
 #endif
--- a/bench/emulator/world.h
+++ b/bench/emulator/world.h
@@ -27,7 +27,8 @@
   double value;
   double core_s;
   bool is_large;
-  int64_t returned_us; /* when its caller sent it again after a refusal, 0 if it didn't */
+  bool crashes_upstream; /* its first task does */
+  int64_t returned_us;   /* when its caller sent it again after a refusal, 0 if it didn't */
   bool is_submitted;
   bool is_answered;
 };
