Isolate queues that are suspected of crashing upstreams

Callers of all kinds were refused or waited in vain while a tenth of the jobs of one kind crashed each upstream that started them.

Cause: every queue may use every upstream, so the crashes of one end the tasks of all. A job with a task that fits no upstream of its part runs on any. While the isolated upstreams are down, jobs of the queue that can't wait for their return are refused as not run, with Retry-After when they are expected back.

--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -12,12 +12,17 @@
 
 /**
  * struct forecast - what the jobs of a service that wait at this gateway can expect
+ * @room: upstreams on which the jobs have to run
+ * @closed_s: time until an isolated upstream opens; 0 if one is open, or if the jobs can run
+ *   elsewhere
  * @cores: cores that this gateway can expect to use
  * @queued_work: core-seconds of the waiting tasks up to the job that is examined
  */
 struct forecast
 {
   const char *service;
+  enum az_room room;
+  double closed_s;
   struct az_capacity capacity;
   double cores;
   double queued_work;
@@ -26,16 +31,21 @@
 /* The rate at which work ends is not used for the cores, since it changes only some time after a
  * withdrawal. */
 static void
-init_forecast (const struct az_gateway *gateway, struct forecast *forecast, const char *service)
+init_forecast (const struct az_gateway *gateway,
+               struct forecast *forecast,
+               const char *service,
+               enum az_room room)
 {
   struct az_candidates candidates;
 
-  *forecast = (struct forecast){ .service = service };
-  az_candidates_init (&candidates, gateway, service);
+  *forecast = (struct forecast){ .service = service, .room = room };
+  az_candidates_init (&candidates, gateway, service, room);
   az_gateway_measure_capacity (gateway, &candidates, &forecast->capacity);
   az_candidates_clear (&candidates);
   forecast->cores
       = forecast->capacity.total_cores * MAX (forecast->capacity.own_share, USABLE_SHARE_MIN);
+  if (room == AZ_ROOM_ISOLATED && forecast->cores <= 0)
+    forecast->closed_s = az_gateway_isolated_return_s (gateway, service);
 }
 
 static double
@@ -75,7 +85,7 @@
   double left_s = seconds_until_latest_start (gateway, job);
 
   if (forecast->cores <= 0)
-    return left_s >= 0;
+    return left_s >= forecast->closed_s;
   return expected_wait_s (gateway, forecast, job) <= left_s;
 }
 
@@ -95,6 +105,15 @@
   return (gateway->now_us - oldest_us) / AZ_US_PER_MS;
 }
 
+/* The cores of closed upstreams are shared by all gateways; how many jobs each gets isn't known. */
+static double
+isolated_cores_when_open (const struct az_gateway *gateway, const struct forecast *forecast)
+{
+  guint n_gateways = 1 + g_hash_table_size (gateway->members);
+
+  return az_gateway_isolated_cores (gateway, forecast->service) / n_gateways;
+}
+
 static int64_t
 choose_retry_after_ms (const struct az_gateway *gateway,
                        const struct forecast *forecast,
@@ -107,7 +126,12 @@
     .mean_work_core_s = rates.offered_cores / MAX (rates.jobs_per_s, 1e-6),
   };
 
-  if (forecast->cores > 0)
+  if (forecast->closed_s > 0)
+    {
+      retry.excess_s = forecast->closed_s;
+      retry.open_cores = isolated_cores_when_open (gateway, forecast);
+    }
+  else if (forecast->cores > 0)
     retry.excess_s = expected_wait_s (gateway, forecast, job)
                      - MAX (seconds_until_latest_start (gateway, job), 0);
   return az_retry_after_next_ms (&job->queue->retry_after, gateway->now_us, &retry);
@@ -132,9 +156,10 @@
 }
 
 static bool
-is_waiting (const struct job *job, const char *service)
+is_waiting (const struct job *job, const struct forecast *forecast)
 {
-  return job && job->n_waiting > 0 && !strcmp (job->queue->service, service);
+  return job && job->n_waiting > 0 && job->room == forecast->room
+         && !strcmp (job->queue->service, forecast->service);
 }
 
 /* Finds the job with the lowest value per work among the first @n jobs of the service, except those
@@ -143,7 +168,7 @@
 find_least_valuable (const struct az_gateway *gateway,
                      const GPtrArray *jobs,
                      guint n,
-                     const char *service)
+                     const struct forecast *forecast)
 {
   const struct job *least = NULL;
   double least_value = 0;
@@ -154,7 +179,7 @@
       const struct job *job = jobs->pdata[i];
       double value;
 
-      if (!is_waiting (job, service) || job->was_placed)
+      if (!is_waiting (job, forecast) || job->was_placed)
         continue;
       value = az_gateway_value_per_work (gateway, job->queue);
       if (least && value >= least_value
@@ -168,21 +193,24 @@
 }
 
 static void
-refuse_excess_of_service (struct az_gateway *gateway, GPtrArray *jobs, const char *service)
+refuse_excess_of_service (struct az_gateway *gateway,
+                          GPtrArray *jobs,
+                          const char *service,
+                          enum az_room room)
 {
   struct forecast forecast;
 
-  init_forecast (gateway, &forecast, service);
+  init_forecast (gateway, &forecast, service, room);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct job *job = jobs->pdata[i];
 
-      if (!is_waiting (job, service))
+      if (!is_waiting (job, &forecast))
         continue;
       forecast.queued_work += az_gateway_job_work_core_s (gateway, job, true);
       while (!can_start_in_time (gateway, &forecast, job))
         {
-          guint least = find_least_valuable (gateway, jobs, i + 1, service);
+          guint least = find_least_valuable (gateway, jobs, i + 1, &forecast);
           struct job *refused;
           double work;
 
@@ -202,13 +230,17 @@
 void
 az_gateway_refuse_excess (struct az_gateway *gateway, GPtrArray *jobs)
 {
-  g_autoptr (GHashTable) services = g_hash_table_new (g_str_hash, g_str_equal);
-
-  for (guint i = 0; i < jobs->len; i++)
+  for (enum az_room room = AZ_ROOM_ANY; room <= AZ_ROOM_ISOLATED; room++)
     {
-      const struct job *job = jobs->pdata[i];
+      g_autoptr (GHashTable) services = g_hash_table_new (g_str_hash, g_str_equal);
 
-      if (job && job->n_waiting > 0 && g_hash_table_add (services, job->queue->service))
-        refuse_excess_of_service (gateway, jobs, job->queue->service);
+      for (guint i = 0; i < jobs->len; i++)
+        {
+          const struct job *job = jobs->pdata[i];
+
+          if (job && job->n_waiting > 0 && job->room == room
+              && g_hash_table_add (services, job->queue->service))
+            refuse_excess_of_service (gateway, jobs, job->queue->service, room);
+        }
     }
 }
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -5,8 +5,11 @@
 static bool
 accepts_tasks (const struct az_gateway *gateway,
                const struct upstream *upstream,
-               const char *service)
+               const char *service,
+               enum az_room room)
 {
+  if (room != AZ_ROOM_ANY && upstream->is_isolated != (room == AZ_ROOM_ISOLATED))
+    return false;
   return upstream->is_open && upstream->session && strcmp (upstream->service, service) == 0
          && !az_gateway_is_withdrawn (gateway, upstream->domain);
 }
@@ -14,9 +17,11 @@
 void
 az_candidates_init (struct az_candidates *candidates,
                     const struct az_gateway *gateway,
-                    const char *service)
+                    const char *service,
+                    enum az_room room)
 {
   candidates->service = service;
+  candidates->room = room;
   candidates->regular = g_ptr_array_new ();
   candidates->probe_only = g_ptr_array_new ();
   for (guint i = 0; i < gateway->upstreams->len; i++)
@@ -26,7 +31,7 @@
       guint at = (guint)((gateway->incarnation + i) % gateway->upstreams->len);
       struct upstream *upstream = gateway->upstreams->pdata[at];
 
-      if (!accepts_tasks (gateway, upstream, service))
+      if (!accepts_tasks (gateway, upstream, service, room))
         continue;
       if (az_speed_is_slow (upstream->speed)
           || az_ejector_is_ejected (gateway->ejector, upstream->handle))
--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 static double
-sum_offered_cores (const struct az_gateway *gateway, const char *service)
+sum_offered_cores (const struct az_gateway *gateway, const struct az_candidates *candidates)
 {
   double offered = 0;
   GHashTableIter iterator;
@@ -13,7 +13,8 @@
     {
       const struct queue *queue = value;
 
-      if (!strcmp (queue->service, service))
+      if (!strcmp (queue->service, candidates->service)
+          && az_gateway_is_queue_in_room (gateway, queue, candidates->room))
         offered += az_gateway_queue_rates (gateway, queue).offered_cores;
     }
   return offered;
@@ -46,6 +47,6 @@
       capacity->free_cores += upstream->free.cpu_milli / 1000.0;
       others_cores += (used_milli - MIN (upstream->used_cpu_milli, used_milli)) / 1000.0;
     }
-  capacity->offered_cores = sum_offered_cores (gateway, candidates->service);
+  capacity->offered_cores = sum_offered_cores (gateway, candidates);
   capacity->own_share = own_share (capacity->offered_cores, others_cores);
 }
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -37,6 +37,12 @@
   g_free (queue);
 }
 
+static void
+destroy_suspicion (gpointer value)
+{
+  az_crash_suspicion_destroy (value);
+}
+
 static void
 register_counters (struct az_gateway *gateway)
 {
@@ -60,6 +66,8 @@
     { &gateway->c_moved, "azurerock_gateway_moves_total", "Tasks moved off a slow upstream" },
     { &gateway->c_examined, "azurerock_gateway_examined_total",
       "Upstreams examined in the search for room" },
+    { &gateway->c_suspected, "azurerock_gateway_suspected_queues_total",
+      "Queues that came under suspicion of crashing upstreams" },
   };
 
   az_histogram_init (&gateway->response_ms, gateway->counters, "azurerock_gateway_response_ms",
@@ -92,6 +100,7 @@
   gateway->job_ids = g_hash_table_new (g_str_hash, g_str_equal);
   gateway->callers = g_hash_table_new (NULL, NULL);
   gateway->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_queue);
+  gateway->suspicions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_suspicion);
   gateway->withdrawals.domains = g_ptr_array_new_with_free_func (g_free);
   gateway->ejector = az_ejector_create (clock);
   gateway->crash_record = az_crash_record_create ();
@@ -121,6 +130,7 @@
   g_hash_table_unref (gateway->job_ids);
   g_hash_table_unref (gateway->callers);
   g_hash_table_unref (gateway->queues);
+  g_hash_table_unref (gateway->suspicions);
   g_ptr_array_unref (gateway->withdrawals.domains);
   az_ejector_destroy (gateway->ejector);
   az_crash_record_destroy (gateway->crash_record);
@@ -149,6 +159,7 @@
   az_gateway_expire_jobs (gateway);
   az_gateway_connect_members (gateway);
   az_gateway_choose_working_set (gateway);
+  az_gateway_update_isolation (gateway);
   az_gateway_relay_withdrawn (gateway);
   az_gateway_request_updates (gateway);
   az_gateway_send_heartbeats (gateway);
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -88,6 +88,7 @@
   az_log (LOG_NOTICE, "event=upstream-crashed instance=%s queue=%s job=%s task=%u.%u",
           upstream->instance, message->queue[0] ? message->queue : "-",
           message->job_id[0] ? message->job_id : "-", message->step, message->index);
+  az_gateway_record_crash (gateway, upstream, message);
   if (!message->job_id[0] || !az_gateway_count_named_task (gateway, job, upstream, message))
     return;
   az_gateway_give_up_crashed_job (gateway, job);
--- a/src/gateway/feasibility.c
+++ b/src/gateway/feasibility.c
@@ -22,6 +22,13 @@
   return !label || g_ptr_array_find_with_equal_func (upstream->labels, label, g_str_equal, NULL);
 }
 
+bool
+az_gateway_can_run_step (const struct az_job_step *step, const struct upstream *upstream)
+{
+  return has_label (upstream, step->required_label)
+         && az_resources_fit (&step->need, &upstream->capacity);
+}
+
 static struct fit
 find_fit (const struct az_gateway *gateway, const char *service, const struct az_job_step *step)
 {
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -121,7 +121,7 @@
   struct az_candidates candidates;
   struct upstream *best;
 
-  az_candidates_init (&candidates, gateway, job->queue->service);
+  az_candidates_init (&candidates, gateway, job->queue->service, job->room);
   best = find_best (gateway, &candidates, job, step_index, avoid);
   az_candidates_clear (&candidates);
   return best;
@@ -240,6 +240,7 @@
     .deadline_ms = (u_int)MAX ((job->deadline_us - gateway->now_us) / AZ_US_PER_MS, 0),
     .tasks = { tasks->len, (struct az_run_task *)(void *)tasks->data },
   };
+  az_traffic_record (&job->queue->starts, gateway->now_us, &(struct az_traffic_job){ 0 });
   az_gateway_reserve_resources (upstream, &step->need, tasks->len);
   az_log (LOG_INFO,
           "event=place job=%s step=%zu tasks=%u upstream=%s waited_ms=%" G_GINT64_FORMAT
@@ -343,10 +344,11 @@
     {
       struct job *job = jobs->pdata[i];
 
-      if (!candidates.service || strcmp (candidates.service, job->queue->service) != 0)
+      if (!candidates.service || candidates.room != job->room
+          || strcmp (candidates.service, job->queue->service) != 0)
         {
           az_candidates_clear (&candidates);
-          az_candidates_init (&candidates, gateway, job->queue->service);
+          az_candidates_init (&candidates, gateway, job->queue->service, job->room);
         }
       if (!is_held_back (gateway, &candidates, job))
         place_job (gateway, &candidates, job);
--- a/src/gateway/queue.c
+++ b/src/gateway/queue.c
@@ -107,8 +107,10 @@
     {
       struct job *job = value;
 
-      if (job->n_waiting > 0 && !job->is_answered)
-        g_ptr_array_add (jobs, job);
+      if (job->n_waiting == 0 || job->is_answered)
+        continue;
+      job->room = az_gateway_choose_room (gateway, job);
+      g_ptr_array_add (jobs, job);
     }
   g_ptr_array_sort_with_data (jobs, compare_jobs, gateway);
   return jobs;
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -47,7 +47,7 @@
   if (upstream && upstream->session == handle)
     {
       upstream->session = 0;
-      upstream->is_open = false;
+      az_gateway_record_openness (gateway, upstream, false);
       az_gateway_orphan_tasks (gateway, upstream, reason);
     }
   g_hash_table_remove (gateway->sessions, GUINT_TO_POINTER (handle));
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -7,6 +7,7 @@
 #include "azurerock/resources.h"
 #include "azurerock/table.h"
 #include "dispatch/crash_record.h"
+#include "dispatch/crash_suspicion.h"
 #include "dispatch/retry_after.h"
 #include "dispatch/run_estimate.h"
 #include "dispatch/time_us.h"
@@ -51,6 +52,8 @@
  * @sidecar: incarnation of the sidecar process that @life comes from
  * @life: number of the upstream's incarnation, which each sidecar process counts from 1; 0 is none
  * @is_open: the sidecar accepts tasks
+ * @closed_us: when the sidecar last stopped to accept tasks, 0 if never
+ * @is_isolated: only tasks of suspected queues are to run here
  * @largest_capacity: maximum of each resource that @capacity had in this incarnation; the capacity
  *   may shrink and grow again
  * @free: @reported_free less @reservations
@@ -74,6 +77,8 @@
   uint64_t sidecar;
   uint64_t life;
   bool is_open;
+  int64_t closed_us;
+  bool is_isolated;
   char *service;
   GPtrArray *labels;
   struct az_resources capacity;
@@ -126,6 +131,14 @@
   uint32_t n_done;
 };
 
+/** enum az_room - upstreams of a service on which the tasks of a job may run */
+enum az_room
+{
+  AZ_ROOM_ANY,
+  AZ_ROOM_REGULAR,  /* those that aren't isolated */
+  AZ_ROOM_ISOLATED, /* those for suspected queues */
+};
+
 /**
  * struct job - one job of a caller
  * @objective_us: time until which an answer meets the latency objective
@@ -134,6 +147,7 @@
  *   with its upstream is lost
  * @n_started: starts of tasks, certain or possible; a start that the upstream refused isn't counted
  * @was_placed: at least one task was sent to an upstream
+ * @room: determined before each placement
  * @is_answered: the job only waits for its last tasks in flight
  */
 struct job
@@ -157,6 +171,7 @@
   uint32_t n_done;
   uint32_t n_started;
   bool was_placed;
+  enum az_room room;
   bool is_answered;
 };
 
@@ -170,6 +185,7 @@
   char *service;
   struct az_run_estimate run_estimate;
   struct az_traffic traffic;
+  struct az_traffic starts; /* counts run messages as jobs */
   struct az_retry_after retry_after;
 };
 
@@ -185,6 +201,7 @@
 /**
  * struct az_gateway - state of the core
  * @members: addresses of the other gateways
+ * @down_us: for how long the last upstream that has opened again was closed, 0 if unknown
  * @queued_cpu_milli: CPU that the waiting tasks need
  * @updates_requested_us: when updates were last requested from peers
  * @next_peer: index of the peer to ask next
@@ -211,6 +228,8 @@
   GHashTable *queues;   /* route name -> struct queue * */
   struct az_ejector *ejector;
   struct az_crash_record *crash_record;
+  GHashTable *suspicions; /* service -> struct az_crash_suspicion *, added with its first crash */
+  int64_t down_us;
   struct az_catalog *catalog;
   uint64_t catalog_revision;
   GBytes *catalog_text;
@@ -238,6 +257,7 @@
   uint32_t c_crashed;
   uint32_t c_moved;
   uint32_t c_examined;
+  uint32_t c_suspected;
   struct az_histogram response_ms; /* response times of completed jobs */
 };
 
@@ -315,6 +335,43 @@
                           struct upstream *upstream,
                           const struct az_node_report *report);
 
+/* isolation.c: a suspected queue runs only on isolated upstreams, and the other queues of the
+ * service only on the regular ones, so that its crashes don't end their tasks */
+
+/** az_gateway_is_suspected - whether tasks of the queue are suspected of crashing upstreams */
+bool
+az_gateway_is_suspected (const struct az_gateway *gateway, const struct queue *queue);
+
+/** az_gateway_is_queue_in_room - whether jobs of the queue usually run there */
+bool
+az_gateway_is_queue_in_room (const struct az_gateway *gateway,
+                             const struct queue *queue,
+                             enum az_room room);
+
+/** az_gateway_update_isolation - ends suspicions and chooses the isolated upstreams again */
+void
+az_gateway_update_isolation (struct az_gateway *gateway);
+void
+az_gateway_record_crash (struct az_gateway *gateway,
+                         const struct upstream *upstream,
+                         const struct az_node_crash *message);
+
+/** az_gateway_choose_room - returns where the job has to run; a job with a task that fits no
+ * upstream there may run on any */
+enum az_room
+az_gateway_choose_room (const struct az_gateway *gateway, const struct job *job);
+void
+az_gateway_record_openness (struct az_gateway *gateway, struct upstream *upstream, bool is_open);
+
+/** az_gateway_isolated_return_s - estimates when the first closed upstream that is isolated opens
+ */
+double
+az_gateway_isolated_return_s (const struct az_gateway *gateway, const char *service);
+
+/** az_gateway_isolated_cores - cores of all isolated upstreams, open or not */
+double
+az_gateway_isolated_cores (const struct az_gateway *gateway, const char *service);
+
 /* run_time.c */
 
 /** az_gateway_expected_run_us - estimates the run time of a task of the step on @upstream; if
@@ -440,7 +497,7 @@
 /* candidates.c */
 
 /**
- * struct az_candidates - upstreams of a service to which tasks may be sent
+ * struct az_candidates - upstreams of a service, in a room, to which tasks may be sent
  * @regular: struct upstream *
  * @probe_only: slow and ejected upstreams, which get single tasks as probes
  * @max_free: maximum of each resource that is free at one candidate; a task that needs more of a
@@ -449,6 +506,7 @@
 struct az_candidates
 {
   const char *service;
+  enum az_room room;
   GPtrArray *regular;
   GPtrArray *probe_only;
   struct az_resources max_free;
@@ -459,7 +517,8 @@
 void
 az_candidates_init (struct az_candidates *candidates,
                     const struct az_gateway *gateway,
-                    const char *service);
+                    const char *service,
+                    enum az_room room);
 
 /** az_candidates_update - computes @max_free again after free resources have shrunk */
 void
@@ -554,6 +613,10 @@
 
 /* feasibility.c */
 
+/** az_gateway_can_run_step - whether the upstream has the label and the capacity for a task */
+bool
+az_gateway_can_run_step (const struct az_job_step *step, const struct upstream *upstream);
+
 /** az_gateway_check_feasibility - returns why a new job can't be served, or NULL if it can;
  * *@is_permanent receives whether the reason is permanent */
 const char *
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -75,7 +75,7 @@
     az_log (LOG_NOTICE, "event=upstream instance=%s life=%" G_GUINT64_FORMAT " open=%s cpu=%u",
             upstream->instance, update->life, update->open ? "yes" : "no",
             upstream->capacity.cpu_milli);
-  upstream->is_open = update->open;
+  az_gateway_record_openness (gateway, upstream, update->open);
   /* A sidecar accepts tasks in a session only when the tasks of this gateway's former sessions have
    * ended. */
   if (update->open)
--- a/src/gateway/value.c
+++ b/src/gateway/value.c
@@ -19,11 +19,19 @@
   return 1 / MAX (az_gateway_queue_rates (gateway, queue).offered_cores, 1e-6);
 }
 
+/* Whether jobs of the queues run on the same upstreams. */
+static bool
+share_upstreams (const struct az_gateway *gateway, const struct queue *a, const struct queue *b)
+{
+  return !strcmp (a->service, b->service)
+         && az_gateway_is_suspected (gateway, a) == az_gateway_is_suspected (gateway, b);
+}
+
 /* Cores that become free per second: cores in use divided by the mean time for which a core is
  * held, which is known from the mix of the arrivals. */
 static double
 estimate_freed_cores_per_s (const struct az_gateway *gateway,
-                            const char *service,
+                            const struct queue *queue,
                             const struct az_capacity *capacity)
 {
   double needed_per_s = 0;
@@ -35,10 +43,10 @@
   g_hash_table_iter_init (&iterator, gateway->queues);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
-      const struct queue *queue = value;
+      const struct queue *other = value;
 
-      if (!strcmp (queue->service, service))
-        needed_per_s += az_gateway_queue_rates (gateway, queue).cores_per_s;
+      if (share_upstreams (gateway, other, queue))
+        needed_per_s += az_gateway_queue_rates (gateway, other).cores_per_s;
     }
   return (capacity->total_cores - capacity->free_cores) * needed_per_s / capacity->offered_cores;
 }
@@ -67,7 +75,7 @@
 
   if (factor <= 0)
     return 0;
-  freed = estimate_freed_cores_per_s (gateway, queue->service, capacity);
+  freed = estimate_freed_cores_per_s (gateway, queue, capacity);
   g_hash_table_iter_init (&iterator, gateway->queues);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
@@ -80,7 +88,7 @@
         .value_ratio = az_gateway_value_per_work (gateway, other) / own_value,
       };
 
-      if (rates.jobs_per_s > 0 && !strcmp (other->service, queue->service))
+      if (rates.jobs_per_s > 0 && share_upstreams (gateway, other, queue))
         cores = MAX (cores, az_protected_cores (&demand, freed));
     }
   return MIN (cores, PROTECTED_SHARE_MAX * capacity->total_cores) * factor;
@@ -99,7 +107,7 @@
     {
       const struct queue *other = value;
 
-      if (!strcmp (other->service, queue->service)
+      if (share_upstreams (gateway, other, queue)
           && az_gateway_value_per_work (gateway, other) > own_value * VALUE_MARGIN)
         cores += az_gateway_queue_rates (gateway, other).offered_cores;
     }
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -77,8 +77,10 @@
 on_answer (void *context, uint32_t caller, const struct az_job_answer *answer)
 {
   struct gateway_rig *rig = context;
-  const struct gateway_answer row
-      = { .caller = caller, .outcome = answer->outcome, .after_ms = rig->now_ms - 1000 };
+  const struct gateway_answer row = { .caller = caller,
+                                      .outcome = answer->outcome,
+                                      .after_ms = rig->now_ms - 1000,
+                                      .retry_after_ms = answer->retry_after_ms };
 
   g_array_append_val (rig->answers, row);
 }
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -25,6 +25,7 @@
   uint32_t caller;
   enum az_job_outcome outcome;
   int64_t after_ms; /* time since the rig was created */
+  int64_t retry_after_ms;
 };
 
 struct gateway_rig
