Forecast the return of isolated upstreams from restarts only

An upstream that was closed for a minute before would have made the gateway refuse jobs of a suspected queue for that time, and send their callers away for the longest time that Retry-After allows (10 s; the new test failed with it). Times above 10 s don't count now.

--- a/src/gateway/isolation.c
+++ b/src/gateway/isolation.c
@@ -10,6 +10,9 @@
 /* Assumed time for which a crashed upstream is down, until the first one has returned. */
 #define DOWN_DEFAULT_MS 3000
 
+/* Upstreams that were closed for longer weren't just restarted. */
+#define DOWN_MAX_MS 10000
+
 static struct az_crash_suspicion *
 find_suspicion (const struct az_gateway *gateway, const char *service)
 {
@@ -238,10 +241,13 @@
 void
 az_gateway_record_openness (struct az_gateway *gateway, struct upstream *upstream, bool is_open)
 {
+  int64_t down_us = gateway->now_us - upstream->closed_us;
+
   if (upstream->is_open && !is_open)
     upstream->closed_us = gateway->now_us;
-  else if (!upstream->is_open && is_open && upstream->closed_us > 0)
-    gateway->down_us = gateway->now_us - upstream->closed_us;
+  else if (!upstream->is_open && is_open && upstream->closed_us > 0
+           && down_us <= DOWN_MAX_MS * AZ_US_PER_MS)
+    gateway->down_us = down_us;
   upstream->is_open = is_open;
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -201,7 +201,7 @@
 /**
  * struct az_gateway - state of the core
  * @members: addresses of the other gateways
- * @down_us: for how long the last upstream that has opened again was closed, 0 if unknown
+ * @down_us: for how long the last restarted upstream was closed, 0 if unknown
  * @queued_cpu_milli: CPU that the waiting tasks need
  * @updates_requested_us: when updates were last requested from peers
  * @next_peer: index of the peer to ask next
--- a/tests/test_gateway_isolation.c
+++ b/tests/test_gateway_isolation.c
@@ -193,6 +193,24 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against callers that are sent away for the time for which an upstream was out of use. */
+static void
+test_long_closed_upstream_doesnt_count_for_retry_after (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (UPSTREAMS);
+
+  (void)state;
+  announce (rig, 1, 1, false, NULL);
+  gateway_rig_advance (rig, 60000, 0);
+  announce (rig, 1, 2, true, NULL);
+  suspect_fast (rig);
+  close_upstreams (rig, fill_isolated (rig));
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 2), AZ_JOB_NOT_RUN);
+  assert_in_range (find_answer (rig, 2)->retry_after_ms, 2500, 4000);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against jobs of other queues that are refused because isolated upstreams are down. */
 static void
 test_other_queues_are_served_while_isolated_upstreams_are_down (void **state)
@@ -313,6 +331,7 @@
     cmocka_unit_test (test_closed_upstreams_stay_isolated),
     cmocka_unit_test (test_suspected_queue_is_served_when_an_upstream_is_back),
     cmocka_unit_test (test_job_is_refused_while_isolated_upstreams_are_down),
+    cmocka_unit_test (test_long_closed_upstream_doesnt_count_for_retry_after),
     cmocka_unit_test (test_other_queues_are_served_while_isolated_upstreams_are_down),
     cmocka_unit_test (test_other_queues_use_isolated_upstreams_if_no_other_is_open),
     cmocka_unit_test (test_label_is_found_in_both_parts),
