Leave most upstreams to suspected queues with most of the work

A suspected queue that makes up nearly all of the load got a quarter of the room, and the other queues far more than they could use.

--- a/src/gateway/isolation.c
+++ b/src/gateway/isolation.c
@@ -4,7 +4,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Part of the upstreams of a service that is isolated while one of its queues is suspected. */
+/* Part of the upstreams of a service that is isolated while one of its queues is suspected. If the
+ * suspected queues have more of the work than the other part could bear, the parts are exchanged.
+ */
 #define ISOLATED_SHARE 0.25
 
 /* Assumed time for which a crashed upstream is down, until the first one has returned. */
@@ -82,13 +84,38 @@
   return list;
 }
 
+static double
+isolated_share (const struct az_gateway *gateway, const char *service)
+{
+  double suspected = 0;
+  double all = 0;
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, gateway->queues);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct queue *queue = value;
+      double cores
+          = az_traffic_measure (&queue->traffic, gateway->now_us, gateway->first_arrival_us)
+                .offered_cores;
+
+      if (strcmp (queue->service, service) != 0)
+        continue;
+      all += cores;
+      if (az_gateway_is_suspected (gateway, queue))
+        suspected += cores;
+    }
+  return suspected > (1 - ISOLATED_SHARE) * all ? 1 - ISOLATED_SHARE : ISOLATED_SHARE;
+}
+
 /* All gateways choose the same upstreams, by a hash of their names. Closed ones count too:
  * otherwise the choice would move through all upstreams as the isolated ones crash. */
 static void
 isolate_upstreams (struct az_gateway *gateway, const char *service)
 {
   g_autoptr (GPtrArray) list = list_upstreams (gateway, service);
-  guint n_isolated = MAX ((guint)round (list->len * ISOLATED_SHARE), 1);
+  guint n_isolated = MAX ((guint)round (list->len * isolated_share (gateway, service)), 1);
 
   if (list->len < 2)
     return;
--- a/tests/test_gateway_isolation.c
+++ b/tests/test_gateway_isolation.c
@@ -78,12 +78,12 @@
   return sessions_of_runs (rig, first);
 }
 
-/* Submits a job of the suspected queue that fills the isolated upstreams, and returns their
- * sessions. */
+/* Submits a job of the suspected queue with one task more than fits on the isolated upstreams, and
+ * returns their sessions. */
 static uint32_t
 fill_isolated (struct gateway_rig *rig)
 {
-  return submit (rig, 1, "fast", UPSTREAMS * TASKS_PER_UPSTREAM);
+  return submit (rig, 1, "fast", ISOLATED * TASKS_PER_UPSTREAM + 1);
 }
 
 static void
@@ -276,6 +276,22 @@
     }
 }
 
+/* Guards against a queue with nearly all of the work that is left with a quarter of the room. */
+static void
+test_queue_with_most_of_the_work_keeps_most_upstreams (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (UPSTREAMS);
+
+  (void)state;
+  suspect_fast (rig);
+  gateway_rig_submit (rig, 3, "fast", 200);
+  az_gateway_caller_disconnected (rig->core, 3);
+  gateway_rig_advance (rig, 40, 0);
+  assert_int_equal (__builtin_popcount (submit (rig, 2, "big", UPSTREAMS * TASKS_PER_UPSTREAM)),
+                    ISOLATED);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a queue that is suspected although it makes up all of the load, so that its room
  * would shrink without a gain for others. */
 static void
@@ -318,7 +334,8 @@
   (void)state;
   suspect_fast (rig);
   gateway_rig_advance (rig, 6100, 0);
-  assert_int_equal (__builtin_popcount (fill_isolated (rig)), UPSTREAMS);
+  assert_int_equal (__builtin_popcount (submit (rig, 1, "fast", UPSTREAMS * TASKS_PER_UPSTREAM)),
+                    UPSTREAMS);
   gateway_rig_destroy (rig);
 }
 
@@ -335,6 +352,7 @@
     cmocka_unit_test (test_other_queues_are_served_while_isolated_upstreams_are_down),
     cmocka_unit_test (test_other_queues_use_isolated_upstreams_if_no_other_is_open),
     cmocka_unit_test (test_label_is_found_in_both_parts),
+    cmocka_unit_test (test_queue_with_most_of_the_work_keeps_most_upstreams),
     cmocka_unit_test (test_only_queue_is_not_suspected),
     cmocka_unit_test (test_isolation_leaves_a_single_upstream_to_all),
     cmocka_unit_test (test_isolation_ends),
