Count one crash once if the run reached a later incarnation

Cause: the crash that NODE_CRASH names and the end of the task as crashed were matched by the incarnation in which the gateway had sent the task. A run message that arrives after the upstream's restart runs in the next incarnation, so its one crash counted twice and the job was shown as failed.

Change: the task itself remembers that the crash of the upstream that runs it is counted. The record no longer needs a look-up of one crash; its test now shows by a repeated addition that the crash is known.

Evidence: test_crash_of_a_later_incarnation_counts_once failed before (the job had failed after one crash) and passes now.

--- a/src/dispatch/crash_record.c
+++ b/src/dispatch/crash_record.c
@@ -123,17 +123,6 @@
   return true;
 }
 
-bool
-az_crash_record_contains (struct az_crash_record *record,
-                          const char *job_id,
-                          const struct az_crash *crash,
-                          int64_t now_us)
-{
-  const struct entry *entry = find_entry (record, job_id, now_us);
-
-  return entry && has_crash (entry, crash);
-}
-
 uint32_t
 az_crash_record_count (struct az_crash_record *record,
                        const char *job_id,
--- a/src/dispatch/crash_record.h
+++ b/src/dispatch/crash_record.h
@@ -36,13 +36,6 @@
                      const struct az_crash *crash,
                      int64_t now_us);
 
-/** az_crash_record_contains - whether this crash is recorded under this task of the job */
-bool
-az_crash_record_contains (struct az_crash_record *record,
-                          const char *job_id,
-                          const struct az_crash *crash,
-                          int64_t now_us);
-
 /** az_crash_record_count - number of crashes recorded under the task, at most a few */
 uint32_t
 az_crash_record_count (struct az_crash_record *record,
--- a/src/gateway/crashes.c
+++ b/src/gateway/crashes.c
@@ -25,18 +25,9 @@
 }
 
 bool
-az_gateway_count_ended_task (struct az_gateway *gateway,
-                             const struct job *job,
-                             struct task *task,
-                             const struct az_task_event *event)
+az_gateway_count_ended_task (struct task *task)
 {
-  const struct az_crash crash = {
-    .upstream = task->upstream, .life = task->life, .step = event->step, .index = event->index
-  };
-  bool is_counted
-      = az_crash_record_contains (gateway->crash_record, job->id, &crash, gateway->now_us);
-
-  return count_crashes (task, is_counted ? 0 : 1);
+  return count_crashes (task, task->is_crash_counted ? 0 : 1);
 }
 
 bool
@@ -50,8 +41,10 @@
                                   .step = message->step,
                                   .index = message->index };
   struct task *task = job ? az_gateway_find_task (job, message->step, message->index) : NULL;
-  bool is_new
-      = az_crash_record_add (gateway->crash_record, message->job_id, &crash, gateway->now_us);
 
-  return task && count_crashes (task, is_new ? 1 : 0);
+  if (!az_crash_record_add (gateway->crash_record, message->job_id, &crash, gateway->now_us)
+      || !task)
+    return false;
+  task->is_crash_counted |= task->state == TASK_SENT && task->upstream == upstream->handle;
+  return count_crashes (task, 1);
 }
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -61,7 +61,7 @@
       break;
     case AZ_TASK_CRASHED:
       az_gateway_requeue_task (gateway, job, event->step, task);
-      if (az_gateway_count_ended_task (gateway, job, task, event))
+      if (az_gateway_count_ended_task (task))
         az_gateway_give_up_crashed_job (gateway, job);
       break;
     case AZ_TASK_NO_ROOM:
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -186,10 +186,10 @@
   upstream->last_assigned_us = gateway->now_us;
   task->state = TASK_SENT;
   task->upstream = upstream->handle;
-  task->life = upstream->life;
   task->attempt++;
   task->sent_us = gateway->now_us;
   task->is_stopping = false;
+  task->is_crash_counted = false;
   job->steps[step_index].n_waiting--;
   job->n_waiting--;
   job->n_in_flight++;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -102,17 +102,19 @@
   TASK_DONE,
 };
 
-/** struct task - @n_crashes counts the upstreams that crashed under it, whichever gateway had sent
- * it
+/**
+ * struct task
+ * @n_crashes: number of upstreams that crashed under it, whichever gateway had sent it
+ * @is_crash_counted: the crash of the upstream that runs it is included in @n_crashes
  */
 struct task
 {
   enum task_state state;
   uint32_t upstream; /* handle of the one that runs, or last ran, the task; 0 if it never ran */
-  uint64_t life;     /* of @upstream, when the task was sent */
   uint32_t attempt;
   uint32_t n_failed;
   uint32_t n_crashes;
+  bool is_crash_counted;
   uint32_t n_moved;
   bool is_stopping;
   int64_t sent_us;
@@ -382,10 +384,7 @@
 
 /** az_gateway_count_ended_task - counts the crash of the upstream that ran the task */
 bool
-az_gateway_count_ended_task (struct az_gateway *gateway,
-                             const struct job *job,
-                             struct task *task,
-                             const struct az_task_event *event);
+az_gateway_count_ended_task (struct task *task);
 
 /** az_gateway_count_named_task - records the crash under the named task; @job is NULL if the job
  * isn't present */
--- a/tests/test_gateway_crash.c
+++ b/tests/test_gateway_crash.c
@@ -161,6 +161,26 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against counting one crash twice if the run message arrived at the next incarnation. */
+static void
+test_crash_of_a_later_incarnation_counts_once (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+  uint32_t session;
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  session = gateway_rig_get_run (rig, 0)->session;
+  gateway_rig_begin_life (rig, session, 2);
+  gateway_rig_report_crash (rig, session, 1, 0);
+  gateway_rig_end_run (rig, 0, AZ_TASK_CRASHED, 780);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), -1);
+  assert_int_equal (rig->runs->len, 2);
+  gateway_rig_report_crash (rig, gateway_rig_get_run (rig, 1)->session, 1, 0);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_FAILED);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against memory that grows with the number of crashes, and against a job that is refused
  * long after its crashes. */
 static void
@@ -188,7 +208,7 @@
   assert_int_equal (az_crash_record_count (record, "job1", 0, 0, AZ_CRASH_RECORD_MAX), 0);
   assert_int_equal (az_crash_record_count (record, "job2", 0, 0, AZ_CRASH_RECORD_MAX), 1);
   assert_int_equal (az_crash_record_count (record, "a", 0, 0, AZ_CRASH_RECORD_MAX), 2);
-  assert_true (az_crash_record_contains (record, "a", &first, AZ_CRASH_RECORD_MAX));
+  assert_false (az_crash_record_add (record, "a", &first, AZ_CRASH_RECORD_MAX));
   end_us = AZ_CRASH_RECORD_MAX + AZ_CRASH_RECORD_MS * AZ_US_PER_MS;
   assert_int_equal (az_crash_record_count (record, "a", 0, 0, end_us - 1), 2);
   assert_int_equal (az_crash_record_count (record, "a", 0, 0, end_us), 0);
@@ -207,6 +227,7 @@
     cmocka_unit_test (test_crashes_count_across_submissions_and_gateways),
     cmocka_unit_test (test_crash_for_another_gateway_counts_for_a_running_job),
     cmocka_unit_test (test_crashed_upstream_is_used_when_it_is_back),
+    cmocka_unit_test (test_crash_of_a_later_incarnation_counts_once),
     cmocka_unit_test (test_record_of_crashes_is_bounded_and_expires),
   };
 
