Count crashes that a restarted sidecar reports

Cause: a crash was identified by the upstream and the number of its incarnation, which each sidecar process counts from 1. After a restart of the sidecar, the next crash under the same task had the number of the former one, was taken for it, and the task was started again.

Change: the sidecar process belongs to the identity of a crash.

Evidence: test_crash_after_a_restart_of_the_sidecar_counts failed before (no answer after the second crash) and passes now.

--- a/src/dispatch/crash_record.c
+++ b/src/dispatch/crash_record.c
@@ -98,7 +98,8 @@
 has_crash (const struct entry *entry, const struct az_crash *crash)
 {
   for (uint32_t i = 0; i < entry->n_crashes; i++)
-    if (entry->crashes[i].upstream == crash->upstream && entry->crashes[i].life == crash->life
+    if (entry->crashes[i].upstream == crash->upstream && entry->crashes[i].sidecar == crash->sidecar
+        && entry->crashes[i].life == crash->life
         && is_under (&entry->crashes[i], crash->step, crash->index))
       return true;
   return false;
--- a/src/dispatch/crash_record.h
+++ b/src/dispatch/crash_record.h
@@ -14,10 +14,13 @@
 /** A caller resubmits a job within seconds of its failure or not at all. */
 #define AZ_CRASH_RECORD_MS 60000
 
-/** struct az_crash - the crash of one incarnation, @life, of an upstream under a task */
+/** struct az_crash - the crash of one incarnation, @life, of an upstream under a task
+ * @sidecar: incarnation of the sidecar process that reported it; each process counts lives from 1
+ */
 struct az_crash
 {
   uint32_t upstream;
+  uint64_t sidecar;
   uint64_t life;
   uint32_t step;
   uint32_t index;
--- a/src/gateway/crashes.c
+++ b/src/gateway/crashes.c
@@ -37,6 +37,7 @@
                              const struct az_node_crash *message)
 {
   const struct az_crash crash = { .upstream = upstream->handle,
+                                  .sidecar = upstream->sidecar,
                                   .life = upstream->life,
                                   .step = message->step,
                                   .index = message->index };
--- a/tests/test_gateway_crash.c
+++ b/tests/test_gateway_crash.c
@@ -161,6 +161,25 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a crash that isn't counted because a restarted sidecar counts the incarnations of
+ * its upstream from 1 again. */
+static void
+test_crash_after_a_restart_of_the_sidecar_counts (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_report_crash (rig, 1, 1, 0);
+  gateway_rig_report_upstream (rig, 1, false);
+  gateway_rig_end_run (rig, 0, AZ_TASK_CRASHED, 780);
+  gateway_rig_open_upstream (rig, 2, "s1", "d1", true);
+  assert_int_equal (rig->runs->len, 2);
+  gateway_rig_report_crash (rig, 2, 1, 0);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_FAILED);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against counting one crash twice if the run message arrived at the next incarnation. */
 static void
 test_crash_of_a_later_incarnation_counts_once (void **state)
@@ -187,9 +206,9 @@
 test_record_of_crashes_is_bounded_and_expires (void **state)
 {
   struct az_crash_record *record = az_crash_record_create ();
-  const struct az_crash first = { 1, 1, 0, 0 };
-  const struct az_crash second = { 1, 2, 0, 0 };
-  const struct az_crash other_task = { 1, 2, 0, 1 };
+  const struct az_crash first = { 1, 9, 1, 0, 0 };
+  const struct az_crash second = { 1, 9, 2, 0, 0 };
+  const struct az_crash other_task = { 1, 9, 2, 0, 1 };
   int64_t end_us;
 
   (void)state;
@@ -227,6 +246,7 @@
     cmocka_unit_test (test_crashes_count_across_submissions_and_gateways),
     cmocka_unit_test (test_crash_for_another_gateway_counts_for_a_running_job),
     cmocka_unit_test (test_crashed_upstream_is_used_when_it_is_back),
+    cmocka_unit_test (test_crash_after_a_restart_of_the_sidecar_counts),
     cmocka_unit_test (test_crash_of_a_later_incarnation_counts_once),
     cmocka_unit_test (test_record_of_crashes_is_bounded_and_expires),
   };
