Fail no job before all sidecars had time to connect

Cause: a gateway answered a job as failed, as one that can never run, when no upstream that it knew fitted it. Just after its start it knows only those whose sidecars have already connected.

Change: for 1.5 s after the start, the time in which sidecars connect, such a job is answered as not run. The test of jobs that fit nowhere waits for this time first and expects the same answer as before.

Evidence: test_job_is_not_failed_before_all_sidecars_connect failed before (failed instead of not run) and passes now.

--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -83,6 +83,7 @@
   gateway->io = *io;
   gateway->counters = counters;
   gateway->now_us = az_now_us (clock);
+  gateway->started_us = gateway->now_us;
   gateway->last_open_us = gateway->now_us;
   gateway->last_tick_us = gateway->now_us;
   gateway->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
--- a/src/gateway/feasibility.c
+++ b/src/gateway/feasibility.c
@@ -69,8 +69,10 @@
         continue;
       if (fit.is_possible_later)
         return "no upstream has at present the capacity that a task needs";
-      /* If there are more gateways, an upstream without a session with this one may fit. */
-      *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX;
+      /* If there are more gateways, an upstream without a session with this one may fit, as may
+       * one whose sidecar hasn't connected yet. */
+      *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX
+                      && gateway->now_us - gateway->started_us >= RECONNECT_GRACE_MS * AZ_US_PER_MS;
       return "no upstream has the capacity or label that a task needs";
     }
   return NULL;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -225,6 +225,7 @@
   guint next_peer;
   int64_t working_set_chosen_us;
   int64_t first_arrival_us;
+  int64_t started_us;
   int64_t last_open_us;
   int64_t last_tick_us;
   bool needs_placing;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -383,6 +383,7 @@
   struct gateway_rig *rig = gateway_rig_create (0);
 
   (void)state;
+  gateway_rig_advance (rig, 1500, 0);
   rig->capacity_milli[1] = 2000;
   gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
   gateway_rig_submit (rig, 1, "fast", 1);
@@ -390,6 +391,24 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against jobs answered as failed that fit an upstream whose sidecar hasn't connected yet
+ * after the start of the process. */
+static void
+test_job_is_not_failed_before_all_sidecars_connect (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  rig->capacity_milli[1] = 2000;
+  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  gateway_rig_open_upstream (rig, 2, "s2", "d1", true);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a crash after two hellos on one connection: the upstream of the first one would
  * keep the handle of the session after its end, and placing a task there would dereference NULL. */
 static void
@@ -680,6 +699,7 @@
     cmocka_unit_test (test_job_beyond_a_shrunk_capacity_is_not_failed),
     cmocka_unit_test (test_waiting_job_beyond_a_shrunk_capacity_is_refused),
     cmocka_unit_test (test_job_beyond_every_known_capacity_has_failed),
+    cmocka_unit_test (test_job_is_not_failed_before_all_sidecars_connect),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
     cmocka_unit_test (test_failing_upstream_is_ejected),
