Keep an upstream's largest capacity when its sidecar restarts

Cause: a restarted sidecar counts incarnations from 1, so the gateway takes the upstream for a new one and forgot its largest capacity. If the capacity had shrunk, jobs that fit again when it grows were answered as failed.

Change: the largest capacity is only forgotten when the same sidecar process reports a new incarnation. A gateway that starts while the capacity is shrunk still doesn't know the larger one.

Evidence: test_restarted_sidecar_keeps_the_largest_capacity failed before (failed instead of not run) and passes now.

--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -51,8 +51,8 @@
  * @sidecar: incarnation of the sidecar process that @life comes from
  * @life: number of the upstream's incarnation, which each sidecar process counts from 1; 0 is none
  * @is_open: the sidecar accepts tasks
- * @largest_capacity: maximum of each resource that @capacity had in this incarnation; the capacity
- *   may shrink and grow again
+ * @largest_capacity: maximum of each resource that @capacity had in this incarnation, or since
+ *   before a restart of the sidecar; the capacity may shrink and grow again
  * @free: @reported_free less @reservations
  * @n_runs_sent: number of run messages sent in the present session
  * @n_tasks: number of this gateway's tasks at the upstream in %TASK_SENT
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -42,8 +42,10 @@
             struct upstream *upstream,
             const struct az_node_upstream *update)
 {
+  /* A restarted sidecar knows only the present capacity of an upstream that may run on. */
+  if (upstream->life > 0)
+    upstream->largest_capacity = (struct az_resources){ 0 };
   upstream->life = update->life;
-  upstream->largest_capacity = (struct az_resources){ 0 };
   upstream->speed = 1;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -409,6 +409,23 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against jobs answered as failed that could be done, because the sidecar of an upstream
+ * that has shrunk was restarted. */
+static void
+test_restarted_sidecar_keeps_the_largest_capacity (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_advance (rig, 1500, 0);
+  rig->capacity_milli[1] = rig->capacity_milli[2] = 2000;
+  gateway_rig_report_upstream (rig, 1, true);
+  gateway_rig_open_upstream (rig, 2, "s1", "d1", true);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a crash after two hellos on one connection: the upstream of the first one would
  * keep the handle of the session after its end, and placing a task there would dereference NULL. */
 static void
@@ -700,6 +717,7 @@
     cmocka_unit_test (test_waiting_job_beyond_a_shrunk_capacity_is_refused),
     cmocka_unit_test (test_job_beyond_every_known_capacity_has_failed),
     cmocka_unit_test (test_job_is_not_failed_before_all_sidecars_connect),
+    cmocka_unit_test (test_restarted_sidecar_keeps_the_largest_capacity),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
     cmocka_unit_test (test_failing_upstream_is_ejected),
