Count no crash against a task whose lease has ended

Cause: after a pause of the sidecar, a refused connection may be seen before the tasks whose leases ended in the pause are expired. The crash counted against them, although they may have ended long before it.

Change: only a task whose lease may still last counts as crashed or is named.

Evidence: test_task_beyond_its_lease_is_not_crashed failed before (the job was named) and passes now.

--- a/src/sidecar/crash.c
+++ b/src/sidecar/crash.c
@@ -6,13 +6,21 @@
  * 50 ms. */
 #define REFUSED_WITHIN_MS 25
 
-/* Prefers tasks whose start was acknowledged, since the other ones may never have started. */
+/* A task whose start wasn't acknowledged may never have started. A task whose lease has ended may
+ * have ended before the crash. */
 static bool
-started_after (const struct task *task, const struct task *other)
+was_running (const struct az_sidecar *sidecar, const struct task *task)
 {
-  bool is_running = task->state == TASK_RUNNING;
+  return task->state == TASK_RUNNING && sidecar->now_us < task->latest_end_us;
+}
+
+/* Prefers tasks that have certainly run. */
+static bool
+started_after (const struct az_sidecar *sidecar, const struct task *task, const struct task *other)
+{
+  bool is_running = was_running (sidecar, task);
 
-  if (!other || is_running != (other->state == TASK_RUNNING))
+  if (!other || is_running != was_running (sidecar, other))
     return !other || is_running;
   return task->start_sent_us > other->start_sent_us;
 }
@@ -28,14 +36,14 @@
     {
       const struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->life == sidecar->life.number && task->job_id && started_after (task, last))
+      if (task->life == sidecar->life.number && task->job_id && started_after (sidecar, task, last))
         last = task;
     }
   return last;
 }
 
-/* A task counts as crashed only if it has certainly started: its job may be answered as failed only
- * if the crashes occurred under the task. Returns the number of tasks of the incarnation. */
+/* A task counts as crashed only if it has certainly run: its job may be answered as failed only if
+ * the crashes occurred under the task. Returns the number of tasks of the incarnation. */
 static uint32_t
 mark_tasks (struct az_sidecar *sidecar, bool has_crashed)
 {
@@ -48,7 +56,7 @@
 
       if (task->life != sidecar->life.number)
         continue;
-      task->has_upstream_crashed = has_crashed && task->state == TASK_RUNNING;
+      task->has_upstream_crashed = has_crashed && was_running (sidecar, task);
       n_tasks++;
     }
   return n_tasks;
@@ -58,13 +66,13 @@
 send_crash (struct az_sidecar *sidecar, const struct task *last_started)
 {
   struct az_message message = { .proc = AZ_NODE_CRASH };
-  bool has_started = last_started && last_started->state == TASK_RUNNING;
+  bool was_last_running = last_started && was_running (sidecar, last_started);
   GHashTableIter iterator;
   gpointer value;
 
   message.az_message_u.node_crash = (struct az_node_crash){
     .queue = last_started ? last_started->queue : (char *)"",
-    .job_id = has_started ? last_started->job_id : (char *)"",
+    .job_id = was_last_running ? last_started->job_id : (char *)"",
     .step = last_started ? last_started->step : 0,
     .index = last_started ? last_started->index : 0,
   };
--- a/tests/test_sidecar_crash.c
+++ b/tests/test_sidecar_crash.c
@@ -173,6 +173,27 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a crash that counts against a task whose lease had ended while this process was
+ * paused. */
+static void
+test_task_beyond_its_lease_is_not_crashed (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  rig->now_ms += 2000;
+  sidecar_rig_send_pulse (rig, 1);
+  sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_fail_hold (rig, AZ_UPSTREAM_NOT_SENT);
+  assert_int_equal (rig->n_crashes[1], 1);
+  assert_string_equal (rig->crashed_job_id, "");
+  sidecar_rig_advance (rig, 25);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -185,6 +206,7 @@
     cmocka_unit_test (test_upstream_that_leaves_is_no_crash),
     cmocka_unit_test (test_start_that_was_not_sent_is_not_crashed),
     cmocka_unit_test (test_answer_of_the_incarnation_disproves_the_crash),
+    cmocka_unit_test (test_task_beyond_its_lease_is_not_crashed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
