Tell a crash that follows a disproved one

Cause: once an incarnation had refused a connection, no later crash of it was detected, even if it had answered in between. Its tasks then ended as lost, and the crash counted against none of them.

Change: an answer of the incarnation ends the detected crash.

Evidence: test_crash_after_a_disproved_one_is_told failed before (one crash told instead of two) and passes now.

--- a/src/sidecar/crash.c
+++ b/src/sidecar/crash.c
@@ -108,6 +108,8 @@
 void
 az_sidecar_clear_crash (struct az_sidecar *sidecar)
 {
-  if (sidecar->life.has_crashed)
-    mark_tasks (sidecar, false);
+  if (!sidecar->life.has_crashed)
+    return;
+  sidecar->life.has_crashed = false;
+  mark_tasks (sidecar, false);
 }
--- a/tests/test_sidecar_crash.c
+++ b/tests/test_sidecar_crash.c
@@ -194,6 +194,32 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a crash that isn't told because the same incarnation had refused a connection
+ * before. */
+static void
+test_crash_after_a_disproved_one_is_told (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  crash_upstream (rig);
+  sidecar_rig_advance (rig, 50);
+  sidecar_rig_answer_hold (rig, "job.0.0.0", "");
+  rig->hold--;
+  sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+  rig->hold++;
+  sidecar_rig_fail_hold (rig, AZ_UPSTREAM_UNANSWERED);
+  sidecar_rig_advance (rig, 50);
+  sidecar_rig_fail_hold (rig, AZ_UPSTREAM_NOT_SENT);
+  assert_int_equal (rig->n_crashes[1], 2);
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  sidecar_rig_advance (rig, 25);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_CRASHED);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -207,6 +233,7 @@
     cmocka_unit_test (test_start_that_was_not_sent_is_not_crashed),
     cmocka_unit_test (test_answer_of_the_incarnation_disproves_the_crash),
     cmocka_unit_test (test_task_beyond_its_lease_is_not_crashed),
+    cmocka_unit_test (test_crash_after_a_disproved_one_is_told),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
