Tell a refused connection from other failures to connect

Cause: each hold that failed at once without being sent counted as a refused connection, so that a sidecar that couldn't open a connection for want of its own resources took its upstream for crashed, and the crash counted against the tasks.

Change: the HTTP client states whether nothing listens at the address. Start requests are read as before.

--- a/include/azurerock/http_client.h
+++ b/include/azurerock/http_client.h
@@ -25,6 +25,7 @@
 struct az_http_response
 {
   enum az_http_result result;
+  bool is_refused; /* not sent because nothing listens at the server's address */
   int status;
   const char *body;
   size_t body_length;
--- a/include/azurerock/upstream_call.h
+++ b/include/azurerock/upstream_call.h
@@ -55,7 +55,7 @@
   AZ_UPSTREAM_UNHEALTHY,      /* refused without any effect */
   AZ_UPSTREAM_OTHER_INSTANCE, /* another incarnation answered */
   AZ_UPSTREAM_INVALID,        /* refused as malformed, or the lists in the answer were malformed */
-  AZ_UPSTREAM_NOT_SENT,
+  AZ_UPSTREAM_NOT_SENT,       /* for a hold: the upstream refused the connection */
   AZ_UPSTREAM_UNANSWERED, /* no answer or an unexpected one: the request may have taken effect, or
                              may do so later */
 };
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -119,6 +119,17 @@
   g_ptr_array_remove (client->idle, connection);
 }
 
+static void
+fail_waiting (struct az_http_client *client, bool is_refused, const char *reason)
+{
+  const struct az_http_response response
+      = { .result = AZ_HTTP_NOT_SENT, .is_refused = is_refused, .body = "", .error = reason };
+
+  for (guint n = g_queue_get_length (&client->waiting);
+       n > 0 && client->connections->len == 0 && !client->destroyed; n--)
+    complete_exchange (client, g_queue_pop_head (&client->waiting), &response);
+}
+
 static void
 on_connection_closed (void *context,
                       struct az_http_connection *connection,
@@ -134,9 +145,8 @@
   if (exchange)
     fail_exchange (client, exchange, AZ_HTTP_LOST, reason);
   /* The last connection attempt failed and no connection is left: the waiting requests fail. */
-  for (guint n = g_queue_get_length (&client->waiting);
-       connect_failed && n > 0 && client->connections->len == 0 && !client->destroyed; n--)
-    fail_exchange (client, g_queue_pop_head (&client->waiting), AZ_HTTP_NOT_SENT, reason);
+  if (connect_failed)
+    fail_waiting (client, az_http_connection_is_refused (connection), reason);
   if (!client->destroyed)
     dispatch_waiting (client);
 }
--- a/src/net/http_connection.c
+++ b/src/net/http_connection.c
@@ -12,6 +12,7 @@
   GByteArray *pending_write;         /* request that uv_write() has not finished, or NULL */
   struct az_http_reader reader;
   bool is_open;
+  bool is_refused;
   bool is_closing;
 };
 
@@ -44,6 +45,12 @@
   return connection->is_open;
 }
 
+bool
+az_http_connection_is_refused (const struct az_http_connection *connection)
+{
+  return connection->is_refused;
+}
+
 static void
 close_connection (struct az_http_connection *connection, const char *reason)
 {
@@ -122,6 +129,7 @@
     return;
   if (status < 0)
     {
+      connection->is_refused = status == UV_ECONNREFUSED;
       close_connection (connection, uv_strerror (status));
       return;
     }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -52,4 +52,8 @@
 bool
 az_http_connection_is_open (const struct az_http_connection *connection);
 
+/** az_http_connection_is_refused - whether nothing listened at the target */
+bool
+az_http_connection_is_refused (const struct az_http_connection *connection);
+
 #endif
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -16,6 +16,7 @@
   char address[32];
   int done;
   enum az_http_result result;
+  bool is_refused;
   int status;
   char body[64];
   char index[32];
@@ -28,6 +29,7 @@
 
   fixture->done++;
   fixture->result = response->result;
+  fixture->is_refused = response->is_refused;
   fixture->status = response->status;
   g_snprintf (fixture->body, sizeof fixture->body, "%.*s", (int)response->body_length,
               response->body);
@@ -150,6 +152,31 @@
     }
 }
 
+/* Guards against taking a lack of free connections for a server that doesn't listen. */
+static void
+test_refused_connection_is_told_from_other_failures (void **state)
+{
+  struct fixture *fixture = *state;
+  int servers[2];
+
+  request (fixture, "one", TIMEOUT_MS);
+  request (fixture, "two", TIMEOUT_MS);
+  accept_request (fixture, "\r\n\r\n", &servers[0]);
+  accept_request (fixture, "\r\n\r\n", &servers[1]);
+  request (fixture, "three", 20);
+  expect_result (fixture, 1, AZ_HTTP_NOT_SENT);
+  assert_false (fixture->is_refused);
+  close (fixture->listener);
+  fixture->listener = -1;
+  close (servers[0]);
+  close (servers[1]);
+  expect_result (fixture, 3, AZ_HTTP_LOST);
+  assert_false (fixture->is_refused);
+  request (fixture, "four", TIMEOUT_MS);
+  expect_result (fixture, 4, AZ_HTTP_NOT_SENT);
+  assert_true (fixture->is_refused);
+}
+
 /* Guards against reporting a request as not sent although it was written to an idle connection: the
  * server had closed the connection, and the client had not noticed yet. */
 static void
@@ -316,6 +343,7 @@
     TEST (test_cut_connection_is_lost),
     TEST (test_idle_connection_closed_by_server),
     TEST (test_connection_limit),
+    TEST (test_refused_connection_is_told_from_other_failures),
     TEST (test_timeouts),
     TEST (test_chunked_response_in_single_bytes),
     TEST (test_ambiguous_responses),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -201,6 +201,22 @@
   assert_int_equal (platform_decode_start_or_stop (&lost).result, AZ_UPSTREAM_NOT_SENT);
 }
 
+/* Guards against taking an upstream for crashed because this process found no free connection or
+ * couldn't open one. */
+static void
+test_hold_is_refused_only_without_listener (void **state)
+{
+  struct az_http_response response = { .result = AZ_HTTP_NOT_SENT, .body = "" };
+  struct az_upstream_lists lists;
+
+  (void)state;
+  platform_decode_task_lists (&response, &lists);
+  assert_int_equal (lists.answer.result, AZ_UPSTREAM_UNANSWERED);
+  response.is_refused = true;
+  platform_decode_task_lists (&response, &lists);
+  assert_int_equal (lists.answer.result, AZ_UPSTREAM_NOT_SENT);
+}
+
 /* Guards against one malformed row making all other rows of a response unusable. */
 static void
 test_malformed_rows_are_skipped (void **state)
@@ -389,6 +405,7 @@
     cmocka_unit_test (test_registry_calls_are_identified),
     cmocka_unit_test (test_birth_time_of_a_departure_is_decoded),
     cmocka_unit_test (test_order_results),
+    cmocka_unit_test (test_hold_is_refused_only_without_listener),
     cmocka_unit_test (test_malformed_rows_are_skipped),
     cmocka_unit_test (test_incomplete_lists_are_invalid),
     cmocka_unit_test (test_orders_are_encoded),
