Count no crash against a task whose stop was acknowledged

Cause: a task that the upstream has acknowledged to stop may have ended before a crash, but the crash counted against it until its end was listed.

Change: such a task is neither named nor ends as crashed.

Evidence: test_stopped_task_is_not_crashed failed before (the job was named) and passes now.

--- a/src/sidecar/crash.c
+++ b/src/sidecar/crash.c
@@ -6,12 +6,13 @@
  * 50 ms. */
 #define REFUSED_WITHIN_MS 25
 
-/* A task whose start wasn't acknowledged may never have started. A task whose lease has ended may
- * have ended before the crash. */
+/* A task whose start wasn't acknowledged may never have started. One whose stop was acknowledged,
+ * or whose lease has ended, may have ended before the crash. */
 static bool
 was_running (const struct az_sidecar *sidecar, const struct task *task)
 {
-  return task->state == TASK_RUNNING && sidecar->now_us < task->latest_end_us;
+  return task->state == TASK_RUNNING && !task->is_stop_acknowledged
+         && sidecar->now_us < task->latest_end_us;
 }
 
 /* Prefers tasks that have certainly run. */
--- a/tests/test_sidecar_crash.c
+++ b/tests/test_sidecar_crash.c
@@ -220,6 +220,29 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a crash that counts against a task whose stop was acknowledged: it may have ended
+ * before. */
+static void
+test_stopped_task_is_not_crashed (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  struct az_message stop = { .proc = AZ_NODE_STOP };
+
+  (void)state;
+  stop.az_message_u.node_stop.job = 1;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  az_sidecar_received (rig->core, 1, &stop);
+  sidecar_rig_answer_stop (rig, 0, AZ_UPSTREAM_OK);
+  crash_upstream (rig);
+  assert_int_equal (rig->n_crashes[1], 1);
+  assert_string_equal (rig->crashed_job_id, "");
+  sidecar_rig_announce (rig, "i1", 200, 1, false);
+  sidecar_rig_advance (rig, 25);
+  assert_int_equal (sidecar_rig_last_event (rig), AZ_TASK_LOST);
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -234,6 +257,7 @@
     cmocka_unit_test (test_answer_of_the_incarnation_disproves_the_crash),
     cmocka_unit_test (test_task_beyond_its_lease_is_not_crashed),
     cmocka_unit_test (test_crash_after_a_disproved_one_is_told),
+    cmocka_unit_test (test_stopped_task_is_not_crashed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
