Fail requests at once when a server refuses all connections

Cause: waiting requests failed only when no attempt to connect was left. With two or more of them, each failed attempt was followed by a new one, so that they connected again and again until they timed out. A sidecar with a start or stop in flight when its upstream crashed therefore saw the holds time out instead of being refused, noticed the crash only when the leases had ended, and counted it against none of the tasks.

Change: without an open connection, each failed attempt fails one waiting request, and the last one all of them.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -120,14 +120,26 @@
 }
 
 static void
-fail_waiting (struct az_http_client *client, bool is_refused, const char *reason)
+fail_first_waiting (struct az_http_client *client, bool is_refused, const char *reason)
 {
   const struct az_http_response response
       = { .result = AZ_HTTP_NOT_SENT, .is_refused = is_refused, .body = "", .error = reason };
 
-  for (guint n = g_queue_get_length (&client->waiting);
-       n > 0 && client->connections->len == 0 && !client->destroyed; n--)
-    complete_exchange (client, g_queue_pop_head (&client->waiting), &response);
+  complete_exchange (client, g_queue_pop_head (&client->waiting), &response);
+}
+
+/* Without an open connection, each failed attempt to connect fails a request, and the last one all
+ * that wait. If they all stayed, attempts would go on until the requests time out. */
+static void
+fail_waiting (struct az_http_client *client, bool is_refused, const char *reason)
+{
+  guint n_waiting = g_queue_get_length (&client->waiting);
+  guint n_failing = client->connections->len > 0 ? MIN (n_waiting, 1) : n_waiting;
+
+  for (; n_failing > 0 && !g_queue_is_empty (&client->waiting)
+         && client->n_connecting == client->connections->len && !client->destroyed;
+       n_failing--)
+    fail_first_waiting (client, is_refused, reason);
 }
 
 static void
@@ -144,7 +156,6 @@
   remove_connection (client, connection);
   if (exchange)
     fail_exchange (client, exchange, AZ_HTTP_LOST, reason);
-  /* The last connection attempt failed and no connection is left: the waiting requests fail. */
   if (connect_failed)
     fail_waiting (client, az_http_connection_is_refused (connection), reason);
   if (!client->destroyed)
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -177,6 +177,21 @@
   assert_true (fixture->is_refused);
 }
 
+/* Guards against requests that wait for their timeout, and connect again and again, because several
+ * of them wait for a server that refuses all connections. */
+static void
+test_concurrent_requests_are_refused_at_once (void **state)
+{
+  struct fixture *fixture = *state;
+
+  close (fixture->listener);
+  fixture->listener = -1;
+  for (int i = 0; i < 5; i++)
+    request (fixture, "one", 300);
+  expect_result (fixture, 5, AZ_HTTP_NOT_SENT);
+  assert_true (fixture->is_refused);
+}
+
 /* Guards against reporting a request as not sent although it was written to an idle connection: the
  * server had closed the connection, and the client had not noticed yet. */
 static void
@@ -344,6 +359,7 @@
     TEST (test_idle_connection_closed_by_server),
     TEST (test_connection_limit),
     TEST (test_refused_connection_is_told_from_other_failures),
+    TEST (test_concurrent_requests_are_refused_at_once),
     TEST (test_timeouts),
     TEST (test_chunked_response_in_single_bytes),
     TEST (test_ambiguous_responses),
