--- a/src/dispatch/crash_record.c
+++ b/src/dispatch/crash_record.c
@@ -98,7 +98,8 @@
 has_crash (const struct entry *entry, const struct az_crash *crash)
 {
   for (uint32_t i = 0; i < entry->n_crashes; i++)
-    if (entry->crashes[i].upstream == crash->upstream && entry->crashes[i].life == crash->life
+    if (entry->crashes[i].upstream == crash->upstream && entry->crashes[i].sidecar == crash->sidecar
+        && entry->crashes[i].life == crash->life
         && is_under (&entry->crashes[i], crash->step, crash->index))
       return true;
   return false;
@@ -123,17 +124,6 @@
   return true;
 }
 
-bool
-az_crash_record_contains (struct az_crash_record *record,
-                          const char *job_id,
-                          const struct az_crash *crash,
-                          int64_t now_us)
-{
-  const struct entry *entry = find_entry (record, job_id, now_us);
-
-  return entry && has_crash (entry, crash);
-}
-
 uint32_t
 az_crash_record_count (struct az_crash_record *record,
                        const char *job_id,
