Count the crash of an upstream that is back before a connection is refused

Cause: a crash was seen only from a refused connection. If the sidecar was paused or the restart was fast, the next incarnation was the first sign, the tasks ended as lost, and the crash counted against none of them, so a task that crashes its upstreams was started more often than twice.

Change: an incarnation that is replaced at its address, neither draining nor gone, has crashed, and gateways are told.

--- a/src/sidecar/crash.c
+++ b/src/sidecar/crash.c
@@ -87,14 +87,13 @@
 }
 
 void
-az_sidecar_detect_crash (struct az_sidecar *sidecar, int64_t hold_sent_us)
+az_sidecar_record_crash (struct az_sidecar *sidecar)
 {
   struct life *life = &sidecar->life;
   const struct task *last_started;
   uint32_t n_tasks;
 
-  if (!life->is_fenced || life->has_left || life->is_draining || life->has_crashed
-      || sidecar->now_us - hold_sent_us > REFUSED_WITHIN_MS * AZ_US_PER_MS)
+  if (!life->is_fenced || life->has_left || life->is_draining || life->has_crashed)
     return;
   life->has_crashed = true;
   last_started = find_last_started (sidecar);
@@ -106,6 +105,13 @@
   send_crash (sidecar, last_started);
 }
 
+void
+az_sidecar_detect_crash (struct az_sidecar *sidecar, int64_t hold_sent_us)
+{
+  if (sidecar->now_us - hold_sent_us <= REFUSED_WITHIN_MS * AZ_US_PER_MS)
+    az_sidecar_record_crash (sidecar);
+}
+
 void
 az_sidecar_clear_crash (struct az_sidecar *sidecar)
 {
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -341,8 +341,13 @@
 
 /* crash.c */
 
-/** az_sidecar_detect_crash - call when a hold wasn't sent for want of a connection: if the open
- * upstream refuses connections, it has crashed, and all gateways are told once */
+/** az_sidecar_record_crash - the present incarnation has ended: unless it drains or has left, it
+ * has crashed, and all gateways are told once */
+void
+az_sidecar_record_crash (struct az_sidecar *sidecar);
+
+/** az_sidecar_detect_crash - call when a hold wasn't sent for want of a connection: an
+ * upstream that refuses connections has crashed */
 void
 az_sidecar_detect_crash (struct az_sidecar *sidecar, int64_t hold_sent_us);
 
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -85,6 +85,8 @@
 {
   uint32_t handle = az_table_rows_next (sidecar->tasks, 0);
 
+  if (replacement != MOVED)
+    az_sidecar_record_crash (sidecar);
   while (handle)
     {
       uint32_t next = az_table_rows_next (sidecar->tasks, handle);
