Give each soak and demonstration loopback addresses of its own

A soak now serves its store in the first loopback network, counted from its process id, in which nothing listens on the addresses that it needs; the store's address serves as the claim. The demonstration copies its settings with a loopback address that follows from its process id and whose ports are free.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,10 +2,12 @@
 from a seed, and checks the guarantees that callers and executors can observe."""
 import argparse
 import asyncio
+import errno
 import json
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -16,6 +18,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7806}
+NETWORKS = 254
 RESUBMIT_DELAY_S = 1.3
 WITHDRAWAL_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
@@ -131,10 +134,48 @@
         self.counts = {"completed": 0, "failed": 0, "not_run": 0, "unanswered": 0}
         self.job_outcomes, self.jobs, self.stopping, self.version = [], 0, False, 0
         self.n_unplanned = 0
-        self.address_block = 1 + options.seed % 200
+        self.network, self.store_server = None, None
 
     def host(self, index):
-        return "127.%d.1.%d" % (self.address_block, index)
+        return "127.%d.%d.%d" % (self.network, 1 + index // 250, 1 + index % 250)
+
+    async def claim_network(self):
+        """Serves the store in a loopback network in which no other run serves one; runs that start
+        at the same time differ in their first choice."""
+        for i in range(NETWORKS):
+            self.network = 1 + (os.getpid() + i) % NETWORKS
+            try:
+                self.store_server = await standin_http.serve(self.host(1), PORTS["store"],
+                                                             self.store.handle)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                continue
+            if self.are_node_addresses_free():
+                return
+            self.store_server.close()
+        raise OSError(errno.EADDRINUSE, "no free loopback network")
+
+    def are_node_addresses_free(self):
+        """Whether no process of a run that was killed listens on the address of a node."""
+        for i in range(self.options.gateways + self.options.sidecars):
+            is_gateway = i < self.options.gateways
+            host = self.gateway_host(i) if is_gateway else \
+                self.sidecar_host(i - self.options.gateways)
+            with socket.socket() as probe:
+                # Closed connections of a former run don't count.
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((host, PORTS["jobs" if is_gateway else "registry"]))
+                except OSError:
+                    return False
+        return True
+
+    def gateway_host(self, index):
+        return self.host(100 + index)
+
+    def sidecar_host(self, index):
+        return self.host(250 + index)
 
     def publish(self, probe):
         """Writes the next configuration; its route /probe-N/ shows that it is in force."""
@@ -148,13 +189,13 @@
         self.probe, self.published_s = probe, time.monotonic()
 
     async def build_cluster(self):
-        await standin_http.serve(self.host(1), PORTS["store"], self.store.handle)
+        await self.claim_network()
         self.publish(1)
         store = "%s:%d" % (self.host(1), PORTS["store"])
         n = self.options.gateways
         seeds = ["%s:1" % self.host(10 + i) for i in range(min(n, 3))]
         for i in range(n):
-            real, advertised = self.host(100 + i), self.host(10 + i)
+            real, advertised = self.gateway_host(i), self.host(10 + i)
             self.gateways.append(Node(self, "azurerock-gateway", real, {
                 "instance": "g%d" % i, "domain": "d%d" % (i % 3), "seeds": seeds,
                 "jobs_address": "%s:%d" % (real, PORTS["jobs"]),
@@ -166,7 +207,7 @@
             await proxy.open()
             self.proxies.append(proxy)
         for i in range(self.options.sidecars):
-            host = self.host(150 + i) if i < 100 else "127.%d.2.%d" % (self.address_block, i)
+            host = self.sidecar_host(i)
             registry = "%s:%d" % (host, PORTS["registry"])
             self.sidecars.append(Node(self, "azurerock-sidecar", host, {
                 "instance": "s%d" % i, "domain": "d%d" % (i % 3), "seeds": seeds,
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,8 +4,9 @@
 set -u
 cd "$(dirname "$0")/.."
 build=${BUILD:-build}
-settings=examples/demo/settings
 work=$(mktemp -d)
+settings=$work/settings
+host=""
 pids=""
 steps=0
 
@@ -45,19 +46,32 @@
   done
 }
 
-require_free_port() { # require_free_port PORT
-  (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null || return 0
-  echo "FAILED: port $1 is in use by $(ss -ltnpH "sport = :$1" 2>/dev/null | sed 's/.*users:((//; s/,.*//')"
-  exit 1
+is_host_free() { # is_host_free HOST: whether the demonstration can use all of its ports there
+  local port
+  for port in $(grep -ohE '127\.0\.0\.1:[0-9]+' examples/demo/settings/*.json | cut -d: -f2 | sort -u); do
+    ! (exec 3<>"/dev/tcp/$1/$port") 2>/dev/null || return 1
+  done
 }
 
-for port in $(grep -ohE '127\.0\.0\.1:[0-9]+' "$settings"/*.json | cut -d: -f2 | sort -u); do
-  require_free_port "$port"
+# Demonstrations that run at the same time have different process ids, and so loopback addresses of
+# their own.
+for try in $(seq 20); do
+  id=$(($$ + try * 1009))
+  candidate=127.$((1 + id % 254)).$((3 + id / 254 % 250)).1
+  if is_host_free "$candidate"; then
+    host=$candidate
+    break
+  fi
+done
+[ -n "$host" ] || { echo "FAILED: no loopback address with free ports"; exit 1; }
+mkdir "$settings"
+for file in examples/demo/settings/*.json; do
+  sed "s/127\.0\.0\.1:/$host:/" "$file" >"$settings/$(basename "$file")"
 done
 
-is_healthy() { curl -sf -m 1 "http://127.0.0.1:$1/healthz"; }
+is_healthy() { curl -sf -m 1 "http://$host:$1/healthz"; }
 agents_connected() {
-  [ "$(curl -s -m 1 "http://127.0.0.1:$1/v1/status" | grep -o '"connected": *true' | wc -l)" -ge 3 ]
+  [ "$(curl -s -m 1 "http://$host:$1/v1/status" | grep -o '"connected": *true' | wc -l)" -ge 3 ]
 }
 ctl() { "$build/azurerock-ctl" --config "$settings/ctl.json" "$@"; }
 new_id() { echo "$(date +%s%3N)-$(od -An -N6 -tx1 /dev/urandom | tr -d ' \n')"; }
@@ -71,7 +85,7 @@
 }
 
 submit() { # submit ENTRY_PORT ID TASKS SLEEP_MS: prints the answer
-  job "$2" "$3" "$4" | curl -s -m 10 -X POST --data-binary @- "http://127.0.0.1:$1/v1/jobs"
+  job "$2" "$3" "$4" | curl -s -m 10 -X POST --data-binary @- "http://$host:$1/v1/jobs"
 }
 
 expect_done() { # expect_done ANSWER TASKS
@@ -85,13 +99,13 @@
 }
 
 starts() { # starts UPSTREAM_PORT: tasks that this upstream has started
-  curl -s -m 2 "http://127.0.0.1:$1/standin/stats" | grep -o '"starts": *[0-9]*' | grep -o '[0-9]*$'
+  curl -s -m 2 "http://$host:$1/standin/stats" | grep -o '"starts": *[0-9]*' | grep -o '[0-9]*$'
 }
 all_starts() { echo $(($(starts 8101) + $(starts 8102) + $(starts 8103))); }
 
 step "start the store, 2 entries, 3 upstreams and 3 agents in domains a, b and c"
 run store azurerock-standin-store store
-wait_until 5 curl -s -m 1 http://127.0.0.1:8500/standin/stats || fail "the store does not answer"
+wait_until 5 curl -s -m 1 "http://$host:8500/standin/stats" || fail "the store does not answer"
 run entry_a azurerock-entry entry-a
 run entry_b azurerock-entry entry-b
 for i in 1 2 3; do run "upstream_$i" azurerock-standin-upstream "upstream-$i"; done
@@ -130,7 +144,7 @@
 
 step "refuse a job of an unknown service, with a typed error"
 answer=$(job "$(new_id)" 1 1 | sed 's/"demo"/"nowhere"/' |
-  curl -s -m 5 -X POST --data-binary @- http://127.0.0.1:7901/v1/jobs)
+  curl -s -m 5 -X POST --data-binary @- "http://$host:7901/v1/jobs")
 echo "    $answer"
 case $answer in *'"not_run"'*unknown_service*) ;; *) fail "no typed refusal: $answer" ;; esac
 
