--- /dev/null
+++ b/tests/soak_faults.py
@@ -0,0 +1,173 @@
+"""The faults of soaks: fault_NAME injects one and returns when its direct effects are over."""
+import asyncio
+import signal
+import time
+
+# Planned operations of operators and the platform, which callers must not notice.
+PLANNED = {"stop_gateway", "stop_sidecar", "hangup", "configuration", "withdraw", "drain"}
+
+
+class Faults:
+    """Part of Soak, which has the processes, stand-ins and random numbers."""
+
+    def choose_idle(self, nodes):
+        idle = [node for node in nodes if not node.active_fault]
+        return self.random.choice(idle) if idle else None
+
+    async def restart(self, node, number, pause_s):
+        if not node:
+            return
+        node.active_fault = "term" if number == signal.SIGTERM else "kill"
+        await node.stop(number)
+        await asyncio.sleep(pause_s)
+        await node.start()
+        await asyncio.sleep(1.5)
+        node.active_fault = False
+
+    async def fault_kill_gateway(self):
+        await self.restart(self.choose_idle(self.gateways), signal.SIGKILL,
+                           self.random.uniform(0, 1.5))
+
+    async def fault_kill_sidecar(self):
+        await self.restart(self.choose_idle(self.sidecars), signal.SIGKILL,
+                           self.random.uniform(0, 1.5))
+
+    async def fault_kill_all(self):
+        nodes = [node for node in self.gateways + self.sidecars if not node.active_fault]
+        await asyncio.gather(*[self.restart(node, signal.SIGKILL, 0.8) for node in nodes])
+
+    async def fault_stop_gateway(self):
+        await self.restart(self.choose_idle(self.gateways), signal.SIGTERM, 0.3)
+
+    async def fault_stop_sidecar(self):
+        await self.restart(self.choose_idle(self.sidecars), signal.SIGTERM, 0.3)
+
+    async def fault_freeze(self):
+        node = self.choose_idle(self.gateways + self.sidecars)
+        if not node:
+            return
+        node.active_fault = "freeze"
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.1, 3))
+        node.send(signal.SIGCONT)
+        await asyncio.sleep(1)
+        node.active_fault = False
+
+    async def fault_hangup(self):
+        for node in self.gateways + self.sidecars:
+            if not node.active_fault:
+                node.send(signal.SIGHUP)
+
+    async def fault_link(self):
+        proxy = self.random.choice(self.proxies)
+        proxy.mode = self.random.choice(["delay", "silent", "one_way", "refuse"])
+        if proxy.mode == "refuse":
+            proxy.reset()
+        await asyncio.sleep(self.random.uniform(0.3, 4))
+        proxy.mode = "ok"
+        await asyncio.sleep(1)
+
+    async def fault_reset(self):
+        for proxy in self.proxies:
+            proxy.reset()
+        await asyncio.sleep(1)
+
+    async def fault_store(self):
+        self.store.mode = self.random.choice(["busy", "silent", "reset", "slow"])
+        self.store.last_disturbed_s = float("inf")
+        await asyncio.sleep(self.random.uniform(0.5, 5))
+        self.store.mode = "ok"
+        self.store.last_disturbed_s = time.monotonic()
+        await asyncio.sleep(1)
+
+    async def fault_store_loses(self):
+        self.store.lost_share, self.store.last_disturbed_s = 0.4, float("inf")
+        await asyncio.sleep(3)
+        self.store.lost_share, self.store.last_disturbed_s = 0.0, time.monotonic()
+
+    async def fault_compact(self):
+        self.store.last_disturbed_s = time.monotonic()
+        self.store.compact()
+
+    async def fault_executor_crash(self):
+        executor = self.random.choice(self.executors)
+        if not executor.is_up:
+            return
+        executor.crash()
+        await asyncio.sleep(self.random.uniform(0, 3))
+        executor.start(fence=0)
+
+    async def fault_executor_silent(self):
+        executor = self.random.choice(self.executors)
+        executor.is_unresponsive = True
+        await asyncio.sleep(self.random.uniform(0.3, 3))
+        executor.is_unresponsive = False
+
+    async def fault_executor_mute(self):
+        executor = self.random.choice(self.executors)
+        executor.drops_answers = True
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        executor.drops_answers = False
+
+    async def fault_unanswered(self):
+        for executor in self.executors:
+            executor.unanswered_share = 0.1
+        await asyncio.sleep(3)
+        for executor in self.executors:
+            executor.unanswered_share = 0.0
+
+    async def fault_late_orders(self):
+        for executor in self.executors:
+            executor.delayed_share = 0.15
+        await asyncio.sleep(3)
+        for executor in self.executors:
+            executor.delayed_share = 0.0
+
+    async def fault_rebirth(self):
+        """An executor doesn't answer half of its orders and starts again under its id; the
+        incarnation that is up then carries the orders out."""
+        executor = self.random.choice(self.executors)
+        executor.delayed_share = 0.5
+        await asyncio.sleep(self.random.uniform(0.2, 1))
+        for _ in range(self.random.randint(1, 3)):
+            executor.crash()
+            await asyncio.sleep(self.random.uniform(0.05, 1.5))
+            executor.start(keeps_id=True)
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+        executor.delayed_share = 0.0
+
+    async def fault_failing(self):
+        executor = self.random.choice(self.executors)
+        executor.failing_share = 1.0
+        await asyncio.sleep(2)
+        executor.failing_share = 0.0
+
+    async def fault_rate(self):
+        executor = self.random.choice(self.executors)
+        executor.speed = self.random.choice([0.0, 0.15])
+        await asyncio.sleep(3)
+        executor.speed = 1.0
+
+    async def fault_drain(self):
+        executor = self.random.choice(self.executors)
+        if not executor.is_up or executor.is_draining:
+            return
+        executor.is_draining = True
+        await asyncio.sleep(4)
+        executor.crash()
+        executor.start()
+
+    async def fault_configuration(self):
+        for _ in range(self.random.randint(1, 4)):
+            self.publish(self.probe + 1)
+            await asyncio.sleep(self.random.uniform(0.1, 0.6))
+
+    async def fault_withdraw(self):
+        zone = "d%d" % self.random.randint(0, 2)
+        if self.history.withdrawn_s:
+            return
+        self.store.write("op/evacuate/" + zone, b"{}")
+        self.history.withdrawn_s[zone] = time.monotonic()
+        await asyncio.sleep(7)
+        del self.history.withdrawn_s[zone]
+        self.store.write("op/evacuate/" + zone, None)
