Let stand-in upstreams crash under tasks, refuse connections and shrink

The soak's upstreams kept their port open when they crashed, so that sidecars never took them for crashed; their capacity never changed; they sent a heartbeat at once when they started. Tasks had no effect on their upstream.

A crash may now reset all connections and refuse new ones, a task may crash its upstream before or after the answer to its start, the capacity may change while the upstream runs or when it starts again, some upstreams leave the guard of the capacity to the sidecar, and the first heartbeat may be late. An idle upstream no longer wakes 200 times a second, for soaks with many of them.

--- a/tests/standin_http.py
+++ b/tests/standin_http.py
@@ -30,9 +30,13 @@
     return lines[0], headers, body
 
 
-async def serve(host, port, handler):
-    """@handler(method, target, headers, body) returns (status, object or None)."""
+async def serve(host, port, handler, writers=None):
+    """@handler(method, target, headers, body) returns (status, object or None); @writers: a set to
+    which the writers of open connections belong."""
+    writers = set() if writers is None else writers
+
     async def connection(reader, writer):
+        writers.add(writer)
         try:
             while message := await read_message(reader):
                 method, target, _ = message[0].split(" ", 2)
@@ -48,6 +52,7 @@
         except (ResetConnection, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.transport.abort()
 
     return await asyncio.start_server(connection, host, port, limit=MAX_HEAD_BYTES)
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -11,6 +11,7 @@
 LEASE_CHECK_S = 0.02
 HEARTBEAT_S = 1.5
 LATE_ORDER_S = (0.3, 12)
+CAPACITY_CPU = 16000
 
 
 class Store:
@@ -101,7 +102,9 @@
     @drops_answers: runs orders and answers none; @unanswered_share: share of the calls that are
     neither run nor answered; @failing_share: share of the tasks that fail; @delayed_share: share of
     the orders that are not answered and run seconds later, even by a later incarnation if it has
-    the same id; @speed: of the tasks, 0 for no progress."""
+    the same id; @speed: of the tasks, 0 for no progress; @guards_capacity: refuses starts over the
+    capacity. If the specification of a job has "crash-ms", the first task of each step crashes the
+    executor after that time."""
 
     def __init__(self, name, host, port, registry, zone, history, seed):
         self.machine, self.host, self.port = name, host, port
@@ -110,16 +113,21 @@
         self.is_unresponsive, self.unanswered_share, self.failing_share, self.speed = \
             False, 0.0, 0.0, 1.0
         self.drops_answers, self.delayed_share = False, 0.0
+        self.capacity, self.capacity_shrunk_s, self.guards_capacity = CAPACITY_CPU, 0.0, True
+        self.sidecar, self.last_disturbed_s = None, 0.0
         self.is_up, self.is_draining, self.draining_acknowledged_s = False, False, None
         self.incarnation, self.labels = 0, ["a", "r1"]
-        self.task_ended = asyncio.Event()
-        self.server = None
+        self.task_ended, self.task_started = asyncio.Event(), asyncio.Event()
+        self.is_open, self.server, self.writers = False, None, set()
+        self.listening = asyncio.Lock()
 
-    def start(self, fence=0, keeps_id=False):
+    def start(self, fence=0, keeps_id=False, heartbeat_delay_s=0.0):
         """Starts an incarnation, after a crash if one is up, and sends its first heartbeat."""
         if self.is_up:
             self.crash()
         self.incarnation += 1
+        self.last_disturbed_s = time.monotonic() + heartbeat_delay_s
+        self.first_heartbeat_s = self.last_disturbed_s
         if not keeps_id:
             self.id = "i-%s-%d" % (self.machine, self.incarnation)
         self.born = int(time.time() * 1000)
@@ -127,20 +135,39 @@
         self.sequence, self.fence, self.lease_end = 0, fence, 0
         self.tasks, self.ended_tasks, self.n_ended, self.stopped_attempts = {}, [], 0, {}
         self.is_up, self.is_draining, self.draining_acknowledged_s = True, False, None
-        asyncio.ensure_future(self.try_heartbeat())
+        asyncio.ensure_future(self.begin_heartbeats())
+
+    async def begin_heartbeats(self):
+        if self.is_open:
+            await self.listen()
+        await self.try_heartbeat()
 
-    def crash(self):
+    def crash(self, closes_port=False):
+        """Ends the incarnation; with @closes_port, connections are reset and new ones refused, as
+        at the end of a process, otherwise reset at the next request."""
         self.is_up = False
         for name in list(self.tasks):
             self.history.record_end(self.machine, name, self.tasks[name]["attempt"], "crash")
         self.tasks = {}
         self.wake_holds()
+        if closes_port and self.server:
+            self.server.close()
+            self.server = None
+            for writer in list(self.writers):
+                writer.transport.abort()
 
     def clock(self):
         return int((time.monotonic() - self.start_time_s) * 1000)
 
+    async def listen(self):
+        async with self.listening:
+            if self.is_up and not self.server:
+                self.server = await standin_http.serve(self.host, self.port, self.handle,
+                                                       self.writers)
+
     async def open(self):
-        self.server = await standin_http.serve(self.host, self.port, self.handle)
+        self.is_open = True
+        await self.listen()
         asyncio.ensure_future(self.run_tasks())
         asyncio.ensure_future(self.send_heartbeats())
 
@@ -150,29 +177,68 @@
             await self.try_heartbeat()
 
     async def try_heartbeat(self):
-        if self.is_up and not self.is_unresponsive:
+        if self.is_up and not self.is_unresponsive \
+                and time.monotonic() >= self.first_heartbeat_s:
             try:
                 await self.send_heartbeat()
             except (OSError, TimeoutError):
                 pass
 
-    async def send_heartbeat(self):
+    def describe(self):
+        self.sequence += 1
+        return {"service": "service", "address": "%s:%d" % (self.host, self.port),
+                "zone": self.zone, "version": "v1", "slots": 8, "sequence": self.sequence,
+                "state": "draining" if self.is_draining else "ready", "cold-remaining-ms": 0,
+                "capacity": {"cpu": self.capacity, "mem-mb": 32768, "gpu": 0},
+                "labels": self.labels, "clock-ms": self.clock(), "born": self.born}
+
+    async def tell(self, what, executor_id, body):
+        """Sends a call about @executor_id to the sidecar and returns the status."""
         host, port = self.registry.split(":")
         client = standin_http.HttpClient(host, int(port))
-        self.sequence += 1
+        try:
+            return (await client.call("POST", "/azurerock/Executors.%s/%s" % (what, executor_id),
+                                      {}, body, 1.0))[0]
+        finally:
+            client.close()
+
+    async def send_heartbeat(self):
         was_draining, incarnation_before = self.is_draining, self.incarnation
-        body = {"service": "service", "address": "%s:%d" % (self.host, self.port),
-                "zone": self.zone, "version": "v1", "slots": 8, "sequence": self.sequence,
-                "state": "draining" if was_draining else "ready", "cold-remaining-ms": 0,
-                "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0}, "labels": self.labels,
-                "clock-ms": self.clock(), "born": self.born}
-        status, _, _ = await client.call("POST", "/azurerock/Executors.Heartbeat/" + self.id,
-                                         {}, body, 1.0)
+        status = await self.tell("Heartbeat", self.id, self.describe())
         # The executor may have restarted before the answer arrived.
         if status == 200 and was_draining and incarnation_before == self.incarnation \
                 and self.draining_acknowledged_s is None:
             self.draining_acknowledged_s = time.monotonic()
-        client.close()
+
+    def set_capacity(self, cpu):
+        if cpu < self.capacity:
+            self.capacity_shrunk_s = time.monotonic()
+        self.capacity = cpu
+
+    def used_cpu(self):
+        """Of the tasks that were ordered in time; the sidecar may not know of the other ones."""
+        return sum(task["cpu"] for task in self.tasks.values() if not task["is_late"])
+
+    def crash_soon(self, name, delay_s):
+        """Without a delay, the start is not answered."""
+        if delay_s == 0:
+            self.crash_because_of(name, self.incarnation)
+        else:
+            asyncio.get_running_loop().call_later(delay_s, self.crash_because_of, name,
+                                                  self.incarnation)
+
+    def crash_because_of(self, name, incarnation):
+        if self.incarnation != incarnation or name not in self.tasks:
+            return
+        self.history.record_deadly_crash(name)
+        self.crash(closes_port=True)
+        asyncio.ensure_future(self.restart_later(incarnation))
+
+    async def restart_later(self, incarnation):
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        if self.incarnation == incarnation:
+            self.start(keeps_id=self.random.random() < 0.5,
+                       heartbeat_delay_s=self.random.choice([0, 0, 2]))
 
     def end(self, name, how):
         task = self.tasks.pop(name)
@@ -189,6 +255,10 @@
     async def run_tasks(self):
         last = time.monotonic()
         while True:
+            if not self.tasks:
+                self.task_started.clear()
+                await self.task_started.wait()
+                last = time.monotonic()
             await asyncio.sleep(0.005)
             now = time.monotonic()
             if self.tasks and self.clock() > self.lease_end:
@@ -205,7 +275,10 @@
             raise standin_http.ResetConnection
         if self.is_unresponsive or self.random.random() < self.unanswered_share:
             raise standin_http.NoAnswer
-        if headers.get("x-expected-instance", self.id) != self.id:
+        expected_id = headers.get("x-expected-instance", self.id)
+        if expected_id != self.id:
+            if target.endswith("/run-start"):
+                self.history.record_start_elsewhere(self.machine, expected_id)
             return 421, None
         call = json.loads(body)
         name = target.rsplit("/", 1)[1].replace("-", "_")
@@ -249,12 +322,17 @@
         if attempt <= self.stopped_attempts.get(name, 0) or task:
             return self.reject("old")
         work = json.loads(call["specification"])
-        if sum(t["cpu"] for t in self.tasks.values()) + work["cpu"] > 16000:
+        if self.guards_capacity \
+                and sum(t["cpu"] for t in self.tasks.values()) + work["cpu"] > self.capacity:
             return self.reject("room")
+        is_late = call.get("is_late", False)
         self.tasks[name] = {"attempt": attempt, "done": 0.0, "work": work["ms"],
-                            "cpu": work["cpu"], "fails": self.random.random() < self.failing_share}
-        self.history.record_start(self.machine, self.zone, name, attempt, self,
-                                  call.get("is_late", False))
+                            "cpu": work["cpu"], "fails": self.random.random() < self.failing_share,
+                            "is_late": is_late}
+        self.task_started.set()
+        self.history.record_start(self.machine, self.zone, name, attempt, self, is_late)
+        if "crash-ms" in work and name.endswith(".0"):
+            self.crash_soon(name, work["crash-ms"] / 1000)
         return 200, {"clock-ms": self.clock(), "born": self.born}
 
     async def run_stop(self, call):
