Check in soaks that no start exceeds a shrunk capacity

The capacity of the soak's upstreams was constant, and they refused what didn't fit, so a sidecar that missed a change would not have shown.

The planned operation "capacity" shrinks an upstream, at times twice, and lets it grow again; two thirds of the upstreams don't guard their capacity. LIMIT reports a start, other than a late one, that brings an upstream over a capacity that shrank more than contact time and one heartbeat ago, while its sidecar and its heartbeats were undisturbed for as long.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -164,6 +164,7 @@
                 "store_address": store, "grace_s": GRACE_S}))
             executor = Executor("m%d" % i, host, PORTS["app"], registry, "d%d" % (i % 3),
                                 self.history, self.options.seed * 1000 + i)
+            executor.sidecar, executor.guards_capacity = self.sidecars[-1], i % 3 == 0
             # The clock of an earlier sidecar, from which the fence came, may have been ahead.
             executor.start(fence=int(time.time() * 1000) + self.random.choice([0, 0, 60000]))
             await executor.open()
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -3,8 +3,11 @@
 import signal
 import time
 
+from standin_platform import CAPACITY_CPU
+
 # Planned operations of operators and the platform, which callers must not notice.
-PLANNED = {"stop_gateway", "stop_sidecar", "hangup", "configuration", "withdraw", "drain"}
+PLANNED = {"stop_gateway", "stop_sidecar", "hangup", "configuration", "withdraw", "drain",
+           "capacity"}
 
 # KNOWN-RED.txt lists runs with these, so other runs don't inject them.
 ONLY_BY_NAME = {"deadly_unanswered"}
@@ -113,9 +116,9 @@
 
     async def fault_executor_silent(self):
         executor = self.random.choice(self.executors)
-        executor.is_unresponsive = True
+        executor.is_unresponsive, executor.last_disturbed_s = True, float("inf")
         await asyncio.sleep(self.random.uniform(0.3, 3))
-        executor.is_unresponsive = False
+        executor.is_unresponsive, executor.last_disturbed_s = False, time.monotonic()
 
     async def fault_executor_mute(self):
         executor = self.random.choice(self.executors)
@@ -150,6 +153,14 @@
             await asyncio.sleep(self.random.uniform(0.1, 1))
         executor.delayed_share = 0.0
 
+    async def fault_capacity(self):
+        executor = self.random.choice(self.executors)
+        for _ in range(self.random.randint(1, 2)):
+            executor.set_capacity(self.random.choice([1000, 2000, 4000]))
+            await asyncio.sleep(self.random.uniform(1, 9))
+        executor.set_capacity(CAPACITY_CPU)
+        await asyncio.sleep(self.random.uniform(0, 2))
+
     async def fault_failing(self):
         executor = self.random.choice(self.executors)
         executor.failing_share = 1.0
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -5,8 +5,11 @@
 import time
 from datetime import datetime
 
+from standin_platform import HEARTBEAT_S
+
 WITHDRAWAL_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
+CONTACT_S = 3.0
 DEADLY_CRASHES_MAX = 3
 STARTS_AFTER_CRASHES_MAX = 2
 CRASHES_TO_GIVE_UP = 2
@@ -24,6 +27,8 @@
     BUDGET     no task starts three times more after three upstreams crashed because of it
     GIVEN_UP   a job fails for crashes only after two upstreams crashed while they ran one of its
                tasks
+    LIMIT      no task starts on an executor beyond a capacity that shrank more than CONTACT_S and
+               a heartbeat ago
     EXIT       no process exits by itself
     STOP       a stop keeps its grace time, and only unplanned faults cut off requests
     WHOLE      a completed job has completed all its tasks
@@ -55,6 +60,7 @@
         if is_late:
             return
         self.check_budget(name)
+        self.check_limit(name, executor, now)
         withdrawn_s = self.withdrawn_s.get(zone)
         if withdrawn_s and now - max(withdrawn_s, self.store.last_disturbed_s) > WITHDRAWAL_LIMIT_S:
             self.report_violation("WITHDRAWN", "%s starts in withdrawn zone %s" % (name, zone))
@@ -70,6 +76,18 @@
             self.report_violation("BUDGET", "%s starts again after %d upstreams crashed because "
                                   "of it" % (name, self.deadly_crashes[name]))
 
+    def check_limit(self, name, executor, now):
+        """A sidecar that was disturbed may not know the capacity yet."""
+        used, sidecar = executor.used_cpu(), executor.sidecar
+        if used <= executor.capacity or not sidecar or sidecar.active_fault:
+            return
+        since_s = max(executor.capacity_shrunk_s, executor.last_disturbed_s,
+                      sidecar.last_disturbed_s)
+        if now - since_s > CONTACT_S + HEARTBEAT_S:
+            self.report_violation("LIMIT", "%s starts on %s, tasks need %d of a capacity of %d "
+                                  "(%s)" % (name, executor.machine, used, executor.capacity,
+                                            time.strftime("%H:%M:%S")))
+
     def record_deadly_crash(self, name):
         self.deadly_crashes[name] = self.deadly_crashes.get(name, 0) + 1
 
