Add faults and checks for reported incidents to the soak

Faults that operators of similar systems report were missing from the soak: restarts under the same id with another capacity, a late first heartbeat or answered starts, malformed messages, departures with a delayed heartbeat of the former incarnation. Starts after the answer to a job, and starts at an upstream that has left, were not checked. A fault came only once at a time.

Faults come in series of up to three; pauses last up to 5 s. A drained upstream deregisters and its last heartbeat arrives once more. ANSWERED reports a start a second after its job was answered, LEFT one that names an upstream which has left. The load draws from random numbers of its own, so that it doesn't change the plan of faults; plans of old seeds change. The summary shows the longest time in which the stand-ins stood still, since that looks like silence of all upstreams and links.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,18 +13,19 @@
 import time
 
 import standin_http
-from soak_faults import ONLY_BY_NAME, PLANNED, Faults
+from soak_faults import ONLY_BY_NAME, PLANNED, PORTS, Faults
 from soak_history import History
 from soak_proxy import Proxy
 from standin_platform import Executor, Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7806}
 NETWORKS = 254
 RESUBMIT_DELAY_S = 1.3
 CONFIG_LIMIT_S = 2.0
 UNDISTURBED_S = 3.0  # the checks of STOP and CONFIG apply this long after the last disturbance
 RECOVERY_LIMIT_S = 10.0
+SERIES = [1, 1, 1, 2, 3]  # times that a fault is injected in succession
+STALL_CHECK_S = 0.05
 GRACE_S = 5
 
 
@@ -74,7 +75,9 @@
 class Soak(Faults):
     def __init__(self, options):
         self.options, self.build = options, os.path.join(ROOT, options.build)
+        # The load has random numbers of its own, so that it doesn't change the plan of faults.
         self.random = random.Random(options.seed)
+        self.load_random = random.Random("load %d" % options.seed)
         self.store = Store()
         self.history = History(self.store)
         self.folder = options.keep or tempfile.mkdtemp(prefix="soak-")
@@ -83,7 +86,7 @@
         self.counts = {"completed": 0, "failed": 0, "not_run": 0, "unanswered": 0}
         self.job_outcomes, self.jobs, self.stopping, self.version = [], 0, False, 0
         self.n_unplanned, self.due_crashes_ms = 0, []
-        self.network, self.store_server = None, None
+        self.network, self.store_server, self.longest_stall = None, None, (0.0, "")
 
     def host(self, index):
         return "127.%d.%d.%d" % (self.network, 1 + index // 250, 1 + index % 250)
@@ -176,18 +179,18 @@
         """Submits one job until it has a final answer, as a client of the platform does. Tasks of
         long jobs run longer than RESUBMIT_DELAY_S. @crash_ms: None, or time after which its first
         task crashes the upstream."""
-        tasks = self.random.randint(1, 4)
-        work = {"ms": 2500 if is_long else self.random.choice([30, 60, 120, 400]),
-                "cpu": 500 if is_long else self.random.choice([1000, 2000])}
+        tasks = self.load_random.randint(1, 4)
+        work = {"ms": 2500 if is_long else self.load_random.choice([30, 60, 120, 400]),
+                "cpu": 500 if is_long else self.load_random.choice([1000, 2000])}
         if crash_ms is not None:
             work.update({"ms": 400, "crash-ms": crash_ms})
         body = {"specification": json.dumps(work), "best-effort": True,
                 "phases": [{"count": tasks, "cpu": work["cpu"], "mem-mb": 64,
-                            "estimate-ms": int(work["ms"] * self.random.uniform(0.6, 1.6))}]}
+                            "estimate-ms": int(work["ms"] * self.load_random.uniform(0.6, 1.6))}]}
         until = time.monotonic() + deadline
         may_have_run = False
         while (left := until - time.monotonic()) > 0.05:
-            gateway = self.random.choice(self.gateways)
+            gateway = self.load_random.choice(self.gateways)
             client = standin_http.HttpClient(gateway.host, PORTS["jobs"])
             sent_s = time.monotonic()
             try:
@@ -203,6 +206,8 @@
                 continue
             finally:
                 client.close()
+            if status in (200, 503):
+                self.history.answered_s[job_id] = time.monotonic()
             if status == 200:
                 return self.check_answer(job_id, tasks, json.loads(text)["state"])
             if status == 503:
@@ -234,13 +239,13 @@
         while not self.stopping:
             self.jobs += 1
             asyncio.ensure_future(self.one_job("%016x" % (self.options.seed << 32 | self.jobs)))
-            await asyncio.sleep(self.random.expovariate(self.options.rate))
+            await asyncio.sleep(self.load_random.expovariate(self.options.rate))
 
     async def one_job(self, job_id):
-        is_long = self.random.random() < self.options.long_share
+        is_long = self.load_random.random() < self.options.long_share
         crash_ms = self.due_crashes_ms.pop() if self.due_crashes_ms else None
         has_time = is_long or crash_ms is not None
-        deadline = 9.0 if has_time else self.random.choice([1.5, 2.5, 4.0])
+        deadline = 9.0 if has_time else self.load_random.choice([1.5, 2.5, 4.0])
         outcome = await self.submit(job_id, deadline, is_long, crash_ms)
         self.counts[outcome] += 1
         if crash_ms is not None:
@@ -280,6 +285,15 @@
         finally:
             client.close()
 
+    async def measure_stalls(self):
+        """Measures how long the stand-ins, which share this process, stood still at most. They and
+        the proxies between processes are then as silent as after a fault."""
+        while not self.stopping:
+            sent_s = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_S)
+            stall_s = time.monotonic() - sent_s - STALL_CHECK_S
+            self.longest_stall = max(self.longest_stall, (stall_s, time.strftime("%H:%M:%S")))
+
     async def inject_fault(self):
         names = self.options.faults.split(",") if self.options.faults else \
             sorted({k[6:] for k in dir(self) if k.startswith("fault_")} - ONLY_BY_NAME)
@@ -288,7 +302,8 @@
         if name not in PLANNED:
             self.history.unplanned_until_s = float("inf")
             self.n_unplanned += 1
-        await getattr(self, "fault_" + name)()
+        for _ in range(self.random.choice(SERIES)):
+            await getattr(self, "fault_" + name)()
         if name not in PLANNED:
             self.n_unplanned -= 1
             if self.n_unplanned == 0:
@@ -309,7 +324,8 @@
         await self.build_cluster()
         await asyncio.sleep(2.5)
         tasks = [asyncio.ensure_future(self.load()),
-                 asyncio.ensure_future(self.check_configuration())]
+                 asyncio.ensure_future(self.check_configuration()),
+                 asyncio.ensure_future(self.measure_stalls())]
         await self.inject_faults()
         await asyncio.sleep(RECOVERY_LIMIT_S)
         now = time.monotonic()
@@ -324,12 +340,11 @@
         await asyncio.gather(*[node.stop(signal.SIGTERM) for node in self.gateways + self.sidecars])
         n_given_up = self.history.check_given_up_jobs(self.folder)
         print("seed %d: %d jobs, %s, %d runs, %d crashes by tasks, %d jobs given up for crashes, "
-              "%d violations, logs in %s"
+              "longest stall of the stand-ins %.2f s (%s), %d violations, logs in %s"
               % (self.options.seed, self.jobs, self.counts,
                  sum(map(len, self.history.runs.values())),
                  sum(self.history.deadly_crashes.values()), n_given_up,
-                 len(self.history.violations),
-                 self.folder))
+                 *self.longest_stall, len(self.history.violations), self.folder))
         return 1 if self.history.violations else 0
 
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -1,17 +1,31 @@
 """The faults of soaks: fault_NAME injects one and returns when its direct effects are over."""
 import asyncio
+import json
 import signal
 import time
 
 from standin_platform import CAPACITY_CPU
 
+PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7806}
 # Planned operations of operators and the platform, which callers must not notice.
 PLANNED = {"stop_gateway", "stop_sidecar", "hangup", "configuration", "withdraw", "drain",
-           "capacity"}
+           "capacity", "malformed"}
 
 # KNOWN-RED.txt lists runs with these, so other runs don't inject them.
 ONLY_BY_NAME = {"deadly_unanswered"}
 CRASH_MS = [5, 10, 50, 200]
+MISSING = object()
+
+
+async def send_raw(host, port, message):
+    """Sends @message and waits shortly for any answer."""
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(message)
+        await asyncio.wait_for(reader.read(1000), 0.2)
+        writer.transport.abort()
+    except (OSError, TimeoutError, asyncio.TimeoutError):
+        pass
 
 
 class Faults:
@@ -55,7 +69,7 @@
             return
         node.active_fault = "freeze"
         node.send(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.1, 3))
+        await asyncio.sleep(self.random.uniform(0.1, 5))
         node.send(signal.SIGCONT)
         await asyncio.sleep(1)
         node.active_fault = False
@@ -117,7 +131,7 @@
     async def fault_executor_silent(self):
         executor = self.random.choice(self.executors)
         executor.is_unresponsive, executor.last_disturbed_s = True, float("inf")
-        await asyncio.sleep(self.random.uniform(0.3, 3))
+        await asyncio.sleep(self.random.uniform(0.3, 5))
         executor.is_unresponsive, executor.last_disturbed_s = False, time.monotonic()
 
     async def fault_executor_mute(self):
@@ -141,17 +155,22 @@
             executor.delayed_share = 0.0
 
     async def fault_rebirth(self):
-        """An executor doesn't answer half of its orders and starts again under its id; the
-        incarnation that is up then carries the orders out."""
+        """An executor starts again under its id, at times with another capacity or a late first
+        heartbeat; before, it answers all or half of its orders or none. The incarnation that is up
+        then carries out those that are late."""
         executor = self.random.choice(self.executors)
-        executor.delayed_share = 0.5
+        executor.delayed_share = self.random.choice([0.0, 0.5, 0.5])
+        executor.drops_answers = self.random.random() < 0.2
         await asyncio.sleep(self.random.uniform(0.2, 1))
         for _ in range(self.random.randint(1, 3)):
-            executor.crash()
+            executor.crash(closes_port=self.random.random() < 0.5)
             await asyncio.sleep(self.random.uniform(0.05, 1.5))
-            executor.start(keeps_id=True)
+            executor.set_capacity(self.random.choice([CAPACITY_CPU, CAPACITY_CPU, 4000]))
+            executor.start(keeps_id=True, heartbeat_delay_s=self.random.choice([0, 0, 1.5, 4]))
             await asyncio.sleep(self.random.uniform(0.1, 1))
-        executor.delayed_share = 0.0
+        executor.delayed_share, executor.drops_answers = 0.0, False
+        await asyncio.sleep(4)
+        executor.set_capacity(CAPACITY_CPU)
 
     async def fault_capacity(self):
         executor = self.random.choice(self.executors)
@@ -161,6 +180,28 @@
         executor.set_capacity(CAPACITY_CPU)
         await asyncio.sleep(self.random.uniform(0, 2))
 
+    async def fault_malformed(self):
+        """Sends messages that no process may accept or end from."""
+        executor, gateway = self.random.choice(self.executors), self.random.choice(self.gateways)
+        registry = executor.registry.split(":")
+        heartbeat = b"POST /azurerock/Executors.Heartbeat/%s HTTP/1.1\r\nhost: h.example\r\n" \
+                    b"content-length: %d\r\n\r\n%s"
+        job = heartbeat.replace(b"azurerock/Executors.Heartbeat", b"jobs")
+        executor_id = executor.id.encode()
+        for key in ["service", "address", "zone", "state", "sequence", "capacity"]:
+            for value in [MISSING, None, [], {"a": 1}, True, -1.5]:
+                body = dict(executor.describe(), **{key: value})
+                text = json.dumps({k: v for k, v in body.items() if v is not MISSING}).encode()
+                await send_raw(*registry, heartbeat % (executor_id, len(text), text))
+        junk = self.random.randbytes(self.random.randint(1, 3000))
+        await send_raw(*registry, heartbeat % (b"i-\xff\xfe", len(text), text))
+        await send_raw(*registry, heartbeat % (b"i-0", len(junk), junk))
+        await send_raw(gateway.host, PORTS["jobs"], job % (b"0123456789abcdef", len(junk), junk))
+        await send_raw(gateway.host, PORTS["jobs"], job % (b"0123456789abcdef", len(text), text))
+        await send_raw(gateway.host, PORTS["jobs"], junk)
+        await send_raw(gateway.host, PORTS["peers"], junk)
+        await asyncio.sleep(1)
+
     async def fault_failing(self):
         executor = self.random.choice(self.executors)
         executor.failing_share = 1.0
@@ -179,8 +220,19 @@
             return
         executor.is_draining = True
         await asyncio.sleep(4)
-        executor.crash()
+        former, last_heartbeat = executor.id, executor.describe()
+        try:
+            if await executor.tell("Deregister", former, {"born": executor.born}) == 200:
+                self.history.left_s[former] = time.monotonic()
+        except (OSError, TimeoutError):
+            pass
+        executor.crash(closes_port=True)
         executor.start()
+        await asyncio.sleep(self.random.uniform(0, 2))
+        try:  # delayed on its way
+            await executor.tell("Heartbeat", former, last_heartbeat)
+        except (OSError, TimeoutError):
+            pass
 
     async def fault_configuration(self):
         for _ in range(self.random.randint(1, 4)):
@@ -193,6 +245,6 @@
             return
         self.store.write("op/evacuate/" + zone, b"{}")
         self.history.withdrawn_s[zone] = time.monotonic()
-        await asyncio.sleep(7)
+        await asyncio.sleep(9)
         del self.history.withdrawn_s[zone]
         self.store.write("op/evacuate/" + zone, None)
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -10,6 +10,8 @@
 WITHDRAWAL_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
 CONTACT_S = 3.0
+ANSWERED_LIMIT_S = 1.0
+LEFT_LIMIT_S = 1.0
 DEADLY_CRASHES_MAX = 3
 STARTS_AFTER_CRASHES_MAX = 2
 CRASHES_TO_GIVE_UP = 2
@@ -29,6 +31,8 @@
                tasks
     LIMIT      no task starts on an executor beyond a capacity that shrank more than CONTACT_S and
                a heartbeat ago
+    ANSWERED   no task starts ANSWERED_LIMIT_S after its job has got its final answer
+    LEFT       no start names an executor LEFT_LIMIT_S after its departure was acknowledged
     EXIT       no process exits by itself
     STOP       a stop keeps its grace time, and only unplanned faults cut off requests
     WHOLE      a completed job has completed all its tasks
@@ -41,6 +45,7 @@
         self.store = store
         self.running, self.runs, self.done, self.violations = {}, {}, set(), []
         self.withdrawn_s, self.unplanned_until_s = {}, 0.0
+        self.answered_s, self.left_s = {}, {}
         self.crash_times, self.deadly_crashes, self.late_starts = {}, {}, {}
 
     def report_violation(self, rule, text):
@@ -56,9 +61,14 @@
                                   % (name, attempt, " late" if is_late else "", machine,
                                      running_on, time.strftime("%H:%M:%S")))
         running_on.add(machine)
-        self.runs.setdefault(name.split(".")[0], []).append(name)
+        job_id = name.split(".")[0]
+        self.runs.setdefault(job_id, []).append(name)
         if is_late:
             return
+        answered_s = self.answered_s.get(job_id, now)
+        if now - answered_s > ANSWERED_LIMIT_S:
+            self.report_violation("ANSWERED", "%s starts on %s %.1f s after the answer to its job"
+                                  % (name, machine, now - answered_s))
         self.check_budget(name)
         self.check_limit(name, executor, now)
         withdrawn_s = self.withdrawn_s.get(zone)
@@ -68,6 +78,13 @@
         if acknowledged_s and now - acknowledged_s > DRAIN_LIMIT_S:
             self.report_violation("DRAIN", "%s starts on draining %s" % (name, machine))
 
+    def record_start_elsewhere(self, machine, executor_id):
+        """A start request reaches an executor other than the one that it names."""
+        left_s = self.left_s.get(executor_id)
+        if left_s and time.monotonic() - left_s > LEFT_LIMIT_S:
+            self.report_violation("LEFT", "a start on %s names %s, which has left"
+                                  % (machine, executor_id))
+
     def check_budget(self, name):
         if self.deadly_crashes.get(name, 0) < DEADLY_CRASHES_MAX:
             return
