--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -13,6 +13,7 @@
 
 # KNOWN-RED.txt lists runs with these, so other runs don't inject them.
 ONLY_BY_NAME = {"deadly_unanswered"}
+LINK_FAULTS = {"link", "reset"}
 CRASH_MS = [5, 10, 50, 200]
 MISSING = object()
 
