--- a/tests/rebirth_cluster.py
+++ b/tests/rebirth_cluster.py
@@ -7,7 +7,7 @@
 
 import standin_http
 from process_testing import free_port, program_path
-from soak import History
+from soak_history import History
 from standin_platform import Executor, Store
 
 HOST = "127.0.0.1"
