Tell crashes of a restarted sidecar's upstream apart in suspicions

Cause: a suspicion identified a crash by the upstream and the number of its incarnation, which each sidecar process counts from 1. The first crash after a restart of the sidecar was taken for an earlier one, so a queue was suspected later, and other callers lost their tasks to it for longer.

Change: the sidecar process belongs to the identity of a crash, as in the record of crashes.

Result: test_crash_after_a_restart_of_the_sidecar_counts failed before (one crash counted instead of two) and passes now.

--- a/src/dispatch/crash_suspicion.c
+++ b/src/dispatch/crash_suspicion.c
@@ -13,8 +13,8 @@
  */
 #define SAME_CAUSE_MS 50
 
-/* Share of the crashes caused by a queue for which it gets the blame; 29 of 33 and 18 of 23 were
- * observed. In the other cases another task had started in between. */
+/* Share of the crashes caused by a queue for which it gets the blame. In the other cases another
+ * task had started in between. */
 #define BLAMED_IF_CAUSE 0.85
 
 /* Share of the crashes after which a job is blamed that was blamed before on another upstream. A
@@ -43,6 +43,7 @@
 struct crash
 {
   uint32_t upstream;
+  uint64_t sidecar;
   uint64_t life;
   char *domain;
   char *queue;
@@ -117,9 +118,13 @@
 is_recorded (const struct az_crash_suspicion *suspicion, const struct az_blamed_crash *crash)
 {
   for (guint i = 0; i < suspicion->crashes->len; i++)
-    if (get_crash (suspicion, i)->upstream == crash->upstream
-        && get_crash (suspicion, i)->life == crash->life)
-      return true;
+    {
+      const struct crash *recorded = get_crash (suspicion, i);
+
+      if (recorded->upstream == crash->upstream && recorded->sidecar == crash->sidecar
+          && recorded->life == crash->life)
+        return true;
+    }
   return false;
 }
 
@@ -157,6 +162,7 @@
            int64_t at_us)
 {
   const struct crash crash = { .upstream = blamed->upstream,
+                               .sidecar = blamed->sidecar,
                                .life = blamed->life,
                                .domain = g_strdup (blamed->domain),
                                .queue = g_strdup (blamed->queue),
--- a/src/dispatch/crash_suspicion.h
+++ b/src/dispatch/crash_suspicion.h
@@ -18,7 +18,9 @@
 struct az_crash_suspicion;
 
 /**
- * struct az_blamed_crash - the crash of one incarnation, @life, of an upstream
+ * struct az_blamed_crash - the crash of one incarnation of an upstream
+ * @sidecar: incarnation of the sidecar process that reported it
+ * @life: number of the upstream's incarnation, which each sidecar process counts from 1
  * @domain: failure domain of the upstream
  * @queue: queue of the task that had started last; empty if there was none, which says nothing
  * @job_id: its job; empty if its start wasn't acknowledged
@@ -27,6 +29,7 @@
 struct az_blamed_crash
 {
   uint32_t upstream;
+  uint64_t sidecar;
   uint64_t life;
   const char *domain;
   const char *queue;
--- a/src/gateway/isolation.c
+++ b/src/gateway/isolation.c
@@ -206,6 +206,7 @@
                          const struct az_node_crash *message)
 {
   const struct az_blamed_crash crash = { .upstream = upstream->handle,
+                                         .sidecar = upstream->sidecar,
                                          .life = upstream->life,
                                          .domain = upstream->domain,
                                          .queue = message->queue,
--- a/tests/test_crash_suspicion.c
+++ b/tests/test_crash_suspicion.c
@@ -250,6 +250,25 @@
   end_series (&series);
 }
 
+/* Guards against a crash that is taken for an earlier one, because a sidecar that has restarted
+ * counts the incarnations of its upstream from 1 again. */
+static void
+test_crash_after_a_restart_of_the_sidecar_counts (void **state)
+{
+  struct series series = begin_series ();
+  struct az_blamed_crash crash = {
+    .upstream = 1, .sidecar = 100, .life = 1, .domain = "d1", .queue = "orders", .job_id = ""
+  };
+  struct az_crash_verdict verdict;
+
+  (void)state;
+  az_crash_suspicion_record (series.suspicion, &crash, 0.3, SECOND_US);
+  crash.sidecar = 200;
+  verdict = az_crash_suspicion_record (series.suspicion, &crash, 0.3, 2 * SECOND_US);
+  assert_int_equal (verdict.n_blamed, 2);
+  end_series (&series);
+}
+
 static void
 record_isolated (struct series *series, double wait_s)
 {
@@ -329,6 +348,7 @@
     cmocka_unit_test (test_crashes_of_idle_upstreams_blame_nobody),
     cmocka_unit_test (test_rare_crashes_make_nobody_suspected),
     cmocka_unit_test (test_crash_counts_once_for_an_incarnation),
+    cmocka_unit_test (test_crash_after_a_restart_of_the_sidecar_counts),
     cmocka_unit_test (test_suspicion_outlasts_the_time_that_upstreams_are_down),
     cmocka_unit_test (test_suspicion_ends_without_crashes),
     cmocka_unit_test (test_suspicion_ends_although_isolated_upstreams_crash),
