Call the upstreams on which a job may run its pool

Cause: the code called them a room, the word that it uses for free resources.

Change: enum az_pool and the names derived from it. Nothing else changes.

--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -12,7 +12,7 @@
 
 /**
  * struct forecast - what the jobs of a service that wait at this gateway can expect
- * @room: upstreams on which the jobs have to run
+ * @pool: upstreams on which the jobs have to run
  * @closed_s: time until an isolated upstream opens; 0 if one is open, or if the jobs can run
  *   elsewhere
  * @cores: cores that this gateway can expect to use
@@ -21,7 +21,7 @@
 struct forecast
 {
   const char *service;
-  enum az_room room;
+  enum az_pool pool;
   double closed_s;
   struct az_capacity capacity;
   double cores;
@@ -34,17 +34,17 @@
 init_forecast (const struct az_gateway *gateway,
                struct forecast *forecast,
                const char *service,
-               enum az_room room)
+               enum az_pool pool)
 {
   struct az_candidates candidates;
 
-  *forecast = (struct forecast){ .service = service, .room = room };
-  az_candidates_init (&candidates, gateway, service, room);
+  *forecast = (struct forecast){ .service = service, .pool = pool };
+  az_candidates_init (&candidates, gateway, service, pool);
   az_gateway_measure_capacity (gateway, &candidates, &forecast->capacity);
   az_candidates_clear (&candidates);
   forecast->cores
       = forecast->capacity.total_cores * MAX (forecast->capacity.own_share, USABLE_SHARE_MIN);
-  if (room == AZ_ROOM_ISOLATED && forecast->cores <= 0)
+  if (pool == AZ_POOL_ISOLATED && forecast->cores <= 0)
     forecast->closed_s = az_gateway_isolated_return_s (gateway, service);
 }
 
@@ -158,7 +158,7 @@
 static bool
 is_waiting (const struct job *job, const struct forecast *forecast)
 {
-  return job && job->n_waiting > 0 && job->room == forecast->room
+  return job && job->n_waiting > 0 && job->pool == forecast->pool
          && !strcmp (job->queue->service, forecast->service);
 }
 
@@ -196,11 +196,11 @@
 refuse_excess_of_service (struct az_gateway *gateway,
                           GPtrArray *jobs,
                           const char *service,
-                          enum az_room room)
+                          enum az_pool pool)
 {
   struct forecast forecast;
 
-  init_forecast (gateway, &forecast, service, room);
+  init_forecast (gateway, &forecast, service, pool);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct job *job = jobs->pdata[i];
@@ -230,7 +230,7 @@
 void
 az_gateway_refuse_excess (struct az_gateway *gateway, GPtrArray *jobs)
 {
-  for (enum az_room room = AZ_ROOM_ANY; room <= AZ_ROOM_ISOLATED; room++)
+  for (enum az_pool pool = AZ_POOL_ANY; pool <= AZ_POOL_ISOLATED; pool++)
     {
       g_autoptr (GHashTable) services = g_hash_table_new (g_str_hash, g_str_equal);
 
@@ -238,9 +238,9 @@
         {
           const struct job *job = jobs->pdata[i];
 
-          if (job && job->n_waiting > 0 && job->room == room
+          if (job && job->n_waiting > 0 && job->pool == pool
               && g_hash_table_add (services, job->queue->service))
-            refuse_excess_of_service (gateway, jobs, job->queue->service, room);
+            refuse_excess_of_service (gateway, jobs, job->queue->service, pool);
         }
     }
 }
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -15,9 +15,9 @@
 accepts_tasks (const struct az_gateway *gateway,
                const struct upstream *upstream,
                const char *service,
-               enum az_room room)
+               enum az_pool pool)
 {
-  if (room != AZ_ROOM_ANY && upstream->is_isolated != (room == AZ_ROOM_ISOLATED))
+  if (pool != AZ_POOL_ANY && upstream->is_isolated != (pool == AZ_POOL_ISOLATED))
     return false;
   return upstream->is_open && has_reported (gateway, upstream)
          && strcmp (upstream->service, service) == 0
@@ -28,10 +28,10 @@
 az_candidates_init (struct az_candidates *candidates,
                     const struct az_gateway *gateway,
                     const char *service,
-                    enum az_room room)
+                    enum az_pool pool)
 {
   candidates->service = service;
-  candidates->room = room;
+  candidates->pool = pool;
   candidates->regular = g_ptr_array_new ();
   candidates->probe_only = g_ptr_array_new ();
   for (guint i = 0; i < gateway->upstreams->len; i++)
@@ -41,7 +41,7 @@
       guint at = (guint)((gateway->incarnation + i) % gateway->upstreams->len);
       struct upstream *upstream = gateway->upstreams->pdata[at];
 
-      if (!accepts_tasks (gateway, upstream, service, room))
+      if (!accepts_tasks (gateway, upstream, service, pool))
         continue;
       if (az_speed_is_slow (upstream->speed)
           || az_ejector_is_ejected (gateway->ejector, upstream->handle))
--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -14,7 +14,7 @@
       const struct queue *queue = value;
 
       if (!strcmp (queue->service, candidates->service)
-          && az_gateway_is_queue_in_room (gateway, queue, candidates->room))
+          && az_gateway_is_queue_in_pool (gateway, queue, candidates->pool))
         offered += az_gateway_queue_rates (gateway, queue).offered_cores;
     }
   return offered;
--- a/src/gateway/isolation.c
+++ b/src/gateway/isolation.c
@@ -43,12 +43,12 @@
 }
 
 bool
-az_gateway_is_queue_in_room (const struct az_gateway *gateway,
+az_gateway_is_queue_in_pool (const struct az_gateway *gateway,
                              const struct queue *queue,
-                             enum az_room room)
+                             enum az_pool pool)
 {
-  return room == AZ_ROOM_ANY
-         || az_gateway_is_suspected (gateway, queue) == (room == AZ_ROOM_ISOLATED);
+  return pool == AZ_POOL_ANY
+         || az_gateway_is_suspected (gateway, queue) == (pool == AZ_POOL_ISOLATED);
 }
 
 static uint64_t
@@ -231,18 +231,18 @@
 /* A step that fits only a closed upstream has room there later if the job has to be isolated. The
  * other jobs don't wait for regular upstreams that are closed. */
 static bool
-has_room_for_step (const struct az_gateway *gateway,
-                   const char *service,
-                   const struct az_job_step *step,
-                   enum az_room room)
+has_upstream_for_step (const struct az_gateway *gateway,
+                       const char *service,
+                       const struct az_job_step *step,
+                       enum az_pool pool)
 {
   for (guint i = 0; i < gateway->upstreams->len; i++)
     {
       const struct upstream *upstream = gateway->upstreams->pdata[i];
 
       if (strcmp (upstream->service, service) != 0
-          || upstream->is_isolated != (room == AZ_ROOM_ISOLATED)
-          || (room == AZ_ROOM_REGULAR && !upstream->is_open)
+          || upstream->is_isolated != (pool == AZ_POOL_ISOLATED)
+          || (pool == AZ_POOL_REGULAR && !upstream->is_open)
           || az_gateway_is_withdrawn (gateway, upstream->domain))
         continue;
       if (az_gateway_can_run_step (step, upstream))
@@ -251,19 +251,19 @@
   return false;
 }
 
-enum az_room
-az_gateway_choose_room (const struct az_gateway *gateway, const struct job *job)
+enum az_pool
+az_gateway_choose_pool (const struct az_gateway *gateway, const struct job *job)
 {
   const struct az_crash_suspicion *suspicion = find_suspicion (gateway, job->queue->service);
-  enum az_room room;
+  enum az_pool pool;
 
   if (!suspicion || !az_crash_suspicion_is_any_suspected (suspicion))
-    return AZ_ROOM_ANY;
-  room = az_gateway_is_suspected (gateway, job->queue) ? AZ_ROOM_ISOLATED : AZ_ROOM_REGULAR;
+    return AZ_POOL_ANY;
+  pool = az_gateway_is_suspected (gateway, job->queue) ? AZ_POOL_ISOLATED : AZ_POOL_REGULAR;
   for (size_t i = 0; i < job->request.n_steps; i++)
-    if (!has_room_for_step (gateway, job->queue->service, &job->request.steps[i], room))
-      return AZ_ROOM_ANY;
-  return room;
+    if (!has_upstream_for_step (gateway, job->queue->service, &job->request.steps[i], pool))
+      return AZ_POOL_ANY;
+  return pool;
 }
 
 void
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -121,7 +121,7 @@
   struct az_candidates candidates;
   struct upstream *best;
 
-  az_candidates_init (&candidates, gateway, job->queue->service, job->room);
+  az_candidates_init (&candidates, gateway, job->queue->service, job->pool);
   best = find_best (gateway, &candidates, job, step_index, avoid);
   az_candidates_clear (&candidates);
   return best;
@@ -344,11 +344,11 @@
     {
       struct job *job = jobs->pdata[i];
 
-      if (!candidates.service || candidates.room != job->room
+      if (!candidates.service || candidates.pool != job->pool
           || strcmp (candidates.service, job->queue->service) != 0)
         {
           az_candidates_clear (&candidates);
-          az_candidates_init (&candidates, gateway, job->queue->service, job->room);
+          az_candidates_init (&candidates, gateway, job->queue->service, job->pool);
         }
       if (!is_held_back (gateway, &candidates, job))
         place_job (gateway, &candidates, job);
--- a/src/gateway/queue.c
+++ b/src/gateway/queue.c
@@ -109,7 +109,7 @@
 
       if (job->n_waiting == 0 || job->is_answered)
         continue;
-      job->room = az_gateway_choose_room (gateway, job);
+      job->pool = az_gateway_choose_pool (gateway, job);
       g_ptr_array_add (jobs, job);
     }
   g_ptr_array_sort_with_data (jobs, compare_jobs, gateway);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -133,12 +133,12 @@
   uint32_t n_done;
 };
 
-/** enum az_room - upstreams of a service on which the tasks of a job may run */
-enum az_room
+/** enum az_pool - upstreams of a service on which the tasks of a job may run */
+enum az_pool
 {
-  AZ_ROOM_ANY,
-  AZ_ROOM_REGULAR,  /* those that aren't isolated */
-  AZ_ROOM_ISOLATED, /* those for suspected queues */
+  AZ_POOL_ANY,
+  AZ_POOL_REGULAR,  /* those that aren't isolated */
+  AZ_POOL_ISOLATED, /* those for suspected queues */
 };
 
 /**
@@ -149,7 +149,7 @@
  *   with its upstream is lost
  * @n_started: starts of tasks, certain or possible; a start that the upstream refused isn't counted
  * @was_placed: at least one task was sent to an upstream
- * @room: determined before each placement
+ * @pool: determined before each placement
  * @is_answered: the job only waits for its last tasks in flight
  */
 struct job
@@ -173,7 +173,7 @@
   uint32_t n_done;
   uint32_t n_started;
   bool was_placed;
-  enum az_room room;
+  enum az_pool pool;
   bool is_answered;
 };
 
@@ -345,11 +345,11 @@
 bool
 az_gateway_is_suspected (const struct az_gateway *gateway, const struct queue *queue);
 
-/** az_gateway_is_queue_in_room - whether jobs of the queue usually run there */
+/** az_gateway_is_queue_in_pool - whether jobs of the queue usually run there */
 bool
-az_gateway_is_queue_in_room (const struct az_gateway *gateway,
+az_gateway_is_queue_in_pool (const struct az_gateway *gateway,
                              const struct queue *queue,
-                             enum az_room room);
+                             enum az_pool pool);
 
 /** az_gateway_update_isolation - ends suspicions and chooses the isolated upstreams again */
 void
@@ -359,10 +359,10 @@
                          const struct upstream *upstream,
                          const struct az_node_crash *message);
 
-/** az_gateway_choose_room - returns where the job has to run; a job with a task that fits no
+/** az_gateway_choose_pool - returns where the job has to run; a job with a task that fits no
  * upstream there may run on any */
-enum az_room
-az_gateway_choose_room (const struct az_gateway *gateway, const struct job *job);
+enum az_pool
+az_gateway_choose_pool (const struct az_gateway *gateway, const struct job *job);
 void
 az_gateway_record_openness (struct az_gateway *gateway, struct upstream *upstream, bool is_open);
 
@@ -497,7 +497,7 @@
 /* candidates.c */
 
 /**
- * struct az_candidates - upstreams of a service, in a room, to which tasks may be sent
+ * struct az_candidates - upstreams of a pool of a service, to which tasks may be sent
  * @regular: struct upstream *
  * @probe_only: slow and ejected upstreams, which get single tasks as probes
  * @max_free: maximum of each resource that is free at one candidate; a task that needs more of a
@@ -506,7 +506,7 @@
 struct az_candidates
 {
   const char *service;
-  enum az_room room;
+  enum az_pool pool;
   GPtrArray *regular;
   GPtrArray *probe_only;
   struct az_resources max_free;
@@ -518,7 +518,7 @@
 az_candidates_init (struct az_candidates *candidates,
                     const struct az_gateway *gateway,
                     const char *service,
-                    enum az_room room);
+                    enum az_pool pool);
 
 /** az_candidates_update - computes @max_free again after free resources have shrunk */
 void
