--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -355,121 +355,6 @@
   gateway_rig_destroy (rig);
 }
 
-/* Guards against refusals just after the start of the process, before sidecars have connected. */
-static void
-test_job_waits_for_upstreams_after_the_start (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (0);
-
-  (void)state;
-  gateway_rig_submit (rig, 1, "fast", 1);
-  gateway_rig_advance (rig, 60, 0);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), -1);
-  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
-  assert_int_equal (rig->runs->len, 1);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against a job that is queued although no upstream has been connected for long. */
-static void
-test_job_without_upstreams_is_refused_at_once (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (0);
-
-  (void)state;
-  gateway_rig_advance (rig, 2000, 0);
-  gateway_rig_submit (rig, 1, "fast", 1);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against jobs answered as failed that could be done, because an upstream has shrunk and may
- * grow again. */
-static void
-test_job_beyond_a_shrunk_capacity_is_not_failed (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (1);
-
-  (void)state;
-  rig->capacity_milli[1] = 2000;
-  gateway_rig_report_upstream (rig, 1, true);
-  gateway_rig_submit (rig, 1, "fast", 1);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
-  rig->capacity_milli[1] = 32000;
-  gateway_rig_report_upstream (rig, 1, true);
-  gateway_rig_submit (rig, 2, "fast", 1);
-  assert_int_equal (rig->runs->len, 1);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against jobs that wait to their deadline although their tasks fit nowhere, because an
- * upstream has shrunk since they were submitted. */
-static void
-test_waiting_job_beyond_a_shrunk_capacity_is_refused (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (1);
-
-  (void)state;
-  gateway_rig_submit (rig, 1, "fast", 8);
-  gateway_rig_submit (rig, 2, "fast", 1);
-  assert_int_equal (gateway_rig_get_outcome (rig, 2), -1);
-  rig->capacity_milli[1] = 2000;
-  gateway_rig_report_upstream (rig, 1, true);
-  assert_int_equal (gateway_rig_get_outcome (rig, 2), AZ_JOB_NOT_RUN);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), -1);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against callers that repeat a job that no upstream has ever had the capacity for. */
-static void
-test_job_beyond_every_known_capacity_has_failed (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (0);
-
-  (void)state;
-  gateway_rig_advance (rig, 1500, 0);
-  rig->capacity_milli[1] = 2000;
-  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
-  gateway_rig_submit (rig, 1, "fast", 1);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_FAILED);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against jobs answered as failed that fit an upstream whose sidecar hasn't connected yet
- * after the start of the process. */
-static void
-test_job_is_not_failed_before_all_sidecars_connect (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (0);
-
-  (void)state;
-  rig->capacity_milli[1] = 2000;
-  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
-  gateway_rig_submit (rig, 1, "fast", 1);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
-  gateway_rig_open_upstream (rig, 2, "s2", "d1", true);
-  gateway_rig_submit (rig, 2, "fast", 1);
-  assert_int_equal (rig->runs->len, 1);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against jobs answered as failed that could be done, because the sidecar of an upstream
- * that has shrunk was restarted. */
-static void
-test_restarted_sidecar_keeps_the_largest_capacity (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (1);
-
-  (void)state;
-  gateway_rig_advance (rig, 1500, 0);
-  rig->capacity_milli[1] = rig->capacity_milli[2] = 2000;
-  gateway_rig_report_upstream (rig, 1, true);
-  gateway_rig_open_upstream (rig, 2, "s1", "d1", true);
-  gateway_rig_submit (rig, 1, "fast", 1);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
-  gateway_rig_destroy (rig);
-}
-
 /* Guards against a crash after two hellos on one connection: the upstream of the first one would
  * keep the handle of the session after its end, and placing a task there would dereference NULL. */
 static void
@@ -510,104 +395,6 @@
   gateway_rig_destroy (rig);
 }
 
-/* Guards against an upstream that gets most tasks because it fails all of them and so seems idle.
- */
-static void
-test_failing_upstream_is_ejected (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (4);
-  unsigned n_on_failing = 0;
-
-  (void)state;
-  for (uint32_t i = 0; i < 40; i++)
-    {
-      guint first = rig->runs->len;
-
-      gateway_rig_submit (rig, 1 + i, "fast", 1);
-      for (guint run = first; run < rig->runs->len; run++)
-        {
-          bool fails
-              = gateway_rig_get_run (rig, run)->session == gateway_rig_get_run (rig, 0)->session;
-
-          n_on_failing += fails;
-          gateway_rig_end_run (rig, run, fails ? AZ_TASK_FAILED : AZ_TASK_DONE, 90);
-        }
-      gateway_rig_advance (rig, 20, 0);
-    }
-  assert_in_range (n_on_failing, 1, 8);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against a new gateway that takes the accumulated failures of an upstream for a burst. */
-static void
-test_first_report_sets_the_failure_baseline (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (0);
-
-  (void)state;
-  rig->n_failed[1] = 5;
-  rig->n_done[1] = 1000;
-  gateway_rig_open_upstream (rig, 1, "s1", "d1", true);
-  gateway_rig_open_upstream (rig, 2, "s2", "d1", true);
-  gateway_rig_open_upstream (rig, 3, "s3", "d1", true);
-  gateway_rig_submit (rig, 1, "fast", 24);
-  assert_int_equal (rig->runs->len, 24);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against failures that aren't counted because they are compared with the counts of the
- * sidecar's former process. */
-static void
-test_failures_at_a_restarted_sidecar_are_counted (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (0);
-  unsigned n_on_failing = 0;
-
-  (void)state;
-  for (uint32_t session = 1; session <= 8; session++)
-    {
-      g_autofree char *instance = g_strdup_printf ("s%u", session % 4);
-
-      rig->n_failed[session] = session <= 4 ? 100 : 0;
-      rig->n_done[session] = session <= 4 ? 1000 : 0;
-      gateway_rig_open_upstream (rig, session, instance, "d1", true);
-    }
-  for (uint32_t i = 0; i < 40; i++)
-    {
-      guint first = rig->runs->len;
-
-      gateway_rig_submit (rig, 1 + i, "fast", 1);
-      for (guint run = first; run < rig->runs->len; run++)
-        {
-          bool fails
-              = gateway_rig_get_run (rig, run)->session == gateway_rig_get_run (rig, 0)->session;
-
-          n_on_failing += fails;
-          gateway_rig_end_run (rig, run, fails ? AZ_TASK_FAILED : AZ_TASK_DONE, 90);
-        }
-      gateway_rig_advance (rig, 20, 0);
-    }
-  assert_in_range (n_on_failing, 1, 8);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against an ejected upstream that is used again because its sidecar has reconnected. */
-static void
-test_reconnected_sidecar_stays_ejected (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (3);
-
-  (void)state;
-  rig->n_failed[1] = 20;
-  gateway_rig_advance (rig, 20, 0);
-  rig->n_failed[4] = 20;
-  rig->incarnation[4] = rig->incarnation[1];
-  gateway_rig_open_upstream (rig, 4, "s1", "d1", true);
-  gateway_rig_submit (rig, 1, "fast", 24);
-  assert_in_range (rig->runs->len, 16, 17);
-  gateway_rig_destroy (rig);
-}
-
 /* Guards against a stopping gateway that refuses jobs it could still serve. */
 static void
 test_stopping_gateway_accepts_jobs_that_end_in_time (void **state)
@@ -625,58 +412,6 @@
   gateway_rig_destroy (rig);
 }
 
-/* A stalled task is stopped, and runs elsewhere only after its end was reported. */
-static void
-test_stalled_task_is_moved (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (2);
-
-  (void)state;
-  gateway_rig_submit (rig, 1, "fast", 1);
-  gateway_rig_report_progress (rig, 0, 300, UINT32_MAX);
-  assert_int_equal (rig->stops->len, 1);
-  assert_int_equal (rig->runs->len, 1);
-  gateway_rig_end_run (rig, 0, AZ_TASK_STOPPED, 350);
-  assert_int_equal (rig->runs->len, 2);
-  assert_int_not_equal (gateway_rig_get_run (rig, 0)->session,
-                        gateway_rig_get_run (rig, 1)->session);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against regular use of an upstream that its sidecar reports as slow. It gets single tasks,
- * of jobs with enough slack to have a task moved. */
-static void
-test_slow_upstream_gets_single_tasks (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create (3);
-  unsigned n_on_slow = 0;
-
-  (void)state;
-  rig->speed[3] = 15;
-  gateway_rig_advance (rig, 20, 0);
-  for (uint32_t i = 0; i < 40; i++)
-    {
-      guint first = rig->runs->len;
-
-      gateway_rig_submit (rig, 1 + i, i % 10 ? "fast" : "big", 3);
-      for (guint run = first; run < rig->runs->len; run++)
-        {
-          n_on_slow += gateway_rig_get_run (rig, run)->session == 3;
-          gateway_rig_end_run (rig, run, AZ_TASK_DONE, 90);
-        }
-      gateway_rig_advance (rig, 20, 0);
-    }
-  assert_in_range (n_on_slow, 0, 3);
-  rig->speed[3] = 90;
-  gateway_rig_advance (rig, 20, 0);
-  gateway_rig_submit (rig, 100, "fast", 20);
-  n_on_slow = 0;
-  for (guint run = rig->runs->len - 20; run < rig->runs->len; run++)
-    n_on_slow += gateway_rig_get_run (rig, run)->session == 3;
-  assert_in_range (n_on_slow, 4, 8);
-  gateway_rig_destroy (rig);
-}
-
 /* When not all jobs can be served in time, the excess is refused at once and the rest is served. */
 static void
 test_excess_load_is_refused_at_once (void **state)
@@ -756,22 +491,9 @@
     cmocka_unit_test (test_nothing_is_sent_before_the_first_report_of_a_session),
     cmocka_unit_test (test_paused_gateway_starts_no_expired_job),
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
-    cmocka_unit_test (test_job_waits_for_upstreams_after_the_start),
-    cmocka_unit_test (test_job_without_upstreams_is_refused_at_once),
-    cmocka_unit_test (test_job_beyond_a_shrunk_capacity_is_not_failed),
-    cmocka_unit_test (test_waiting_job_beyond_a_shrunk_capacity_is_refused),
-    cmocka_unit_test (test_job_beyond_every_known_capacity_has_failed),
-    cmocka_unit_test (test_job_is_not_failed_before_all_sidecars_connect),
-    cmocka_unit_test (test_restarted_sidecar_keeps_the_largest_capacity),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
-    cmocka_unit_test (test_failing_upstream_is_ejected),
-    cmocka_unit_test (test_first_report_sets_the_failure_baseline),
-    cmocka_unit_test (test_failures_at_a_restarted_sidecar_are_counted),
-    cmocka_unit_test (test_reconnected_sidecar_stays_ejected),
     cmocka_unit_test (test_stopping_gateway_accepts_jobs_that_end_in_time),
-    cmocka_unit_test (test_stalled_task_is_moved),
-    cmocka_unit_test (test_slow_upstream_gets_single_tasks),
     cmocka_unit_test (test_excess_load_is_refused_at_once),
     cmocka_unit_test (test_rare_job_waits_for_cores_that_others_use),
     cmocka_unit_test (test_full_upstreams_are_examined_once_per_iteration),
