Give the gateway's handling of crashes a header of its own

Change: the declarations of crashes.c and isolation.c move to crashes.h.

Result: it builds, and the tests of gateway, crashes and isolation pass unchanged.

--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -1,3 +1,4 @@
+#include "gateway/crashes.h"
 #include "gateway/state.h"
 
 static const struct az_ejection_policy ejection_policy
--- a/src/gateway/crashes.c
+++ b/src/gateway/crashes.c
@@ -1,3 +1,4 @@
+#include "gateway/crashes.h"
 #include "gateway/state.h"
 
 /* A task under which two upstreams have crashed is likely their cause. Each further attempt would
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "gateway/crashes.h"
 #include "gateway/state.h"
 
 static struct job *
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "dispatch/session_times.h"
+#include "gateway/crashes.h"
 #include "gateway/state.h"
 #include <string.h>
 
