Review case 3: old heartbeats keep the session of a gateway whose link is squeezed

Evidence: review/3/run.sh, which needs a proxy in review/lib/; the cases of the heartbeat and the cancel move to 4 and 5.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,5 @@
-"""Jobs that their clients cancel; the DELETE is a new connection, which reaches another node than
-the POST."""
+"""A heartbeat of another writer, for a service that isn't named, reaches a side machine whose
+executor runs tasks."""
 import asyncio
 import os
 import sys
@@ -8,62 +8,54 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 
-from deployment import BOUNDS, HOST_NAME, main  # noqa: E402
+from deployment import PORTS, main  # noqa: E402
 
-N_JOBS = 6
-FIRST_STEP_MS, SECOND_STEP_MS, CPU = 9000, 3000, 1000
-DEADLINE_MS = 30000
-CANCEL_AFTER_S = 1.0
-PLAY_S = 17.0
-# A cancel counts from its acknowledgement, or, without one, once it has waited ack-ms. Both add up
-# here, so the check holds whether or not a 410 is an acknowledgement.
-LIMIT_S = (BOUNDS["ack-ms"] + BOUNDS["cancel_ms"]) / 1000
-STOP_S = BOUNDS["stop-ms"] / 1000
+PLAY_S = 20
+JOB_INTERVAL_S = 0.3
+DEADLINE_MS = 5000
+FOREIGN_AT_S = (4.0, 8.0, 12.0)
 
 
-def two_steps(deployment):
-    body = deployment.body(2, FIRST_STEP_MS, CPU)
-    body["phases"].append({"count": 2, "cpu": CPU, "mem-mb": 64, "estimate-ms": SECOND_STEP_MS,
-                           "after": [0]})
-    return body
+def foreign_heartbeat(executor):
+    return {"service": "unnamed", "address": "%s:%d" % (executor.host, PORTS["app"]),
+            "zone": executor.zone, "version": "v1", "slots": 8, "state": "ready",
+            "cold-remaining-ms": 0,
+            "capacity": {"cpu": executor.capacity, "mem-mb": 65536, "gpu": 0},
+            "labels": executor.labels, "clock-ms": 0, "sequence": 1,
+            "born": int(time.time() * 1000)}
 
 
-async def post_and_cancel(deployment, number, cancelled_s, trouble):
-    job_id = "%016x" % (0xc0 + number)
-    holder = deployment.frontends[number % 3]
-    other = deployment.frontends[(number + 1) % 3]
-    post = asyncio.ensure_future(deployment.post(holder, "/jobs/", job_id, two_steps(deployment),
-                                                 DEADLINE_MS))
-    await asyncio.sleep(CANCEL_AFTER_S)
-    target = other if trouble else holder
-    status, _ = await deployment.ask(target, "frontend", "DELETE", "/jobs/" + job_id,
-                                     {"host": HOST_NAME})
-    cancelled_s[job_id] = deployment.record.now()
-    deployment.record.write("cancel", job=job_id, to=target.name, status=status)
-    return post
+async def send_foreign_heartbeats(deployment):
+    started_s = time.monotonic()
+    for i, at_s in enumerate(FOREIGN_AT_S):
+        await asyncio.sleep(max(0, started_s + at_s - time.monotonic()))
+        machine, executor = deployment.sides[i], deployment.executors[i]
+        status, _ = await deployment.ask(
+            machine, "control-plane", "POST", "/azurerock/Executors.Heartbeat/i-other-%d" % i,
+            {"content-type": "application/json"}, foreign_heartbeat(executor))
+        deployment.record.write("foreign-heartbeat", machine=machine.name, status=status)
 
 
 async def play(deployment, trouble):
-    record, cancelled_s = deployment.record, {}
-
-    def on_start(machine, name, attempt, executor):
-        since_s = record.now() - cancelled_s.get(name.split(".")[0], record.now())
-        if since_s > LIMIT_S:
-            record.fail("UNASKED", "%s starts on %s %.2f s after the answer to its job's cancel"
-                        % (name, machine, since_s))
-
-    record.on_start = on_start
-    posts = await asyncio.gather(*[post_and_cancel(deployment, i, cancelled_s, trouble)
-                                   for i in range(N_JOBS)])
-    await asyncio.sleep(PLAY_S)
-    for name, machine, attempt, _, end_s, how in list(record.runs):
-        late_s = end_s - cancelled_s.get(name.split(".")[0], end_s)
-        if late_s > LIMIT_S + STOP_S:
-            record.fail("UNASKED", "%s attempt %d has run on %s until %.2f s after the answer to "
-                        "its job's cancel (%s)" % (name, attempt, machine, late_s, how))
-    for post in posts:
-        post.cancel()
-    await asyncio.gather(*posts, return_exceptions=True)
+    record, jobs, n_jobs = deployment.record, [], 0
+    until_s = time.monotonic() + PLAY_S
+
+    def on_overlap(name, machine, attempt, other, other_attempt, start_s):
+        record.fail("TWICE", "%s attempt %d starts on %s while attempt %d, started %.3f s ago, "
+                    "runs on %s" % (name, attempt, machine, other_attempt, record.now() - start_s,
+                                    other))
+
+    record.on_overlap = on_overlap
+    foreign = asyncio.ensure_future(send_foreign_heartbeats(deployment)) if trouble else None
+    while time.monotonic() < until_s:
+        n_jobs += 1
+        jobs.append(asyncio.ensure_future(deployment.submit(
+            "/jobs/", "%016x" % n_jobs, deployment.body(4, 900, 3100), DEADLINE_MS, n_jobs)))
+        await asyncio.sleep(JOB_INTERVAL_S)
+    if foreign:
+        await foreign
+    answers = await asyncio.gather(*jobs)
+    record.write("served", completed=sum(a == (200, "completed") for a in answers), jobs=n_jobs)
 
 
 if __name__ == "__main__":
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -47,11 +47,15 @@
     def __init__(self, deployment, role, name, zone, ip):
         self.deployment, self.role, self.name, self.zone, self.ip = \
             deployment, role, name, zone, ip
-        self.process = None
+        self.process, self.link = None, None
 
     def address(self, service):
         return "%s:%d" % (self.ip, PORTS[service])
 
+    def advertised_host(self):
+        """Where other machines reach the process: its own address or that of a link before it."""
+        return self.link.host if self.link else self.ip
+
     def fields(self):
         services = ["control-plane"] if self.role["on"] == "side" else \
             ["frontend", "ready", "control-plane"]
@@ -65,6 +69,9 @@
         path = os.path.join(self.deployment.folder, self.name + ".json")
         with open(os.path.join(ROOT, self.role["template"]), encoding="utf-8") as template:
             text = render(template.read(), self.fields())
+        if self.link:
+            text = json.dumps(dict(json.loads(text), advertised_address="%s:%d" % (
+                self.link.host, INTERNAL_PORTS[0])))
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
         command = [path if word == "/etc/azurerock/local.toml" else word
@@ -102,8 +109,10 @@
     """@n_frontends machines that clients reach and @n_sides machines with an executor each."""
 
     def __init__(self, folder, record, n_frontends=3, n_sides=3, capacity=32000,
-                 executor_class=Executor):
+                 executor_class=Executor, link_class=None):
+        """@link_class: a proxy for the path from the sidecars to the first frontend machine."""
         self.folder, self.record, self.executor_class = folder, record, executor_class
+        self.link_class, self.links = link_class, []
         self.n_frontends, self.n_sides, self.capacity = n_frontends, n_sides, capacity
         self.store, self.executors, self.servers = Store(), [], []
         self.frontends, self.sides, self.seeds = [], [], []
@@ -145,7 +154,9 @@
         for i in range(self.n_frontends):
             self.frontends.append(Machine(self, self.roles["frontend"], "frontend-%d" % i,
                                           ZONES[i % 3], self.host(1 + i)))
-        self.seeds = [m.address("control-plane") for m in self.frontends[:3]]
+        await self.open_link()
+        self.seeds = ["%s:%d" % (m.advertised_host(), PORTS["control-plane"])
+                      for m in self.frontends[:3]]
         for i in range(self.n_sides):
             machine = Machine(self, self.roles["side"], "side-%d" % i, ZONES[i % 3],
                               self.host(1 + self.n_frontends + i))
@@ -162,6 +173,15 @@
             await executor.open()
         await self.wait_until_ready()
 
+    async def open_link(self):
+        if not self.link_class:
+            return
+        first = self.frontends[0]
+        first.link = self.link_class(self.host(1 + self.n_frontends + self.n_sides),
+                                     INTERNAL_PORTS[0], (first.ip, INTERNAL_PORTS[0]))
+        await first.link.open()
+        self.links.append(first.link)
+
     async def wait_until_ready(self):
         """Waits until each gateway is ready and each executor has had a hold."""
         loop = asyncio.get_running_loop()
@@ -221,6 +241,8 @@
         await asyncio.gather(*[machine.stop() for machine in self.frontends + self.sides])
         for server in self.servers:
             server.close()
+        for link in self.links:
+            link.close()
         for executor in self.executors:
             if executor.server:
                 executor.server.close()
