Take over an announced incarnation only when it has answered

Cause: a sidecar took a heartbeat with another instance id and a later birth time as proof that the present incarnation had ended, reported its tasks as lost at once, and the gateways started them elsewhere. A late heartbeat of a former incarnation, or one that names the present id with another birth time or address, had the same effect.

Change: such an announcement only makes the incarnation a candidate. The sidecar sends it a hold that names it, and only its own answer replaces the present incarnation. An answer from the address of the present one shows that that one doesn't listen there any more, so its tasks can be reported as lost. The first announcement and the record in the store are treated in the same way.

--- a/bench/emulator/calls.c
+++ b/bench/emulator/calls.c
@@ -183,3 +183,42 @@
                               emu_now_us (world->events) + LOCAL_CALL_US, false);
     }
 }
+
+struct probe_event
+{
+  unsigned upstream;
+  uint64_t number;
+};
+
+static void
+answer_probe (void *context, void *data)
+{
+  struct world *world = context;
+  const struct probe_event *event = data;
+  struct az_upstream_answer answer
+      = { .result = AZ_UPSTREAM_OK, .clock_ms = emu_now_us (world->events) / 1000 };
+  struct az_upstream_announcement confirmed;
+
+  if (!world->is_powered)
+    return;
+  if (emu_upstream_is_down (world->upstreams[event->upstream]))
+    answer = (struct az_upstream_answer){ .result = AZ_UPSTREAM_NOT_SENT, .clock_ms = -1 };
+  if (az_sidecar_probe_answered (world->sidecars[event->upstream], event->number, &answer,
+                                 &confirmed))
+    az_upstream_announcement_clear (&confirmed);
+  az_sidecar_flush (world->sidecars[event->upstream]);
+}
+
+void
+emu_probe_upstream (void *context, uint64_t number, const struct az_upstream_probe *probe)
+{
+  const struct node_context *node = context;
+  struct world *world = node->world;
+  struct probe_event *event = g_new0 (struct probe_event, 1);
+
+  (void)probe;
+  event->upstream = node->index;
+  event->number = number;
+  emu_schedule (world->events, emu_now_us (world->events) + LOCAL_CALL_US, answer_probe, world,
+                event);
+}
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -186,9 +186,13 @@
 {
   g_autofree char *domain = g_strdup_printf ("d%u", emu_domain_of_upstream (world, index));
   g_autofree char *instance = g_strdup_printf ("s%u", index);
-  const struct az_sidecar_io io
-      = { emu_send_to_gateway, emu_close_session, emu_start_task,
-          emu_stop_task,       emu_hold_tasks,    &world->sidecar_contexts[index] };
+  const struct az_sidecar_io io = { emu_send_to_gateway,
+                                    emu_close_session,
+                                    emu_start_task,
+                                    emu_stop_task,
+                                    emu_hold_tasks,
+                                    emu_probe_upstream,
+                                    &world->sidecar_contexts[index] };
   const struct az_sidecar_settings settings = {
     .instance = g_intern_string (instance),
     .domain = g_intern_string (domain),
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -72,6 +72,8 @@
 emu_stop_task (void *context, uint32_t task, const struct az_upstream_stop *stop);
 void
 emu_hold_tasks (void *context, uint64_t number, const struct az_upstream_hold *call);
+void
+emu_probe_upstream (void *context, uint64_t number, const struct az_upstream_probe *probe);
 
 /** emu_answer_waiting_holds - schedules answers to the holds of an upstream whose tasks changed */
 void
--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -33,6 +33,8 @@
  * @stop: answered by az_sidecar_stop_answered()
  * @hold: renews the leases of all tasks and reads their state (see struct az_upstream_hold);
  * answered by az_sidecar_hold_answered() with the same @number
+ * @probe: asks whether the incarnation that an announcement names runs; answered by
+ * az_sidecar_probe_answered() with the same @number
  */
 struct az_sidecar_io
 {
@@ -41,6 +43,7 @@
   void (*start) (void *context, uint32_t task, const struct az_upstream_start *start);
   void (*stop) (void *context, uint32_t task, const struct az_upstream_stop *stop);
   void (*hold) (void *context, uint64_t number, const struct az_upstream_hold *hold);
+  void (*probe) (void *context, uint64_t number, const struct az_upstream_probe *probe);
   void *context;
 };
 
@@ -70,7 +73,11 @@
 /**
  * az_sidecar_upstream_announced - a heartbeat of the upstream instance arrived
  *
- * Return: false if the announcement is outdated or repeated and was ignored.
+ * Anybody may have written it. One that names another incarnation than the present one is taken
+ * over only when that incarnation has answered a probe.
+ *
+ * Return: whether it describes the present incarnation and was taken over; false if it is outdated,
+ * repeated or not yet confirmed.
  */
 bool
 az_sidecar_upstream_announced (struct az_sidecar *sidecar,
@@ -81,6 +88,20 @@
 void
 az_sidecar_upstream_left (struct az_sidecar *sidecar, const char *instance, int64_t started_ms);
 
+/**
+ * az_sidecar_probe_answered - the instance at the announced address has answered the probe, or none
+ * has
+ * @confirmed: receives the announcement that the answer confirms, which has been taken over; free
+ * it with az_upstream_announcement_clear()
+ *
+ * Return: whether @confirmed was set.
+ */
+bool
+az_sidecar_probe_answered (struct az_sidecar *sidecar,
+                           uint64_t number,
+                           const struct az_upstream_answer *answer,
+                           struct az_upstream_announcement *confirmed);
+
 void
 az_sidecar_start_answered (struct az_sidecar *sidecar,
                            uint32_t task,
@@ -118,6 +139,10 @@
 bool
 az_sidecar_is_idle (const struct az_sidecar *sidecar);
 
+/** az_sidecar_has_upstream - whether an incarnation of the upstream is known or announced */
+bool
+az_sidecar_has_upstream (const struct az_sidecar *sidecar);
+
 /** az_sidecar_upstream_address - address of the current incarnation of the upstream, or NULL */
 const char *
 az_sidecar_upstream_address (const struct az_sidecar *sidecar);
--- a/include/azurerock/upstream_call.h
+++ b/include/azurerock/upstream_call.h
@@ -45,6 +45,17 @@
   int64_t wait_ms;
 };
 
+/**
+ * struct az_upstream_probe - a hold that only shows which instance answers at an address
+ * @instance: another one refuses the call
+ */
+struct az_upstream_probe
+{
+  const char *address;
+  const char *instance;
+  uint64_t fence;
+};
+
 enum az_upstream_result
 {
   AZ_UPSTREAM_OK,
@@ -116,6 +127,11 @@
   int64_t clock_ms; /* -1 if missing */
 };
 
+/** az_upstream_announcement_copy - @to is overwritten; free it with
+ * az_upstream_announcement_clear() */
+void
+az_upstream_announcement_copy (const struct az_upstream_announcement *from,
+                               struct az_upstream_announcement *to);
 void
 az_upstream_announcement_clear (struct az_upstream_announcement *announcement);
 
--- a/src/dispatch/upstream_call.c
+++ b/src/dispatch/upstream_call.c
@@ -13,6 +13,20 @@
   memset (lists, 0, sizeof *lists);
 }
 
+void
+az_upstream_announcement_copy (const struct az_upstream_announcement *from,
+                               struct az_upstream_announcement *to)
+{
+  *to = *from;
+  to->instance = g_strdup (from->instance);
+  to->service = g_strdup (from->service);
+  to->address = g_strdup (from->address);
+  to->domain = g_strdup (from->domain);
+  to->labels = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < from->labels->len; i++)
+    g_ptr_array_add (to->labels, g_strdup (from->labels->pdata[i]));
+}
+
 void
 az_upstream_announcement_clear (struct az_upstream_announcement *announcement)
 {
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -70,6 +70,7 @@
   g_hash_table_unref (sidecar->task_names);
   g_array_unref (sidecar->hold.in_flight);
   az_table_rows_destroy (sidecar->tasks);
+  az_sidecar_drop_candidate (sidecar);
   g_free (sidecar->life.instance);
   g_free (sidecar->life.service);
   g_free (sidecar->life.address);
@@ -84,6 +85,7 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   az_sidecar_expire_sessions (sidecar);
   az_sidecar_expire_tasks (sidecar);
+  az_sidecar_probe_candidate (sidecar);
   az_sidecar_send_due_holds (sidecar);
 }
 
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -27,6 +27,13 @@
   double lease_max_ms;
 };
 
+/** struct upstream_client - HTTP client of one address; NULL before the first call */
+struct upstream_client
+{
+  struct az_http_client *http;
+  char *address;
+};
+
 struct az_sidecar_program
 {
   struct az_settings_watch settings;
@@ -36,8 +43,8 @@
   struct az_rpc *rpc;
   struct az_http_server *registry;
   struct az_http_server *metrics;
-  struct az_http_client *upstream;
-  char *upstream_address;
+  struct upstream_client upstream;  /* to the present incarnation of the upstream */
+  struct upstream_client candidate; /* to an announced one that hasn't answered yet */
   struct az_counters *counters;
   struct az_metadata_client *store;
   struct az_sidecar *sidecar;
@@ -58,6 +65,12 @@
 az_sidecar_program_stop_task (void *context, uint32_t task, const struct az_upstream_stop *stop);
 void
 az_sidecar_program_send_hold (void *context, uint64_t number, const struct az_upstream_hold *hold);
+void
+az_sidecar_program_send_probe (void *context,
+                               uint64_t number,
+                               const struct az_upstream_probe *probe);
+void
+az_sidecar_program_close_upstream (struct az_sidecar_program *program);
 
 /* program_registry.c */
 bool
--- a/src/sidecar/program_record.c
+++ b/src/sidecar/program_record.c
@@ -15,7 +15,7 @@
   struct az_sidecar_program *program = context;
   struct az_upstream_announcement announcement;
 
-  if (program->is_closed || az_sidecar_upstream_address (program->sidecar)
+  if (program->is_closed || az_sidecar_has_upstream (program->sidecar)
       || answer->result != AZ_METADATA_OK || answer->n_items == 0)
     return;
   if (!az_announcement_record_decode (answer->items[0].value, &announcement))
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -32,7 +32,7 @@
   az_http_server_stop_accepting (program->registry);
   az_http_server_destroy (program->registry);
   az_http_server_destroy (program->metrics);
-  az_http_client_destroy (program->upstream);
+  az_sidecar_program_close_upstream (program);
   az_metadata_client_destroy (program->store);
   az_rpc_destroy (program->rpc);
   az_event_loop_close (&program->event_loop);
@@ -85,6 +85,7 @@
     .start = az_sidecar_program_start_task,
     .stop = az_sidecar_program_stop_task,
     .hold = az_sidecar_program_send_hold,
+    .probe = az_sidecar_program_send_probe,
     .context = program,
   };
   const struct az_sidecar_settings settings = {
@@ -159,7 +160,6 @@
   az_counters_destroy (program.counters);
   az_settings_watch_close (&program.settings);
   az_links_destroy (program.links);
-  g_free (program.upstream_address);
   g_free (program.record);
   az_log_flush ();
   return exit_code;
--- a/src/sidecar/program_upstream.c
+++ b/src/sidecar/program_upstream.c
@@ -19,24 +19,37 @@
   uint64_t number; /* handle of the task or number of the hold */
 };
 
-/* Returns the client for the address of the current incarnation of the upstream. */
-static struct az_http_client *
-get_client (struct az_sidecar_program *program)
+static void
+close_client (struct upstream_client *client)
+{
+  az_http_client_destroy (client->http);
+  g_free (client->address);
+  *client = (struct upstream_client){ 0 };
+}
+
+void
+az_sidecar_program_close_upstream (struct az_sidecar_program *program)
+{
+  close_client (&program->upstream);
+  close_client (&program->candidate);
+}
+
+static void
+connect_client (struct az_sidecar_program *program,
+                struct upstream_client *client,
+                const char *address)
 {
-  const char *address = az_sidecar_upstream_address (program->sidecar);
-
-  if (program->upstream && !strcmp (program->upstream_address, address))
-    return program->upstream;
-  az_http_client_destroy (program->upstream);
-  g_free (program->upstream_address);
-  program->upstream_address = g_strdup (address);
-  program->upstream = az_http_client_create (program->loop, address, CONNECTIONS_MAX);
-  return program->upstream;
+  if (client->http && !strcmp (client->address, address))
+    return;
+  close_client (client);
+  client->address = g_strdup (address);
+  client->http = az_http_client_create (program->loop, address, CONNECTIONS_MAX);
 }
 
 /* Frees @body. */
 static void
 send_call (struct az_sidecar_program *program,
+           struct upstream_client *client,
            const char *path,
            const char *instance,
            char *body,
@@ -50,11 +63,25 @@
 
   pending_call->program = program;
   pending_call->number = number;
-  az_http_client_request (get_client (program), "POST", path, headers, G_N_ELEMENTS (headers), body,
+  az_http_client_request (client->http, "POST", path, headers, G_N_ELEMENTS (headers), body,
                           strlen (body), timeout_ms, done, pending_call);
   g_free (body);
 }
 
+/* Calls the present incarnation of the upstream. */
+static void
+call_upstream (struct az_sidecar_program *program,
+               const char *path,
+               const char *instance,
+               char *body,
+               int64_t timeout_ms,
+               uint64_t number,
+               void (*done) (void *context, const struct az_http_response *response))
+{
+  connect_client (program, &program->upstream, az_sidecar_upstream_address (program->sidecar));
+  send_call (program, &program->upstream, path, instance, body, timeout_ms, number, done);
+}
+
 static void
 on_start_done (void *context, const struct az_http_response *response)
 {
@@ -69,8 +96,8 @@
 void
 az_sidecar_program_start_task (void *context, uint32_t task, const struct az_upstream_start *start)
 {
-  send_call (context, PLATFORM_EXECUTOR_START, start->instance, platform_encode_start (start),
-             REQUEST_TIMEOUT_MS, task, on_start_done);
+  call_upstream (context, PLATFORM_EXECUTOR_START, start->instance, platform_encode_start (start),
+                 REQUEST_TIMEOUT_MS, task, on_start_done);
 }
 
 static void
@@ -87,8 +114,8 @@
 void
 az_sidecar_program_stop_task (void *context, uint32_t task, const struct az_upstream_stop *stop)
 {
-  send_call (context, PLATFORM_EXECUTOR_STOP, stop->instance, platform_encode_stop (stop),
-             REQUEST_TIMEOUT_MS, task, on_stop_done);
+  call_upstream (context, PLATFORM_EXECUTOR_STOP, stop->instance, platform_encode_stop (stop),
+                 REQUEST_TIMEOUT_MS, task, on_stop_done);
 }
 
 static void
@@ -106,6 +133,38 @@
 void
 az_sidecar_program_send_hold (void *context, uint64_t number, const struct az_upstream_hold *hold)
 {
-  send_call (context, PLATFORM_EXECUTOR_HOLD, hold->instance, platform_encode_hold (hold),
-             hold->wait_ms + HOLD_TIMEOUT_MARGIN_MS, number, on_hold_done);
+  call_upstream (context, PLATFORM_EXECUTOR_HOLD, hold->instance, platform_encode_hold (hold),
+                 hold->wait_ms + HOLD_TIMEOUT_MARGIN_MS, number, on_hold_done);
+}
+
+static void
+on_probe_done (void *context, const struct az_http_response *response)
+{
+  g_autofree struct pending_call *pending_call = context;
+  struct az_sidecar_program *program = pending_call->program;
+  struct az_upstream_announcement confirmed;
+  struct az_upstream_lists lists;
+
+  platform_decode_task_lists (response, &lists);
+  if (!program->is_closed
+      && az_sidecar_probe_answered (program->sidecar, pending_call->number, &lists.answer,
+                                    &confirmed))
+    {
+      az_sidecar_program_write_record (program, &confirmed);
+      az_upstream_announcement_clear (&confirmed);
+    }
+  az_upstream_lists_clear (&lists);
+}
+
+void
+az_sidecar_program_send_probe (void *context,
+                               uint64_t number,
+                               const struct az_upstream_probe *probe)
+{
+  struct az_sidecar_program *program = context;
+  const struct az_upstream_hold hold = { .fence = probe->fence };
+
+  connect_client (program, &program->candidate, probe->address);
+  send_call (program, &program->candidate, PLATFORM_EXECUTOR_HOLD, probe->instance,
+             platform_encode_hold (&hold), REQUEST_TIMEOUT_MS, number, on_probe_done);
 }
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -159,6 +159,23 @@
   uint64_t last_processed_end;
 };
 
+/**
+ * struct candidate - an announced incarnation that hasn't answered yet
+ *
+ * Another program may have written the announcement, or it may be late, so it shows neither that
+ * the incarnation runs nor that the present one has ended.
+ * @announcement: its instance is NULL if there is no candidate
+ * @n_probes: number of the last probe
+ */
+struct candidate
+{
+  struct az_upstream_announcement announcement;
+  uint64_t n_probes;
+  bool is_probe_in_flight;
+  int64_t announced_us;
+  int64_t next_probe_us;
+};
+
 /** struct offer - freed capacity that was reported to gateways with waiting tasks */
 struct offer
 {
@@ -191,6 +208,7 @@
   struct az_table_rows *tasks;
   GHashTable *task_names; /* name -> handle */
   struct life life;
+  struct candidate candidate;
   struct az_lease lease;
   struct hold_state hold;
   struct withdrawal withdrawal;
@@ -312,6 +330,25 @@
 const char *
 az_sidecar_closed_reason (const struct az_sidecar *sidecar);
 
+/** az_sidecar_begin_announced_life - replaces the present incarnation by the announced one, which
+ * has answered; if that was at the address of the present one, the present one has ended */
+void
+az_sidecar_begin_announced_life (struct az_sidecar *sidecar,
+                                 const struct az_upstream_announcement *announcement);
+
+/* candidate.c */
+
+/** az_sidecar_set_candidate - replaces the candidate, and probes whether it runs */
+void
+az_sidecar_set_candidate (struct az_sidecar *sidecar,
+                          const struct az_upstream_announcement *announcement);
+void
+az_sidecar_drop_candidate (struct az_sidecar *sidecar);
+
+/** az_sidecar_probe_candidate - repeats the probe when it is due */
+void
+az_sidecar_probe_candidate (struct az_sidecar *sidecar);
+
 /* hold.c */
 
 /** az_sidecar_send_due_holds - sends holds until the wanted number is in flight */
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -209,22 +209,6 @@
   return strcmp (life->address, announcement->address) != 0 ? MOVED : REPLACED_BY_ANOTHER;
 }
 
-static void
-begin_announced_life (struct az_sidecar *sidecar,
-                      const struct az_upstream_announcement *announcement)
-{
-  const struct life next = {
-    .instance = g_strdup (announcement->instance),
-    .service = g_strdup (announcement->service),
-    .address = g_strdup (announcement->address),
-    .started_ms = announcement->started_ms,
-    .capacity = announcement->capacity,
-    .labels = g_ptr_array_new_with_free_func (g_free),
-  };
-
-  begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
-}
-
 /* Whether nothing is lost if an older announcement replaces the present incarnation. If that
  * answers after all, its next announcement replaces the older one. */
 static bool
@@ -278,6 +262,24 @@
     g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
 }
 
+void
+az_sidecar_begin_announced_life (struct az_sidecar *sidecar,
+                                 const struct az_upstream_announcement *announcement)
+{
+  const struct life next = {
+    .instance = g_strdup (announcement->instance),
+    .service = g_strdup (announcement->service),
+    .address = g_strdup (announcement->address),
+    .started_ms = announcement->started_ms,
+    .capacity = announcement->capacity,
+    .labels = g_ptr_array_new_with_free_func (g_free),
+  };
+
+  begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
+  update_life (&sidecar->life, announcement);
+  az_sidecar_send_due_holds (sidecar);
+}
+
 bool
 az_sidecar_upstream_announced (struct az_sidecar *sidecar,
                                const struct az_upstream_announcement *announcement)
@@ -286,10 +288,13 @@
 
   sidecar->now_us = az_now_us (sidecar->clock);
   if (is_newer_incarnation (sidecar, announcement))
-    begin_announced_life (sidecar, announcement);
-  else if (strcmp (life->instance, announcement->instance) != 0
-           || announcement->started_ms != life->started_ms
-           || (life->is_announced && announcement->sequence <= life->sequence))
+    {
+      az_sidecar_set_candidate (sidecar, announcement);
+      return false;
+    }
+  if (strcmp (life->instance, announcement->instance) != 0
+      || announcement->started_ms != life->started_ms
+      || (life->is_announced && announcement->sequence <= life->sequence))
     {
       az_log (LOG_INFO,
               "event=announcement-ignored instance=%s born_ms=%" G_GINT64_FORMAT
--- a/tests/rebirth_cluster.py
+++ b/tests/rebirth_cluster.py
@@ -44,7 +44,7 @@
 
     def __init__(self, folder, executor_class):
         self.folder, self.executor_class = folder, executor_class
-        self.processes, self.servers = [], []
+        self.processes, self.servers, self.executors = [], [], []
         self.store = Store()
         self.history = RunHistory(self.store)
         self.first_start = asyncio.get_running_loop().create_future()
@@ -75,6 +75,7 @@
             await self.run("azurerock-sidecar", dict(
                 common, instance="s%d" % i, seeds=[addresses[3]],
                 registry_address=executor.registry))
+            self.executors.append(executor)
             executor.start()
             executor.start_time_s -= FORMER_CLOCK_MS / 1000
             await executor.open()
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -96,6 +96,16 @@
   rig->hold_last_processed_end = hold->last_processed_end;
 }
 
+static void
+record_probe (void *context, uint64_t number, const struct az_upstream_probe *probe)
+{
+  struct sidecar_rig *rig = context;
+
+  (void)probe;
+  rig->probe = number;
+  rig->n_probes++;
+}
+
 static void
 clear_request (void *data)
 {
@@ -115,7 +125,7 @@
   };
   struct sidecar_rig *rig = g_new0 (struct sidecar_rig, 1);
   const struct az_sidecar_io io
-      = { record_message, record_close, record_start, record_stop, record_hold, rig };
+      = { record_message, record_close, record_start, record_stop, record_hold, record_probe, rig };
 
   rig->now_ms = 1000;
   rig->wall_ms = 1700000000000;
@@ -172,13 +182,13 @@
     az_sidecar_received (rig->core, session, &withdrawn);
 }
 
-bool
-sidecar_rig_announce_at (struct sidecar_rig *rig,
-                         const char *address,
-                         const char *instance,
-                         int64_t started_ms,
-                         uint64_t sequence,
-                         bool is_draining)
+static bool
+send_heartbeat (struct sidecar_rig *rig,
+                const char *address,
+                const char *instance,
+                int64_t started_ms,
+                uint64_t sequence,
+                bool is_draining)
 {
   g_autoptr (GPtrArray) labels = g_ptr_array_new ();
   const struct az_upstream_announcement announcement = {
@@ -197,6 +207,49 @@
   return az_sidecar_upstream_announced (rig->core, &announcement);
 }
 
+bool
+sidecar_rig_announce_unanswered (struct sidecar_rig *rig,
+                                 const char *address,
+                                 const char *instance,
+                                 int64_t started_ms,
+                                 uint64_t sequence)
+{
+  bool is_taken_over = send_heartbeat (rig, address, instance, started_ms, sequence, false);
+
+  az_sidecar_flush (rig->core);
+  return is_taken_over;
+}
+
+bool
+sidecar_rig_answer_probe (struct sidecar_rig *rig,
+                          enum az_upstream_result result,
+                          int64_t started_ms)
+{
+  const struct az_upstream_answer answer
+      = { .result = result, .clock_ms = 5, .started_ms = started_ms };
+  struct az_upstream_announcement confirmed;
+  uint64_t probe = rig->probe;
+
+  rig->probe = 0;
+  if (!az_sidecar_probe_answered (rig->core, probe, &answer, &confirmed))
+    return false;
+  az_upstream_announcement_clear (&confirmed);
+  return true;
+}
+
+bool
+sidecar_rig_announce_at (struct sidecar_rig *rig,
+                         const char *address,
+                         const char *instance,
+                         int64_t started_ms,
+                         uint64_t sequence,
+                         bool is_draining)
+{
+  rig->probe = 0;
+  return send_heartbeat (rig, address, instance, started_ms, sequence, is_draining)
+         || (rig->probe > 0 && sidecar_rig_answer_probe (rig, AZ_UPSTREAM_OK, started_ms));
+}
+
 bool
 sidecar_rig_announce (struct sidecar_rig *rig,
                       const char *instance,
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -33,6 +33,8 @@
   uint64_t hold_last_processed_end;
   bool is_open; /* as last reported to any session */
   unsigned n_closed;
+  uint64_t probe; /* number of the last probe; 0 once it is answered */
+  unsigned n_probes;
   uint32_t capacity_milli;             /* of the upstream, as it announces it */
   uint32_t reported_capacity_milli[4]; /* as last reported to each session */
   uint32_t free_milli;                 /* as last reported */
@@ -61,7 +63,11 @@
 void
 sidecar_rig_open_session (struct sidecar_rig *rig, uint32_t session, const char *gateway);
 
-/** sidecar_rig_announce - delivers a heartbeat of @instance, at address "127.0.0.1:1" */
+/** sidecar_rig_announce - delivers a heartbeat of @instance, at address "127.0.0.1:1"; if the core
+ * probes whether that runs, it answers
+ *
+ * Return: whether the announcement was taken over.
+ */
 bool
 sidecar_rig_announce (struct sidecar_rig *rig,
                       const char *instance,
@@ -77,6 +83,26 @@
                          uint64_t sequence,
                          bool is_draining);
 
+/** sidecar_rig_announce_unanswered - delivers a heartbeat of @instance, which doesn't answer a
+ * probe
+ */
+bool
+sidecar_rig_announce_unanswered (struct sidecar_rig *rig,
+                                 const char *address,
+                                 const char *instance,
+                                 int64_t started_ms,
+                                 uint64_t sequence);
+
+/** sidecar_rig_answer_probe - answers the last probe as the incarnation that was born at
+ * @started_ms
+ *
+ * Return: whether the answer confirms the announcement.
+ */
+bool
+sidecar_rig_answer_probe (struct sidecar_rig *rig,
+                          enum az_upstream_result result,
+                          int64_t started_ms);
+
 /** sidecar_rig_send_run - delivers a request from @session to run task "job.0.0.index" of queue
  * "fast" and job id "job" followed by the number @job, on 4 cores unless the test changes the need
  */
