Report labels that become known after their incarnation

Cause: the answer to a hold shows a restart before the next heartbeat. The sidecar reported the new incarnation without labels, and the labels of the heartbeat, which have the same incarnation number, not at all. The gateway took labels from the first report of an incarnation only, and answered "no upstream has the label" as final although it didn't know.

Change: a sidecar reports an incarnation that hasn't announced itself without a service, and reports again when service or labels change. A gateway takes them from every report. While a connected upstream isn't described, a job that fits no other is answered as not run.

--- a/src/gateway/feasibility.c
+++ b/src/gateway/feasibility.c
@@ -38,6 +38,9 @@
     {
       const struct upstream *upstream = gateway->upstreams->pdata[i];
 
+      /* A connected upstream that isn't described yet may be of any kind. */
+      if (upstream->session && !upstream->is_described)
+        fit.is_possible_later = true;
       if (strcmp (upstream->service, service) != 0)
         continue;
       fit.is_known = true;
@@ -75,7 +78,7 @@
       if (!fit.is_known || fit.is_possible)
         continue;
       if (fit.is_possible_later)
-        return "no upstream has at present the capacity that a task needs";
+        return "no upstream is known to have at present the capacity or label that a task needs";
       /* If there are more gateways, an upstream without a session with this one may fit, as may
        * one whose sidecar hasn't connected yet. */
       *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -93,7 +93,10 @@
   session->upstream = upstream->handle;
   upstream->session = session->handle;
   if (upstream->sidecar != hello->incarnation)
-    upstream->life = 0;
+    {
+      upstream->life = 0;
+      upstream->is_described = false;
+    }
   upstream->sidecar = hello->incarnation;
   upstream->in_working_set = true;
   upstream->n_runs_sent = 0;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -53,6 +53,7 @@
  * @life: number of the upstream's incarnation, which each sidecar process counts from 1; 0 is none
  * @is_open: the sidecar accepts tasks
  * @closed_us: when the sidecar last stopped to accept tasks, 0 if never
+ * @is_described: @service and @labels are those of @life; otherwise @service is the last known one
  * @is_isolated: only tasks of suspected queues are to run here
  * @largest_capacity: maximum of each resource that @capacity had in this incarnation, or since
  *   before a restart of the sidecar; the capacity may shrink and grow again
@@ -79,6 +80,7 @@
   bool is_open;
   int64_t closed_us;
   bool is_isolated;
+  bool is_described;
   char *service;
   GPtrArray *labels;
   struct az_resources capacity;
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -39,22 +39,29 @@
 }
 
 static void
-start_life (struct az_gateway *gateway,
-            struct upstream *upstream,
-            const struct az_node_upstream *update)
+start_life (struct az_gateway *gateway, struct upstream *upstream, uint64_t life)
 {
   /* A restarted sidecar knows only the present capacity of an upstream that may run on. */
   if (upstream->life > 0)
     upstream->largest_capacity = (struct az_resources){ 0 };
-  upstream->life = update->life;
+  upstream->life = life;
   upstream->speed = 1;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
   az_ejector_remove (gateway->ejector, upstream->handle);
   az_ejector_add (gateway->ejector, upstream->handle);
+}
+
+/* The service and the labels of an incarnation may become known later than the incarnation. */
+static void
+update_description (struct upstream *upstream, const struct az_node_upstream *update)
+{
+  upstream->is_described = update->service[0] != '\0';
+  g_ptr_array_set_size (upstream->labels, 0);
+  if (!upstream->is_described)
+    return;
   g_free (upstream->service);
   upstream->service = g_strdup (update->service);
-  g_ptr_array_set_size (upstream->labels, 0);
   for (u_int i = 0; i < update->labels.labels_len; i++)
     g_ptr_array_add (upstream->labels, g_strdup (update->labels.labels_val[i]));
 }
@@ -67,8 +74,9 @@
   bool is_changed;
   bool is_shrunk;
 
-  if (upstream->life != update->life || strcmp (upstream->service, update->service) != 0)
-    start_life (gateway, upstream, update);
+  if (upstream->life != update->life)
+    start_life (gateway, upstream, update->life);
+  update_description (upstream, update);
   is_changed = upstream->is_open != update->open
                || upstream->capacity.cpu_milli != update->capacity.cpu_milli;
   is_shrunk = !az_resources_fit (&upstream->capacity, &update->capacity);
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -417,7 +417,8 @@
 
 /*
  * Sidecar to gateway: the upstream instance. life counts its incarnations; open means that it
- * accepts tasks.
+ * accepts tasks. service is empty until the incarnation has announced itself: it may belong to any
+ * service and have any labels.
  */
 struct az_node_upstream {
 	unsigned hyper life;
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -45,28 +45,43 @@
   return az_resources_fit (a, b) && az_resources_fit (b, a);
 }
 
+/* Until the incarnation has announced itself, the service is empty: its labels may be others than
+ * those of the former one. */
+static struct az_node_upstream
+describe_upstream (const struct life *life, bool is_open)
+{
+  struct az_node_upstream update = {
+    .life = life->number,
+    .open = is_open,
+    .service = (char *)"",
+    .capacity = life->capacity,
+  };
+
+  if (!life->is_announced)
+    return update;
+  update.service = life->service;
+  update.labels.labels_len = life->labels->len;
+  update.labels.labels_val = (az_name *)life->labels->pdata;
+  return update;
+}
+
 static void
 report_upstream (struct az_sidecar *sidecar, struct session *session)
 {
   struct az_message message = { .proc = AZ_NODE_UPSTREAM };
-  struct life *life = &sidecar->life;
+  const struct life *life = &sidecar->life;
   bool is_open = az_sidecar_is_open (sidecar)
                  && (session->is_reported_open || !az_sidecar_has_orphans (sidecar, session));
 
   if (session->reported_life == life->number && session->is_reported_open == is_open
+      && session->reported_description == life->description
       && are_equal (&session->reported_capacity, &life->capacity))
     return;
   session->reported_life = life->number;
+  session->reported_description = life->description;
   session->reported_capacity = life->capacity;
   session->is_reported_open = is_open;
-  message.az_message_u.node_upstream = (struct az_node_upstream){
-    .life = life->number,
-    .open = is_open,
-    .service = life->service ? life->service : (char *)"",
-    .labels = { life->labels ? life->labels->len : 0,
-                life->labels ? (az_name *)life->labels->pdata : NULL },
-    .capacity = life->capacity,
-  };
+  message.az_message_u.node_upstream = describe_upstream (life, is_open);
   sidecar->io.send (sidecar->io.context, session->handle, &message);
 }
 
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -90,6 +90,7 @@
   bool wants_reports;
   bool is_reported_open;
   uint64_t reported_life;
+  uint32_t reported_description;
   struct az_resources reported_capacity;
   uint32_t reported_free_milli;
   GArray *events;   /* struct az_task_event */
@@ -102,7 +103,9 @@
  * life
  * @sequence: number of the last heartbeat
  * @former_started_ms: highest birth time of former incarnations of the same instance id
- * @is_announced: false if the incarnation is only known from an answer of the upstream
+ * @is_announced: false if the incarnation is only known from an answer of the upstream; its service
+ * and labels are not known then
+ * @description: counts the changes of service and labels
  * @is_fenced: the upstream accepted the fence and runs no task of a former sidecar process
  */
 struct life
@@ -115,6 +118,7 @@
   int64_t former_started_ms;
   uint64_t sequence;
   bool is_announced;
+  uint32_t description;
   bool is_draining;
   bool has_left;
   bool has_crashed;
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -241,6 +241,28 @@
          && announcement->started_ms != life->started_ms;
 }
 
+static bool
+has_labels (const struct life *life, const GPtrArray *labels)
+{
+  if (life->labels->len != labels->len)
+    return false;
+  for (guint i = 0; i < labels->len; i++)
+    if (strcmp (life->labels->pdata[i], labels->pdata[i]) != 0)
+      return false;
+  return true;
+}
+
+static void
+update_labels (struct life *life, const GPtrArray *labels)
+{
+  if (has_labels (life, labels))
+    return;
+  life->description++;
+  g_ptr_array_set_size (life->labels, 0);
+  for (guint i = 0; i < labels->len; i++)
+    g_ptr_array_add (life->labels, g_strdup (labels->pdata[i]));
+}
+
 /* An incarnation that was first seen in an answer has the service and address of the former one
  * until it announces itself. */
 static void
@@ -252,14 +274,13 @@
       g_free (life->address);
       life->service = g_strdup (announcement->service);
       life->address = g_strdup (announcement->address);
+      life->description++;
     }
   life->is_announced = true;
   life->sequence = announcement->sequence;
   life->is_draining = announcement->is_draining;
   life->capacity = announcement->capacity;
-  g_ptr_array_set_size (life->labels, 0);
-  for (guint i = 0; i < announcement->labels->len; i++)
-    g_ptr_array_add (life->labels, g_strdup (announcement->labels->pdata[i]));
+  update_labels (life, announcement->labels);
 }
 
 void
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -189,11 +189,13 @@
 announce_upstream (struct gateway_rig *rig, uint32_t session, uint64_t life, bool is_open)
 {
   struct az_message message = { .proc = AZ_NODE_UPSTREAM };
+  char *label = (char *)rig->label[session];
 
   message.az_message_u.node_upstream = (struct az_node_upstream){
     .life = life,
     .open = is_open,
-    .service = (char *)"service",
+    .service = (char *)(rig->is_unannounced[session] ? "" : "service"),
+    .labels = { label ? 1 : 0, &label },
     .capacity = { .cpu_milli = rig->capacity_milli[session], .memory_mb = 65536 },
   };
   az_gateway_received (rig->core, session, &message);
@@ -228,8 +230,12 @@
   gateway_rig_report_upstream (rig, session, is_open);
 }
 
-void
-gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks)
+static void
+submit (struct gateway_rig *rig,
+        uint32_t caller,
+        const char *route,
+        uint32_t n_tasks,
+        const char *label)
 {
   const struct az_catalog *catalog = az_gateway_catalog (rig->core);
   g_autofree char *path = g_strdup_printf ("/%s/", route);
@@ -239,12 +245,25 @@
   request.steps = g_new0 (struct az_job_step, 1);
   request.steps[0] = (struct az_job_step){ .n_tasks = n_tasks,
                                            .need = { .cpu_milli = TASK_CPU_MILLI, .memory_mb = 64 },
-                                           .estimate_ms = 100 };
+                                           .estimate_ms = 100,
+                                           .required_label = g_strdup (label) };
   az_gateway_submit (rig->core, caller, az_catalog_find_route (catalog, "host", path), id, &request,
                      rig->wait_ms);
   az_gateway_flush (rig->core);
 }
 
+void
+gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks)
+{
+  submit (rig, caller, route, n_tasks, NULL);
+}
+
+void
+gateway_rig_submit_for_label (struct gateway_rig *rig, uint32_t caller, const char *label)
+{
+  submit (rig, caller, "fast", 1, label);
+}
+
 const struct gateway_run *
 gateway_rig_get_run (const struct gateway_rig *rig, guint run)
 {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -47,6 +47,8 @@
   uint32_t capacity_milli[16]; /* of the upstream of each session */
   uint64_t incarnation[16];    /* of the sidecar process of each session */
   uint32_t speed[16];          /* of the upstream of each session, percent of normal */
+  const char *label[16];       /* of the upstream of each session, or NULL */
+  bool is_unannounced[16];     /* the sidecar of each session doesn't know its service yet */
   uint32_t n_done[16];
   uint32_t n_failed[16];
 };
@@ -74,6 +76,11 @@
 void
 gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks);
 
+/** gateway_rig_submit_for_label - submits a job of one such task, which requires @label, to "fast"
+ */
+void
+gateway_rig_submit_for_label (struct gateway_rig *rig, uint32_t caller, const char *label);
+
 /** gateway_rig_end_run - reports the end of a run to the core */
 void
 gateway_rig_end_run (struct gateway_rig *rig, guint run, enum az_task_end how, uint32_t run_ms);
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -21,6 +21,17 @@
   *now = az_time_from_ns (rig->wall_ms * 1000000);
 }
 
+static void
+record_upstream (struct sidecar_rig *rig, uint32_t session, const struct az_node_upstream *upstream)
+{
+  rig->is_open = upstream->open;
+  rig->reported_capacity_milli[session] = upstream->capacity.cpu_milli;
+  g_strlcpy (rig->reported_service, upstream->service, sizeof rig->reported_service);
+  g_strlcpy (rig->reported_label,
+             upstream->labels.labels_len > 0 ? upstream->labels.labels_val[0] : "",
+             sizeof rig->reported_label);
+}
+
 static void
 record_message (void *context, uint32_t session, const struct az_message *message)
 {
@@ -37,11 +48,7 @@
       rig->crashed_index = message->az_message_u.node_crash.index;
     }
   if (message->proc == AZ_NODE_UPSTREAM)
-    {
-      rig->is_open = message->az_message_u.node_upstream.open;
-      rig->reported_capacity_milli[session]
-          = message->az_message_u.node_upstream.capacity.cpu_milli;
-    }
+    record_upstream (rig, session, &message->az_message_u.node_upstream);
   if (message->proc != AZ_NODE_REPORT)
     return;
   rig->n_reports[session]++;
@@ -204,6 +211,8 @@
     .clock_ms = -1,
   };
 
+  if (rig->label)
+    g_ptr_array_add (labels, (char *)rig->label);
   return az_sidecar_upstream_announced (rig->core, &announcement);
 }
 
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -36,6 +36,9 @@
   uint64_t probe; /* number of the last probe; 0 once it is answered */
   unsigned n_probes;
   uint32_t capacity_milli;             /* of the upstream, as it announces it */
+  const char *label;                   /* the same, or NULL */
+  char reported_service[32];           /* as last reported to any session */
+  char reported_label[32];             /* the same; empty if the upstream has none */
   uint32_t reported_capacity_milli[4]; /* as last reported to each session */
   uint32_t free_milli;                 /* as last reported */
   uint32_t speed_percent;
--- a/tests/test_gateway_feasibility.c
+++ b/tests/test_gateway_feasibility.c
@@ -116,6 +116,50 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against jobs answered as failed for good because the labels of an incarnation were
+ * reported later than the incarnation, and were ignored. */
+static void
+test_labels_may_come_later_than_the_incarnation (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+
+  (void)state;
+  gateway_rig_advance (rig, 1500, 0);
+  rig->is_unannounced[1] = true;
+  gateway_rig_report_upstream (rig, 1, false);
+  gateway_rig_submit_for_label (rig, 1, "b");
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  rig->is_unannounced[1] = false;
+  rig->label[1] = "b";
+  gateway_rig_report_upstream (rig, 1, true);
+  gateway_rig_submit_for_label (rig, 2, "b");
+  assert_int_equal (rig->runs->len, 1);
+  assert_int_equal (gateway_rig_get_run (rig, 0)->session, 1);
+  gateway_rig_submit_for_label (rig, 3, "c");
+  assert_int_equal (gateway_rig_get_outcome (rig, 3), AZ_JOB_FAILED);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against jobs answered as failed that fit the upstream of a sidecar that has just connected
+ * or restarted, before it has reported what that is. */
+static void
+test_job_is_not_failed_before_all_upstreams_are_described (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_advance (rig, 1500, 0);
+  rig->is_unannounced[2] = true;
+  gateway_rig_open_upstream (rig, 2, "s2", "d1", false);
+  gateway_rig_submit_for_label (rig, 1, "b");
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  rig->is_unannounced[2] = false;
+  gateway_rig_report_upstream (rig, 2, true);
+  gateway_rig_submit_for_label (rig, 2, "b");
+  assert_int_equal (gateway_rig_get_outcome (rig, 2), AZ_JOB_FAILED);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -127,6 +171,8 @@
     cmocka_unit_test (test_job_beyond_every_known_capacity_has_failed),
     cmocka_unit_test (test_job_is_not_failed_before_all_sidecars_connect),
     cmocka_unit_test (test_restarted_sidecar_keeps_the_largest_capacity),
+    cmocka_unit_test (test_labels_may_come_later_than_the_incarnation),
+    cmocka_unit_test (test_job_is_not_failed_before_all_upstreams_are_described),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_sidecar_restart.c
+++ b/tests/test_sidecar_restart.c
@@ -252,6 +252,28 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against gateways that never learn the labels of an upstream that has restarted under its
+ * id: an answer showed the restart before its announcement stated the labels. */
+static void
+test_labels_are_reported_when_a_restart_is_announced_later (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  rig->label = "b";
+  sidecar_rig_advance (rig, 25);
+  sidecar_rig_answer_hold_as (rig, 200);
+  assert_string_equal (rig->reported_service, "");
+  sidecar_rig_answer_hold_as (rig, 200);
+  assert_false (rig->is_open);
+  assert_true (sidecar_rig_announce (rig, "i1", 200, 1, false));
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  assert_string_equal (rig->reported_service, "service");
+  assert_string_equal (rig->reported_label, "b");
+  sidecar_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -268,6 +290,7 @@
     cmocka_unit_test (test_restart_seen_without_tasks_raises_the_fence_at_once),
     cmocka_unit_test (test_start_of_restarted_silent_upstream_is_not_lost_before_its_longest_lease),
     cmocka_unit_test (test_overtaken_answer_of_former_incarnation_is_ignored),
+    cmocka_unit_test (test_labels_are_reported_when_a_restart_is_announced_later),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
