Refuse heartbeats that the upstream can't have written

What callers saw: after heartbeats that named the present upstreams, a higher sequence number and a port of 99999, no job was served any more, though all upstreams sent sound heartbeats.

Cause: only the types of the fields were checked, and the highest sequence number won, so that later sound heartbeats counted as outdated.

Change: values out of range and unused fields of another type are refused with the name of the field. A heartbeat that names the present incarnation is ignored if its address, failure domain, service or labels are others, or its clock is ahead of that of the upstream's answers.

Tests: test_malformed_heartbeats_are_rejected took "a" for an address and {} for a capacity in the heartbeat that has to be accepted; no upstream can have either, so it now changes one field of a sound heartbeat at a time and compares the field that is named.

--- a/include/azurerock/upstream_call.h
+++ b/include/azurerock/upstream_call.h
@@ -135,6 +135,11 @@
 void
 az_upstream_announcement_clear (struct az_upstream_announcement *announcement);
 
+/** az_upstream_announcement_find_invalid - returns the first field with a value that no upstream
+ * can have, or NULL */
+const char *
+az_upstream_announcement_find_invalid (const struct az_upstream_announcement *announcement);
+
 const char *
 az_upstream_result_name (enum az_upstream_result result);
 
--- a/src/dispatch/upstream_call.c
+++ b/src/dispatch/upstream_call.c
@@ -1,4 +1,5 @@
 #include "azurerock/upstream_call.h"
+#include "net/address.h"
 #include <string.h>
 
 void
@@ -38,6 +39,41 @@
   memset (announcement, 0, sizeof *announcement);
 }
 
+static bool
+is_name (const char *text)
+{
+  return text && text[0] && strlen (text) < AZ_MAX_NAME && g_utf8_validate (text, -1, NULL);
+}
+
+static bool
+are_names (const GPtrArray *labels)
+{
+  for (guint i = 0; i < labels->len; i++)
+    if (!is_name (labels->pdata[i]))
+      return false;
+  return labels->len <= AZ_MAX_LABELS;
+}
+
+const char *
+az_upstream_announcement_find_invalid (const struct az_upstream_announcement *announcement)
+{
+  const struct az_resources *capacity = &announcement->capacity;
+
+  if (!is_name (announcement->instance))
+    return "instance";
+  if (!is_name (announcement->service))
+    return "service";
+  if (!announcement->address || !az_address_is_endpoint (announcement->address))
+    return "address";
+  if (!is_name (announcement->domain))
+    return "domain";
+  if (!announcement->labels || !are_names (announcement->labels))
+    return "labels";
+  if (MAX (MAX (capacity->cpu_milli, capacity->memory_mb), capacity->accelerators) > INT32_MAX)
+    return "capacity";
+  return NULL;
+}
+
 const char *
 az_upstream_result_name (enum az_upstream_result result)
 {
--- a/src/net/address.c
+++ b/src/net/address.c
@@ -40,6 +40,18 @@
   return uv_ip6_addr (host + 1, port, (struct sockaddr_in6 *)address) == 0;
 }
 
+bool
+az_address_is_endpoint (const char *text)
+{
+  struct sockaddr_storage address;
+
+  if (!az_address_parse (text, &address))
+    return false;
+  if (address.ss_family == AF_INET6)
+    return ((const struct sockaddr_in6 *)&address)->sin6_port != 0;
+  return ((const struct sockaddr_in *)&address)->sin_port != 0;
+}
+
 char *
 az_address_format (const struct sockaddr_storage *address)
 {
--- a/src/sidecar/announcement_record.c
+++ b/src/sidecar/announcement_record.c
@@ -92,5 +92,8 @@
   bool decoded = unpack_record (record, announcement);
 
   json_decref (record);
-  return decoded;
+  if (!decoded || !az_upstream_announcement_find_invalid (announcement))
+    return decoded;
+  az_upstream_announcement_clear (announcement);
+  return false;
 }
--- a/src/sidecar/candidate.c
+++ b/src/sidecar/candidate.c
@@ -94,15 +94,6 @@
   az_sidecar_drop_candidate (sidecar);
 }
 
-/* A hold may have shown the restart before the probe was answered. */
-static bool
-is_present (const struct life *life, const struct az_upstream_announcement *announcement)
-{
-  return life->number > 0 && !strcmp (life->instance, announcement->instance)
-         && !strcmp (life->address, announcement->address)
-         && life->started_ms == announcement->started_ms;
-}
-
 /* The present incarnation answers under the same instance id, so only a birth time or a clock that
  * differs shows that another one has answered. */
 static bool
@@ -160,11 +151,22 @@
     default:
       return false;
     }
-  if (is_present (&sidecar->life, &candidate->announcement))
+  if (answer->clock_ms >= 0
+      && !az_sidecar_is_clock_plausible (candidate->announcement.clock_ms, answer->clock_ms,
+                                         sidecar->now_us, sidecar->now_us))
+    {
+      log_dropped (candidate, "clock-ahead");
+      az_sidecar_drop_candidate (sidecar);
+      return false;
+    }
+  /* A hold may have shown the restart before the probe was answered. */
+  if (az_sidecar_names_present (&sidecar->life, &candidate->announcement))
     {
       *confirmed = take_announcement (candidate);
-      az_sidecar_upstream_announced (sidecar, confirmed);
-      return true;
+      if (az_sidecar_upstream_announced (sidecar, confirmed))
+        return true;
+      az_upstream_announcement_clear (confirmed);
+      return false;
     }
   if (!proves_birth (sidecar, &candidate->announcement, answer))
     {
--- a/src/sidecar/program_registry.c
+++ b/src/sidecar/program_registry.c
@@ -18,10 +18,13 @@
                   const char *instance)
 {
   struct az_upstream_announcement announcement;
+  const char *invalid;
 
-  if (!platform_decode_heartbeat (instance, request->body, request->body_length, &announcement))
+  if (!platform_decode_heartbeat (instance, request->body, request->body_length, &announcement,
+                                  &invalid))
     {
-      az_log (LOG_WARNING, "event=announcement-ignored instance=%s reason=unreadable", instance);
+      az_log (LOG_WARNING, "event=announcement-ignored instance=%s reason=invalid field=%s",
+              instance, invalid);
       respond (program, request->handle, 400);
       return;
     }
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -102,6 +102,8 @@
  * @number: counts the incarnations, 0 before the first announcement; NODE_UPSTREAM reports it as
  * life
  * @sequence: number of the last heartbeat
+ * @announced_clock_ms: latest clock of the upstream that a heartbeat stated, -1 if none did
+ * @announced_us: when the last heartbeat was taken over
  * @former_started_ms: highest birth time of former incarnations of the same instance id
  * @is_announced: false if the incarnation is only known from an answer of the upstream; its service
  * and labels are not known then
@@ -117,6 +119,8 @@
   int64_t started_ms;
   int64_t former_started_ms;
   uint64_t sequence;
+  int64_t announced_clock_ms;
+  int64_t announced_us;
   bool is_announced;
   uint32_t description;
   bool is_draining;
@@ -340,6 +344,31 @@
 az_sidecar_begin_announced_life (struct az_sidecar *sidecar,
                                  const struct az_upstream_announcement *announcement);
 
+/** az_sidecar_names_present - whether the announcement is that of the present incarnation */
+bool
+az_sidecar_names_present (const struct life *life,
+                          const struct az_upstream_announcement *announcement);
+
+/* announcement_check.c */
+
+/** az_sidecar_find_contradiction - returns why an announcement that names the present incarnation
+ * is outdated or comes from another writer, or NULL */
+const char *
+az_sidecar_find_contradiction (const struct az_sidecar *sidecar,
+                               const struct az_upstream_announcement *announcement);
+
+/** az_sidecar_is_clock_plausible - whether the upstream can have announced @clock_ms at most
+ * @now_us after its clock showed @seen_clock_ms at @seen_us */
+bool
+az_sidecar_is_clock_plausible (int64_t clock_ms,
+                               int64_t seen_clock_ms,
+                               int64_t seen_us,
+                               int64_t now_us);
+
+/** az_sidecar_has_labels - whether the labels of the incarnation equal @labels */
+bool
+az_sidecar_has_labels (const struct life *life, const GPtrArray *labels);
+
 /* candidate.c */
 
 /** az_sidecar_set_candidate - replaces the candidate, and probes whether it runs */
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -151,6 +151,7 @@
   clear_life (life);
   *life = *next;
   life->number = former_life + 1;
+  life->announced_clock_ms = -1;
   if (replacement == RESTARTED)
     life->former_started_ms = former_started_ms;
   az_speed_init (&life->speed);
@@ -241,21 +242,10 @@
          && announcement->started_ms != life->started_ms;
 }
 
-static bool
-has_labels (const struct life *life, const GPtrArray *labels)
-{
-  if (life->labels->len != labels->len)
-    return false;
-  for (guint i = 0; i < labels->len; i++)
-    if (strcmp (life->labels->pdata[i], labels->pdata[i]) != 0)
-      return false;
-  return true;
-}
-
 static void
 update_labels (struct life *life, const GPtrArray *labels)
 {
-  if (has_labels (life, labels))
+  if (az_sidecar_has_labels (life, labels))
     return;
   life->description++;
   g_ptr_array_set_size (life->labels, 0);
@@ -263,24 +253,29 @@
     g_ptr_array_add (life->labels, g_strdup (labels->pdata[i]));
 }
 
-/* An incarnation that was first seen in an answer has the service and address of the former one
- * until it announces itself. */
 static void
-update_life (struct life *life, const struct az_upstream_announcement *announcement)
+update_service (struct life *life, const char *service)
 {
-  if (!life->is_announced)
-    {
-      g_free (life->service);
-      g_free (life->address);
-      life->service = g_strdup (announcement->service);
-      life->address = g_strdup (announcement->address);
-      life->description++;
-    }
+  if (life->is_announced && !strcmp (life->service, service))
+    return;
+  life->description++;
+  g_free (life->service);
+  life->service = g_strdup (service);
+}
+
+static void
+update_life (struct az_sidecar *sidecar, const struct az_upstream_announcement *announcement)
+{
+  struct life *life = &sidecar->life;
+
+  update_service (life, announcement->service);
+  update_labels (life, announcement->labels);
   life->is_announced = true;
+  life->announced_us = sidecar->now_us;
+  life->announced_clock_ms = MAX (life->announced_clock_ms, announcement->clock_ms);
   life->sequence = announcement->sequence;
   life->is_draining = announcement->is_draining;
   life->capacity = announcement->capacity;
-  update_labels (life, announcement->labels);
 }
 
 void
@@ -297,38 +292,71 @@
   };
 
   begin_life (sidecar, &next, compare_incarnations (&sidecar->life, announcement));
-  update_life (&sidecar->life, announcement);
+  update_life (sidecar, announcement);
   az_sidecar_send_due_holds (sidecar);
 }
 
+static void
+log_ignored (const struct life *life,
+             const struct az_upstream_announcement *announcement,
+             const char *reason)
+{
+  az_log (LOG_INFO,
+          "event=announcement-ignored instance=%s born_ms=%" G_GINT64_FORMAT
+          " sequence=%" G_GUINT64_FORMAT
+          " address=%s service=%s domain=%s clock_ms=%" G_GINT64_FORMAT " reason=%s present=%s",
+          announcement->instance, announcement->started_ms, announcement->sequence,
+          announcement->address, announcement->service, announcement->domain,
+          announcement->clock_ms, reason, life->instance ? life->instance : "-");
+}
+
+bool
+az_sidecar_names_present (const struct life *life,
+                          const struct az_upstream_announcement *announcement)
+{
+  return life->number > 0 && !strcmp (life->instance, announcement->instance)
+         && announcement->started_ms == life->started_ms;
+}
+
+static const char *
+find_ignore_reason (const struct az_sidecar *sidecar,
+                    const struct az_upstream_announcement *announcement)
+{
+  if (!az_sidecar_names_present (&sidecar->life, announcement))
+    return "other-incarnation";
+  return az_sidecar_find_contradiction (sidecar, announcement);
+}
+
 bool
 az_sidecar_upstream_announced (struct az_sidecar *sidecar,
                                const struct az_upstream_announcement *announcement)
 {
-  struct life *life = &sidecar->life;
+  const struct life *life = &sidecar->life;
+  const char *reason;
 
   sidecar->now_us = az_now_us (sidecar->clock);
+  /* The upstream runs on the same machine. */
+  if (strcmp (announcement->domain, sidecar->settings.domain) != 0)
+    {
+      log_ignored (life, announcement, "other-domain");
+      return false;
+    }
   if (is_newer_incarnation (sidecar, announcement))
     {
       az_sidecar_set_candidate (sidecar, announcement);
       return false;
     }
-  if (strcmp (life->instance, announcement->instance) != 0
-      || announcement->started_ms != life->started_ms
-      || (life->is_announced && announcement->sequence <= life->sequence))
+  reason = find_ignore_reason (sidecar, announcement);
+  if (reason)
     {
-      az_log (LOG_INFO,
-              "event=announcement-ignored instance=%s born_ms=%" G_GINT64_FORMAT
-              " sequence=%" G_GUINT64_FORMAT " present=%s",
-              announcement->instance, announcement->started_ms, announcement->sequence,
-              life->instance);
+      log_ignored (life, announcement, reason);
       if (life->has_left && may_be_restarted (life, announcement))
         az_sidecar_send_immediate_hold (sidecar);
       return false;
     }
   if (announcement->is_draining && !life->is_draining)
     az_log (LOG_NOTICE, "event=upstream-draining instance=%s", life->instance);
-  update_life (life, announcement);
+  update_life (sidecar, announcement);
   az_sidecar_send_due_holds (sidecar);
   return true;
 }
--- a/tests/fuzz_platform.c
+++ b/tests/fuzz_platform.c
@@ -29,8 +29,9 @@
   struct az_upstream_announcement announcement;
   struct az_upstream_announcement copy;
   g_autofree char *record = NULL;
+  const char *invalid;
 
-  if (!platform_decode_heartbeat ("i-1", text, size, &announcement))
+  if (!platform_decode_heartbeat ("i-1", text, size, &announcement, &invalid))
     return;
   record = az_announcement_record_encode (&announcement);
   if (!record || !az_announcement_record_decode (record, &copy))
@@ -44,14 +45,15 @@
 {
   static const char body[]
       = "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"born\":1,"
-        "\"sequence\":1,\"state\":\"ready\",\"capacity\":{}}";
+        "\"sequence\":1,\"state\":\"ready\",\"capacity\":{\"cpu\":1}}";
   g_autofree char *path = g_strconcat ("/azurerock/Executors.Heartbeat/", text, NULL);
   struct az_upstream_announcement announcement;
   g_autofree char *record = NULL;
   const char *instance;
+  const char *invalid;
 
   if (platform_registry_call ("POST", path, &instance) != PLATFORM_REGISTRY_HEARTBEAT
-      || !platform_decode_heartbeat (instance, body, strlen (body), &announcement))
+      || !platform_decode_heartbeat (instance, body, strlen (body), &announcement, &invalid))
     return;
   record = az_announcement_record_encode (&announcement);
   if (!record)
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -137,6 +137,9 @@
   rig->now_ms = 1000;
   rig->wall_ms = 1700000000000;
   rig->capacity_milli = CAPACITY_MILLI;
+  rig->service = "service";
+  rig->domain = "d1";
+  rig->clock_ms = -1;
   rig->need = (struct az_resources){ .cpu_milli = 4000, .memory_mb = 64 };
   rig->clock = (struct az_clock){ monotonic, wall, rig };
   rig->counters = az_counters_create ();
@@ -200,15 +203,15 @@
   g_autoptr (GPtrArray) labels = g_ptr_array_new ();
   const struct az_upstream_announcement announcement = {
     .instance = (char *)instance,
-    .service = (char *)"service",
+    .service = (char *)rig->service,
     .address = (char *)address,
-    .domain = (char *)"d1",
+    .domain = (char *)rig->domain,
     .started_ms = started_ms,
     .sequence = sequence,
     .is_draining = is_draining,
     .capacity = { .cpu_milli = rig->capacity_milli, .memory_mb = 65536 },
     .labels = labels,
-    .clock_ms = -1,
+    .clock_ms = rig->clock_ms,
   };
 
   if (rig->label)
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -37,6 +37,9 @@
   unsigned n_probes;
   uint32_t capacity_milli;             /* of the upstream, as it announces it */
   const char *label;                   /* the same, or NULL */
+  const char *service;                 /* the same */
+  const char *domain;                  /* the same */
+  int64_t clock_ms;                    /* the same, -1 if it states none */
   char reported_service[32];           /* as last reported to any session */
   char reported_label[32];             /* the same; empty if the upstream has none */
   uint32_t reported_capacity_milli[4]; /* as last reported to each session */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -5,6 +5,7 @@
 #include "platform/store.h"
 #include "sidecar/announcement_record.h"
 #include "testing.h"
+#include <jansson.h>
 #include <string.h>
 
 static struct az_http_response
@@ -94,9 +95,10 @@
         "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768},\"labels\":[\"a\",\"r1\"],\"sequence\":4,"
         "\"born\":1700000000000,\"clock-ms\":12,\"new-field\":{}}";
   struct az_upstream_announcement announcement;
+  const char *invalid;
 
   (void)state;
-  assert_true (platform_decode_heartbeat ("i-1", body, strlen (body), &announcement));
+  assert_true (platform_decode_heartbeat ("i-1", body, strlen (body), &announcement, &invalid));
   assert_string_equal (announcement.instance, "i-1");
   assert_true (announcement.is_draining);
   assert_int_equal (announcement.capacity.cpu_milli, 16000);
@@ -105,36 +107,104 @@
   az_upstream_announcement_clear (&announcement);
 }
 
+/* Returns the field that makes the heartbeat invalid, or NULL. @field replaces one of a sound
+ * heartbeat, or is added to it. */
+static const char *
+find_invalid_field (const char *instance, const char *name, json_t *value)
+{
+  json_t *body = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:{s:i,s:i,s:i},s:[s],s:i,s:i,s:I}",
+                            "service", "s", "address", "10.0.0.1:80", "zone", "z", "state", "ready",
+                            "version", "v1", "slots", 8, "cold-remaining-ms", 0, "capacity", "cpu",
+                            16000, "mem-mb", 32768, "gpu", 0, "labels", "a", "clock-ms", 12,
+                            "sequence", 4, "born", (json_int_t)1700000000000);
+  struct az_upstream_announcement announcement;
+  const char *invalid;
+  char *text;
+
+  if (value)
+    json_object_set_new (body, name, value);
+  else if (name)
+    json_object_del (body, name);
+  text = json_dumps (body, 0);
+  if (platform_decode_heartbeat (instance, text, strlen (text), &announcement, &invalid))
+    az_upstream_announcement_clear (&announcement);
+  free (text);
+  json_decref (body);
+  return invalid;
+}
+
 /* Guards against registering an upstream from a heartbeat that another program has written and that
  * has missing or invalid fields. */
 static void
 test_malformed_heartbeats_are_rejected (void **state)
 {
-  static const char *const bodies[] = {
-    "\xff\xfe",
-    "{}",
-    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"resting\",\"capacity\":{},"
-    "\"sequence\":1}",
-    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":7,"
-    "\"sequence\":1}",
-    "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
-    "\"sequence\":\"1\"}",
-    "{\"service\":5,\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
-    "\"sequence\":1}",
-    "{\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},\"sequence\":1}",
-  };
-  static const char body[]
-      = "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
-        "\"sequence\":1}";
+  static const char *const required[]
+      = { "service", "address", "zone", "state", "capacity", "sequence" };
+  static const char *const addresses[]
+      = { "a",           "10.0.0.1", "10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-1",
+          "10.0.0.1:8o", "name:80",  "10.0.0.256:80",  ":80",        "" };
+  static const char *const fields[]
+      = { "service", "address", "zone",     "state",    "version",           "slots",
+          "born",    "labels",  "capacity", "clock-ms", "cold-remaining-ms", "sequence" };
+  g_autofree char *long_name = g_strnfill (AZ_MAX_NAME, 'n');
+
+  (void)state;
+  assert_null (find_invalid_field ("i", NULL, NULL));
+  for (size_t i = 0; i < G_N_ELEMENTS (required); i++)
+    assert_string_equal (find_invalid_field ("i", required[i], NULL), required[i]);
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    assert_string_equal (find_invalid_field ("i", "address", json_string (addresses[i])),
+                         "address");
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      assert_string_equal (find_invalid_field ("i", fields[i], json_true ()), fields[i]);
+      assert_string_equal (find_invalid_field ("i", fields[i], json_pack ("{s:[]}", "x")),
+                           fields[i]);
+    }
+  assert_string_equal (find_invalid_field ("i", "state", json_string ("resting")), "state");
+  assert_string_equal (find_invalid_field ("i", "service", json_string ("")), "service");
+  assert_string_equal (find_invalid_field ("i", "service", json_string (long_name)), "service");
+  assert_string_equal (find_invalid_field ("i", "sequence", json_integer (-1)), "sequence");
+  assert_string_equal (find_invalid_field ("i", "sequence", json_real (1e300)), "sequence");
+  assert_string_equal (find_invalid_field ("i", "born", json_integer (-1)), "born");
+  assert_string_equal (find_invalid_field ("i", "clock-ms", json_real (0.5)), "clock-ms");
+  assert_string_equal (find_invalid_field ("i", "labels", json_pack ("[i]", 5)), "labels");
+  assert_string_equal (find_invalid_field ("i", "labels", json_pack ("[s]", long_name)), "labels");
+  assert_string_equal (find_invalid_field ("i", "capacity", json_object ()), "capacity");
+  assert_string_equal (find_invalid_field ("i", "capacity", json_pack ("{s:i}", "cpu", -1)),
+                       "capacity");
+  assert_string_equal (
+      find_invalid_field ("i", "capacity", json_pack ("{s:I}", "cpu", (json_int_t)1 << 40)),
+      "capacity");
+  assert_null (find_invalid_field ("i", "new-field", json_object ()));
+  /* The instance comes from the request path, which may hold any bytes. */
+  assert_string_equal (find_invalid_field ("i\xff\xfe", NULL, NULL), "instance");
+  assert_string_equal (find_invalid_field (long_name, NULL, NULL), "instance");
+}
+
+/* Guards against a heartbeat that ends the process: bytes that can't be read, very deep nesting, a
+ * number that no type can hold. */
+static void
+test_unreadable_heartbeats_are_rejected (void **state)
+{
+  g_autofree char *deep = g_strnfill (60000, '[');
+  const char *const bodies[] = { "\xff\xfe",
+                                 "",
+                                 "[]",
+                                 "{",
+                                 deep,
+                                 "{\"sequence\":99999999999999999999999}",
+                                 "{\"capacity\":{\"cpu\":1e999}}" };
   struct az_upstream_announcement announcement;
+  const char *invalid;
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
-    assert_false (platform_decode_heartbeat ("i", bodies[i], strlen (bodies[i]), &announcement));
-  /* The instance comes from the request path, which may hold any bytes. */
-  assert_true (platform_decode_heartbeat ("i", body, strlen (body), &announcement));
-  az_upstream_announcement_clear (&announcement);
-  assert_false (platform_decode_heartbeat ("i\xff\xfe", body, strlen (body), &announcement));
+    {
+      assert_false (
+          platform_decode_heartbeat ("i", bodies[i], strlen (bodies[i]), &announcement, &invalid));
+      assert_string_equal (invalid, "body");
+    }
 }
 
 static void
@@ -357,10 +427,11 @@
         "\"sequence\":4,\"born\":1700000000000}";
   struct az_upstream_announcement announcement;
   struct az_upstream_announcement copy;
+  const char *invalid;
   g_autofree char *record = NULL;
 
   (void)state;
-  assert_true (platform_decode_heartbeat ("i-1", body, strlen (body), &announcement));
+  assert_true (platform_decode_heartbeat ("i-1", body, strlen (body), &announcement, &invalid));
   record = az_announcement_record_encode (&announcement);
   assert_true (az_announcement_record_decode (record, &copy));
   assert_string_equal (copy.instance, "i-1");
@@ -402,6 +473,7 @@
     cmocka_unit_test (test_malformed_jobs_are_rejected),
     cmocka_unit_test (test_heartbeat_is_decoded),
     cmocka_unit_test (test_malformed_heartbeats_are_rejected),
+    cmocka_unit_test (test_unreadable_heartbeats_are_rejected),
     cmocka_unit_test (test_registry_calls_are_identified),
     cmocka_unit_test (test_birth_time_of_a_departure_is_decoded),
     cmocka_unit_test (test_order_results),
