Ignore entries of the gateway list that are no addresses

Cause: a gateway believed every entry of the list of gateways in the store. One entry that is longer than an address can be kept the whole list from being encoded, so sidecars learned of no gateway through it; one with a port out of range was tried twice a second for good.

Change: gateways and sidecars take over only addresses to which a connection can be made, and log the others.

Tests: test_invalid_member_address_is_ignored and test_invalid_addresses_are_ignored failed with the former members.c and links.c and pass now.

--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -109,7 +109,8 @@
 void
 az_gateway_set_store_reachable (struct az_gateway *gateway, bool is_reachable);
 
-/** az_gateway_add_member - adds the address of another gateway, and connects to it */
+/** az_gateway_add_member - adds the address of another gateway, and connects to it; one to which no
+ * connection can be made is ignored */
 void
 az_gateway_add_member (struct az_gateway *gateway, const char *address);
 
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "gateway/state.h"
+#include "net/address.h"
 #include <string.h>
 
 #define RECONNECT_INTERVAL_MS 500
@@ -10,6 +11,12 @@
   GHashTableIter iterator;
   gpointer value;
 
+  /* One address that can't be encoded would keep all others from being sent. */
+  if (!az_address_is_endpoint (address))
+    {
+      az_log (LOG_WARNING, "event=gateway-ignored address=%.64s reason=invalid", address);
+      return;
+    }
   if (!strcmp (address, gateway->settings.address)
       || g_hash_table_contains (gateway->members, address)
       || g_hash_table_size (gateway->members) >= AZ_MAX_GATEWAYS)
--- a/src/sidecar/links.c
+++ b/src/sidecar/links.c
@@ -2,6 +2,7 @@
 #include "azurerock/limits.h"
 #include "azurerock/message.h"
 #include "dispatch/time_us.h"
+#include "net/address.h"
 #include <glib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -74,7 +75,7 @@
 {
   struct link *link;
 
-  if (g_hash_table_contains (links->gateways, address)
+  if (!az_address_is_endpoint (address) || g_hash_table_contains (links->gateways, address)
       || g_hash_table_size (links->gateways) >= AZ_MAX_GATEWAYS)
     return false;
   link = g_new0 (struct link, 1);
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "dispatch/seeds.h"
+#include "net/address.h"
 #include "sidecar/program.h"
 
 void
@@ -72,7 +73,9 @@
 void
 az_sidecar_program_add_gateway (struct az_sidecar_program *program, const char *address)
 {
-  if (az_links_add (program->links, address))
+  if (!az_address_is_endpoint (address))
+    az_log (LOG_WARNING, "event=gateway-ignored address=%.64s reason=invalid", address);
+  else if (az_links_add (program->links, address))
     az_log (LOG_NOTICE, "event=gateway-learned address=%s", address);
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -469,6 +469,26 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against one odd entry of the store that costs the others: the list of gateways can't be
+ * encoded with it, so no sidecar would learn of any other gateway. */
+static void
+test_invalid_member_address_is_ignored (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+  g_autofree char *long_address = g_strnfill (5000, 'a');
+
+  (void)state;
+  az_gateway_add_member (rig->core, long_address);
+  az_gateway_add_member (rig->core, "127.0.0.1:99999");
+  gateway_rig_advance (rig, 1000, 0);
+  assert_int_equal (rig->connects->len, 0);
+  az_gateway_add_member (rig->core, "127.0.0.1:10");
+  gateway_rig_advance (rig, 1000, 0);
+  assert_true (rig->connects->len > 0);
+  assert_string_equal (rig->connects->pdata[0], "127.0.0.1:10");
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -493,6 +513,7 @@
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
+    cmocka_unit_test (test_invalid_member_address_is_ignored),
     cmocka_unit_test (test_stopping_gateway_accepts_jobs_that_end_in_time),
     cmocka_unit_test (test_excess_load_is_refused_at_once),
     cmocka_unit_test (test_rare_job_waits_for_cores_that_others_use),
--- a/tests/test_links.c
+++ b/tests/test_links.c
@@ -41,6 +41,20 @@
   az_links_destroy (links);
 }
 
+/* Guards against attempts to connect to an entry of the store that no gateway has written. */
+static void
+test_invalid_addresses_are_ignored (void **state)
+{
+  static const char *const addresses[] = { "", "x", "10.0.0.1:99999", "10.0.0.1:0", "name:1" };
+  struct az_links *links = create_links ();
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    assert_false (az_links_add (links, addresses[i]));
+  assert_true (az_links_add (links, "10.0.0.1:1"));
+  az_links_destroy (links);
+}
+
 /* Guards against reads of the store by all sidecars whenever a gateway restarts. */
 static void
 test_short_session_loss_does_not_read_the_store (void **state)
@@ -163,6 +177,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_store_is_read_at_the_start),
+    cmocka_unit_test (test_invalid_addresses_are_ignored),
     cmocka_unit_test (test_short_session_loss_does_not_read_the_store),
     cmocka_unit_test (test_returning_gateway_is_connected_soon),
     cmocka_unit_test (test_sessions_are_limited),
