--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -309,6 +309,28 @@
   az_upstream_lists_clear (&lists);
 }
 
+/* Guards against a row whose numbers no type can hold: a negative number of an end, taken as
+ * unsigned, would acknowledge all later ends. */
+static void
+test_rows_with_numbers_out_of_range_are_skipped (void **state)
+{
+  struct az_http_response response
+      = answered (200, "{\"clock-ms\":9,\"active\":[[\"t.0.0.1\",-1,\"\",41],"
+                       "[\"t.0.0.2\",4294967296,\"\",41],[\"t.0.0.3\",4294967295,\"\",41]],"
+                       "\"finished\":[[-1,\"t.0.0.9\",1,\"done\",\"\"],"
+                       "[59,\"t.0.0.8\",-2,\"done\",\"\"],[60,\"t.0.0.7\",1,\"done\",\"\"]]}");
+  struct az_upstream_lists lists;
+
+  (void)state;
+  platform_decode_task_lists (&response, &lists);
+  assert_int_equal (lists.n_active, 1);
+  assert_string_equal (lists.active[0].task, "t.0.0.3");
+  assert_int_equal (lists.n_ended, 1);
+  assert_int_equal (lists.ended[0].number, 60);
+  assert_int_equal (lists.n_unreadable, 4);
+  az_upstream_lists_clear (&lists);
+}
+
 /* Guards against taking a response without a clock or without one of the lists as proof of which
  * tasks run. */
 static void
@@ -479,6 +501,7 @@
     cmocka_unit_test (test_order_results),
     cmocka_unit_test (test_hold_is_refused_only_without_listener),
     cmocka_unit_test (test_malformed_rows_are_skipped),
+    cmocka_unit_test (test_rows_with_numbers_out_of_range_are_skipped),
     cmocka_unit_test (test_incomplete_lists_are_invalid),
     cmocka_unit_test (test_orders_are_encoded),
     cmocka_unit_test (test_configuration_is_decoded),
