Cut wait times that can't be calculated

What callers saw: a job with an X-Deadline-Ms near the largest 64-bit number was answered as expired at once.

Cause: the wait time in microseconds overflowed.

Tests: test_longest_wait_time_is_accepted failed with the former jobs.c and passes now.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -6,6 +6,9 @@
 /* Assumed wait time of a caller that states none. */
 #define WAIT_DEFAULT_MS 10000
 
+/* Longer wait times are cut, so that deadlines can be calculated. */
+#define WAIT_MAX_MS 86400000
+
 static void
 free_job (struct az_gateway *gateway, struct job *job)
 {
@@ -52,6 +55,14 @@
   job->n_waiting = job->n_tasks;
 }
 
+static int64_t
+compute_deadline_us (const struct az_gateway *gateway, int64_t wait_ms)
+{
+  if (wait_ms <= 0)
+    wait_ms = WAIT_DEFAULT_MS;
+  return gateway->now_us + MIN (wait_ms, WAIT_MAX_MS) * AZ_US_PER_MS;
+}
+
 static struct job *
 create_job (struct az_gateway *gateway,
             const struct az_route *route,
@@ -70,7 +81,7 @@
   job->priority = route->priority;
   job->max_failures = MAX (route->max_failures, 1);
   job->arrived_us = gateway->now_us;
-  job->deadline_us = gateway->now_us + (wait_ms > 0 ? wait_ms : WAIT_DEFAULT_MS) * AZ_US_PER_MS;
+  job->deadline_us = compute_deadline_us (gateway, wait_ms);
   create_tasks (job);
   job->critical_path_us = compute_critical_path_us (gateway, job);
   job->objective_us = gateway->now_us
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -489,6 +489,22 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a job that counts as expired at once because its wait time, in microseconds, is
+ * more than the type holds. */
+static void
+test_longest_wait_time_is_accepted (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  rig->wait_ms = INT64_MAX;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_advance (rig, 100, 0);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), -1);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -513,6 +529,7 @@
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
+    cmocka_unit_test (test_longest_wait_time_is_accepted),
     cmocka_unit_test (test_invalid_member_address_is_ignored),
     cmocka_unit_test (test_stopping_gateway_accepts_jobs_that_end_in_time),
     cmocka_unit_test (test_excess_load_is_refused_at_once),
