Count the silence of a gateway from when it sent its messages

Cause: a sidecar counted the silence of a gateway from the arrival of its last message. Heartbeats that wait in a growing queue arrive late but regularly and kept the session and its tasks, while the stop waited behind them.

Change: heartbeats state the time of sending on the sidecar's clock, as run messages did. The gateway derives a lower bound of that clock from the reports; a report that took long doesn't lower it, which it did for run messages before. A sidecar counts the silence from the latest known time of sending, and while the session has tasks a message that states none is no sign of life.

--- a/src/dispatch/session_times.h
+++ b/src/dispatch/session_times.h
@@ -8,10 +8,14 @@
  * connection broke; the tasks that its gateway started must have ended by then.
  */
 
-/* Either side closes a session with tasks after this time without a message. A sidecar also rejects
- * run messages that are older. */
+/* Either side closes a session with tasks after this time without a message. A sidecar counts it from
+ * the time of sending, so that a slow link doesn't keep a session open that its gateway has given
+ * up, and rejects run messages that are older. */
 #define AZ_SESSION_TIMEOUT_MS 450
 
+/* Assumed largest relative drift between the monotonic clocks of a gateway and a sidecar. */
+#define AZ_SESSION_CLOCK_DRIFT 0.02
+
 /* Multiples of AZ_SESSION_TIMEOUT_MS after which a session without tasks is closed; nothing depends
  * on such a session. A dormant session is one to an upstream outside the gateway's working set; it
  * gets fewer heartbeats. */
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -8,7 +8,7 @@
 {
   const struct session *session = az_gateway_get_session (gateway, upstream->session);
 
-  return session && session->peer_clock_received_us > 0;
+  return session && session->peer_clock_observed_us > 0;
 }
 
 static bool
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -200,15 +200,6 @@
   az_resources_subtract (&upstream->free, need);
 }
 
-/* Estimates the present time on the sidecar's clock. The estimate is too low by the transit time of
- * the last report and never too high, so the sidecar may take the message for older than it is. */
-static uint64_t
-estimate_peer_clock_ms (const struct az_gateway *gateway, const struct session *session)
-{
-  return (uint64_t)(session->peer_clock_ms
-                    + (gateway->now_us - session->peer_clock_received_us) / AZ_US_PER_MS);
-}
-
 /* Sends the newly assigned tasks of the step on one upstream in one message. */
 static void
 send_run_message (struct az_gateway *gateway,
@@ -227,7 +218,7 @@
   g_strlcpy (queue, job->queue->name, sizeof queue);
   message.az_message_u.node_run = (struct az_node_run){
     .clock_ms
-    = estimate_peer_clock_ms (gateway, az_gateway_get_session (gateway, upstream->session)),
+    = az_gateway_peer_clock_ms (gateway, az_gateway_get_session (gateway, upstream->session)),
     .job = job->number,
     .queue = queue,
     .job_id = job->id,
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -22,7 +22,9 @@
  * @busy_since_us: when the upstream got a task while it had none
  * @last_heartbeat_us: when the last NODE_PULSE was sent; 0 to send one at once
  * @withdrawn_sent_us: when the withdrawn domains were last sent
- * @peer_clock_ms: the sidecar's clock in its last report, received at @peer_clock_received_us
+ * @peer_clock_ahead_us: lower bound, from the reports up to @peer_clock_observed_us, of how far the
+ *   sidecar's clock is ahead of the gateway's
+ * @peer_clock_observed_us: 0 before the first report
  */
 struct session
 {
@@ -35,8 +37,8 @@
   int64_t busy_since_us;
   int64_t last_heartbeat_us;
   int64_t withdrawn_sent_us;
-  int64_t peer_clock_ms;
-  int64_t peer_clock_received_us;
+  int64_t peer_clock_ahead_us;
+  int64_t peer_clock_observed_us;
 };
 
 /** struct reservation - resources of a run message that the sidecar's reports don't include yet */
@@ -273,6 +275,11 @@
 az_gateway_get_upstream (const struct az_gateway *gateway, uint32_t handle);
 
 /* sessions.c */
+/** az_gateway_peer_clock_ms - returns a lower bound of the present time on the sidecar's clock, so
+ * that the sidecar may take a message for older than it is but never for younger; 0 if it hasn't
+ * reported yet */
+uint64_t
+az_gateway_peer_clock_ms (const struct az_gateway *gateway, const struct session *session);
 void
 az_gateway_expire_sessions (struct az_gateway *gateway);
 void
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -524,12 +524,15 @@
 };
 
 /*
- * From a gateway: keeps the session open. waiting_cpu_milli is the demand of its queued tasks.
+ * From a gateway: keeps the session open. clock_ms is the sidecar's clock at the time of sending, as
+ * in NODE_RUN, or 0 before the first report: the session is kept open from that time on, however
+ * late the message arrives. waiting_cpu_milli is the demand of its queued tasks.
  * Without wants_reports, a sidecar that runs no task of the gateway reports only every few
  * seconds. A gateway that can't reach the store sets wants_updates to get from another gateway a
  * configuration newer than catalog_version and the withdrawn domains.
  */
 struct az_node_pulse {
+	unsigned hyper clock_ms;
 	unsigned int waiting_cpu_milli;
 	bool wants_reports;
 	bool wants_updates;
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -516,6 +516,7 @@
 typedef struct az_node_report az_node_report;
 
 struct az_node_pulse {
+	u_quad_t clock_ms;
 	u_int waiting_cpu_milli;
 	bool_t wants_reports;
 	bool_t wants_updates;
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1039,6 +1039,8 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
@@ -1057,6 +1059,8 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
@@ -1076,6 +1080,8 @@
 	 return TRUE;
 	}
 
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting_cpu_milli))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->wants_reports))
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -17,7 +17,7 @@
 
   sidecar->now_us = az_now_us (sidecar->clock);
   session->handle = handle;
-  session->last_received_us = sidecar->now_us;
+  session->last_sent_us = sidecar->now_us;
   session->wants_reports = true;
   session->events = g_array_new (FALSE, FALSE, sizeof (struct az_task_event));
   session->progress = g_array_new (FALSE, FALSE, sizeof (struct az_task_progress));
@@ -59,7 +59,7 @@
           "event=session-lost gateway=%s tasks_stopped=%u silent_ms=%" G_GINT64_FORMAT
           " reason=\"%s\"",
           session->gateway ? session->gateway : "-", session->n_tasks,
-          (sidecar->now_us - session->last_received_us) / AZ_US_PER_MS, reason);
+          (sidecar->now_us - session->last_sent_us) / AZ_US_PER_MS, reason);
   stop_session_tasks (sidecar, handle);
   g_hash_table_remove (sidecar->sessions, GUINT_TO_POINTER (handle));
 }
@@ -95,7 +95,7 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       struct session *session = value;
-      int64_t silence_us = sidecar->now_us - session->last_received_us;
+      int64_t silence_us = sidecar->now_us - session->last_sent_us;
 
       if ((session->n_tasks > 0 || includes_idle)
           && silence_us > silence_limit_ms (sidecar, session) * AZ_US_PER_MS)
@@ -146,6 +146,37 @@
                                    withdrawn->domains.domains_len);
 }
 
+/* Returns the time of sending on this sidecar's clock, or 0 if the message doesn't state it. */
+static int64_t
+sent_clock_ms (const struct az_message *message)
+{
+  switch (message->proc)
+    {
+    case AZ_NODE_PULSE:
+      return (int64_t)message->az_message_u.node_pulse.clock_ms;
+    case AZ_NODE_RUN:
+      return (int64_t)message->az_message_u.node_run.clock_ms;
+    default:
+      return 0;
+    }
+}
+
+/* While the session has tasks, a message that doesn't state when it was sent is no sign of life. */
+static void
+update_liveness (const struct az_sidecar *sidecar,
+                 struct session *session,
+                 const struct az_message *message)
+{
+  int64_t clock_ms = sent_clock_ms (message);
+  int64_t sent_us = sidecar->now_us;
+
+  if (clock_ms > 0)
+    sent_us = MIN ((clock_ms + 1) * AZ_US_PER_MS, sidecar->now_us);
+  else if (session->n_tasks > 0 && message->proc != AZ_NODE_PULSE)
+    return;
+  session->last_sent_us = MAX (session->last_sent_us, sent_us);
+}
+
 void
 az_sidecar_received (struct az_sidecar *sidecar, uint32_t handle, const struct az_message *message)
 {
@@ -156,7 +187,7 @@
   session = az_sidecar_get_session (sidecar, handle);
   if (!session)
     return;
-  session->last_received_us = sidecar->now_us;
+  update_liveness (sidecar, session, message);
   switch (message->proc)
     {
     case AZ_NODE_HELLO:
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -77,12 +77,16 @@
   int64_t progress_reported_us;
 };
 
-/** struct session - the connection of one gateway */
+/**
+ * struct session - the connection of one gateway
+ * @last_sent_us: when the gateway sent the newest of the messages that have arrived, as far as it
+ * is known: messages wait in a slow link or in the socket of a paused process
+ */
 struct session
 {
   uint32_t handle;
   char *gateway; /* instance; NULL until NODE_HELLO is received */
-  int64_t last_received_us;
+  int64_t last_sent_us;
   int64_t last_reported_us;
   uint32_t received; /* number of NODE_RUN messages */
   uint32_t n_tasks;
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -321,7 +321,7 @@
   const struct session *session = az_sidecar_get_session (sidecar, handle);
 
   return !session
-         || sidecar->now_us - session->last_received_us
+         || sidecar->now_us - session->last_sent_us
                 > sidecar->settings.session_timeout_ms * AZ_US_PER_MS;
 }
 
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -40,6 +40,8 @@
 
   rig->n_update_requests
       += message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_updates;
+  if (message->proc == AZ_NODE_PULSE)
+    rig->heartbeat_clock_ms = message->az_message_u.node_pulse.clock_ms;
   rig->n_catalogs_sent += message->proc == AZ_NODE_CATALOG;
   if (message->proc == AZ_NODE_RUN)
     record_run (rig, session, &message->az_message_u.node_run);
@@ -169,7 +171,7 @@
   struct az_message message = { .proc = AZ_NODE_REPORT };
 
   message.az_message_u.node_report = (struct az_node_report){
-    .clock_ms = (uint64_t)(rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS),
+    .clock_ms = (uint64_t)(rig->now_ms - rig->report_delay_ms + GATEWAY_RIG_CLOCK_AHEAD_MS),
     .received = rig->received[session],
     .free = { .memory_mb = 65536 },
     .speed_percent = rig->speed[session],
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -40,6 +40,8 @@
   GArray *answers; /* struct gateway_answer */
   GPtrArray *connects;
   unsigned n_closed;
+  int64_t report_delay_ms;     /* between the sending and the arrival of reports */
+  uint64_t heartbeat_clock_ms; /* as the last heartbeat states it */
   unsigned n_update_requests;  /* NODE_PULSE messages that request updates */
   unsigned n_catalogs_sent;    /* configurations sent to peers */
   uint32_t received[16];       /* run messages per session */
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -403,6 +403,15 @@
   az_sidecar_received (rig->core, session, &pulse);
 }
 
+void
+sidecar_rig_send_delayed_pulse (struct sidecar_rig *rig, uint32_t session, int64_t age_ms)
+{
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  pulse.az_message_u.node_pulse.clock_ms = (uint64_t)(rig->now_ms - age_ms);
+  az_sidecar_received (rig->core, session, &pulse);
+}
+
 void
 sidecar_rig_advance_answering_holds (struct sidecar_rig *rig, int64_t ms, const char *active)
 {
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -149,6 +149,10 @@
 sidecar_rig_advance_answering_holds (struct sidecar_rig *rig, int64_t ms, const char *active);
 void
 sidecar_rig_send_pulse (struct sidecar_rig *rig, uint32_t session);
+
+/** sidecar_rig_send_delayed_pulse - the same with a heartbeat that was sent @age_ms ago */
+void
+sidecar_rig_send_delayed_pulse (struct sidecar_rig *rig, uint32_t session, int64_t age_ms);
 const struct sidecar_request *
 sidecar_rig_get_start (const struct sidecar_rig *rig, guint request);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -265,8 +265,25 @@
   rig->now_ms += 70;
   gateway_rig_submit (rig, 1, "fast", 1);
   assert_int_equal (rig->runs->len, 1);
+  /* The clocks may have drifted apart by 1.4 ms since the report. */
   assert_int_equal (gateway_rig_get_run (rig, 0)->clock_ms,
-                    rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS);
+                    rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS - 2);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against heartbeats that keep a session open however late they arrive: they state the time
+ * on the sidecar's clock. A report that took long doesn't lower it. */
+static void
+test_heartbeat_states_the_sidecar_clock (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_advance (rig, 100, 0);
+  rig->report_delay_ms = 300;
+  gateway_rig_advance (rig, 400, 0);
+  assert_in_range (rig->heartbeat_clock_ms, rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS - 100,
+                   rig->now_ms + GATEWAY_RIG_CLOCK_AHEAD_MS);
   gateway_rig_destroy (rig);
 }
 
@@ -524,6 +541,7 @@
     cmocka_unit_test (test_withdrawn_domain_gets_no_tasks),
     cmocka_unit_test (test_job_with_short_deadline_is_refused_early),
     cmocka_unit_test (test_run_message_carries_the_sidecar_clock),
+    cmocka_unit_test (test_heartbeat_states_the_sidecar_clock),
     cmocka_unit_test (test_nothing_is_sent_before_the_first_report_of_a_session),
     cmocka_unit_test (test_paused_gateway_starts_no_expired_job),
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
