Count deadlines from before a pause of the gateway

Change: after a pause of more than 300 ms the deadlines of the requests that waited meanwhile count from the last tick before it. A job whose deadline has passed is refused at once.

--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -142,21 +142,11 @@
   g_free (gateway);
 }
 
-/* A longer time between two ticks means that the process was paused. */
-#define PAUSE_MIN_MS 300
-
-static bool
-was_paused (const struct az_gateway *gateway)
-{
-  return gateway->now_us - gateway->last_tick_us > PAUSE_MIN_MS * AZ_US_PER_MS;
-}
-
 void
 az_gateway_tick (struct az_gateway *gateway)
 {
   gateway->now_us = az_now_us (gateway->clock);
-  gateway->is_resuming = was_paused (gateway);
-  gateway->last_tick_us = gateway->now_us;
+  az_gateway_record_tick (gateway);
   az_gateway_expire_sessions (gateway);
   az_gateway_expire_jobs (gateway);
   az_gateway_connect_members (gateway);
@@ -203,7 +193,7 @@
   gateway->now_us = az_now_us (gateway->clock);
   /* During a pause callers may have resubmitted their jobs to another gateway. Their disconnects
    * are handled and passed deadlines are checked before any task starts. */
-  if (gateway->is_resuming || was_paused (gateway))
+  if (gateway->is_resuming || az_gateway_was_paused (gateway))
     {
       gateway->is_resuming = false;
       return;
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -60,7 +60,7 @@
 {
   if (wait_ms <= 0)
     wait_ms = WAIT_DEFAULT_MS;
-  return gateway->now_us + MIN (wait_ms, WAIT_MAX_MS) * AZ_US_PER_MS;
+  return az_gateway_earliest_arrival_us (gateway) + MIN (wait_ms, WAIT_MAX_MS) * AZ_US_PER_MS;
 }
 
 static struct job *
@@ -102,6 +102,19 @@
   g_hash_table_insert (gateway->callers, GUINT_TO_POINTER (caller), job);
 }
 
+static void
+expire_job (struct az_gateway *gateway, struct job *job)
+{
+  if (!job->is_answered && gateway->now_us >= job->deadline_us)
+    {
+      az_counters_add (gateway->counters, gateway->c_expired, 1);
+      az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN,
+                          1000, "deadline passed");
+    }
+  az_gateway_expire_orphans (gateway, job);
+  az_gateway_release_job (gateway, job);
+}
+
 /* Run time estimates are off by some tens of percent. */
 #define STOP_RUN_FACTOR 1.6
 #define STOP_RESERVE_MS 50
@@ -141,9 +154,10 @@
   az_counters_add (gateway->counters, gateway->c_jobs, 1);
   az_log (LOG_INFO,
           "event=submit job=%s queue=%s tasks=%u cpu=%u estimate_ms=%u wait_ms=%" G_GINT64_FORMAT
-          " objective_ms=%" G_GINT64_FORMAT,
+          " unread_ms=%" G_GINT64_FORMAT " objective_ms=%" G_GINT64_FORMAT,
           key, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
           job->request.steps[0].estimate_ms, wait_ms,
+          (gateway->now_us - az_gateway_earliest_arrival_us (gateway)) / AZ_US_PER_MS,
           (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
   if (az_gateway_recall_crashes (gateway, job))
     {
@@ -151,6 +165,11 @@
       az_gateway_release_job (gateway, job);
       return;
     }
+  if (job->deadline_us <= gateway->now_us)
+    {
+      expire_job (gateway, job);
+      return;
+    }
   reason = az_gateway_check_feasibility (gateway, job, &is_permanent);
   if (!reason && would_outlast_stop (gateway, job))
     reason = "the gateway is stopping";
@@ -304,19 +323,6 @@
   return n;
 }
 
-static void
-expire_job (struct az_gateway *gateway, struct job *job)
-{
-  if (!job->is_answered && gateway->now_us >= job->deadline_us)
-    {
-      az_counters_add (gateway->counters, gateway->c_expired, 1);
-      az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN,
-                          1000, "deadline passed");
-    }
-  az_gateway_expire_orphans (gateway, job);
-  az_gateway_release_job (gateway, job);
-}
-
 void
 az_gateway_expire_jobs (struct az_gateway *gateway)
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -215,6 +215,8 @@
  * @last_open_us: when an upstream last accepted tasks; initially the start of the process
  * @is_resuming: the process was paused; messages that arrived meanwhile are read before tasks are
  *   placed
+ * @pause_began_us: when the process last ran before the last pause
+ * @n_resume_ticks: number of ticks until the requests of the last pause have been read
  */
 
 struct az_gateway
@@ -253,6 +255,8 @@
   int64_t last_tick_us;
   bool needs_placing;
   bool is_resuming;
+  int64_t pause_began_us;
+  uint32_t n_resume_ticks;
   uint32_t c_jobs; /* this and the other c_ fields are handles of counters */
   uint32_t c_completed;
   uint32_t c_failed;
@@ -274,6 +278,17 @@
 struct upstream *
 az_gateway_get_upstream (const struct az_gateway *gateway, uint32_t handle);
 
+/* pause.c */
+bool
+az_gateway_was_paused (const struct az_gateway *gateway);
+void
+az_gateway_record_tick (struct az_gateway *gateway);
+
+/** az_gateway_earliest_arrival_us - returns the earliest time at which a request that is read now
+ * can have arrived: during and just after a pause of the process, the time when that began */
+int64_t
+az_gateway_earliest_arrival_us (const struct az_gateway *gateway);
+
 /* sessions.c */
 /** az_gateway_peer_clock_ms - returns a lower bound of the present time on the sidecar's clock, so
  * that the sidecar may take a message for older than it is but never for younger; 0 if it hasn't
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -506,6 +506,28 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a run of a job that its caller has sent elsewhere: the request waited unread while
+ * the process was paused, and its deadline counted from the end of the pause. */
+static void
+test_deadline_counts_from_the_beginning_of_a_pause (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  gateway_rig_advance (rig, 100, 0);
+  rig->now_ms += 1600;
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_NOT_RUN);
+  gateway_rig_advance (rig, 20, 0);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (gateway_rig_get_outcome (rig, 2), AZ_JOB_NOT_RUN);
+  gateway_rig_advance (rig, 100, 0);
+  assert_int_equal (rig->runs->len, 0);
+  gateway_rig_submit (rig, 3, "fast", 1);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a job that counts as expired at once because its wait time, in microseconds, is
  * more than the type holds. */
 static void
@@ -547,6 +569,7 @@
     cmocka_unit_test (test_resumed_gateway_reads_messages_before_placing),
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
+    cmocka_unit_test (test_deadline_counts_from_the_beginning_of_a_pause),
     cmocka_unit_test (test_longest_wait_time_is_accepted),
     cmocka_unit_test (test_invalid_member_address_is_ignored),
     cmocka_unit_test (test_stopping_gateway_accepts_jobs_that_end_in_time),
