--- a/tests/fuzz_sessions.c
+++ b/tests/fuzz_sessions.c
@@ -110,13 +110,45 @@
   az_sidecar_tick (world->sidecar->core);
 }
 
+/* Delivers a heartbeat of any writer. None may end a task, since it proves nothing. */
+static void
+announce (struct world *world)
+{
+  static const char *const instances[] = { "i1", "i2" };
+  static const char *const addresses[] = { "127.0.0.1:1", "127.0.0.1:2", "x" };
+  static const char *const services[] = { "service", "unnamed" };
+  static const char *const labels[] = { NULL, "a" };
+  struct sidecar_rig *rig = world->sidecar;
+  uint8_t choice = take_byte (&world->input);
+  guint n_events;
+
+  az_sidecar_flush (rig->core);
+  n_events = rig->events->len;
+  rig->service = services[choice % 2];
+  rig->label = labels[choice / 2 % 2];
+  rig->clock_ms = choice / 4 % 2 ? -1 : (int64_t)take_byte (&world->input) << (choice / 8 % 56);
+  sidecar_rig_announce_unanswered (rig, addresses[choice % 3], instances[choice / 64 % 2],
+                                   take_byte (&world->input), take_byte (&world->input));
+  az_sidecar_flush (rig->core);
+  if (rig->events->len != n_events)
+    g_error ("a heartbeat ended a task");
+}
+
+static void
+answer_probe (struct world *world)
+{
+  enum az_upstream_result result = take_byte (&world->input) % (AZ_UPSTREAM_UNANSWERED + 1);
+
+  sidecar_rig_answer_probe (world->sidecar, result, take_byte (&world->input));
+}
+
 static void
 play (struct world *world)
 {
   uint8_t choice = take_byte (&world->input);
   uint32_t session = 1 + (choice >> 4) % N_SESSIONS;
 
-  switch (choice % 8)
+  switch (choice % 10)
     {
     case 0:
       open_session (world, session);
@@ -133,6 +165,12 @@
     case 4:
       sidecar_rig_answer_hold (world->sidecar, "", "");
       break;
+    case 5:
+      announce (world);
+      break;
+    case 6:
+      answer_probe (world);
+      break;
     default:
       deliver (world, session);
       break;
