Keep the case of the letters of job ids

What callers saw: of two jobs whose ids differ only in the case of their letters, the second was answered with the outcome of the first.

Cause: the gateway turned ids into lower case.

Change: ids are compared and passed on as they are.

Tests: test_ids_that_differ_in_case_are_two_jobs failed with the former jobs.c and passes now. The soak's fault "malformed" also sends the heartbeats of another writer that test_foreign_announcement.py sends; both take them from one file.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -73,7 +73,7 @@
   struct job *job = g_new0 (struct job, 1);
 
   job->number = ++gateway->last_job_number;
-  job->id = g_ascii_strdown (id, -1);
+  job->id = g_strdup (id);
   job->callers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   job->queue = az_gateway_get_or_add_queue (gateway, route);
   job->request = *request;
@@ -136,15 +136,14 @@
                    struct az_job_request *request,
                    int64_t wait_ms)
 {
-  g_autofree char *key = g_ascii_strdown (id, -1);
-  struct job *job = g_hash_table_lookup (gateway->job_ids, key);
+  struct job *job = g_hash_table_lookup (gateway->job_ids, id);
   const char *reason;
   bool is_permanent;
 
   gateway->now_us = az_now_us (gateway->clock);
   if (job)
     {
-      az_log (LOG_INFO, "event=submit job=%s outcome=joined", key);
+      az_log (LOG_INFO, "event=submit job=%s outcome=joined", id);
       az_job_request_clear (request);
       add_caller (gateway, job, caller);
       return;
@@ -155,7 +154,7 @@
   az_log (LOG_INFO,
           "event=submit job=%s queue=%s tasks=%u cpu=%u estimate_ms=%u wait_ms=%" G_GINT64_FORMAT
           " unread_ms=%" G_GINT64_FORMAT " objective_ms=%" G_GINT64_FORMAT,
-          key, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
+          id, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
           job->request.steps[0].estimate_ms, wait_ms,
           (gateway->now_us - az_gateway_earliest_arrival_us (gateway)) / AZ_US_PER_MS,
           (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
@@ -281,8 +280,7 @@
 bool
 az_gateway_cancel (struct az_gateway *gateway, const char *id)
 {
-  g_autofree char *key = g_ascii_strdown (id, -1);
-  struct job *job = g_hash_table_lookup (gateway->job_ids, key);
+  struct job *job = g_hash_table_lookup (gateway->job_ids, id);
 
   if (!job)
     return false;
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -21,12 +21,13 @@
   rig->received[session]++;
   for (u_int i = 0; i < message->tasks.tasks_len; i++)
     {
-      const struct gateway_run run = { .session = session,
-                                       .job = message->job,
-                                       .index = message->tasks.tasks_val[i].index,
-                                       .attempt = message->tasks.tasks_val[i].attempt,
-                                       .clock_ms = (int64_t)message->clock_ms };
+      struct gateway_run run = { .session = session,
+                                 .job = message->job,
+                                 .index = message->tasks.tasks_val[i].index,
+                                 .attempt = message->tasks.tasks_val[i].attempt,
+                                 .clock_ms = (int64_t)message->clock_ms };
 
+      g_strlcpy (run.name, message->name, sizeof run.name);
       rig->used_cpu_milli[session] += message->need.cpu_milli;
       g_array_append_val (rig->runs, run);
     }
@@ -235,13 +236,13 @@
 static void
 submit (struct gateway_rig *rig,
         uint32_t caller,
+        const char *id,
         const char *route,
         uint32_t n_tasks,
         const char *label)
 {
   const struct az_catalog *catalog = az_gateway_catalog (rig->core);
   g_autofree char *path = g_strdup_printf ("/%s/", route);
-  g_autofree char *id = g_strdup_printf (GATEWAY_RIG_ID, caller);
   struct az_job_request request = { .specification = g_strdup ("spec"), .n_steps = 1 };
 
   request.steps = g_new0 (struct az_job_step, 1);
@@ -257,13 +258,23 @@
 void
 gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks)
 {
-  submit (rig, caller, route, n_tasks, NULL);
+  g_autofree char *id = g_strdup_printf (GATEWAY_RIG_ID, caller);
+
+  submit (rig, caller, id, route, n_tasks, NULL);
+}
+
+void
+gateway_rig_submit_as (struct gateway_rig *rig, uint32_t caller, const char *id)
+{
+  submit (rig, caller, id, "fast", 1, NULL);
 }
 
 void
 gateway_rig_submit_for_label (struct gateway_rig *rig, uint32_t caller, const char *label)
 {
-  submit (rig, caller, "fast", 1, label);
+  g_autofree char *id = g_strdup_printf (GATEWAY_RIG_ID, caller);
+
+  submit (rig, caller, id, "fast", 1, label);
 }
 
 const struct gateway_run *
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -18,6 +18,7 @@
   uint32_t index;
   uint32_t attempt;
   int64_t clock_ms; /* the sidecar's clock, as stated in the run message */
+  char name[64];    /* of the step */
 };
 
 struct gateway_answer
@@ -78,6 +79,10 @@
 void
 gateway_rig_submit (struct gateway_rig *rig, uint32_t caller, const char *route, uint32_t n_tasks);
 
+/** gateway_rig_submit_as - submits a job of one such task under this id to "fast" */
+void
+gateway_rig_submit_as (struct gateway_rig *rig, uint32_t caller, const char *id);
+
 /** gateway_rig_submit_for_label - submits a job of one such task, which requires @label, to "fast"
  */
 void
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+from foreign_heartbeats import send_foreign_heartbeats
 from standin_platform import CAPACITY_CPU
 
 PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7806}
@@ -201,6 +202,10 @@
         await send_raw(gateway.host, PORTS["jobs"], job % (b"0123456789abcdef", len(text), text))
         await send_raw(gateway.host, PORTS["jobs"], junk)
         await send_raw(gateway.host, PORTS["peers"], junk)
+        try:
+            await send_foreign_heartbeats(executor)
+        except (OSError, TimeoutError):
+            pass
         await asyncio.sleep(1)
 
     async def fault_failing(self):
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -528,6 +528,26 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against two jobs that are taken for one because their ids differ only in the case of their
+ * letters, and against a task name that doesn't begin with the id that the caller chose. */
+static void
+test_ids_that_differ_in_case_are_two_jobs (void **state)
+{
+  static const char *const ids[] = { "00000000000000aB", "00000000000000Ab" };
+  struct gateway_rig *rig = gateway_rig_create (1);
+
+  (void)state;
+  for (uint32_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    gateway_rig_submit_as (rig, i + 1, ids[i]);
+  assert_int_equal (rig->runs->len, 2);
+  gateway_rig_end_run (rig, 0, AZ_TASK_DONE, 100);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_COMPLETED);
+  assert_int_equal (gateway_rig_get_outcome (rig, 2), -1);
+  assert_string_equal (gateway_rig_get_run (rig, 0)->name, "00000000000000aB.0.0");
+  assert_true (az_gateway_cancel (rig->core, ids[1]));
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a job that counts as expired at once because its wait time, in microseconds, is
  * more than the type holds. */
 static void
@@ -570,6 +590,7 @@
     cmocka_unit_test (test_second_hello_is_ignored),
     cmocka_unit_test (test_implausible_counts_are_limited),
     cmocka_unit_test (test_deadline_counts_from_the_beginning_of_a_pause),
+    cmocka_unit_test (test_ids_that_differ_in_case_are_two_jobs),
     cmocka_unit_test (test_longest_wait_time_is_accepted),
     cmocka_unit_test (test_invalid_member_address_is_ignored),
     cmocka_unit_test (test_stopping_gateway_accepts_jobs_that_end_in_time),
