Pass cancels on to the gateway that holds the job

Cause: a gateway looked among its own jobs only and took "not here" for "no such job". A cancel that overtook its job was forgotten.

Change: a gateway that doesn't hold the job asks its peers and answers 200 if one held it, 410 if all answered that they don't, and 503 if one that may hold it didn't answer or is lost.

--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -161,8 +161,12 @@
 create_gateway (struct world *world, unsigned index)
 {
   g_autofree char *domain = g_strdup_printf ("d%u", emu_domain_of_gateway (world, index));
-  const struct az_gateway_io io = { emu_send_to_sidecar, emu_close_session, emu_connect_to,
-                                    record_answer, &world->gateway_contexts[index] };
+  const struct az_gateway_io io = { emu_send_to_sidecar,
+                                    emu_close_session,
+                                    emu_connect_to,
+                                    record_answer,
+                                    NULL,
+                                    &world->gateway_contexts[index] };
   const struct az_gateway_settings settings = {
     .instance = "gateway",
     .domain = g_intern_string (domain),
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -53,6 +53,13 @@
   const char *reason;
 };
 
+enum az_cancel_outcome
+{
+  AZ_CANCEL_DONE,
+  AZ_CANCEL_NO_JOB,  /* no gateway holds the job */
+  AZ_CANCEL_UNKNOWN, /* a gateway that didn't answer may hold it */
+};
+
 /** struct az_gateway_io - output of the core; no callback may call into the core */
 struct az_gateway_io
 {
@@ -60,6 +67,7 @@
   void (*close) (void *context, uint32_t session, const char *reason);
   void (*connect) (void *context, const char *address);
   void (*answer) (void *context, uint32_t caller, const struct az_job_answer *answer);
+  void (*cancelled) (void *context, uint32_t caller, enum az_cancel_outcome outcome);
   void *context;
 };
 
@@ -148,9 +156,10 @@
 void
 az_gateway_caller_disconnected (struct az_gateway *gateway, uint32_t caller);
 
-/** az_gateway_cancel - stops the job with this id; returns whether there is one */
-bool
-az_gateway_cancel (struct az_gateway *gateway, const char *id);
+/** az_gateway_cancel - stops the job with this id, here or at another gateway; answered to @caller
+ * through struct az_gateway_io */
+void
+az_gateway_cancel (struct az_gateway *gateway, uint32_t caller, const char *id);
 
 /** az_gateway_n_pending - counts the jobs of the route of which no task has started */
 size_t
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -106,6 +106,8 @@
   gateway->withdrawals.domains = g_ptr_array_new_with_free_func (g_free);
   gateway->ejector = az_ejector_create (clock);
   gateway->crash_record = az_crash_record_create ();
+  gateway->cancelled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  az_gateway_open_cancels (gateway);
   az_ejector_set_policy (gateway->ejector, &ejection_policy);
   register_counters (gateway);
   return gateway;
@@ -125,6 +127,8 @@
       ((struct job *)link->data)->n_in_flight = 0;
       az_gateway_release_job (gateway, link->data);
     }
+  az_gateway_close_cancels (gateway);
+  g_hash_table_unref (gateway->cancelled);
   g_hash_table_unref (gateway->sessions);
   g_ptr_array_unref (gateway->upstreams);
   g_hash_table_unref (gateway->members);
@@ -149,6 +153,7 @@
   az_gateway_record_tick (gateway);
   az_gateway_expire_sessions (gateway);
   az_gateway_expire_jobs (gateway);
+  az_gateway_expire_cancels (gateway);
   az_gateway_connect_members (gateway);
   az_gateway_choose_working_set (gateway);
   az_gateway_update_isolation (gateway);
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -169,6 +169,12 @@
       expire_job (gateway, job);
       return;
     }
+  if (az_gateway_is_cancelled (gateway, id))
+    {
+      az_gateway_end_job (gateway, job, AZ_JOB_NOT_RUN, 0, "cancelled before it arrived");
+      az_gateway_release_job (gateway, job);
+      return;
+    }
   reason = az_gateway_check_feasibility (gateway, job, &is_permanent);
   if (!reason && would_outlast_stop (gateway, job))
     reason = "the gateway is stopping";
@@ -277,20 +283,6 @@
   az_gateway_release_job (gateway, job);
 }
 
-bool
-az_gateway_cancel (struct az_gateway *gateway, const char *id)
-{
-  struct job *job = g_hash_table_lookup (gateway->job_ids, id);
-
-  if (!job)
-    return false;
-  gateway->now_us = az_now_us (gateway->clock);
-  az_gateway_end_job (gateway, job, job->n_started > 0 ? AZ_JOB_UNFINISHED : AZ_JOB_NOT_RUN, 0,
-                      "cancelled");
-  az_gateway_release_job (gateway, job);
-  return true;
-}
-
 size_t
 az_gateway_n_pending (const struct az_gateway *gateway, const char *route)
 {
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -71,6 +71,8 @@
 az_gateway_program_open_jobs (struct az_gateway_program *program, GError **error);
 void
 az_gateway_program_answer (void *context, uint32_t caller, const struct az_job_answer *answer);
+void
+az_gateway_program_cancelled (void *context, uint32_t caller, enum az_cancel_outcome outcome);
 
 /* program_status.c: readiness and metrics */
 bool
--- a/src/gateway/program_jobs.c
+++ b/src/gateway/program_jobs.c
@@ -12,7 +12,7 @@
 }
 
 static void
-respond_not_run (struct az_gateway_program *program, uint32_t caller, int64_t retry_after_ms)
+respond_retry_later (struct az_gateway_program *program, uint32_t caller, int64_t retry_after_ms)
 {
   char seconds[24];
 
@@ -36,7 +36,7 @@
       respond (program, caller, 200, platform_encode_job_state (false));
       break;
     case AZ_JOB_NOT_RUN:
-      respond_not_run (program, caller, answer->retry_after_ms);
+      respond_retry_later (program, caller, answer->retry_after_ms);
       break;
     case AZ_JOB_UNFINISHED:
       respond (program, caller, 504, NULL);
@@ -65,16 +65,29 @@
     {
       az_log (LOG_INFO, "event=refuse job=%s outcome=503 reason=%s", id, job.unsupported_property);
       az_job_request_clear (&job);
-      respond_not_run (program, request->handle, 1000);
+      respond_retry_later (program, request->handle, 1000);
       return;
     }
   az_gateway_submit (program->gateway, request->handle, route, id, &job, wait_ms);
 }
 
-static void
-cancel (struct az_gateway_program *program, uint32_t caller, const char *id)
+void
+az_gateway_program_cancelled (void *context, uint32_t caller, enum az_cancel_outcome outcome)
 {
-  respond (program, caller, az_gateway_cancel (program->gateway, id) ? 200 : 410, NULL);
+  struct az_gateway_program *program = context;
+
+  switch (outcome)
+    {
+    case AZ_CANCEL_DONE:
+      respond (program, caller, 200, NULL);
+      break;
+    case AZ_CANCEL_NO_JOB:
+      respond (program, caller, 410, NULL);
+      break;
+    case AZ_CANCEL_UNKNOWN:
+      respond_retry_later (program, caller, 1000);
+      break;
+    }
 }
 
 static void
@@ -87,7 +100,7 @@
 
   if (!catalog)
     {
-      respond_not_run (program, request->handle, 1000);
+      respond_retry_later (program, request->handle, 1000);
       return;
     }
   route = az_catalog_find_route (catalog, request->host, request->path);
@@ -105,7 +118,7 @@
   else if (!strcmp (request->method, "POST"))
     submit (program, request, route, id);
   else if (!strcmp (request->method, "DELETE"))
-    cancel (program, request->handle, id);
+    az_gateway_cancel (program->gateway, request->handle, id);
   else
     respond (program, request->handle, 410, NULL);
 }
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -76,6 +76,7 @@
     .close = az_gateway_program_close,
     .connect = az_gateway_program_connect,
     .answer = az_gateway_program_answer,
+    .cancelled = az_gateway_program_cancelled,
     .context = program,
   };
   const struct az_gateway_settings settings = {
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -51,6 +51,8 @@
       az_gateway_record_openness (gateway, upstream, false);
       az_gateway_orphan_tasks (gateway, upstream, reason);
     }
+  if (session->peer_address)
+    az_gateway_record_lost_peer (gateway, session);
   g_hash_table_remove (gateway->sessions, GUINT_TO_POINTER (handle));
 }
 
@@ -78,6 +80,7 @@
     {
       session->peer_address = g_strdup (hello->address);
       az_gateway_add_member (gateway, hello->address);
+      az_gateway_record_found_peer (gateway, hello->address);
       return;
     }
   /* A sidecar accepts no tasks before it knows which domains are withdrawn. */
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -227,13 +227,17 @@
   struct az_gateway_io io;
   struct az_counters *counters;
   int64_t now_us;
-  GHashTable *sessions; /* handle -> struct session * */
-  GPtrArray *upstreams; /* struct upstream *; handle - 1 is the index */
-  GHashTable *members;  /* address -> time in us of the next attempt to connect, int64_t * */
-  GHashTable *jobs;     /* number -> struct job * */
-  GHashTable *job_ids;  /* id -> struct job *, only jobs without an answer */
-  GHashTable *callers;  /* caller -> struct job * */
-  GHashTable *queues;   /* route name -> struct queue * */
+  GHashTable *sessions;  /* handle -> struct session * */
+  GPtrArray *upstreams;  /* struct upstream *; handle - 1 is the index */
+  GHashTable *members;   /* address -> time in us of the next attempt to connect, int64_t * */
+  GHashTable *jobs;      /* number -> struct job * */
+  GHashTable *job_ids;   /* id -> struct job *, only jobs without an answer */
+  GHashTable *callers;   /* caller -> struct job * */
+  GHashTable *queues;    /* route name -> struct queue * */
+  GPtrArray *cancels;    /* struct cancel * */
+  GHashTable *cancelled; /* id -> time of its cancel in us, int64_t * */
+  uint64_t last_cancel_number;
+  GHashTable *lost_peers; /* address -> time of the end of its session in us, int64_t * */
   struct az_ejector *ejector;
   struct az_crash_record *crash_record;
   GHashTable *suspicions; /* service -> struct az_crash_suspicion *, added with its first crash */
@@ -278,6 +282,53 @@
 struct upstream *
 az_gateway_get_upstream (const struct az_gateway *gateway, uint32_t handle);
 
+/* cancel_record.c */
+void
+az_gateway_record_cancel (struct az_gateway *gateway, const char *id);
+
+/** az_gateway_is_cancelled - whether the job was cancelled some seconds ago, here or at a peer */
+bool
+az_gateway_is_cancelled (const struct az_gateway *gateway, const char *id);
+
+/* cancels.c */
+void
+az_gateway_open_cancels (struct az_gateway *gateway);
+void
+az_gateway_close_cancels (struct az_gateway *gateway);
+
+void
+az_gateway_handle_cancel (struct az_gateway *gateway,
+                          const struct session *session,
+                          const struct az_node_cancel *request);
+void
+az_gateway_handle_cancelled (struct az_gateway *gateway,
+                             uint32_t session,
+                             const struct az_node_cancelled *reply);
+
+/** az_gateway_record_found_peer - call when a session with the gateway at @address begins */
+void
+az_gateway_record_found_peer (struct az_gateway *gateway, const char *address);
+
+/** az_gateway_record_lost_peer - call when the session with another gateway ends */
+void
+az_gateway_record_lost_peer (struct az_gateway *gateway, const struct session *session);
+void
+az_gateway_expire_cancels (struct az_gateway *gateway);
+
+/* peer_clock.c */
+
+/** az_gateway_observe_peer_clock - call when the sidecar's report states its clock */
+void
+az_gateway_observe_peer_clock (const struct az_gateway *gateway,
+                               struct session *session,
+                               uint64_t clock_ms);
+
+/** az_gateway_peer_clock_ms - returns a lower bound of the present time on the sidecar's clock, so
+ * that the sidecar may take a message for older than it is but never for younger; 0 if it hasn't
+ * reported yet */
+uint64_t
+az_gateway_peer_clock_ms (const struct az_gateway *gateway, const struct session *session);
+
 /* pause.c */
 bool
 az_gateway_was_paused (const struct az_gateway *gateway);
@@ -290,11 +341,6 @@
 az_gateway_earliest_arrival_us (const struct az_gateway *gateway);
 
 /* sessions.c */
-/** az_gateway_peer_clock_ms - returns a lower bound of the present time on the sidecar's clock, so
- * that the sidecar may take a message for older than it is but never for younger; 0 if it hasn't
- * reported yet */
-uint64_t
-az_gateway_peer_clock_ms (const struct az_gateway *gateway, const struct session *session);
 void
 az_gateway_expire_sessions (struct az_gateway *gateway);
 void
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -551,6 +551,22 @@
 	unsigned int index;
 };
 
+/*
+ * Between gateways: the caller of the job has cancelled it at the sender, which doesn't hold it. The
+ * receiver stops it if it does, refuses submissions of it for some seconds, and answers with
+ * NODE_CANCELLED and the same number.
+ */
+struct az_node_cancel {
+	unsigned hyper number;
+	az_job_id job_id;
+};
+
+/* was_held tells whether the sender held the job. */
+struct az_node_cancelled {
+	unsigned hyper number;
+	bool was_held;
+};
+
 enum az_proc {
 	AZ_PROC_NULL = 0,
 	AZ_HELLO = 1,
@@ -587,7 +603,9 @@
 	AZ_NODE_STOP = 32,
 	AZ_NODE_REPORT = 33,
 	AZ_NODE_PULSE = 34,
-	AZ_NODE_CRASH = 35
+	AZ_NODE_CRASH = 35,
+	AZ_NODE_CANCEL = 36,
+	AZ_NODE_CANCELLED = 37
 };
 
 union az_message switch (az_proc proc) {
@@ -663,4 +681,8 @@
 	az_node_pulse node_pulse;
 case AZ_NODE_CRASH:
 	az_node_crash node_crash;
+case AZ_NODE_CANCEL:
+	az_node_cancel node_cancel;
+case AZ_NODE_CANCELLED:
+	az_node_cancelled node_cancelled;
 };
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -532,6 +532,18 @@
 };
 typedef struct az_node_crash az_node_crash;
 
+struct az_node_cancel {
+	u_quad_t number;
+	az_job_id job_id;
+};
+typedef struct az_node_cancel az_node_cancel;
+
+struct az_node_cancelled {
+	u_quad_t number;
+	bool_t was_held;
+};
+typedef struct az_node_cancelled az_node_cancelled;
+
 enum az_proc {
 	AZ_PROC_NULL = 0,
 	AZ_HELLO = 1,
@@ -569,6 +581,8 @@
 	AZ_NODE_REPORT = 33,
 	AZ_NODE_PULSE = 34,
 	AZ_NODE_CRASH = 35,
+	AZ_NODE_CANCEL = 36,
+	AZ_NODE_CANCELLED = 37,
 };
 typedef enum az_proc az_proc;
 
@@ -610,6 +624,8 @@
 		az_node_report node_report;
 		az_node_pulse node_pulse;
 		az_node_crash node_crash;
+		az_node_cancel node_cancel;
+		az_node_cancelled node_cancelled;
 	} az_message_u;
 };
 typedef struct az_message az_message;
@@ -677,6 +693,8 @@
 extern  bool_t xdr_az_node_report (XDR *, az_node_report*);
 extern  bool_t xdr_az_node_pulse (XDR *, az_node_pulse*);
 extern  bool_t xdr_az_node_crash (XDR *, az_node_crash*);
+extern  bool_t xdr_az_node_cancel (XDR *, az_node_cancel*);
+extern  bool_t xdr_az_node_cancelled (XDR *, az_node_cancelled*);
 extern  bool_t xdr_az_proc (XDR *, az_proc*);
 extern  bool_t xdr_az_message (XDR *, az_message*);
 
@@ -741,6 +759,8 @@
 extern bool_t xdr_az_node_report ();
 extern bool_t xdr_az_node_pulse ();
 extern bool_t xdr_az_node_crash ();
+extern bool_t xdr_az_node_cancel ();
+extern bool_t xdr_az_node_cancelled ();
 extern bool_t xdr_az_proc ();
 extern bool_t xdr_az_message ();
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1109,6 +1109,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_az_node_cancel (XDR *xdrs, az_node_cancel *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_az_job_id (xdrs, &objp->job_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_cancelled (XDR *xdrs, az_node_cancelled *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->was_held))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_az_proc (XDR *xdrs, az_proc *objp)
 {
@@ -1269,6 +1293,14 @@
 		 if (!xdr_az_node_crash (xdrs, &objp->az_message_u.node_crash))
 			 return FALSE;
 		break;
+	case AZ_NODE_CANCEL:
+		 if (!xdr_az_node_cancel (xdrs, &objp->az_message_u.node_cancel))
+			 return FALSE;
+		break;
+	case AZ_NODE_CANCELLED:
+		 if (!xdr_az_node_cancelled (xdrs, &objp->az_message_u.node_cancelled))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/proto/message.c
+++ b/src/proto/message.c
@@ -71,6 +71,8 @@
   [AZ_NODE_REPORT] = { "NODE_REPORT", (xdrproc_t)xdr_az_node_report },
   [AZ_NODE_PULSE] = { "NODE_PULSE", (xdrproc_t)xdr_az_node_pulse },
   [AZ_NODE_CRASH] = { "NODE_CRASH", (xdrproc_t)xdr_az_node_crash },
+  [AZ_NODE_CANCEL] = { "NODE_CANCEL", (xdrproc_t)xdr_az_node_cancel },
+  [AZ_NODE_CANCELLED] = { "NODE_CANCELLED", (xdrproc_t)xdr_az_node_cancelled },
 };
 
 static const struct procedure *
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -41,6 +41,10 @@
 
   rig->n_update_requests
       += message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_updates;
+  if (message->proc == AZ_NODE_CANCEL)
+    rig->cancel_number = message->az_message_u.node_cancel.number;
+  if (message->proc == AZ_NODE_CANCELLED)
+    rig->replied_held = message->az_message_u.node_cancelled.was_held;
   if (message->proc == AZ_NODE_PULSE)
     rig->heartbeat_clock_ms = message->az_message_u.node_pulse.clock_ms;
   rig->n_catalogs_sent += message->proc == AZ_NODE_CATALOG;
@@ -110,6 +114,16 @@
   return catalog;
 }
 
+static void
+on_cancelled (void *context, uint32_t caller, enum az_cancel_outcome outcome)
+{
+  struct gateway_rig *rig = context;
+
+  (void)caller;
+  rig->n_cancels++;
+  rig->cancel_outcome = outcome;
+}
+
 struct gateway_rig *
 gateway_rig_create (unsigned n_upstreams)
 {
@@ -123,7 +137,7 @@
     .remote_factor = 1.5,
   };
   struct gateway_rig *rig = g_new0 (struct gateway_rig, 1);
-  const struct az_gateway_io io = { on_send, on_close, on_connect, on_answer, rig };
+  const struct az_gateway_io io = { on_send, on_close, on_connect, on_answer, on_cancelled, rig };
 
   rig->now_ms = 1000;
   rig->wait_ms = 1500;
@@ -233,6 +247,21 @@
   gateway_rig_report_upstream (rig, session, is_open);
 }
 
+void
+gateway_rig_open_peer (struct gateway_rig *rig, uint32_t session, const char *address)
+{
+  struct az_message message = { .proc = AZ_NODE_HELLO };
+
+  message.az_message_u.node_hello = (struct az_node_hello){
+    .incarnation = rig->incarnation[session],
+    .instance = (char *)address,
+    .domain = (char *)"d1",
+    .address = (char *)address,
+  };
+  az_gateway_session_opened (rig->core, session, address);
+  az_gateway_received (rig->core, session, &message);
+}
+
 static void
 submit (struct gateway_rig *rig,
         uint32_t caller,
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -41,17 +41,21 @@
   GArray *answers; /* struct gateway_answer */
   GPtrArray *connects;
   unsigned n_closed;
-  int64_t report_delay_ms;     /* between the sending and the arrival of reports */
-  uint64_t heartbeat_clock_ms; /* as the last heartbeat states it */
-  unsigned n_update_requests;  /* NODE_PULSE messages that request updates */
-  unsigned n_catalogs_sent;    /* configurations sent to peers */
-  uint32_t received[16];       /* run messages per session */
-  uint32_t used_cpu_milli[16]; /* in use on the upstream of each session */
-  uint32_t capacity_milli[16]; /* of the upstream of each session */
-  uint64_t incarnation[16];    /* of the sidecar process of each session */
-  uint32_t speed[16];          /* of the upstream of each session, percent of normal */
-  const char *label[16];       /* of the upstream of each session, or NULL */
-  bool is_unannounced[16];     /* the sidecar of each session doesn't know its service yet */
+  unsigned n_cancels;                    /* that were answered */
+  enum az_cancel_outcome cancel_outcome; /* of the last of them */
+  uint64_t cancel_number;                /* of the last NODE_CANCEL that was sent */
+  bool replied_held;                     /* as the last NODE_CANCELLED states it */
+  int64_t report_delay_ms;               /* between the sending and the arrival of reports */
+  uint64_t heartbeat_clock_ms;           /* as the last heartbeat states it */
+  unsigned n_update_requests;            /* NODE_PULSE messages that request updates */
+  unsigned n_catalogs_sent;              /* configurations sent to peers */
+  uint32_t received[16];                 /* run messages per session */
+  uint32_t used_cpu_milli[16];           /* in use on the upstream of each session */
+  uint32_t capacity_milli[16];           /* of the upstream of each session */
+  uint64_t incarnation[16];              /* of the sidecar process of each session */
+  uint32_t speed[16];                    /* of the upstream of each session, percent of normal */
+  const char *label[16];                 /* of the upstream of each session, or NULL */
+  bool is_unannounced[16]; /* the sidecar of each session doesn't know its service yet */
   uint32_t n_done[16];
   uint32_t n_failed[16];
 };
@@ -70,6 +74,10 @@
                            const char *domain,
                            bool is_open);
 
+/** gateway_rig_open_peer - opens a session with another gateway */
+void
+gateway_rig_open_peer (struct gateway_rig *rig, uint32_t session, const char *address);
+
 /** gateway_rig_report_upstream - reports the state of the session's upstream, in its first life */
 void
 gateway_rig_report_upstream (struct gateway_rig *rig, uint32_t session, bool is_open);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -544,7 +544,8 @@
   assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_COMPLETED);
   assert_int_equal (gateway_rig_get_outcome (rig, 2), -1);
   assert_string_equal (gateway_rig_get_run (rig, 0)->name, "00000000000000aB.0.0");
-  assert_true (az_gateway_cancel (rig->core, ids[1]));
+  az_gateway_cancel (rig->core, 9, ids[1]);
+  assert_int_equal (rig->cancel_outcome, AZ_CANCEL_DONE);
   gateway_rig_destroy (rig);
 }
 
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -95,6 +95,8 @@
                           { 1, task_progress }) },
   { AZ_NODE_PULSE, BODY (node_pulse, 4000, TRUE, TRUE, 7) },
   { AZ_NODE_CRASH, BODY (node_crash, (char *)"fast", (char *)"5c0e7a21d94b36f8", 1, 17) },
+  { AZ_NODE_CANCEL, BODY (node_cancel, 3, (char *)"5c0e7a21d94b36f8") },
+  { AZ_NODE_CANCELLED, BODY (node_cancelled, 3, TRUE) },
 };
 
 static GByteArray *
@@ -136,7 +138,7 @@
 static void
 test_every_procedure_round_trip (void **state)
 {
-  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_CRASH + 1);
+  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_CANCELLED + 1);
   for (size_t i = 0; i < G_N_ELEMENTS (samples); i++)
     {
       GByteArray *record = encode (&samples[i]);
@@ -218,7 +220,7 @@
   put_word (record, VERSION_OFFSET, 2);
   assert_rejected (record, AZ_MESSAGE_ERROR_VERSION);
   put_word (record, VERSION_OFFSET, 1);
-  put_word (record, PROCEDURE_OFFSET, AZ_NODE_CRASH + 1);
+  put_word (record, PROCEDURE_OFFSET, AZ_NODE_CANCELLED + 1);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
   put_word (record, PROCEDURE_OFFSET, 0xffffffff);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
