--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -106,42 +106,13 @@
   g_array_set_size (upstream->reservations, 0);
 }
 
-/* The clocks may drift apart after the observation. */
-static int64_t
-peer_clock_ahead_us (const struct az_gateway *gateway, const struct session *session)
-{
-  double passed_us = (double)(gateway->now_us - session->peer_clock_observed_us);
-
-  return session->peer_clock_ahead_us - (int64_t)(passed_us * AZ_SESSION_CLOCK_DRIFT);
-}
-
-/* A report that took long shows less than an earlier one that was fast. */
-static void
-observe_peer_clock (const struct az_gateway *gateway, struct session *session, uint64_t clock_ms)
-{
-  int64_t ahead_us = (int64_t)clock_ms * AZ_US_PER_MS - gateway->now_us;
-
-  if (session->peer_clock_observed_us > 0)
-    ahead_us = MAX (ahead_us, peer_clock_ahead_us (gateway, session));
-  session->peer_clock_ahead_us = ahead_us;
-  session->peer_clock_observed_us = gateway->now_us;
-}
-
-uint64_t
-az_gateway_peer_clock_ms (const struct az_gateway *gateway, const struct session *session)
-{
-  if (session->peer_clock_observed_us == 0)
-    return 0;
-  return (uint64_t)((gateway->now_us + peer_clock_ahead_us (gateway, session)) / AZ_US_PER_MS);
-}
-
 static void
 handle_report (struct az_gateway *gateway,
                struct session *session,
                struct upstream *upstream,
                const struct az_node_report *report)
 {
-  observe_peer_clock (gateway, session, report->clock_ms);
+  az_gateway_observe_peer_clock (gateway, session, report->clock_ms);
   az_gateway_update_free_resources (upstream, report);
   az_gateway_update_health (gateway, upstream, report);
   gateway->needs_placing = true;
@@ -200,6 +171,12 @@
       if (upstream)
         az_gateway_handle_crash (gateway, upstream, &message->az_message_u.node_crash);
       break;
+    case AZ_NODE_CANCEL:
+      az_gateway_handle_cancel (gateway, session, &message->az_message_u.node_cancel);
+      break;
+    case AZ_NODE_CANCELLED:
+      az_gateway_handle_cancelled (gateway, handle, &message->az_message_u.node_cancelled);
+      break;
     case AZ_NODE_REPORT:
       if (upstream)
         handle_report (gateway, session, upstream, &message->az_message_u.node_report);
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -171,7 +171,7 @@
   int64_t sent_us = sidecar->now_us;
 
   if (clock_ms > 0)
-    sent_us = MIN ((clock_ms + 1) * AZ_US_PER_MS, sidecar->now_us);
+    sent_us = MIN (clock_ms, sidecar->now_us / AZ_US_PER_MS) * AZ_US_PER_MS;
   else if (session->n_tasks > 0 && message->proc != AZ_NODE_PULSE)
     return;
   session->last_sent_us = MAX (session->last_sent_us, sent_us);
