Probe slow upstreams with any job if nothing else can run it

Cause: only jobs with 180 ms of slack are used for probes, which jobs of short tasks never have, and without a probe a slow upstream stays slow.

Change: if no upstream in regular use can run a step, any job may be the probe, at the shortest interval.

--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -48,14 +48,41 @@
   return step->spread_max == 0 || count_tasks_on (job, step_index, upstream) < step->spread_max;
 }
 
+static int64_t
+probe_interval_ms (const struct upstream *upstream)
+{
+  return MIN (PROBE_INTERVAL_MIN_MS << MIN (upstream->n_probes, 8), PROBE_INTERVAL_MAX_MS);
+}
+
 static bool
-can_probe (const struct az_gateway *gateway, const struct job *job, const struct upstream *upstream)
+has_probe_slack (const struct az_gateway *gateway, const struct job *job)
 {
-  int64_t wait_ms
-      = MIN (PROBE_INTERVAL_MIN_MS << MIN (upstream->n_probes, 8), PROBE_INTERVAL_MAX_MS);
   int64_t slack_us = job->objective_us - job->critical_path_us - gateway->now_us;
 
-  return upstream->n_tasks == 0 && slack_us >= PROBE_SLACK_MIN_MS * AZ_US_PER_MS
+  return slack_us >= PROBE_SLACK_MIN_MS * AZ_US_PER_MS;
+}
+
+static bool
+can_any_regular_run (const struct az_candidates *candidates, const struct az_job_step *step)
+{
+  for (guint i = 0; i < candidates->regular->len; i++)
+    if (az_gateway_can_run_step (step, candidates->regular->pdata[i]))
+      return true;
+  return false;
+}
+
+/* If no upstream in regular use can run the step, the job can only be served by a probe, and only
+ * probes show when an upstream is no longer slow. Any job is used then, at the shortest interval.
+ */
+static bool
+can_probe (const struct az_gateway *gateway,
+           const struct job *job,
+           const struct upstream *upstream,
+           bool is_only_way)
+{
+  int64_t wait_ms = is_only_way ? PROBE_INTERVAL_MIN_MS : probe_interval_ms (upstream);
+
+  return upstream->n_tasks == 0 && (is_only_way || has_probe_slack (gateway, job))
          && gateway->now_us - upstream->last_probed_us >= wait_ms * AZ_US_PER_MS;
 }
 
@@ -133,11 +160,15 @@
             const struct job *job,
             size_t step_index)
 {
+  const struct az_job_step *step = &job->request.steps[step_index];
+  bool is_only_way = candidates->probe_only->len > 0 && !can_any_regular_run (candidates, step);
+
   for (guint i = 0; i < candidates->probe_only->len; i++)
     {
       struct upstream *upstream = candidates->probe_only->pdata[i];
 
-      if (!can_probe (gateway, job, upstream) || !is_eligible (job, step_index, upstream))
+      if (!can_probe (gateway, job, upstream, is_only_way)
+          || !is_eligible (job, step_index, upstream))
         continue;
       if (az_ejector_is_ejected (gateway->ejector, upstream->handle)
           && !az_ejector_can_start (gateway->ejector, upstream->handle))
--- a/tests/test_gateway_health.c
+++ b/tests/test_gateway_health.c
@@ -151,6 +151,28 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against jobs of short tasks that are refused for good once all upstreams were slow: they
+ * have too little slack for probes, and without probes no upstream ever counts as sound again. */
+static void
+test_job_without_slack_probes_if_all_upstreams_are_slow (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (2);
+
+  (void)state;
+  rig->speed[1] = rig->speed[2] = 30;
+  gateway_rig_advance (rig, 400, 0);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  assert_int_equal (rig->runs->len, 1);
+  rig->speed[1] = rig->speed[2] = 100;
+  gateway_rig_end_run (rig, 0, AZ_TASK_DONE, 100);
+  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_COMPLETED);
+  rig->speed[2] = 30;
+  gateway_rig_advance (rig, 400, 0);
+  gateway_rig_submit (rig, 2, "fast", 1);
+  assert_int_equal (gateway_rig_get_run (rig, 1)->session, 1);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
@@ -161,6 +183,7 @@
     cmocka_unit_test (test_reconnected_sidecar_stays_ejected),
     cmocka_unit_test (test_stalled_task_is_moved),
     cmocka_unit_test (test_slow_upstream_gets_single_tasks),
+    cmocka_unit_test (test_job_without_slack_probes_if_all_upstreams_are_slow),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
