Accept cancels from peers only, and prune their record when it is full

A session that hasn't introduced itself as a gateway could cancel jobs, and each cancel scanned all remembered ones. test_gateway_cancel passes.

--- a/src/gateway/cancel_record.c
+++ b/src/gateway/cancel_record.c
@@ -18,7 +18,8 @@
 {
   int64_t *cancelled_us;
 
-  g_hash_table_foreach_remove (gateway->cancelled, is_forgotten, gateway);
+  if (g_hash_table_size (gateway->cancelled) >= CANCELLED_KEPT_MAX)
+    g_hash_table_foreach_remove (gateway->cancelled, is_forgotten, gateway);
   if (g_hash_table_size (gateway->cancelled) >= CANCELLED_KEPT_MAX)
     return;
   cancelled_us = g_new (int64_t, 1);
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -172,7 +172,8 @@
         az_gateway_handle_crash (gateway, upstream, &message->az_message_u.node_crash);
       break;
     case AZ_NODE_CANCEL:
-      az_gateway_handle_cancel (gateway, session, &message->az_message_u.node_cancel);
+      if (session->peer_address)
+        az_gateway_handle_cancel (gateway, session, &message->az_message_u.node_cancel);
       break;
     case AZ_NODE_CANCELLED:
       az_gateway_handle_cancelled (gateway, handle, &message->az_message_u.node_cancelled);
