--- a/src/dispatch/session_times.h
+++ b/src/dispatch/session_times.h
@@ -8,9 +8,9 @@
  * connection broke; the tasks that its gateway started must have ended by then.
  */
 
-/* Either side closes a session with tasks after this time without a message. A sidecar counts it from
- * the time of sending, so that a slow link doesn't keep a session open that its gateway has given
- * up, and rejects run messages that are older. */
+/* Either side closes a session with tasks after this time without a message. A sidecar counts it
+ * from the time of sending, so that a slow link doesn't keep a session open that its gateway has
+ * given up, and rejects run messages that are older. */
 #define AZ_SESSION_TIMEOUT_MS 450
 
 /* Assumed largest relative drift between the monotonic clocks of a gateway and a sidecar. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -471,6 +471,33 @@
   az_upstream_announcement_clear (&announcement);
 }
 
+/* Guards against a record that another program has written in place of the sidecar's own. */
+static void
+test_odd_records_are_rejected (void **state)
+{
+  static const char format[]
+      = "{\"instance\":\"i\",\"service\":\"s\",\"address\":\"%s\",\"domain\":\"d\",\"born_ms\":%s,"
+        "\"draining\":false,\"cpu_milli\":1,\"memory_mb\":1,\"accelerators\":0,\"labels\":[]}";
+  static const char *const odd[][2] = { { "10.0.0.1:99999", "1" },
+                                        { "10.0.0.1", "1" },
+                                        { "10.0.0.1:80", "99999999999999999999" },
+                                        { "10.0.0.1:80", "\"1\"" } };
+  g_autofree char *sound = g_strdup_printf (format, "10.0.0.1:80", "1");
+  g_autofree char *deep = g_strnfill (60000, '[');
+  struct az_upstream_announcement announcement;
+
+  (void)state;
+  assert_true (az_announcement_record_decode (sound, &announcement));
+  az_upstream_announcement_clear (&announcement);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      g_autofree char *text = g_strdup_printf (format, odd[i][0], odd[i][1]);
+
+      assert_false (az_announcement_record_decode (text, &announcement));
+    }
+  assert_false (az_announcement_record_decode (deep, &announcement));
+}
+
 /* Guards against a departure that is taken for one of the present incarnation, or that isn't
  * believed because its body is missing or malformed. */
 static void
@@ -508,6 +535,7 @@
     cmocka_unit_test (test_store_answers),
     cmocka_unit_test (test_store_calls),
     cmocka_unit_test (test_announcement_record_round_trip),
+    cmocka_unit_test (test_odd_records_are_rejected),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
