--- a/src/sidecar/candidate.c
+++ b/src/sidecar/candidate.c
@@ -126,6 +126,42 @@
   return announcement;
 }
 
+/* Returns why the answer refutes the announcement, or NULL. */
+static const char *
+find_refutation (const struct az_sidecar *sidecar,
+                 const struct az_upstream_announcement *announcement,
+                 const struct az_upstream_answer *answer)
+{
+  if (answer->result == AZ_UPSTREAM_OTHER_INSTANCE)
+    return "another-instance-answers";
+  if (answer->clock_ms >= 0
+      && !az_sidecar_is_clock_plausible (announcement->clock_ms, answer->clock_ms, sidecar->now_us,
+                                         sidecar->now_us))
+    return "clock-ahead";
+  if (!az_sidecar_names_present (&sidecar->life, announcement)
+      && !proves_birth (sidecar, announcement, answer))
+    return "another-incarnation-answers";
+  return NULL;
+}
+
+/* Whether the answer comes from an upstream instance. A refusal because of the fence does, too. */
+static bool
+is_conclusive (const struct az_upstream_answer *answer)
+{
+  return answer->result == AZ_UPSTREAM_OK || answer->result == AZ_UPSTREAM_FENCED
+         || answer->result == AZ_UPSTREAM_OTHER_INSTANCE;
+}
+
+/* A hold may have shown the restart before the probe was answered. */
+static bool
+take_over (struct az_sidecar *sidecar, const struct az_upstream_announcement *announcement)
+{
+  if (az_sidecar_names_present (&sidecar->life, announcement))
+    return az_sidecar_upstream_announced (sidecar, announcement);
+  az_sidecar_begin_announced_life (sidecar, announcement);
+  return true;
+}
+
 bool
 az_sidecar_probe_answered (struct az_sidecar *sidecar,
                            uint64_t number,
@@ -133,48 +169,25 @@
                            struct az_upstream_announcement *confirmed)
 {
   struct candidate *candidate = &sidecar->candidate;
+  const char *refutation;
 
   sidecar->now_us = az_now_us (sidecar->clock);
   az_sidecar_expire_task_sessions (sidecar);
   if (!is_pending (candidate) || number != candidate->n_probes)
     return false;
   candidate->is_probe_in_flight = false;
-  switch (answer->result)
-    {
-    case AZ_UPSTREAM_OK:
-    case AZ_UPSTREAM_FENCED:
-      break;
-    case AZ_UPSTREAM_OTHER_INSTANCE:
-      log_dropped (candidate, "another-instance-answers");
-      az_sidecar_drop_candidate (sidecar);
-      return false;
-    default:
-      return false;
-    }
-  if (answer->clock_ms >= 0
-      && !az_sidecar_is_clock_plausible (candidate->announcement.clock_ms, answer->clock_ms,
-                                         sidecar->now_us, sidecar->now_us))
-    {
-      log_dropped (candidate, "clock-ahead");
-      az_sidecar_drop_candidate (sidecar);
-      return false;
-    }
-  /* A hold may have shown the restart before the probe was answered. */
-  if (az_sidecar_names_present (&sidecar->life, &candidate->announcement))
-    {
-      *confirmed = take_announcement (candidate);
-      if (az_sidecar_upstream_announced (sidecar, confirmed))
-        return true;
-      az_upstream_announcement_clear (confirmed);
-      return false;
-    }
-  if (!proves_birth (sidecar, &candidate->announcement, answer))
+  if (!is_conclusive (answer))
+    return false;
+  refutation = find_refutation (sidecar, &candidate->announcement, answer);
+  if (refutation)
     {
-      log_dropped (candidate, "another-incarnation-answers");
+      log_dropped (candidate, refutation);
       az_sidecar_drop_candidate (sidecar);
       return false;
     }
   *confirmed = take_announcement (candidate);
-  az_sidecar_begin_announced_life (sidecar, confirmed);
-  return true;
+  if (take_over (sidecar, confirmed))
+    return true;
+  az_upstream_announcement_clear (confirmed);
+  return false;
 }
