Limit leases while the stop of a task isn't confirmed

Leases hold for all tasks of an upstream. A sidecar that stopped the tasks of a lost session went on renewing them for other gateways, so a task whose stop was not carried out ran on beyond the orphan timeout of 1,250 ms, after which its gateway runs it elsewhere.

Holds and starts now state no lease end beyond the time by which a cancelled task must have ended, and nothing starts while that leaves less than half of a lease.

--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -102,7 +102,7 @@
   uint32_t handle = 0;
 
   while ((handle = az_table_rows_next (sidecar->tasks, handle)))
-    az_sidecar_cancel_task (sidecar, handle);
+    az_sidecar_cancel_task (sidecar, handle, az_now_us (sidecar->clock));
 }
 
 bool
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -78,11 +78,9 @@
   };
 
   if (renews)
-    {
-      call.lease_end_clock_ms
-          = az_lease_end_clock (&sidecar->lease, sidecar->settings.lease_ms, sidecar->now_us);
-      az_sidecar_extend_leases (sidecar, call.lease_end_clock_ms);
-    }
+    call.lease_end_clock_ms = az_sidecar_next_lease_end (sidecar);
+  if (call.lease_end_clock_ms > 0)
+    az_sidecar_extend_leases (sidecar, call.lease_end_clock_ms);
   g_array_append_val (hold->in_flight, sent);
   sidecar->io.hold (sidecar->io.context, sent.number, &call);
 }
--- a/src/sidecar/lease.c
+++ b/src/sidecar/lease.c
@@ -22,3 +22,11 @@
 
   return lease->observed_us + (int64_t)(left_ms * 1000 / (1 - AZ_LEASE_CLOCK_DRIFT)) + 1000;
 }
+
+int64_t
+az_lease_end_clock_before (const struct az_lease *lease, int64_t end_us)
+{
+  double left_us = (double)(end_us - lease->observed_us - 1000);
+
+  return lease->clock_ms + (int64_t)(left_us * (1 - AZ_LEASE_CLOCK_DRIFT) / 1000);
+}
--- a/src/sidecar/lease.h
+++ b/src/sidecar/lease.h
@@ -33,4 +33,9 @@
 int64_t
 az_lease_latest_end_us (const struct az_lease *lease, int64_t end_clock_ms);
 
+/** az_lease_end_clock_before - latest lease end, on the upstream's clock, that has certainly passed
+ * by the local time @end_us */
+int64_t
+az_lease_end_clock_before (const struct az_lease *lease, int64_t end_us);
+
 #endif
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -32,7 +32,7 @@
 }
 
 static void
-stop_session_tasks (struct az_sidecar *sidecar, uint32_t session)
+stop_session_tasks (struct az_sidecar *sidecar, const struct session *session)
 {
   uint32_t handle = 0;
 
@@ -40,10 +40,10 @@
     {
       struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->session != session)
+      if (task->session != session->handle)
         continue;
       task->session = 0;
-      az_sidecar_cancel_task (sidecar, handle);
+      az_sidecar_cancel_task (sidecar, handle, session->last_sent_us);
     }
 }
 
@@ -60,7 +60,7 @@
           " reason=\"%s\"",
           session->gateway ? session->gateway : "-", session->n_tasks,
           (sidecar->now_us - session->last_sent_us) / AZ_US_PER_MS, reason);
-  stop_session_tasks (sidecar, handle);
+  stop_session_tasks (sidecar, session);
   g_hash_table_remove (sidecar->sessions, GUINT_TO_POINTER (handle));
 }
 
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -40,6 +40,8 @@
  * @last_listed_hold: number of the last hold whose answer listed the task as running
  * @start_expires_us: time from which on the upstream refuses the start request if it arrives late
  * @latest_end_us: time from which on the task can't run, whatever the upstream answers
+ * @must_end_us: time by which a cancelled task must have ended, since it may be run elsewhere from
+ * then on; INT64_MAX if it isn't cancelled
  */
 struct task
 {
@@ -72,6 +74,7 @@
   int64_t start_sent_us;
   int64_t start_expires_us;
   int64_t latest_end_us;
+  int64_t must_end_us;
   uint32_t percent;
   int64_t percent_changed_us;
   int64_t progress_reported_us;
@@ -264,9 +267,11 @@
                        uint32_t session,
                        const struct az_node_stop *stop);
 
-/** az_sidecar_cancel_task - stops the task and doesn't start it again */
+/** az_sidecar_cancel_task - stops the task and doesn't start it again
+ * @asked_us: when the gateway asked for it, or last gave a sign of life
+ */
 void
-az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle);
+az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle, int64_t asked_us);
 
 /** az_sidecar_reset_stop - drops the stop of another attempt or incarnation */
 void
@@ -293,6 +298,29 @@
 bool
 az_sidecar_has_orphans (const struct az_sidecar *sidecar, const struct session *session);
 
+/* lease_limit.c */
+
+/** az_sidecar_must_end_us - time by which a task must have ended whose gateway asked at @asked_us
+ * to stop it, or gave its last sign of life then */
+int64_t
+az_sidecar_must_end_us (const struct az_sidecar *sidecar, int64_t asked_us);
+
+/**
+ * az_sidecar_next_lease_end - lease end for the next hold or start, on the upstream's clock
+ *
+ * The upstream applies a lease end to all of its tasks. While a cancelled task may still run, no
+ * lease lasts beyond the time by which that task must have ended.
+ *
+ * Return: 0 if no lease may be extended now.
+ */
+int64_t
+az_sidecar_next_lease_end (const struct az_sidecar *sidecar);
+
+/** az_sidecar_is_stop_overdue - whether a cancelled task may still run for so long that a new task
+ * would get less than half of a lease */
+bool
+az_sidecar_is_stop_overdue (const struct az_sidecar *sidecar);
+
 /* suspension.c */
 
 /**
--- a/src/sidecar/suspension.c
+++ b/src/sidecar/suspension.c
@@ -37,5 +37,5 @@
   task->state = TASK_RUNNING;
   az_sidecar_reset_stop (task);
   task->latest_end_us = sidecar->now_us + ADOPTED_LEASE_MAX_MS * AZ_US_PER_MS;
-  az_sidecar_cancel_task (sidecar, handle);
+  az_sidecar_cancel_task (sidecar, handle, sidecar->now_us);
 }
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -37,6 +37,7 @@
   task->name = g_strdup (name);
   task->life = sidecar->life.number;
   task->acknowledged_at_hold = UINT64_MAX;
+  task->must_end_us = INT64_MAX;
   g_hash_table_replace (sidecar->task_names, task->name, GUINT_TO_POINTER (handle));
   return handle;
 }
@@ -73,8 +74,7 @@
     .task = task->name,
     .attempt = task->attempt,
     .specification = g_bytes_get_data (task->specification, NULL),
-    .lease_end_clock_ms
-    = az_lease_end_clock (&sidecar->lease, sidecar->settings.lease_ms, sidecar->now_us),
+    .lease_end_clock_ms = az_sidecar_next_lease_end (sidecar),
     .fence = sidecar->fence,
   };
 
@@ -211,9 +211,12 @@
 }
 
 void
-az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle)
+az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle, int64_t asked_us)
 {
-  az_sidecar_get_task (sidecar, handle)->is_cancelled = true;
+  struct task *task = az_sidecar_get_task (sidecar, handle);
+
+  task->is_cancelled = true;
+  task->must_end_us = MIN (task->must_end_us, az_sidecar_must_end_us (sidecar, asked_us));
   request_stop (sidecar, handle);
 }
 
@@ -234,7 +237,7 @@
       for (u_int i = 0; i < stop->indexes.indexes_len && !is_named; i++)
         is_named = stop->indexes.indexes_val[i] == task->index;
       if (is_named)
-        az_sidecar_cancel_task (sidecar, handle);
+        az_sidecar_cancel_task (sidecar, handle, sidecar->now_us);
     }
 }
 
@@ -250,7 +253,7 @@
   task->acknowledged_at_hold = sidecar->hold.number;
   az_log (LOG_NOTICE, "event=adopt task=%s attempt=%u life=%" G_GUINT64_FORMAT " outcome=stopping",
           name, attempt, task->life);
-  az_sidecar_cancel_task (sidecar, handle);
+  az_sidecar_cancel_task (sidecar, handle, sidecar->now_us);
 }
 
 static void
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -32,6 +32,8 @@
     return "upstream-not-fenced";
   if (sidecar->hold.n_consecutive_failures >= UNREACHABLE_AFTER_FAILURES)
     return "upstream-silent";
+  if (az_sidecar_is_stop_overdue (sidecar))
+    return "stop-overdue";
   return NULL;
 }
 
