Leave tasks that are probably long where they are

The gateway can't tell a slow upstream from a long task, and throws away the work of long tasks by moving them. Without the setting, and for other queues, moves are decided as before.

tests/test_gateway_moves, test_gateway and test_dispatch_load pass.

--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -24,6 +24,8 @@
  * @orphan_timeout_ms: after this time the tasks of a lost session are taken to have ended
  * @cross_domain_cost_ms: placement cost of an upstream in another failure domain
  * @remote_factor: factor by which a task takes longer on an upstream without its preferred label
+ * @tail_aware_moves: whether a task is moved only if it is expected to end sooner as a result, in
+ *   view of how often tasks of its queue are long in themselves
  */
 struct az_gateway_settings
 {
@@ -34,6 +36,7 @@
   int64_t orphan_timeout_ms;
   int64_t cross_domain_cost_ms;
   double remote_factor;
+  bool tail_aware_moves;
 };
 
 enum az_job_outcome
--- a/src/dispatch/move_decision.c
+++ b/src/dispatch/move_decision.c
@@ -27,17 +27,28 @@
 #define BUDGET_PERIOD_US 5000000.0
 
 bool
-az_move_looks_slow (double projected_ms, double expected_ms)
+az_move_looks_slow (double projected, double expected)
 {
-  return projected_ms >= expected_ms * SLOW_FACTOR;
+  return projected >= expected * SLOW_FACTOR;
 }
 
-bool
-az_move_gains (double left_here_ms, double run_elsewhere_ms)
+/* Whether a task ends sooner if it is run again, by a margin that pays for the move. */
+static bool
+is_gain (double left_here_ms, double run_elsewhere_ms)
 {
   return left_here_ms > run_elsewhere_ms * MOVE_GAIN_FACTOR + MOVE_COST_MS;
 }
 
+struct az_move_decision
+az_move_decide_by_speed (double left_here_ms, double run_elsewhere_ms)
+{
+  return (struct az_move_decision){
+    .verdict = is_gain (left_here_ms, run_elsewhere_ms) ? AZ_MOVE_YES : AZ_MOVE_NO_GAIN,
+    .left_here_ms = left_here_ms,
+    .left_elsewhere_ms = run_elsewhere_ms + MOVE_COST_MS,
+  };
+}
+
 /* The progress is a whole number of percent, rounded down, so the projected time is up to twice too
  * long at the start. */
 static double
@@ -94,9 +105,9 @@
     .left_elsewhere_ms = run_elsewhere_ms + MOVE_COST_MS,
   };
 
-  if (!az_move_gains (decision.left_here_ms, question->elsewhere_ms))
+  if (!is_gain (decision.left_here_ms, question->elsewhere_ms))
     decision.verdict = AZ_MOVE_NO_GAIN;
-  else if (!az_move_gains (decision.left_here_ms, run_elsewhere_ms))
+  else if (!is_gain (decision.left_here_ms, run_elsewhere_ms))
     decision.verdict = AZ_MOVE_LONG;
   return decision;
 }
--- a/src/dispatch/move_decision.h
+++ b/src/dispatch/move_decision.h
@@ -5,14 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** az_move_looks_slow - whether a task is so slow that a move is considered at all */
+/** az_move_looks_slow - whether a task is so slow that a move is considered at all; the run times
+ * are in any unit */
 bool
-az_move_looks_slow (double projected_ms, double expected_ms);
-
-/** az_move_gains - whether a task ends sooner if it is stopped and run again, by a margin that pays
- * for the move */
-bool
-az_move_gains (double left_here_ms, double run_elsewhere_ms);
+az_move_looks_slow (double projected, double expected);
 
 /**
  * struct az_move_question - a task that looks slow, and the two upstreams
@@ -64,6 +60,11 @@
 double
 az_move_own_ratio (const struct az_move_question *question);
 
+/** az_move_decide_by_speed - decides as if a slow task were always the fault of its upstream */
+struct az_move_decision
+az_move_decide_by_speed (double left_here_ms, double run_elsewhere_ms);
+
+/** az_move_decide - decides in view of both explanations */
 struct az_move_decision
 az_move_decide (const struct az_move_question *question);
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -27,6 +27,8 @@
     "time from SIGTERM until the process is killed" },
   { "remote_factor", AZ_SETTING_NUMBER, FIELD (remote_factor), false, 1, 100,
     "run time of a task away from the label that it prefers, as a multiple" },
+  { "tail_aware_moves", AZ_SETTING_BOOLEAN, FIELD (tail_aware_moves), false, 0, 0,
+    "whether a slow task is left where it is if it is probably long in itself" },
   { "body_max", AZ_SETTING_INTEGER, FIELD (body_max), false, 1024, 16777216,
     "longest body of a request, in bytes" },
 };
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -221,6 +221,8 @@
   task->sent_us = gateway->now_us;
   task->is_stopping = false;
   task->is_crash_counted = false;
+  task->own_ratio = 0;
+  task->is_move_refused = false;
   job->steps[step_index].n_waiting--;
   job->n_waiting--;
   job->n_in_flight++;
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -25,6 +25,7 @@
   int64_t seed_port;
   double grace_s;
   double remote_factor;
+  bool tail_aware_moves;
   int64_t body_max;
 };
 
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -87,6 +87,7 @@
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = options->remote_factor,
+    .tail_aware_moves = options->tail_aware_moves,
   };
 
   program->counters = az_counters_create ();
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -8,8 +8,10 @@
 #include "azurerock/table.h"
 #include "dispatch/crash_record.h"
 #include "dispatch/crash_suspicion.h"
+#include "dispatch/move_decision.h"
 #include "dispatch/retry_after.h"
 #include "dispatch/run_estimate.h"
+#include "dispatch/run_ratio.h"
 #include "dispatch/time_us.h"
 #include "dispatch/traffic.h"
 #include <glib.h>
@@ -115,6 +117,10 @@
  * struct task
  * @n_crashes: number of upstreams that crashed under it, whichever gateway had sent it
  * @is_crash_counted: the crash of the upstream that runs it is included in @n_crashes
+ * @own_ratio: projected run time as a multiple of the expected one at the speed of the upstream
+ * that runs it, 0 before it reports progress
+ * @is_ratio_recorded: the distribution of its queue includes it
+ * @is_move_refused: it stays on its upstream because it is probably long, or for the budget
  */
 struct task
 {
@@ -125,6 +131,9 @@
   uint32_t n_crashes;
   bool is_crash_counted;
   uint32_t n_moved;
+  double own_ratio;
+  bool is_ratio_recorded;
+  bool is_move_refused;
   bool is_stopping;
   int64_t sent_us;
   int64_t ended_by_us;
@@ -184,12 +193,14 @@
 /**
  * struct queue - statistics of the jobs of one route
  * @run_estimate: what the estimates of its callers have meant
+ * @run_ratio: run times relative to the expected ones; recorded only with tail_aware_moves
  */
 struct queue
 {
   char *name;
   char *service;
   struct az_run_estimate run_estimate;
+  struct az_run_ratio run_ratio;
   struct az_traffic traffic;
   struct az_traffic starts; /* counts run messages as jobs */
   struct az_retry_after retry_after;
@@ -217,6 +228,9 @@
  *   placed
  * @pause_began_us: when the process last ran before the last pause
  * @n_resume_ticks: number of ticks until the requests of the last pause have been read
+ * @move_budget: recorded only with tail_aware_moves
+ * @move_refusal_logged_us: when a refused move was last logged
+ * @n_move_refusals: refused moves since then
  */
 
 struct az_gateway
@@ -261,6 +275,9 @@
   bool is_resuming;
   int64_t pause_began_us;
   uint32_t n_resume_ticks;
+  struct az_move_budget move_budget;
+  int64_t move_refusal_logged_us;
+  uint32_t n_move_refusals;
   uint32_t c_jobs; /* this and the other c_ fields are handles of counters */
   uint32_t c_completed;
   uint32_t c_failed;
@@ -271,6 +288,8 @@
   uint32_t c_retried;
   uint32_t c_crashed;
   uint32_t c_moved;
+  uint32_t c_moves_long;
+  uint32_t c_moves_budget;
   uint32_t c_examined;
   uint32_t c_suspected;
   struct az_histogram response_ms; /* response times of completed jobs */
@@ -499,6 +518,37 @@
 void
 az_gateway_stop_job_tasks (struct az_gateway *gateway, struct job *job);
 
+/* move_evidence.c: how often tasks are long, and whether those on an upstream look slow */
+
+/** az_gateway_record_done_task - records the work and the run time of a task that was done; call
+ * before az_gateway_record_run_time() */
+void
+az_gateway_record_done_task (struct az_gateway *gateway,
+                             struct job *job,
+                             uint32_t step,
+                             struct task *task,
+                             int64_t run_us);
+
+/** az_gateway_record_progress - records the projected run time of a task; one that was moved and
+ * isn't faster here counts as long */
+void
+az_gateway_record_progress (const struct az_gateway *gateway,
+                            struct job *job,
+                            struct task *task,
+                            const struct upstream *upstream,
+                            const struct az_task_progress *progress);
+
+/** az_gateway_count_progress - counts the jobs whose tasks on the upstream all look slow, other
+ * than
+ * @job, and the jobs with a task there that doesn't; @task isn't considered */
+void
+az_gateway_count_progress (const struct az_gateway *gateway,
+                           const struct upstream *upstream,
+                           const struct job *job,
+                           const struct task *task,
+                           unsigned *n_slow_jobs,
+                           unsigned *n_normal_jobs);
+
 /* progress.c */
 void
 az_gateway_handle_progress (struct az_gateway *gateway,
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -124,10 +124,10 @@
   rig->cancel_outcome = outcome;
 }
 
-struct gateway_rig *
-gateway_rig_create (unsigned n_upstreams)
+static struct gateway_rig *
+create_rig (unsigned n_upstreams, bool tail_aware_moves)
 {
-  static const struct az_gateway_settings settings = {
+  const struct az_gateway_settings settings = {
     .instance = "g1",
     .domain = "d1",
     .address = "127.0.0.1:9",
@@ -135,6 +135,7 @@
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = 1.5,
+    .tail_aware_moves = tail_aware_moves,
   };
   struct gateway_rig *rig = g_new0 (struct gateway_rig, 1);
   const struct az_gateway_io io = { on_send, on_close, on_connect, on_answer, on_cancelled, rig };
@@ -165,6 +166,18 @@
   return rig;
 }
 
+struct gateway_rig *
+gateway_rig_create (unsigned n_upstreams)
+{
+  return create_rig (n_upstreams, false);
+}
+
+struct gateway_rig *
+gateway_rig_create_tail_aware (unsigned n_upstreams)
+{
+  return create_rig (n_upstreams, true);
+}
+
 void
 gateway_rig_destroy (struct gateway_rig *rig)
 {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -64,6 +64,10 @@
  * their sessions are 1, 2, ... */
 struct gateway_rig *
 gateway_rig_create (unsigned n_upstreams);
+
+/** gateway_rig_create_tail_aware - creates the same with the setting tail_aware_moves */
+struct gateway_rig *
+gateway_rig_create_tail_aware (unsigned n_upstreams);
 void
 gateway_rig_destroy (struct gateway_rig *rig);
 
