Add long tasks to the emulator

A share of the tasks of a kind takes several times as long as estimated. Scenarios without such a share draw nothing and keep their load. A scenario can also set tail_aware_moves for its gateways.

--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -14,7 +14,11 @@
 #define EMULATOR_JOB_KINDS 3
 #define EMULATOR_GATEWAYS_MAX 16
 
-/** struct emulator_job_kind - a class of jobs; its run times and sizes vary around the means */
+/**
+ * struct emulator_job_kind - a class of jobs; its run times and sizes vary around the means
+ * @tail_share: share of the tasks that take @tail_factor times as long, of which the estimate of
+ *   their job doesn't know; 0 for none
+ */
 struct emulator_job_kind
 {
   const char *name;
@@ -24,6 +28,8 @@
   unsigned max_tasks;
   unsigned priority;
   double value; /* value of a job with the mean amount of work */
+  double tail_share;
+  double tail_factor;
 };
 
 enum emulator_fault_kind
@@ -64,6 +70,7 @@
   double load; /* factor on all arrival rates */
   double cross_domain_delay_ms;
   bool refused_callers_return; /* once, in whole seconds, as Retry-After tells them */
+  bool tail_aware_moves;       /* setting of the gateways */
   struct emulator_job_kind kinds[EMULATOR_JOB_KINDS];
   struct emulator_fault faults[8];
   unsigned n_faults;
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -88,6 +88,15 @@
   return false;
 }
 
+/* Draws nothing without tails, so that the load of other scenarios stays the same. */
+static double
+draw_tail_factor (const struct emulator_job_kind *kind, GRand *random)
+{
+  if (kind->tail_share <= 0)
+    return 1;
+  return g_rand_double (random) < kind->tail_share ? kind->tail_factor : 1;
+}
+
 static struct emu_job
 draw_job (const struct emulator_scenario *scenario, unsigned kind, int64_t at_us, GRand *random)
 {
@@ -108,7 +117,8 @@
   job.work_us = g_new (int64_t, job.n_tasks);
   for (unsigned i = 0; i < job.n_tasks; i++)
     {
-      job.work_us[i] = (int64_t)(run_us * draw_lognormal (random, 0.15));
+      job.work_us[i]
+          = (int64_t)(run_us * draw_lognormal (random, 0.15) * draw_tail_factor (row, random));
       job.longest_work_us = MAX (job.longest_work_us, job.work_us[i]);
       job.core_s += (double)job.work_us[i] / 1e6 * job.cpu_milli / 1000;
     }
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -175,6 +175,7 @@
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = 1.5,
+    .tail_aware_moves = world->scenario->tail_aware_moves,
   };
 
   world->gateway_contexts[index] = (struct node_context){ world, index };
