Don't take long tasks in a row for a slow upstream

An upstream counts as slow after slow tasks of three jobs in a row. Where 3% of tasks are 7 times as long, that happens to normal upstreams: it gets only probes, and its slow tasks are moved. The speed now learns how often tasks are long. Where at least 1% take 4 times the expected time or more, the speed falls below the threshold only if long tasks don't explain the streak; elsewhere nothing changes.

tests/test_speed passes.

--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -9,13 +9,15 @@
 
 #define SLOW_THRESHOLD 0.45
 
-/* Only after slow tasks from this many jobs in a row may the speed fall below the threshold. */
+/* Only after slow tasks from this many jobs in a row may the speed fall below the threshold. Where
+ * tasks are often long, more jobs may be needed. */
 #define SLOW_JOBS_MIN 3
 
 void
 az_speed_init (struct az_speed *speed)
 {
   *speed = (struct az_speed){ .value = 1 };
+  az_slow_streak_init (&speed->streak);
 }
 
 bool
@@ -49,7 +51,11 @@
   double sample = CLAMP ((double)expected_us / (double)MAX (run_us, 1), 0.05, 4);
 
   count_slow_job (speed, job, az_speed_is_slow (sample));
-  if (speed->n_slow_jobs >= SLOW_JOBS_MIN)
+  if (az_speed_is_slow (sample))
+    az_slow_streak_extend (&speed->streak, job, sample);
+  else
+    az_slow_streak_end (&speed->streak, job, sample, az_speed_is_slow (speed->value));
+  if (speed->n_slow_jobs >= SLOW_JOBS_MIN && !az_slow_streak_is_chance (&speed->streak))
     speed->value = MIN (speed->value, sample);
   else if (az_speed_is_slow (speed->value))
     speed->value += SLOW_SMOOTHING_WEIGHT * (sample - speed->value);
--- a/src/dispatch/speed.h
+++ b/src/dispatch/speed.h
@@ -1,6 +1,7 @@
 #ifndef AZUREROCK_DISPATCH_SPEED_H
 #define AZUREROCK_DISPATCH_SPEED_H
 
+#include "dispatch/slow_streak.h"
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -9,12 +10,14 @@
  * @value: expected run time of its tasks divided by the actual one; 1 is normal
  * @n_slow_jobs: consecutive jobs with a slow task, which is one for whose own speed
  * az_speed_is_slow() is true
+ * @streak: the consecutive slow tasks, and whether they may be long rather than the upstream slow
  */
 struct az_speed
 {
   double value;
   uint32_t n_slow_jobs;
   uint64_t last_slow_job;
+  struct az_slow_streak streak;
 };
 
 void
