Test moves in the emulator, and which moved tasks are learned

Guards against work that moves of long tasks throw away, and against changes where no tasks are long. The cases of test_move_decision and test_gateway_moves are now rows of tables; none was dropped.

--- a/tests/test_gateway_moves.c
+++ b/tests/test_gateway_moves.c
@@ -23,20 +23,6 @@
   return gateway_rig_read_counter (rig, "azurerock_gateway_moves_refused_budget_total");
 }
 
-/* Three of a hundred tasks take seven times as long as expected. */
-static void
-run_tasks_with_tail (struct gateway_rig *rig)
-{
-  for (uint32_t i = 0; i < LEARNED_JOBS; i++)
-    {
-      guint run = rig->runs->len;
-
-      gateway_rig_submit (rig, 1000 + i, "fast", 1);
-      assert_int_equal (rig->runs->len, run + 1);
-      gateway_rig_end_run (rig, run, AZ_TASK_DONE, i % 33 == 32 ? 700 : 100);
-    }
-}
-
 /* Starts a job of one task, and returns its run. */
 static guint
 start_task (struct gateway_rig *rig, uint32_t caller)
@@ -48,70 +34,57 @@
   return run;
 }
 
-/* Guards against the loss of the work of a task that takes as long elsewhere. */
-static void
-test_long_task_stays (void **state)
-{
-  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
-  guint run;
-
-  (void)state;
-  run_tasks_with_tail (rig);
-  run = start_task (rig, 1);
-  gateway_rig_report_progress (rig, run, 140, 700);
-  gateway_rig_report_progress (rig, run, 280, 700);
-  assert_int_equal (rig->stops->len, 0);
-  assert_int_equal (moves (rig), 0);
-  assert_int_equal (refused_as_long (rig), 1);
-  gateway_rig_end_run (rig, run, AZ_TASK_DONE, 700);
-  assert_int_equal (gateway_rig_get_outcome (rig, 1), AZ_JOB_COMPLETED);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against a change for deployments without the setting. */
+/* Three of a hundred tasks take seven times as long as expected. */
 static void
-test_long_task_moves_without_the_setting (void **state)
+run_tasks_with_tail (struct gateway_rig *rig)
 {
-  struct gateway_rig *rig = gateway_rig_create (2);
-  guint run;
-
-  (void)state;
-  run_tasks_with_tail (rig);
-  run = start_task (rig, 1);
-  gateway_rig_report_progress (rig, run, 140, 700);
-  assert_int_equal (rig->stops->len, 1);
-  assert_int_equal (moves (rig), 1);
-  gateway_rig_destroy (rig);
+  for (uint32_t i = 0; i < LEARNED_JOBS; i++)
+    gateway_rig_end_run (rig, start_task (rig, 1000 + i), AZ_TASK_DONE, i % 33 == 32 ? 700 : 100);
 }
 
-/* A gateway that has just started decides as without the setting. */
-static void
-test_task_moves_while_nothing_is_known (void **state)
+struct move_row
 {
-  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
-  guint run = start_task (rig, 1);
-
-  (void)state;
-  gateway_rig_report_progress (rig, run, 140, 700);
-  assert_int_equal (moves (rig), 1);
-  gateway_rig_destroy (rig);
-}
-
-/* Guards against tasks that stay on a slow upstream because their queue has long tasks. */
+  const char *name;
+  bool tail_aware_moves;
+  bool is_tail_known;
+  uint32_t speed_percent;
+  uint32_t elapsed_ms;
+  uint32_t projected_ms;
+  bool moves;
+};
+
+/* Guards against the loss of the work of long tasks, against tasks that stay on a slow or stalled
+ * upstream, and against a change without the setting or before a distribution is known. */
 static void
-test_task_on_slow_upstream_moves (void **state)
+test_moves (void **state)
 {
-  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
-  guint run;
+  static const struct move_row rows[] = {
+    { "long task", true, true, 100, 140, 700, false },
+    { "without the setting", false, true, 100, 140, 700, true },
+    { "after a restart", true, false, 100, 140, 700, true },
+    { "slow upstream", true, true, SLOW_PERCENT, 140, 700, true },
+    { "stalled", true, true, 100, 260, UINT32_MAX, true },
+  };
 
   (void)state;
-  run_tasks_with_tail (rig);
-  run = start_task (rig, 1);
-  rig->speed[gateway_rig_get_run (rig, run)->session] = SLOW_PERCENT;
-  gateway_rig_report_progress (rig, run, 140, 700);
-  assert_int_equal (moves (rig), 1);
-  assert_int_equal (rig->stops->len, 1);
-  gateway_rig_destroy (rig);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const struct move_row *row = &rows[i];
+      struct gateway_rig *rig
+          = row->tail_aware_moves ? gateway_rig_create_tail_aware (2) : gateway_rig_create (2);
+      guint run;
+
+      if (row->is_tail_known)
+        run_tasks_with_tail (rig);
+      run = start_task (rig, 1);
+      rig->speed[gateway_rig_get_run (rig, run)->session] = row->speed_percent;
+      gateway_rig_report_progress (rig, run, row->elapsed_ms, row->projected_ms);
+      gateway_rig_report_progress (rig, run, row->elapsed_ms, row->projected_ms);
+      if (moves (rig) != row->moves || rig->stops->len != row->moves
+          || refused_as_long (rig) != !row->moves)
+        fail_msg ("%s: %u stops", row->name, rig->stops->len);
+      gateway_rig_destroy (rig);
+    }
 }
 
 /* Guards against waiting for the sidecar's report while all tasks of the upstream are slow. */
@@ -138,17 +111,32 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a queue whose long tasks are never learned because all of them are moved until
+ * their jobs are given up. */
 static void
-test_stalled_task_moves (void **state)
+test_moved_tasks_are_learned (void **state)
 {
   struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
+  uint64_t n_moves;
   guint run;
 
   (void)state;
-  run_tasks_with_tail (rig);
-  run = start_task (rig, 1);
-  gateway_rig_report_progress (rig, run, 260, UINT32_MAX);
-  assert_int_equal (moves (rig), 1);
+  for (uint32_t i = 0; i < LEARNED_JOBS; i++)
+    gateway_rig_end_run (rig, start_task (rig, 1000 + i), AZ_TASK_DONE, 100);
+  for (uint32_t i = 1; i <= 5; i++)
+    {
+      run = start_task (rig, i);
+      gateway_rig_report_progress (rig, run, 140, 700);
+      gateway_rig_end_run (rig, run, AZ_TASK_STOPPED, 150);
+      assert_int_equal (rig->runs->len, run + 2);
+      gateway_rig_report_progress (rig, run + 1, 140, 700);
+    }
+  n_moves = moves (rig);
+  assert_true (n_moves > 0);
+  run = start_task (rig, 6);
+  gateway_rig_report_progress (rig, run, 140, 700);
+  assert_int_equal (moves (rig), n_moves);
+  assert_true (refused_as_long (rig) > 0);
   gateway_rig_destroy (rig);
 }
 
@@ -182,12 +170,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_long_task_stays),
-    cmocka_unit_test (test_long_task_moves_without_the_setting),
-    cmocka_unit_test (test_task_moves_while_nothing_is_known),
-    cmocka_unit_test (test_task_on_slow_upstream_moves),
+    cmocka_unit_test (test_moves),
     cmocka_unit_test (test_task_beside_slow_tasks_moves),
-    cmocka_unit_test (test_stalled_task_moves),
+    cmocka_unit_test (test_moved_tasks_are_learned),
     cmocka_unit_test (test_budget_limits_moves),
   };
 
--- a/tests/test_move_decision.c
+++ b/tests/test_move_decision.c
@@ -12,120 +12,55 @@
   return ratio;
 }
 
-/* A task of 100 ms that is projected to take 700 ms, known after 140 ms. */
-static struct az_move_question
-create_question (const struct az_run_ratio *ratio)
+struct decision_row
 {
-  return (struct az_move_question){
-    .elapsed_ms = 140,
-    .projected_ms = 700,
-    .expected_ms = 100,
-    .here_ms = 100,
-    .elsewhere_ms = 100,
-    .ratio = ratio,
-  };
-}
-
-/* Guards against the loss of the work of a task that takes as long elsewhere. */
+  const char *name;
+  double elapsed_ms;
+  double projected_ms;
+  double expected_ms;
+  double here_ms;
+  double elsewhere_ms;
+  bool is_reported_slow;
+  unsigned n_slow_jobs;
+  unsigned n_normal_jobs;
+  enum az_move_verdict verdict;
+};
+
+/* Guards against the loss of the work of tasks that take as long elsewhere, and against tasks that
+ * stay on a slow upstream because some tasks of their queue are long. */
 static void
-test_long_task_on_normal_upstream_stays (void **state)
+test_decisions (void **state)
 {
+  static const struct decision_row rows[] = {
+    { "long task", 140, 700, 100, 100, 100, false, 0, 0, AZ_MOVE_LONG },
+    { "upstream reported slow", 140, 700, 100, 650, 100, true, 0, 0, AZ_MOVE_YES },
+    { "other tasks slow", 140, 700, 100, 100, 100, false, 2, 0, AZ_MOVE_YES },
+    { "most other tasks normal", 140, 700, 100, 100, 100, false, 2, 4, AZ_MOVE_LONG },
+    { "longer than any task", 140, 2800, 100, 100, 100, false, 0, 0, AZ_MOVE_YES },
+    /* One percent after 100 ms may be nearly two. */
+    { "early projection", 100, 10000, 760, 760, 760, false, 0, 0, AZ_MOVE_LONG },
+    { "slow hardware", 140, 1400, 100, 200, 80, false, 0, 0, AZ_MOVE_YES },
+    { "slow hardware, half done", 700, 1400, 100, 200, 80, false, 0, 0, AZ_MOVE_LONG },
+    { "nearly done", 630, 700, 100, 100, 100, false, 0, 0, AZ_MOVE_NO_GAIN },
+  };
   struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-  struct az_move_decision decision;
 
   (void)state;
   assert_true (az_run_ratio_is_heavy (&ratio));
-  decision = az_move_decide (&question);
-  assert_int_equal (decision.verdict, AZ_MOVE_LONG);
-  assert_true (decision.p_long > 0.9);
-  question.n_normal_jobs = 2;
-  assert_true (az_move_decide (&question).p_long > decision.p_long);
-}
-
-/* Guards against tasks that stay on a slow upstream because some tasks of their queue are long. */
-static void
-test_task_on_reported_slow_upstream_moves (void **state)
-{
-  struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-  struct az_move_decision decision;
-
-  (void)state;
-  question.is_reported_slow = true;
-  question.here_ms = 650;
-  decision = az_move_decide (&question);
-  assert_int_equal (decision.verdict, AZ_MOVE_YES);
-  assert_true (decision.p_long < 0.1);
-  assert_true (decision.left_elsewhere_ms < decision.left_here_ms);
-}
-
-/* Guards against waiting for the sidecar's report when the other tasks show it already. */
-static void
-test_task_beside_slow_tasks_moves (void **state)
-{
-  struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-
-  (void)state;
-  question.n_slow_jobs = 2;
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_YES);
-  question.n_normal_jobs = 4;
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_LONG);
-}
-
-/* A ratio that the queue's tasks never have is explained by the upstream. */
-static void
-test_ratio_beyond_the_tail_moves (void **state)
-{
-  struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-
-  (void)state;
-  question.projected_ms = 2800;
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_YES);
-}
-
-/* Guards against the error of an early projection: one percent after 100 ms may be nearly two. */
-static void
-test_early_projection_is_rounded (void **state)
-{
-  struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-
-  (void)state;
-  question.elapsed_ms = 100;
-  question.projected_ms = 10000;
-  question.expected_ms = question.here_ms = question.elsewhere_ms = 760;
-  assert_true (az_move_own_ratio (&question) < 7);
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_LONG);
-}
-
-/* A long task that has just begun on slow hardware ends sooner on hardware twice as fast. */
-static void
-test_long_task_moves_to_much_faster_upstream (void **state)
-{
-  struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-
-  (void)state;
-  question.here_ms = 200;
-  question.projected_ms = 1400;
-  question.elsewhere_ms = 80;
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_YES);
-  question.elapsed_ms = 700;
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_LONG);
-}
-
-static void
-test_no_gain_if_nearly_done (void **state)
-{
-  struct az_run_ratio ratio = create_tail ();
-  struct az_move_question question = create_question (&ratio);
-
-  (void)state;
-  question.elapsed_ms = 630;
-  assert_int_equal (az_move_decide (&question).verdict, AZ_MOVE_NO_GAIN);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      const struct decision_row *row = &rows[i];
+      const struct az_move_question question
+          = { row->elapsed_ms,  row->projected_ms,  row->expected_ms,
+              row->here_ms,     row->elsewhere_ms,  row->is_reported_slow,
+              row->n_slow_jobs, row->n_normal_jobs, &ratio };
+      struct az_move_decision decision = az_move_decide (&question);
+
+      if (decision.verdict != row->verdict)
+        fail_msg ("%s: verdict %d, p_long %.3f", row->name, (int)decision.verdict, decision.p_long);
+      if (decision.verdict == AZ_MOVE_YES)
+        assert_true (decision.left_elsewhere_ms < decision.left_here_ms);
+    }
 }
 
 /* Guards against moves that throw away more than a small share of the work done. */
@@ -153,13 +88,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_long_task_on_normal_upstream_stays),
-    cmocka_unit_test (test_task_on_reported_slow_upstream_moves),
-    cmocka_unit_test (test_task_beside_slow_tasks_moves),
-    cmocka_unit_test (test_ratio_beyond_the_tail_moves),
-    cmocka_unit_test (test_early_projection_is_rounded),
-    cmocka_unit_test (test_long_task_moves_to_much_faster_upstream),
-    cmocka_unit_test (test_no_gain_if_nearly_done),
+    cmocka_unit_test (test_decisions),
     cmocka_unit_test (test_budget),
   };
 
