--- a/src/dispatch/slow_streak.c
+++ b/src/dispatch/slow_streak.c
@@ -8,8 +8,8 @@
 #define SHARE_IN_JOB 0.25
 
 /* A streak is explained by long tasks unless the probability that tasks of that many jobs are all
- * at least as slow is below this. With tens of tasks a second, such streaks of long tasks then
- * occur every few minutes on an upstream at half of the usual speed, and hardly ever on others. */
+ * at least as slow is below this. With tens of tasks a second, streaks begin too often for a larger
+ * value. */
 #define CHANCE_MIN 1e-8
 
 /* Keeps a single task beyond the observed ones from deciding alone. */
