Accept settings for the limits of HTTP listeners, without effect

Tests of clients outside the limits lower the limits in their own settings, and must not fail because a program refuses settings that it doesn't know. Gateway, sidecar and entry now accept memory_mb, descriptors_max, request_buffer_mb, connections_max, head_timeout_ms and body_timeout_ms and ignore them.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -16,6 +16,7 @@
     "address for callers and operators, as they reach it" },
   { "store", AZ_SETTING_ADDRESS, FIELD (store_address), true, 0, 0,
     "address of the key-value service" },
+  AZ_HTTP_LIMIT_SETTINGS (az_entry_options, limits),
 };
 
 int
--- a/src/entry/program.h
+++ b/src/entry/program.h
@@ -2,6 +2,7 @@
 #define AZUREROCK_ENTRY_PROGRAM_H
 
 #include "azurerock/entry_core.h"
+#include "azurerock/http_limits.h"
 #include "azurerock/http_server.h"
 #include "azurerock/rpc.h"
 #include "azurerock/store_client.h"
@@ -17,6 +18,7 @@
   char *http_address;
   char *store_address;
   char *event_log;
+  struct az_http_limit_options limits;
 };
 
 /** struct az_entry_poll - state of the long poll of the store and of the reads after it */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -29,6 +29,7 @@
     "run time of a task away from the label that it prefers, as a multiple" },
   { "body_max", AZ_SETTING_INTEGER, FIELD (body_max), false, 1024, 16777216,
     "longest body of a request, in bytes" },
+  AZ_HTTP_LIMIT_SETTINGS (az_gateway_options, limits),
 };
 
 const size_t az_gateway_n_schema = G_N_ELEMENTS (az_gateway_schema);
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -3,6 +3,7 @@
 
 #include "azurerock/counters.h"
 #include "azurerock/gateway.h"
+#include "azurerock/http_limits.h"
 #include "azurerock/http_server.h"
 #include "azurerock/rpc.h"
 #include "dispatch/event_loop.h"
@@ -26,6 +27,7 @@
   double grace_s;
   double remote_factor;
   int64_t body_max;
+  struct az_http_limit_options limits;
 };
 
 /**
--- a/src/sidecar/main.c
+++ b/src/sidecar/main.c
@@ -23,6 +23,7 @@
     "time that the upstream takes at most to stop a task" },
   { "lease_max_ms", AZ_SETTING_NUMBER, FIELD (lease_max_ms), false, 100, 60000,
     "longest lease that the upstream grants its tasks" },
+  AZ_HTTP_LIMIT_SETTINGS (az_sidecar_options, limits),
 };
 
 const size_t az_sidecar_n_schema = G_N_ELEMENTS (az_sidecar_schema);
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -3,6 +3,7 @@
 
 #include "azurerock/counters.h"
 #include "azurerock/http_client.h"
+#include "azurerock/http_limits.h"
 #include "azurerock/http_server.h"
 #include "azurerock/rpc.h"
 #include "azurerock/sidecar.h"
@@ -25,6 +26,7 @@
   double grace_s;
   double stop_ms;
   double lease_max_ms;
+  struct az_http_limit_options limits;
 };
 
 /** struct upstream_client - HTTP client of one address; NULL before the first call */
