Limit memory, connections and time of clients of HTTP listeners

Bodies, chunked bodies, long heads and idle or slow connections could exhaust the memory and descriptors of a process, because only the body of one request was limited.

All listeners of a process now share a budget for the bytes that requests and unread answers hold. The input buffer of a connection is counted after each read, so that many connections can't exceed the budget in one iteration of the loop; the connection with the largest product of bytes and time is closed, unless a complete request of it is in progress. Each listener has a limit of connections, those for readiness and metrics a small one of their own. A listener without room or descriptors pauses.

--- a/include/azurerock/http_limits.h
+++ b/include/azurerock/http_limits.h
@@ -1,6 +1,7 @@
 #ifndef AZUREROCK_HTTP_LIMITS_H
 #define AZUREROCK_HTTP_LIMITS_H
 
+#include "azurerock/counters.h"
 #include "azurerock/settings.h"
 #include <stddef.h>
 #include <stdint.h>
@@ -25,11 +26,11 @@
 
 /** AZ_HTTP_LIMIT_SETTINGS - rows of a schema for the member @limits of struct @type */
 #define AZ_HTTP_LIMIT_SETTINGS(type, limits)                                       \
-  AZ_HTTP_LIMIT_SETTING (type, limits, memory_mb, 1, 1048576,                      \
-    "memory that the machine gives this process, in MiB"),                         \
-  AZ_HTTP_LIMIT_SETTING (type, limits, descriptors_max, 1, 1048576,                \
-    "descriptors that the machine lets this process open"),                        \
-  AZ_HTTP_LIMIT_SETTING (type, limits, request_buffer_mb, 1, 1048576,              \
+  AZ_HTTP_LIMIT_SETTING (type, limits, memory_mb, 0, G_MAXINT32,                   \
+    "memory that the machine gives this process, in MiB; 0: what the system says"), \
+  AZ_HTTP_LIMIT_SETTING (type, limits, descriptors_max, 0, G_MAXINT64,             \
+    "descriptors that the machine lets this process open; 0: what the system says"), \
+  AZ_HTTP_LIMIT_SETTING (type, limits, request_buffer_mb, 1, G_MAXINT32,             \
     "memory for requests and for answers that callers haven't read yet, in MiB"),  \
   AZ_HTTP_LIMIT_SETTING (type, limits, connections_max, 1, 524288,                 \
     "connections of callers that are open at once"),                               \
@@ -39,4 +40,17 @@
     "time that the body of a request may take, or a caller to read an answer")
 /* clang-format on */
 
+/** az_http_limits_set - sets the limits of all HTTP listeners of this process
+ * @counters: for the connections that a limit closes, until az_http_limits_clear_counters()
+ *
+ * Call it before the first az_http_server_create(). Without it, the defaults apply. They follow
+ * from the memory and the descriptors that the system gives the process.
+ */
+void
+az_http_limits_set (const struct az_http_limit_options *options, struct az_counters *counters);
+
+/** az_http_limits_clear_counters - call before the counters are destroyed */
+void
+az_http_limits_clear_counters (void);
+
 #endif
--- a/include/azurerock/http_server.h
+++ b/include/azurerock/http_server.h
@@ -35,7 +35,11 @@
 
 /**
  * az_http_server_create - starts to serve on "ip:port"; port 0 selects a free port
- * @max_body: requests with a longer body get status 413 and don't reach @handlers
+ * @max_body: requests with a longer body get status 413 and don't reach @handlers. A listener for
+ *   which it is 0 serves readiness or metrics and has a limit of connections of its own, so that
+ *   it can be reached while all connections of callers are in use.
+ *
+ * az_http_limits_set() sets limits that all listeners of the process share.
  */
 struct az_http_server *
 az_http_server_create (uv_loop_t *loop,
--- a/src/entry/program_run.c
+++ b/src/entry/program_run.c
@@ -113,6 +113,7 @@
 {
   az_entry_core_destroy (program->core);
   az_event_log_destroy (program->events);
+  az_http_limits_clear_counters ();
   az_counters_destroy (program->counters);
   g_rand_free (program->random);
 }
@@ -123,6 +124,7 @@
 {
   program->incarnation = az_generate_incarnation ();
   program->counters = az_counters_create ();
+  az_http_limits_set (&program->options->limits, program->counters);
   program->random = g_rand_new ();
   program->events = az_event_log_create (program->options->event_log, program->options->instance,
                                          program->incarnation, az_clock_system (), error);
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -90,6 +90,7 @@
   };
 
   program->counters = az_counters_create ();
+  az_http_limits_set (&program->options->limits, program->counters);
   program->gateway = az_gateway_create (&settings, az_generate_incarnation (), az_clock_system (),
                                         &io, program->counters);
 }
@@ -148,6 +149,7 @@
     }
   az_gateway_program_free_store (&program);
   az_gateway_destroy (program.gateway);
+  az_http_limits_clear_counters ();
   az_counters_destroy (program.counters);
   az_settings_watch_close (&program.settings);
   az_log_flush ();
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -3,10 +3,10 @@
 #include "net/address.h"
 #include "net/broken_pipe.h"
 #include "net/http_caller.h"
+#include "net/http_listener.h"
+#include "net/http_pool.h"
 #include <string.h>
 
-#define BACKLOG 1024
-
 /* Keep-alive connections of callers and load balancers may be idle for this long between
  * requests. */
 #define IDLE_TIMEOUT_MS 60000
@@ -15,6 +15,9 @@
  * servers near the end of their grace period. */
 #define DRAIN_TIMEOUT_MS 100
 
+/* How often time limits are checked, and how often a paused listener tries again. */
+#define CHECK_INTERVAL_MS 100
+
 /* Common non-IANA status for a caller that disconnected before the response. */
 #define STATUS_CLIENT_CLOSED_REQUEST 499
 
@@ -28,14 +31,22 @@
 
 struct az_http_server
 {
-  uv_tcp_t listener;
+  struct az_http_listener *listener;
   uv_timer_t close_timer;
+  uv_timer_t check_timer;
+  uv_prepare_t prepare;
+  unsigned n_open_handles;
   h2o_globalconf_t configuration;
   h2o_context_t context;
   h2o_accept_ctx_t accept;
   struct az_http_handlers handlers;
   struct az_table_rows *requests; /* rows are struct pending */
   GHashTable *callers;
+  struct az_http_pool *pool;
+  unsigned connections_max;
+  GQueue resuming; /* callers from which libh2o may read again */
+  bool is_full;    /* a connection waits for room */
+  bool is_short;   /* the system gave no descriptor; accept nothing until the next check */
   char *local_address;
   bool closes_after_response;
   bool stopped; /* the listener is closed or closing */
@@ -60,6 +71,7 @@
 struct tracker
 {
   struct az_http_server *server;
+  struct az_http_caller *caller;
   uint32_t handle;
 };
 
@@ -68,6 +80,9 @@
 {
   struct az_http_server *server = handle->data;
 
+  if (--server->n_open_handles > 0)
+    return;
+  az_http_pool_destroy (server->pool);
   h2o_config_dispose (&server->configuration);
   az_table_rows_destroy (server->requests);
   g_hash_table_unref (server->callers);
@@ -80,7 +95,11 @@
 static void
 on_context_disposed (uv_timer_t *timer)
 {
+  struct az_http_server *server = timer->data;
+
   uv_close ((uv_handle_t *)timer, free_server);
+  uv_close ((uv_handle_t *)&server->check_timer, free_server);
+  uv_close ((uv_handle_t *)&server->prepare, free_server);
 }
 
 static void
@@ -113,7 +132,8 @@
   struct pending *pending = az_table_rows_get (server->requests, handle);
   h2o_req_t *request = pending->request;
 
-  az_http_caller_set_request (pending->caller, 0);
+  struct az_http_caller *caller = pending->caller;
+
   az_table_rows_remove (server->requests, handle);
   if (server->stopped || server->closes_after_response)
     request->http1_is_persistent = 0;
@@ -123,6 +143,7 @@
   h2o_add_header (&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, content_type,
                   strlen (content_type));
   h2o_send_inline (request, body, length);
+  az_http_caller_answered (caller);
 }
 
 static void
@@ -151,11 +172,10 @@
 {
   struct tracker *tracker = memory;
   struct az_http_server *server = tracker->server;
-  struct pending *pending = az_table_rows_get (server->requests, tracker->handle);
 
-  if (!pending)
+  az_http_caller_end_request (tracker->caller);
+  if (!az_table_rows_get (server->requests, tracker->handle))
     return;
-  az_http_caller_set_request (pending->caller, 0);
   az_table_rows_remove (server->requests, tracker->handle);
   notify_disconnected (server, tracker->handle);
 }
@@ -177,7 +197,8 @@
   tracker->handle = az_table_rows_add (server->requests, (void **)&pending);
   pending->request = request;
   pending->caller = az_http_caller_from_request (request);
-  az_http_caller_set_request (pending->caller, tracker->handle);
+  tracker->caller = pending->caller;
+  az_http_caller_begin_request (pending->caller, tracker->handle);
   return tracker->handle;
 }
 
@@ -191,6 +212,14 @@
     on_caller_disconnected (server, handle);
 }
 
+static bool
+is_refused (struct az_http_server *server, uint32_t handle)
+{
+  const struct pending *pending = az_table_rows_get (server->requests, handle);
+
+  return server->destroyed || az_http_caller_is_cut (pending->caller);
+}
+
 static int
 handle_request (h2o_handler_t *handler, h2o_req_t *request)
 {
@@ -209,8 +238,9 @@
     received.query = copy_text (request, request->path.base + path_length + 1,
                                 request->path.len - path_length - 1);
   received.handle = track_request (server, request);
-  if (server->destroyed)
+  if (is_refused (server, received.handle))
     {
+      request->http1_is_persistent = 0;
       send_response (server, received.handle, STATUS_UNAVAILABLE, "text/plain", "", 0);
       return 0;
     }
@@ -219,18 +249,75 @@
   return 0;
 }
 
-static void
-on_connection (uv_stream_t *listener, int status)
+/* Closes another connection if the limit is reached. */
+static bool
+make_room (struct az_http_server *server)
 {
-  struct az_http_server *server = listener->data;
-  const struct az_http_caller_owner owner = { on_caller_disconnected, on_caller_freed, server };
+  struct az_http_holder *holder;
+
+  if (az_http_pool_count (server->pool) < server->connections_max)
+    return true;
+  holder = az_http_pool_choose_for_room (server->pool);
+  if (holder)
+    az_http_caller_cut (az_http_caller_from_holder (holder), AZ_HTTP_CAUSE_CONNECTIONS);
+  else if (!server->is_full)
+    az_http_limits_count (AZ_HTTP_CAUSE_FULL);
+  return az_http_pool_count (server->pool) < server->connections_max;
+}
+
+static bool
+on_connection (void *context, uv_stream_t *stream)
+{
+  struct az_http_server *server = context;
+  const struct az_http_caller_owner owner
+      = { on_caller_disconnected, on_caller_freed, server, server->pool, &server->resuming };
   struct az_http_caller *caller;
 
-  if (status < 0)
-    return;
-  caller = az_http_caller_accept (listener, &server->accept, &owner);
+  if (server->is_short)
+    return false;
+  server->is_full = !make_room (server);
+  if (server->is_full)
+    return false;
+  caller = az_http_caller_accept (stream, &server->accept, &owner);
+  server->is_short = !caller;
   if (caller)
     g_hash_table_add (server->callers, caller);
+  return true;
+}
+
+static void
+on_listener_failed (void *context)
+{
+  (void)context;
+  az_http_limits_count (AZ_HTTP_CAUSE_DESCRIPTORS);
+}
+
+/* Before the loop polls: what libh2o reads from now on must be counted. */
+static void
+on_prepare (uv_prepare_t *prepare)
+{
+  struct az_http_server *server = prepare->data;
+
+  az_http_callers_resume (&server->resuming);
+  if (server->is_full && az_http_pool_count (server->pool) < server->connections_max)
+    az_http_listener_resume (server->listener);
+}
+
+static void
+on_check (uv_timer_t *timer)
+{
+  struct az_http_server *server = timer->data;
+  const struct az_http_limits *limits = az_http_limits_get ();
+  int64_t now_ms = (int64_t)uv_now (timer->loop);
+  struct az_http_holder *holder;
+  enum az_http_cause cause;
+
+  while ((holder = az_http_pool_choose_expired (server->pool, limits, now_ms, &cause)))
+    az_http_caller_cut (az_http_caller_from_holder (holder), cause);
+  server->is_short = false;
+  if (!server->stopped)
+    az_http_listener_resume (server->listener);
+  az_http_limits_log (az_http_ledger_process ()->bytes, now_ms);
 }
 
 static void
@@ -256,25 +343,45 @@
 }
 
 static void
-listener_closed (uv_handle_t *handle)
+on_listener_closed (void *context)
 {
-  struct az_http_server *server = handle->data;
+  struct az_http_server *server = context;
 
   server->listener_closed = true;
   dispose_if_unused (server);
 }
 
-static int
-start_listening (struct az_http_server *server, struct sockaddr_storage *bound)
+static void
+start_handles (struct az_http_server *server, uv_loop_t *loop)
 {
-  int length = sizeof *bound;
-  int status = uv_tcp_bind (&server->listener, (struct sockaddr *)bound, 0);
+  uv_timer_init (loop, &server->close_timer);
+  uv_timer_init (loop, &server->check_timer);
+  uv_prepare_init (loop, &server->prepare);
+  server->close_timer.data = server->check_timer.data = server->prepare.data = server;
+  server->n_open_handles = 3;
+  uv_timer_start (&server->check_timer, on_check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
+  uv_prepare_start (&server->prepare, on_prepare);
+  uv_unref ((uv_handle_t *)&server->prepare);
+}
 
-  if (status == 0)
-    status = uv_listen ((uv_stream_t *)&server->listener, BACKLOG, on_connection);
-  if (status == 0)
-    status = uv_tcp_getsockname (&server->listener, (struct sockaddr *)bound, &length);
-  return status;
+static struct az_http_server *
+create_server (uv_loop_t *loop, size_t max_body, const struct az_http_handlers *handlers)
+{
+  struct az_http_server *server = g_new0 (struct az_http_server, 1);
+  const struct az_http_listener_owner owner
+      = { on_connection, on_listener_failed, on_listener_closed, server };
+  const struct az_http_limits *limits = az_http_limits_get ();
+
+  server->handlers = *handlers;
+  server->requests = az_table_rows_create (sizeof (struct pending));
+  server->callers = g_hash_table_new (NULL, NULL);
+  server->pool = az_http_pool_create (az_http_ledger_process ());
+  server->connections_max = max_body > 0 ? limits->connections_max : limits->status_connections_max;
+  init_configuration (server, max_body);
+  h2o_context_init (&server->context, loop, &server->configuration);
+  server->listener = az_http_listener_create (loop, &owner);
+  start_handles (server, loop);
+  return server;
 }
 
 struct az_http_server *
@@ -293,17 +400,9 @@
       g_set_error (error, AZ_HTTP_ERROR, 0, "%s: not a numeric address and port", address);
       return NULL;
     }
-  server = g_new0 (struct az_http_server, 1);
   az_broken_pipe_ignore ();
-  server->handlers = *handlers;
-  server->requests = az_table_rows_create (sizeof (struct pending));
-  server->callers = g_hash_table_new (NULL, NULL);
-  init_configuration (server, max_body);
-  h2o_context_init (&server->context, loop, &server->configuration);
-  uv_tcp_init (loop, &server->listener);
-  uv_timer_init (loop, &server->close_timer);
-  server->listener.data = server->close_timer.data = server;
-  status = start_listening (server, &bound);
+  server = create_server (loop, max_body, handlers);
+  status = az_http_listener_open (server->listener, &bound);
   if (status < 0)
     {
       g_set_error (error, AZ_HTTP_ERROR, 0, "%s: %s", address, uv_strerror (status));
@@ -385,7 +484,7 @@
   if (server->stopped)
     return;
   server->stopped = true;
-  uv_close ((uv_handle_t *)&server->listener, listener_closed);
+  az_http_listener_close (server->listener);
 }
 
 static void
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -98,6 +98,7 @@
   };
 
   program->counters = az_counters_create ();
+  az_http_limits_set (&program->options->limits, program->counters);
   program->sidecar = az_sidecar_create (&settings, az_generate_incarnation (), az_clock_system (),
                                         &io, program->counters);
 }
@@ -157,6 +158,7 @@
       exit_code = AZ_EXIT_FAILURE;
     }
   az_sidecar_destroy (program.sidecar);
+  az_http_limits_clear_counters ();
   az_counters_destroy (program.counters);
   az_settings_watch_close (&program.settings);
   az_links_destroy (program.links);
