Limit the responses that clients of a process read at once

A response of up to 64 MiB was read on each connection to the store, an upstream or another server, so two of them could exhaust a gateway with 120 MB. All responses being read now share a quarter of the memory; the request whose response exceeds it ends as lost. An idle connection gives up a large buffer at once instead of at its next request.

--- a/include/azurerock/http_limits.h
+++ b/include/azurerock/http_limits.h
@@ -20,6 +20,8 @@
   int64_t body_timeout_ms;
 };
 
+/* offsetof() takes no parentheses around the member.
+ * NOLINTBEGIN(bugprone-macro-parentheses) */
 /* clang-format off */
 #define AZ_HTTP_LIMIT_SETTING(type, limits, name, minimum, maximum, help) \
   { #name, AZ_SETTING_INTEGER, offsetof (struct type, limits.name), false, minimum, maximum, help }
@@ -39,6 +41,7 @@
   AZ_HTTP_LIMIT_SETTING (type, limits, body_timeout_ms, 100, 3600000,              \
     "time that the body of a request may take, or a caller to read an answer")
 /* clang-format on */
+/* NOLINTEND(bugprone-macro-parentheses) */
 
 /** az_http_limits_set - sets the limits of all HTTP listeners of this process
  * @counters: for the connections that a limit closes, until az_http_limits_clear_counters()
--- a/src/net/http_connection.c
+++ b/src/net/http_connection.c
@@ -1,4 +1,5 @@
 #include "net/http_connection.h"
+#include "net/http_limits.h"
 
 #define READ_BUFFER_BYTES 65536
 
@@ -11,11 +12,22 @@
   struct az_http_exchange *exchange; /* NULL while idle */
   GByteArray *pending_write;         /* request that uv_write() has not finished, or NULL */
   struct az_http_reader reader;
+  size_t held_bytes; /* part of @response_bytes */
   bool is_open;
   bool is_refused;
   bool is_closing;
 };
 
+/* Bytes of the responses that all connections of the process are reading. */
+static size_t response_bytes;
+
+static void
+set_held_bytes (struct az_http_connection *connection, size_t bytes)
+{
+  response_bytes += bytes - connection->held_bytes;
+  connection->held_bytes = bytes;
+}
+
 static void
 free_connection (uv_handle_t *handle)
 {
@@ -36,6 +48,7 @@
   if (connection->is_closing)
     return;
   connection->is_closing = true;
+  set_held_bytes (connection, 0);
   uv_close ((uv_handle_t *)&connection->tcp, free_connection);
 }
 
@@ -88,13 +101,22 @@
   is_reusable = is_reusable && !connection->pending_write;
   if (!is_reusable)
     az_http_connection_drop (connection);
+  set_held_bytes (connection, 0);
   owner->answered (owner->context, exchange, &connection->reader);
+  az_http_reader_reset (&connection->reader, false);
   if (is_reusable && !connection->is_closing)
     owner->idle (owner->context, connection, false);
   else if (!is_reusable)
     owner->closed (owner->context, connection, NULL, "connection not kept alive");
 }
 
+static bool
+is_over_limit (struct az_http_connection *connection)
+{
+  set_held_bytes (connection, connection->reader.data->len);
+  return response_bytes > az_http_limits_get ()->response_buffer_bytes;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -118,6 +140,8 @@
   else if (progress == AZ_HTTP_MALFORMED)
     close_connection (connection,
                       length < 0 ? "connection closed before the response" : "malformed response");
+  else if (is_over_limit (connection))
+    close_connection (connection, "the responses that are read exceed the memory for them");
 }
 
 static void
--- a/src/net/http_limits.c
+++ b/src/net/http_limits.c
@@ -5,7 +5,8 @@
 
 #define MIB 1048576
 
-/* The part of the memory that requests and answers may hold. */
+/* The part of the memory that requests and answers of listeners may hold, and the part that
+ * responses to the clients of this process may. */
 #define BUFFER_PART 4
 
 #define FILE_DESCRIPTORS 200
@@ -91,6 +92,7 @@
   limits.request_buffer_bytes = options->request_buffer_mb
                                     ? (size_t)options->request_buffer_mb * MIB
                                     : (size_t)(memory_bytes / BUFFER_PART);
+  limits.response_buffer_bytes = (size_t)(memory_bytes / BUFFER_PART);
   limits.connections_max = default_connections (descriptors);
   if (options->connections_max)
     limits.connections_max = (unsigned)options->connections_max;
--- a/src/net/http_limits.h
+++ b/src/net/http_limits.h
@@ -19,10 +19,15 @@
   AZ_HTTP_N_CAUSES,
 };
 
-/** struct az_http_limits - limits in force */
+/**
+ * struct az_http_limits - limits in force
+ * @request_buffer_bytes: for requests and unread answers of all listeners
+ * @response_buffer_bytes: for responses that all clients of this process are reading
+ */
 struct az_http_limits
 {
   size_t request_buffer_bytes;
+  size_t response_buffer_bytes;
   unsigned connections_max;        /* of a listener that takes requests with bodies */
   unsigned status_connections_max; /* of each other listener: readiness and metrics */
   int64_t head_timeout_ms;
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,4 +1,5 @@
 #include "azurerock/http_client.h"
+#include "azurerock/http_limits.h"
 #include "net_testing.h"
 #include "testing.h"
 #include <glib.h>
@@ -329,6 +330,38 @@
   close (server);
 }
 
+/* Guards against memory exhausted by responses whose length isn't announced, and against a later
+ * request that fails because of them. */
+static void
+test_responses_over_the_memory (void **state)
+{
+  const struct az_http_limit_options limits = { .memory_mb = 1 };
+  const struct az_http_limit_options defaults = { 0 };
+  struct fixture *fixture = *state;
+  char piece[10001] = "";
+  int server;
+  int n_pieces = 0;
+
+  az_http_limits_set (&limits, NULL);
+  memset (piece, 'x', sizeof piece - 1);
+  request (fixture, "one", TIMEOUT_MS);
+  accept_request (fixture, "one", &server);
+  for (net_write (server, "HTTP/1.1 200 OK\r\n\r\n"); fixture->done == 0; n_pieces++)
+    {
+      net_write (server, piece);
+      net_run_for (&fixture->loop, 1);
+    }
+  assert_in_range (n_pieces, 20, 30);
+  expect_result (fixture, 1, AZ_HTTP_LOST);
+  close (server);
+  request (fixture, "two", TIMEOUT_MS);
+  accept_request (fixture, "two", &server);
+  net_write (server, "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx");
+  expect_result (fixture, 2, AZ_HTTP_ANSWERED);
+  close (server);
+  az_http_limits_set (&defaults, NULL);
+}
+
 /* Guards against requests whose callback is not called when the client is destroyed, and against
  * use of the destroyed client. An address that is not numeric is also reported by the callback. */
 static void
@@ -382,6 +415,7 @@
     TEST (test_request_that_waited_too_long_is_not_sent),
     TEST (test_chunked_response_in_single_bytes),
     TEST (test_ambiguous_responses),
+    TEST (test_responses_over_the_memory),
     TEST (test_destroy_ends_requests),
   };
 
