Close no connection for room before its request was read

When more callers connected in one iteration of the loop than there was room for, the oldest was closed although its request had arrived (test_burst_is_served: 1 of 20 callers closed). A full listener now pauses, and a connection is closed for the next one only after the loop has polled it. Unread answers are checked against the budget when they are sent, and an answer that the system has taken whole no longer counts as unread.

--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -290,8 +290,13 @@
 az_http_caller_answered (struct az_http_caller *caller)
 {
   caller->request_handle = 0;
-  if (caller->socket && caller->has_request)
-    set_phase (caller, AZ_HTTP_ANSWER);
+  if (!caller->socket || !caller->has_request)
+    return;
+  /* Otherwise libh2o only waits for the next iteration of the loop to end the request. */
+  if (uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp) == 0)
+    return;
+  set_phase (caller, AZ_HTTP_ANSWER);
+  limit_bytes (caller);
 }
 
 void
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -107,6 +107,12 @@
   return pool->phases[phase].head ? pool->phases[phase].head->data : NULL;
 }
 
+bool
+az_http_pool_is_closing (const struct az_http_pool *pool)
+{
+  return first (pool, AZ_HTTP_CUT) != NULL;
+}
+
 struct az_http_holder *
 az_http_pool_choose_for_room (const struct az_http_pool *pool)
 {
@@ -114,6 +120,8 @@
       = { AZ_HTTP_IDLE, AZ_HTTP_HEAD, AZ_HTTP_BODY, AZ_HTTP_ANSWER };
   struct az_http_holder *chosen = first (pool, AZ_HTTP_NEW);
 
+  if (az_http_pool_is_closing (pool))
+    return NULL;
   if (chosen)
     return chosen;
   for (size_t i = 0; i < G_N_ELEMENTS (phases); i++)
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -70,11 +70,15 @@
                      size_t bytes,
                      int64_t now_ms);
 
+/** az_http_pool_is_closing - whether a connection is being closed because of a limit */
+bool
+az_http_pool_is_closing (const struct az_http_pool *pool);
+
 /**
  * az_http_pool_choose_for_room - the connection to close for a new one
  *
  * Return: the oldest one without any request, else the one that is in its phase for longest; NULL
- * if all have requests in progress.
+ * if all have requests in progress, or one is being closed already.
  */
 struct az_http_holder *
 az_http_pool_choose_for_room (const struct az_http_pool *pool);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -35,6 +35,8 @@
   uv_timer_t close_timer;
   uv_timer_t check_timer;
   uv_prepare_t prepare;
+  uv_check_t after_poll;
+  uv_idle_t wake; /* lets the loop poll again without waiting */
   unsigned n_open_handles;
   h2o_globalconf_t configuration;
   h2o_context_t context;
@@ -44,9 +46,11 @@
   GHashTable *callers;
   struct az_http_pool *pool;
   unsigned connections_max;
-  GQueue resuming; /* callers from which libh2o may read again */
-  bool is_full;    /* a connection waits for room */
-  bool is_short;   /* the system gave no descriptor; accept nothing until the next check */
+  GQueue resuming;   /* callers from which libh2o may read again */
+  bool is_full;      /* a connection waits for room */
+  bool is_busy;      /* and no other one can be closed for it */
+  bool has_accepted; /* since the loop has polled; the connection hasn't been read from yet */
+  bool is_short;     /* the system gave no descriptor; accept nothing until the next check */
   char *local_address;
   bool closes_after_response;
   bool stopped; /* the listener is closed or closing */
@@ -100,6 +104,8 @@
   uv_close ((uv_handle_t *)timer, free_server);
   uv_close ((uv_handle_t *)&server->check_timer, free_server);
   uv_close ((uv_handle_t *)&server->prepare, free_server);
+  uv_close ((uv_handle_t *)&server->after_poll, free_server);
+  uv_close ((uv_handle_t *)&server->wake, free_server);
 }
 
 static void
@@ -249,20 +255,24 @@
   return 0;
 }
 
-/* Closes another connection if the limit is reached. */
 static bool
-make_room (struct az_http_server *server)
+has_room (const struct az_http_server *server)
 {
-  struct az_http_holder *holder;
+  return az_http_pool_count (server->pool) < server->connections_max;
+}
+
+static void
+close_for_room (struct az_http_server *server)
+{
+  struct az_http_holder *holder = az_http_pool_choose_for_room (server->pool);
 
-  if (az_http_pool_count (server->pool) < server->connections_max)
-    return true;
-  holder = az_http_pool_choose_for_room (server->pool);
   if (holder)
     az_http_caller_cut (az_http_caller_from_holder (holder), AZ_HTTP_CAUSE_CONNECTIONS);
-  else if (!server->is_full)
-    az_http_limits_count (AZ_HTTP_CAUSE_FULL);
-  return az_http_pool_count (server->pool) < server->connections_max;
+  else if (!server->is_busy && !az_http_pool_is_closing (server->pool))
+    {
+      az_http_limits_count (AZ_HTTP_CAUSE_FULL);
+      server->is_busy = true;
+    }
 }
 
 static bool
@@ -273,13 +283,12 @@
       = { on_caller_disconnected, on_caller_freed, server, server->pool, &server->resuming };
   struct az_http_caller *caller;
 
-  if (server->is_short)
-    return false;
-  server->is_full = !make_room (server);
-  if (server->is_full)
+  server->is_full = !has_room (server);
+  if (server->is_full || server->is_short)
     return false;
   caller = az_http_caller_accept (stream, &server->accept, &owner);
   server->is_short = !caller;
+  server->has_accepted = true;
   if (caller)
     g_hash_table_add (server->callers, caller);
   return true;
@@ -299,8 +308,34 @@
   struct az_http_server *server = prepare->data;
 
   az_http_callers_resume (&server->resuming);
-  if (server->is_full && az_http_pool_count (server->pool) < server->connections_max)
-    az_http_listener_resume (server->listener);
+}
+
+static void
+on_wake (uv_idle_t *wake)
+{
+  (void)wake;
+}
+
+/* A connection without a request is only closed for another one after the loop has polled it, as
+ * its request may have arrived with it. */
+static void
+on_polled (uv_check_t *check)
+{
+  struct az_http_server *server = check->data;
+  bool has_accepted = server->has_accepted;
+
+  server->has_accepted = false;
+  uv_idle_stop (&server->wake);
+  if (!server->is_full || server->stopped)
+    return;
+  if (has_accepted)
+    uv_idle_start (&server->wake, on_wake);
+  else if (!has_room (server))
+    close_for_room (server);
+  if (!has_room (server))
+    return;
+  server->is_busy = false;
+  az_http_listener_resume (server->listener);
 }
 
 static void
@@ -357,11 +392,17 @@
   uv_timer_init (loop, &server->close_timer);
   uv_timer_init (loop, &server->check_timer);
   uv_prepare_init (loop, &server->prepare);
-  server->close_timer.data = server->check_timer.data = server->prepare.data = server;
-  server->n_open_handles = 3;
+  uv_check_init (loop, &server->after_poll);
+  uv_idle_init (loop, &server->wake);
+  server->close_timer.data = server->check_timer.data = server;
+  server->prepare.data = server->after_poll.data = server;
+  server->wake.data = server;
+  server->n_open_handles = 5;
   uv_timer_start (&server->check_timer, on_check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
   uv_prepare_start (&server->prepare, on_prepare);
+  uv_check_start (&server->after_poll, on_polled);
   uv_unref ((uv_handle_t *)&server->prepare);
+  uv_unref ((uv_handle_t *)&server->after_poll);
 }
 
 static struct az_http_server *
--- a/tests/limits_testing.py
+++ b/tests/limits_testing.py
@@ -87,7 +87,8 @@
         store = "%s:%d" % (HOST, self.store.port)
         if program == "entry":
             self.ports[3] = self.ports[0]
-            return {"http_address": addresses[0], "rpc_address": addresses[2], "store": store}
+            return {"http_address": addresses[0], "rpc_address": addresses[2],
+                    "store": addresses[1]}  # where nothing listens
         values = {"seeds": [], "seed_port": self.ports[2], "store_address": store, "grace_s": 1,
                   "metrics_address": addresses[3]}
         if program == "sidecar":
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -102,6 +102,9 @@
   assert_ptr_equal (az_http_pool_choose_for_room (fixture->pool), &holders[2]);
   az_http_pool_update (&holders[2], AZ_HTTP_BODY, 100, 60);
   assert_ptr_equal (az_http_pool_choose_for_room (fixture->pool), &holders[0]);
+  az_http_pool_update (&holders[1], AZ_HTTP_CUT, 100, 65);
+  assert_null (az_http_pool_choose_for_room (fixture->pool));
+  az_http_pool_remove (&holders[1]);
   az_http_pool_update (&holders[0], AZ_HTTP_RUNNING, 100, 70);
   az_http_pool_update (&holders[2], AZ_HTTP_RUNNING, 100, 70);
   assert_null (az_http_pool_choose_for_room (fixture->pool));
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -10,6 +10,9 @@
 #define TIMEOUT_MS 400
 #define PIECE_BYTES 8192
 
+/* More than the system buffers for a connection. */
+static char answer_text[8 << 20] = "done\n";
+
 struct fixture
 {
   uv_loop_t loop;
@@ -18,6 +21,7 @@
   int n_requests;
   uint32_t handles[16];
   size_t last_body_length;
+  size_t answer_length;
   bool answer;
 };
 
@@ -29,7 +33,8 @@
   fixture->handles[fixture->n_requests++ % 16] = request->handle;
   fixture->last_body_length = request->body_length;
   if (fixture->answer)
-    az_http_server_respond (fixture->server, request->handle, 200, "text/plain", "done\n", 5);
+    az_http_server_respond (fixture->server, request->handle, 200, "text/plain", answer_text,
+                            fixture->answer_length);
 }
 
 static void
@@ -51,6 +56,7 @@
 
   uv_loop_init (&fixture->loop);
   fixture->answer = true;
+  fixture->answer_length = 5;
   fixture->counters = az_counters_create ();
   az_http_limits_set (&limits, fixture->counters);
   fixture->server
@@ -219,6 +225,53 @@
     close (callers[i]);
 }
 
+/* Guards against callers closed unserved when more connect in one iteration of the loop than there
+ * is room for: none is closed before its request was read. */
+static void
+test_burst_is_served (void **state)
+{
+  struct fixture *fixture = *state;
+  int callers[5 * CONNECTIONS_MAX];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      callers[i] = net_connect (az_http_server_local_address (fixture->server));
+      net_write (callers[i], "GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      net_read_until (&fixture->loop, callers[i], "done\n");
+      close (callers[i]);
+    }
+  assert_int_equal (fixture->n_requests, G_N_ELEMENTS (callers));
+}
+
+/* Guards against memory exhausted by answers that callers don't read, and against a caller that
+ * isn't served meanwhile. */
+static void
+test_unread_answers (void **state)
+{
+  struct fixture *fixture = *state;
+  int callers[CONNECTIONS_MAX];
+
+  fixture->answer_length = sizeof answer_text;
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      callers[i] = connect_caller (fixture);
+      net_write (callers[i], "GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+      net_run_for (&fixture->loop, 10);
+    }
+  assert_int_equal (fixture->n_requests, CONNECTIONS_MAX);
+  assert_int_equal (count (fixture, "memory"), CONNECTIONS_MAX);
+  fixture->answer_length = 5;
+  close (callers[0]);
+  callers[0] = connect_caller (fixture);
+  net_write (callers[0], "GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+  net_read_until (&fixture->loop, callers[0], "done\n");
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    close (callers[i]);
+}
+
 /* Guards against later requests of a connection without time limits, and a request after "100
  * Continue" without them: libh2o sets its read callback again. */
 static void
@@ -271,9 +324,14 @@
 {
 #define TEST(name) cmocka_unit_test_setup_teardown (name, setup, teardown)
   const struct CMUnitTest tests[] = {
-    TEST (test_clients_inside_the_limits_are_served), TEST (test_request_in_progress_is_not_cut),
-    TEST (test_idle_connection_gives_room),           TEST (test_full_listener_pauses),
-    TEST (test_time_limits_apply_to_later_reads),     TEST (test_continued_request_is_served),
+    TEST (test_clients_inside_the_limits_are_served),
+    TEST (test_request_in_progress_is_not_cut),
+    TEST (test_idle_connection_gives_room),
+    TEST (test_full_listener_pauses),
+    TEST (test_burst_is_served),
+    TEST (test_unread_answers),
+    TEST (test_time_limits_apply_to_later_reads),
+    TEST (test_continued_request_is_served),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_limits_connections.py
+++ b/tests/test_limits_connections.py
@@ -1,14 +1,18 @@
 #!/usr/bin/env python3
 """Tests a gateway whose clients hold connections with unfinished heads, without requests or with
 answers that they don't read."""
+import resource
+import socket
 import unittest
 
-from limits_testing import ORDINARY, Crowd, LimitsTestCase, ask
+from limits_testing import (ANSWER_TIMEOUT_S, DESCRIPTORS_MAX, HOST, METRICS, ORDINARY, Crowd,
+                            LimitsTestCase, ask)
 
 N_CLIENTS = 100  # that exceed the descriptors if each has two
 N_LONG_HEADS = 64
 MANY_DESCRIPTORS = 1024
 MANY_DESCRIPTORS_OPEN = 800
+N_FEW = 10
 N_PIPELINED = 20000
 PLAY_S = 2
 
@@ -55,6 +59,27 @@
         self.play(crowd, PLAY_S)
         self.check(crowd)
 
+    def limit_descriptors(self, number):
+        resource.prlimit(self.process.process.pid, resource.RLIMIT_NOFILE,
+                         (number, DESCRIPTORS_MAX))
+
+    def test_no_descriptor_left(self):
+        """Guards against an event loop that tries to accept without end when the system has no
+        descriptor for a connection, and against a listener that stays closed afterwards."""
+        port = self.start()
+        with socket.create_connection((HOST, self.process.ports[3]), ANSWER_TIMEOUT_S) as client:
+            client.sendall(METRICS)
+            self.assertIn(b"200 OK", client.recv(65536))
+            self.limit_descriptors(3)
+            crowd = Crowd(port, N_FEW, b"")
+            self.play(crowd, PLAY_S)
+            client.sendall(METRICS)
+            answer = client.recv(65536)
+            self.limit_descriptors(DESCRIPTORS_MAX)
+            self.play(crowd, PLAY_S)
+            self.check(crowd)
+            self.assertIn(b"200 OK", answer)
+
 
 if __name__ == "__main__":
     unittest.main()
