--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -163,6 +163,19 @@
   return NULL;
 }
 
+void
+az_http_pool_postpone (struct az_http_pool *pool, int64_t by_ms)
+{
+  for (int phase = 0; phase < AZ_HTTP_N_PHASES; phase++)
+    for (GList *link = pool->phases[phase].head; link; link = link->next)
+      {
+        struct az_http_holder *holder = link->data;
+
+        holder->since_ms += by_ms;
+        holder->held_since_ms += by_ms;
+      }
+}
+
 static uint64_t
 weight (const struct az_http_holder *holder, int64_t now_ms)
 {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -18,6 +18,10 @@
 /* How often time limits are checked, and how often a paused listener tries again. */
 #define CHECK_INTERVAL_MS 100
 
+/* A check that is later than this indicates that the process was paused. What callers sent
+ * meanwhile hasn't been read yet. */
+#define PAUSE_THRESHOLD_MS 500
+
 /* Common non-IANA status for a caller that disconnected before the response. */
 #define STATUS_CLIENT_CLOSED_REQUEST 499
 
@@ -37,6 +41,7 @@
   uv_prepare_t prepare;
   uv_check_t after_poll;
   uv_idle_t wake; /* lets the loop poll again without waiting */
+  int64_t checked_ms;
   unsigned n_open_handles;
   h2o_globalconf_t configuration;
   h2o_context_t context;
@@ -338,6 +343,16 @@
   az_http_listener_resume (server->listener);
 }
 
+static void
+allow_for_pause (struct az_http_server *server, int64_t now_ms)
+{
+  int64_t late_ms = now_ms - server->checked_ms - CHECK_INTERVAL_MS;
+
+  server->checked_ms = now_ms;
+  if (late_ms > PAUSE_THRESHOLD_MS)
+    az_http_pool_postpone (server->pool, late_ms);
+}
+
 static void
 on_check (uv_timer_t *timer)
 {
@@ -347,6 +362,7 @@
   struct az_http_holder *holder;
   enum az_http_cause cause;
 
+  allow_for_pause (server, now_ms);
   while ((holder = az_http_pool_choose_expired (server->pool, limits, now_ms, &cause)))
     az_http_caller_cut (az_http_caller_from_holder (holder), cause);
   server->is_short = false;
@@ -398,6 +414,7 @@
   server->prepare.data = server->after_poll.data = server;
   server->wake.data = server;
   server->n_open_handles = 5;
+  server->checked_ms = (int64_t)uv_now (loop);
   uv_timer_start (&server->check_timer, on_check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
   uv_prepare_start (&server->prepare, on_prepare);
   uv_check_start (&server->after_poll, on_polled);
--- a/tests/test_http_server_limits.c
+++ b/tests/test_http_server_limits.c
@@ -8,6 +8,7 @@
 #define MAX_BODY 262144
 #define CONNECTIONS_MAX 4
 #define TIMEOUT_MS 400
+#define PAUSE_MS 1500
 #define PIECE_BYTES 8192
 
 /* More than the system buffers for a connection. */
@@ -303,6 +304,22 @@
   close (continued);
 }
 
+/* Guards against closing the connection of a caller whose request arrived while the process was
+ * paused. */
+static void
+test_time_limits_allow_for_a_pause (void **state)
+{
+  struct fixture *fixture = *state;
+  int caller = connect_caller (fixture);
+
+  net_write (caller, "GET / HTTP/1.1\r\nhost:");
+  net_run_for (&fixture->loop, 10);
+  net_write (caller, " h\r\n\r\n");
+  uv_sleep (PAUSE_MS);
+  net_read_until (&fixture->loop, caller, "done\n");
+  close (caller);
+}
+
 /* Guards against a request with "100 Continue" that is cut although it is complete in time. */
 static void
 test_continued_request_is_served (void **state)
@@ -331,6 +348,7 @@
     TEST (test_burst_is_served),
     TEST (test_unread_answers),
     TEST (test_time_limits_apply_to_later_reads),
+    TEST (test_time_limits_allow_for_a_pause),
     TEST (test_continued_request_is_served),
   };
 
