--- a/include/azurerock/http_limits.h
+++ b/include/azurerock/http_limits.h
@@ -12,7 +12,7 @@
  */
 struct az_http_limit_options
 {
-  int64_t memory_mb;
+  double memory_mb;
   int64_t descriptors_max;
   int64_t request_buffer_mb;
   int64_t connections_max;
@@ -23,22 +23,22 @@
 /* offsetof() takes no parentheses around the member.
  * NOLINTBEGIN(bugprone-macro-parentheses) */
 /* clang-format off */
-#define AZ_HTTP_LIMIT_SETTING(type, limits, name, minimum, maximum, help) \
-  { #name, AZ_SETTING_INTEGER, offsetof (struct type, limits.name), false, minimum, maximum, help }
+#define AZ_HTTP_LIMIT_SETTING(kind, type, limits, name, minimum, maximum, help) \
+  { #name, AZ_SETTING_##kind, offsetof (struct type, limits.name), false, minimum, maximum, help }
 
 /** AZ_HTTP_LIMIT_SETTINGS - rows of a schema for the member @limits of struct @type */
-#define AZ_HTTP_LIMIT_SETTINGS(type, limits)                                       \
-  AZ_HTTP_LIMIT_SETTING (type, limits, memory_mb, 0, G_MAXINT32,                   \
-    "memory that the machine gives this process, in MiB; 0: what the system says"), \
-  AZ_HTTP_LIMIT_SETTING (type, limits, descriptors_max, 0, G_MAXINT64,             \
+#define AZ_HTTP_LIMIT_SETTINGS(type, limits)                                         \
+  AZ_HTTP_LIMIT_SETTING (NUMBER, type, limits, memory_mb, 0, G_MAXINT32,             \
+    "memory that the machine gives this process, in MiB; 0: what the system says"),  \
+  AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, descriptors_max, 0, G_MAXINT64,      \
     "descriptors that the machine lets this process open; 0: what the system says"), \
-  AZ_HTTP_LIMIT_SETTING (type, limits, request_buffer_mb, 1, G_MAXINT32,             \
-    "memory for requests and for answers that callers haven't read yet, in MiB"),  \
-  AZ_HTTP_LIMIT_SETTING (type, limits, connections_max, 1, 524288,                 \
-    "connections of callers that are open at once"),                               \
-  AZ_HTTP_LIMIT_SETTING (type, limits, head_timeout_ms, 100, 3600000,              \
-    "time that the head of a request may take"),                                   \
-  AZ_HTTP_LIMIT_SETTING (type, limits, body_timeout_ms, 100, 3600000,              \
+  AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, request_buffer_mb, 1, G_MAXINT32,    \
+    "memory for requests and for answers that callers haven't read yet, in MiB"),    \
+  AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, connections_max, 1, 524288,          \
+    "connections of callers that are open at once"),                                 \
+  AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, head_timeout_ms, 100, 3600000,       \
+    "time that the head of a request may take"),                                     \
+  AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, body_timeout_ms, 100, 3600000,       \
     "time that the body of a request may take, or a caller to read an answer")
 /* clang-format on */
 /* NOLINTEND(bugprone-macro-parentheses) */
--- a/src/net/http_limits.c
+++ b/src/net/http_limits.c
@@ -8,6 +8,7 @@
 /* The part of the memory that requests and answers of listeners may hold, and the part that
  * responses to the clients of this process may. */
 #define BUFFER_PART 4
+#define BUFFER_MIN_BYTES MIB
 
 #define FILE_DESCRIPTORS 200
 #define SESSION_DESCRIPTORS 1024
@@ -85,14 +86,14 @@
     .body_timeout_ms = options->body_timeout_ms ? options->body_timeout_ms : BODY_TIMEOUT_MS,
   };
 
-  if (options->memory_mb)
-    memory_bytes = (uint64_t)options->memory_mb * MIB;
+  if (options->memory_mb > 0)
+    memory_bytes = (uint64_t)(options->memory_mb * MIB);
   if (options->descriptors_max)
     descriptors = MIN (descriptors, (uint64_t)options->descriptors_max);
+  limits.response_buffer_bytes = (size_t)MAX (memory_bytes / BUFFER_PART, BUFFER_MIN_BYTES);
   limits.request_buffer_bytes = options->request_buffer_mb
                                     ? (size_t)options->request_buffer_mb * MIB
-                                    : (size_t)(memory_bytes / BUFFER_PART);
-  limits.response_buffer_bytes = (size_t)(memory_bytes / BUFFER_PART);
+                                    : limits.response_buffer_bytes;
   limits.connections_max = default_connections (descriptors);
   if (options->connections_max)
     limits.connections_max = (unsigned)options->connections_max;
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -19,8 +19,11 @@
   assert_int_equal (limits.status_connections_max, 32);
   assert_int_equal (limits.head_timeout_ms, 10000);
   assert_int_equal (limits.body_timeout_ms, 20000);
+  assert_int_equal (limits.response_buffer_bytes, 30 << 20);
+  options.memory_mb = 0.5;
   options.descriptors_max = 128;
   limits = az_http_limits_compute (&options, GIB, 1048576);
+  assert_int_equal (limits.request_buffer_bytes, 1 << 20);
   assert_int_equal (limits.connections_max, 32);
   assert_int_equal (limits.status_connections_max, 4);
   limits = az_http_limits_compute (&defaults, GIB, 128);
