Move the limits of a listener's connections to a file of their own

src/net/http_server.c keeps requests and responses; http_admission.c has the listener, its pool of connections, and the hooks of the event loop. No change of behaviour.

--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -25,7 +25,7 @@
   h2o_socket_t *socket; /* NULL after libh2o has closed it */
   h2o_socket_cb read;
   struct az_http_holder holder;
-  GList resume_link; /* in @owner.resuming if its data is set */
+  GList resume_link; /* in the admission's queue if its data is set */
   size_t searched;   /* bytes of the head in which its end was searched for */
   bool has_head;     /* the head of the unfinished request is complete */
   bool has_request;  /* libh2o has a request whose handle was or is in the server's table */
@@ -52,7 +52,8 @@
   if (caller->resume_link.data)
     return;
   caller->resume_link.data = caller;
-  g_queue_push_tail_link (caller->owner.resuming, &caller->resume_link);
+  g_queue_push_tail_link (az_http_admission_resuming (caller->owner.admission),
+                          &caller->resume_link);
 }
 
 static void
@@ -61,7 +62,7 @@
   if (!caller->resume_link.data)
     return;
   caller->resume_link.data = NULL;
-  g_queue_unlink (caller->owner.resuming, &caller->resume_link);
+  g_queue_unlink (az_http_admission_resuming (caller->owner.admission), &caller->resume_link);
 }
 
 /* Runs when libh2o closes the connection. libh2o closes the TCP handle itself afterwards. */
@@ -259,7 +260,7 @@
   caller->socket = h2o_uv_socket_create ((uv_stream_t *)&caller->tcp, on_handle_closed);
   caller->socket->on_close.cb = on_socket_closed;
   caller->socket->on_close.data = caller;
-  az_http_pool_add (owner->pool, &caller->holder, now_ms (caller));
+  az_http_pool_add (az_http_admission_pool (owner->admission), &caller->holder, now_ms (caller));
   h2o_accept (accept, caller->socket);
   observe (caller);
   return caller;
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -1,7 +1,7 @@
 #ifndef AZUREROCK_NET_HTTP_CALLER_H
 #define AZUREROCK_NET_HTTP_CALLER_H
 
-#include "net/http_pool.h"
+#include "net/http_admission.h"
 #include <h2o.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -13,16 +13,14 @@
  * struct az_http_caller_owner - callbacks of the server
  * @disconnected: the caller disconnected while request @handle had no response yet
  * @freed: @caller is about to be freed; no callback follows
- * @pool: connections of this listener
- * @resuming: callers from which libh2o may read again; for az_http_callers_resume()
+ * @admission: limits of the listener
  */
 struct az_http_caller_owner
 {
   void (*disconnected) (void *context, uint32_t handle);
   void (*freed) (void *context, struct az_http_caller *caller);
   void *context;
-  struct az_http_pool *pool;
-  GQueue *resuming;
+  struct az_http_admission *admission;
 };
 
 /** az_http_caller_accept - accepts a connection from @listener
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -2,9 +2,8 @@
 #include "azurerock/table.h"
 #include "net/address.h"
 #include "net/broken_pipe.h"
+#include "net/http_admission.h"
 #include "net/http_caller.h"
-#include "net/http_listener.h"
-#include "net/http_pool.h"
 #include <string.h>
 
 /* Keep-alive connections of callers and load balancers may be idle for this long between
@@ -15,13 +14,6 @@
  * servers near the end of their grace period. */
 #define DRAIN_TIMEOUT_MS 100
 
-/* How often time limits are checked, and how often a paused listener tries again. */
-#define CHECK_INTERVAL_MS 100
-
-/* A check that is later than this indicates that the process was paused. What callers sent
- * meanwhile hasn't been read yet. */
-#define PAUSE_THRESHOLD_MS 500
-
 /* Common non-IANA status for a caller that disconnected before the response. */
 #define STATUS_CLIENT_CLOSED_REQUEST 499
 
@@ -35,27 +27,15 @@
 
 struct az_http_server
 {
-  struct az_http_listener *listener;
+  struct az_http_admission *admission;
   uv_timer_t close_timer;
-  uv_timer_t check_timer;
-  uv_prepare_t prepare;
-  uv_check_t after_poll;
-  uv_idle_t wake; /* lets the loop poll again without waiting */
-  int64_t checked_ms;
-  unsigned n_open_handles;
+  unsigned n_open_handles; /* @admission and @close_timer */
   h2o_globalconf_t configuration;
   h2o_context_t context;
   h2o_accept_ctx_t accept;
   struct az_http_handlers handlers;
   struct az_table_rows *requests; /* rows are struct pending */
   GHashTable *callers;
-  struct az_http_pool *pool;
-  unsigned connections_max;
-  GQueue resuming;   /* callers from which libh2o may read again */
-  bool is_full;      /* a connection waits for room */
-  bool is_busy;      /* and no other one can be closed for it */
-  bool has_accepted; /* since the loop has polled; the connection hasn't been read from yet */
-  bool is_short;     /* the system gave no descriptor; accept nothing until the next check */
   char *local_address;
   bool closes_after_response;
   bool stopped; /* the listener is closed or closing */
@@ -85,13 +65,12 @@
 };
 
 static void
-free_server (uv_handle_t *handle)
+on_handle_closed (void *context)
 {
-  struct az_http_server *server = handle->data;
+  struct az_http_server *server = context;
 
   if (--server->n_open_handles > 0)
     return;
-  az_http_pool_destroy (server->pool);
   h2o_config_dispose (&server->configuration);
   az_table_rows_destroy (server->requests);
   g_hash_table_unref (server->callers);
@@ -99,6 +78,12 @@
   g_free (server);
 }
 
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  on_handle_closed (handle->data);
+}
+
 /* h2o_context_dispose() closes handles that are part of the context, so the server is freed one
  * loop iteration later. */
 static void
@@ -106,11 +91,8 @@
 {
   struct az_http_server *server = timer->data;
 
-  uv_close ((uv_handle_t *)timer, free_server);
-  uv_close ((uv_handle_t *)&server->check_timer, free_server);
-  uv_close ((uv_handle_t *)&server->prepare, free_server);
-  uv_close ((uv_handle_t *)&server->after_poll, free_server);
-  uv_close ((uv_handle_t *)&server->wake, free_server);
+  uv_close ((uv_handle_t *)timer, on_timer_closed);
+  az_http_admission_destroy (server->admission);
 }
 
 static void
@@ -260,115 +242,21 @@
   return 0;
 }
 
-static bool
-has_room (const struct az_http_server *server)
-{
-  return az_http_pool_count (server->pool) < server->connections_max;
-}
-
-static void
-close_for_room (struct az_http_server *server)
-{
-  struct az_http_holder *holder = az_http_pool_choose_for_room (server->pool);
-
-  if (holder)
-    az_http_caller_cut (az_http_caller_from_holder (holder), AZ_HTTP_CAUSE_CONNECTIONS);
-  else if (!server->is_busy && !az_http_pool_is_closing (server->pool))
-    {
-      az_http_limits_count (AZ_HTTP_CAUSE_FULL);
-      server->is_busy = true;
-    }
-}
-
 static bool
 on_connection (void *context, uv_stream_t *stream)
 {
   struct az_http_server *server = context;
-  const struct az_http_caller_owner owner
-      = { on_caller_disconnected, on_caller_freed, server, server->pool, &server->resuming };
-  struct az_http_caller *caller;
+  const struct az_http_caller_owner owner = {
+    .disconnected = on_caller_disconnected,
+    .freed = on_caller_freed,
+    .context = server,
+    .admission = server->admission,
+  };
+  struct az_http_caller *caller = az_http_caller_accept (stream, &server->accept, &owner);
 
-  server->is_full = !has_room (server);
-  if (server->is_full || server->is_short)
-    return false;
-  caller = az_http_caller_accept (stream, &server->accept, &owner);
-  server->is_short = !caller;
-  server->has_accepted = true;
   if (caller)
     g_hash_table_add (server->callers, caller);
-  return true;
-}
-
-static void
-on_listener_failed (void *context)
-{
-  (void)context;
-  az_http_limits_count (AZ_HTTP_CAUSE_DESCRIPTORS);
-}
-
-/* Before the loop polls: what libh2o reads from now on must be counted. */
-static void
-on_prepare (uv_prepare_t *prepare)
-{
-  struct az_http_server *server = prepare->data;
-
-  az_http_callers_resume (&server->resuming);
-}
-
-static void
-on_wake (uv_idle_t *wake)
-{
-  (void)wake;
-}
-
-/* A connection without a request is only closed for another one after the loop has polled it, as
- * its request may have arrived with it. */
-static void
-on_polled (uv_check_t *check)
-{
-  struct az_http_server *server = check->data;
-  bool has_accepted = server->has_accepted;
-
-  server->has_accepted = false;
-  uv_idle_stop (&server->wake);
-  if (!server->is_full || server->stopped)
-    return;
-  if (has_accepted)
-    uv_idle_start (&server->wake, on_wake);
-  else if (!has_room (server))
-    close_for_room (server);
-  if (!has_room (server))
-    return;
-  server->is_busy = false;
-  az_http_listener_resume (server->listener);
-}
-
-static void
-allow_for_pause (struct az_http_server *server, int64_t now_ms)
-{
-  int64_t late_ms = now_ms - server->checked_ms - CHECK_INTERVAL_MS;
-
-  server->checked_ms = now_ms;
-  if (late_ms > PAUSE_THRESHOLD_MS)
-    az_http_pool_postpone (server->pool, late_ms);
-}
-
-static void
-on_check (uv_timer_t *timer)
-{
-  struct az_http_server *server = timer->data;
-  const struct az_http_limits *limits = az_http_limits_get ();
-  int64_t now_ms = (int64_t)uv_now (timer->loop);
-  struct az_http_holder *holder;
-  enum az_http_cause cause;
-
-  allow_for_pause (server, now_ms);
-  while ((holder = az_http_pool_choose_expired (server->pool, limits, now_ms, &cause)))
-    az_http_caller_cut (az_http_caller_from_holder (holder), cause);
-  server->is_short = false;
-  if (!server->stopped)
-    az_http_listener_resume (server->listener);
-  az_http_limits_log (az_http_ledger_process ()->bytes, now_ms);
+  return caller != NULL;
 }
 
 static void
@@ -402,43 +290,24 @@
   dispose_if_unused (server);
 }
 
-static void
-start_handles (struct az_http_server *server, uv_loop_t *loop)
-{
-  uv_timer_init (loop, &server->close_timer);
-  uv_timer_init (loop, &server->check_timer);
-  uv_prepare_init (loop, &server->prepare);
-  uv_check_init (loop, &server->after_poll);
-  uv_idle_init (loop, &server->wake);
-  server->close_timer.data = server->check_timer.data = server;
-  server->prepare.data = server->after_poll.data = server;
-  server->wake.data = server;
-  server->n_open_handles = 5;
-  server->checked_ms = (int64_t)uv_now (loop);
-  uv_timer_start (&server->check_timer, on_check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS);
-  uv_prepare_start (&server->prepare, on_prepare);
-  uv_check_start (&server->after_poll, on_polled);
-  uv_unref ((uv_handle_t *)&server->prepare);
-  uv_unref ((uv_handle_t *)&server->after_poll);
-}
-
 static struct az_http_server *
 create_server (uv_loop_t *loop, size_t max_body, const struct az_http_handlers *handlers)
 {
   struct az_http_server *server = g_new0 (struct az_http_server, 1);
-  const struct az_http_listener_owner owner
-      = { on_connection, on_listener_failed, on_listener_closed, server };
+  const struct az_http_admission_owner owner
+      = { on_connection, on_listener_closed, on_handle_closed, server };
   const struct az_http_limits *limits = az_http_limits_get ();
 
   server->handlers = *handlers;
   server->requests = az_table_rows_create (sizeof (struct pending));
   server->callers = g_hash_table_new (NULL, NULL);
-  server->pool = az_http_pool_create (az_http_ledger_process ());
-  server->connections_max = max_body > 0 ? limits->connections_max : limits->status_connections_max;
   init_configuration (server, max_body);
   h2o_context_init (&server->context, loop, &server->configuration);
-  server->listener = az_http_listener_create (loop, &owner);
-  start_handles (server, loop);
+  server->admission = az_http_admission_create (
+      loop, max_body > 0 ? limits->connections_max : limits->status_connections_max, &owner);
+  uv_timer_init (loop, &server->close_timer);
+  server->close_timer.data = server;
+  server->n_open_handles = 2;
   return server;
 }
 
@@ -460,7 +329,7 @@
     }
   az_broken_pipe_ignore ();
   server = create_server (loop, max_body, handlers);
-  status = az_http_listener_open (server->listener, &bound);
+  status = az_http_admission_open (server->admission, &bound);
   if (status < 0)
     {
       g_set_error (error, AZ_HTTP_ERROR, 0, "%s: %s", address, uv_strerror (status));
@@ -542,7 +411,7 @@
   if (server->stopped)
     return;
   server->stopped = true;
-  az_http_listener_close (server->listener);
+  az_http_admission_stop (server->admission);
 }
 
 static void
