Keep descriptors free when connections_max is higher than the system allows

Without a free descriptor libuv accepts and closes all connections that wait, and nobody counts them. A connection is now closed while 24 descriptors are left (8 for readiness and metrics), its listener pauses, and another connection is closed for room. Errors of accept other than lack of descriptors or memory no longer close the listening socket.

--- a/src/net/http_admission.c
+++ b/src/net/http_admission.c
@@ -9,6 +9,11 @@
  * meanwhile hasn't been read yet. */
 #define PAUSE_THRESHOLD_MS 500
 
+/* Descriptors that connections leave free in any case. Without one, libuv closes all connections
+ * that wait in the backlog. Readiness and metrics can use those that callers leave. */
+#define SPARE_DESCRIPTORS 24
+#define STATUS_SPARE_DESCRIPTORS 8
+
 struct az_http_admission
 {
   struct az_http_admission_owner owner;
@@ -21,6 +26,7 @@
   int64_t checked_ms;
   struct az_http_pool *pool;
   unsigned connections_max;
+  int64_t descriptors_max;
   GQueue resuming;
   bool is_full;      /* a connection waits for room */
   bool is_busy;      /* and no other one can be closed for it */
@@ -136,6 +142,8 @@
   allow_for_pause (admission, now_ms);
   while ((holder = az_http_pool_choose_expired (admission->pool, limits, now_ms, &cause)))
     az_http_caller_cut (az_http_caller_from_holder (holder), cause);
+  if (admission->is_short)
+    close_for_room (admission);
   admission->is_short = false;
   if (!admission->is_stopped)
     az_http_listener_resume (admission->listener);
@@ -163,15 +171,18 @@
 
 struct az_http_admission *
 az_http_admission_create (uv_loop_t *loop,
-                          unsigned connections_max,
+                          bool is_status,
                           const struct az_http_admission_owner *owner)
 {
   struct az_http_admission *admission = g_new0 (struct az_http_admission, 1);
+  const struct az_http_limits *limits = az_http_limits_get ();
   const struct az_http_listener_owner listener_owner
       = { on_connection, on_listener_failed, on_listener_closed, admission };
 
   admission->owner = *owner;
-  admission->connections_max = connections_max;
+  admission->connections_max = is_status ? limits->status_connections_max : limits->connections_max;
+  admission->descriptors_max
+      = limits->descriptors - (is_status ? STATUS_SPARE_DESCRIPTORS : SPARE_DESCRIPTORS);
   admission->pool = az_http_pool_create (az_http_ledger_process ());
   admission->listener = az_http_listener_create (loop, &listener_owner);
   start_handles (admission, loop);
@@ -218,6 +229,12 @@
   return admission->pool;
 }
 
+int64_t
+az_http_admission_descriptors_max (const struct az_http_admission *admission)
+{
+  return admission->descriptors_max;
+}
+
 GQueue *
 az_http_admission_resuming (struct az_http_admission *admission)
 {
--- a/src/net/http_admission.h
+++ b/src/net/http_admission.h
@@ -24,9 +24,12 @@
   void *context;
 };
 
+/** az_http_admission_create - creates an object that doesn't listen yet
+ * @is_status: the listener serves readiness or metrics
+ */
 struct az_http_admission *
 az_http_admission_create (uv_loop_t *loop,
-                          unsigned connections_max,
+                          bool is_status,
                           const struct az_http_admission_owner *owner);
 
 /** az_http_admission_open - listens; see az_http_listener_open() */
@@ -45,6 +48,11 @@
 struct az_http_pool *
 az_http_admission_pool (struct az_http_admission *admission);
 
+/** az_http_admission_descriptors_max - the first descriptor that no connection may have, so that
+ * some are left */
+int64_t
+az_http_admission_descriptors_max (const struct az_http_admission *admission);
+
 /** az_http_admission_resuming - callers from which libh2o may read again; they are watched before
  * the loop polls */
 GQueue *
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -104,7 +104,9 @@
   caller->watched_fd = dup (fd);
   if (caller->watched_fd < 0)
     return false;
-  if (uv_poll_init (caller->tcp.loop, &caller->watch, caller->watched_fd) < 0)
+  /* The duplicate has the lowest free number. */
+  if (caller->watched_fd >= az_http_admission_descriptors_max (caller->owner.admission)
+      || uv_poll_init (caller->tcp.loop, &caller->watch, caller->watched_fd) < 0)
     {
       close (caller->watched_fd);
       return false;
--- a/src/net/http_limits.c
+++ b/src/net/http_limits.c
@@ -82,6 +82,7 @@
                         uint64_t descriptors)
 {
   struct az_http_limits limits = {
+    .descriptors = (int64_t)descriptors,
     .head_timeout_ms = options->head_timeout_ms ? options->head_timeout_ms : HEAD_TIMEOUT_MS,
     .body_timeout_ms = options->body_timeout_ms ? options->body_timeout_ms : BODY_TIMEOUT_MS,
   };
--- a/src/net/http_limits.h
+++ b/src/net/http_limits.h
@@ -22,12 +22,14 @@
 /**
  * struct az_http_limits - limits in force
  * @request_buffer_bytes: for requests and unread answers of all listeners
+ * @descriptors: what the system lets the process open, whatever the settings say
  * @response_buffer_bytes: for responses that all clients of this process are reading
  */
 struct az_http_limits
 {
   size_t request_buffer_bytes;
   size_t response_buffer_bytes;
+  int64_t descriptors;
   unsigned connections_max;        /* of a listener that takes requests with bodies */
   unsigned status_connections_max; /* of each other listener: readiness and metrics */
   int64_t head_timeout_ms;
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -52,6 +52,13 @@
   uv_close ((uv_handle_t *)&listener->tcp, on_reset);
 }
 
+/* Other errors concern one connection that has already gone. */
+static bool
+is_out_of_resources (int status)
+{
+  return status == UV_EMFILE || status == UV_ENFILE || status == UV_ENOBUFS || status == UV_ENOMEM;
+}
+
 static void
 on_connection (uv_stream_t *stream, int status)
 {
@@ -62,6 +69,8 @@
       listener->has_waiting = !listener->owner.accept (listener->owner.context, stream);
       return;
     }
+  if (!is_out_of_resources (status))
+    return;
   listener->owner.failed (listener->owner.context);
   reset (listener);
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -296,15 +296,13 @@
   struct az_http_server *server = g_new0 (struct az_http_server, 1);
   const struct az_http_admission_owner owner
       = { on_connection, on_listener_closed, on_handle_closed, server };
-  const struct az_http_limits *limits = az_http_limits_get ();
 
   server->handlers = *handlers;
   server->requests = az_table_rows_create (sizeof (struct pending));
   server->callers = g_hash_table_new (NULL, NULL);
   init_configuration (server, max_body);
   h2o_context_init (&server->context, loop, &server->configuration);
-  server->admission = az_http_admission_create (
-      loop, max_body > 0 ? limits->connections_max : limits->status_connections_max, &owner);
+  server->admission = az_http_admission_create (loop, max_body == 0, &owner);
   uv_timer_init (loop, &server->close_timer);
   server->close_timer.data = server;
   server->n_open_handles = 2;
--- a/tests/test_limits_connections.py
+++ b/tests/test_limits_connections.py
@@ -80,6 +80,13 @@
             self.check(crowd)
             self.assertIn(b"200 OK", answer)
 
+    def test_more_connections_than_descriptors(self):
+        """Guards against callers and metrics shut out, and descriptors used up, when
+        connections_max is higher than the system's limit of descriptors allows."""
+        crowd = Crowd(self.start(connections_max=1000), N_CLIENTS, b"")
+        self.play(crowd, PLAY_S)
+        self.check(crowd)
+
 
 if __name__ == "__main__":
     unittest.main()
