--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -31,6 +31,7 @@
     "whether a slow task is left where it is if it is probably long in itself" },
   { "body_max", AZ_SETTING_INTEGER, FIELD (body_max), false, 1024, 16777216,
     "longest body of a request, in bytes" },
+  AZ_HTTP_LIMIT_SETTINGS (az_gateway_options, limits),
 };
 
 const size_t az_gateway_n_schema = G_N_ELEMENTS (az_gateway_schema);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -2,11 +2,10 @@
 #include "azurerock/table.h"
 #include "net/address.h"
 #include "net/broken_pipe.h"
+#include "net/http_admission.h"
 #include "net/http_caller.h"
 #include <string.h>
 
-#define BACKLOG 1024
-
 /* Keep-alive connections of callers and load balancers may be idle for this long between
  * requests. */
 #define IDLE_TIMEOUT_MS 60000
@@ -28,8 +27,9 @@
 
 struct az_http_server
 {
-  uv_tcp_t listener;
+  struct az_http_admission *admission;
   uv_timer_t close_timer;
+  unsigned n_open_handles; /* @admission and @close_timer */
   h2o_globalconf_t configuration;
   h2o_context_t context;
   h2o_accept_ctx_t accept;
@@ -60,14 +60,17 @@
 struct tracker
 {
   struct az_http_server *server;
+  struct az_http_caller *caller;
   uint32_t handle;
 };
 
 static void
-free_server (uv_handle_t *handle)
+on_handle_closed (void *context)
 {
-  struct az_http_server *server = handle->data;
+  struct az_http_server *server = context;
 
+  if (--server->n_open_handles > 0)
+    return;
   h2o_config_dispose (&server->configuration);
   az_table_rows_destroy (server->requests);
   g_hash_table_unref (server->callers);
@@ -75,12 +78,21 @@
   g_free (server);
 }
 
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  on_handle_closed (handle->data);
+}
+
 /* h2o_context_dispose() closes handles that are part of the context, so the server is freed one
  * loop iteration later. */
 static void
 on_context_disposed (uv_timer_t *timer)
 {
-  uv_close ((uv_handle_t *)timer, free_server);
+  struct az_http_server *server = timer->data;
+
+  uv_close ((uv_handle_t *)timer, on_timer_closed);
+  az_http_admission_destroy (server->admission);
 }
 
 static void
@@ -113,7 +125,8 @@
   struct pending *pending = az_table_rows_get (server->requests, handle);
   h2o_req_t *request = pending->request;
 
-  az_http_caller_set_request (pending->caller, 0);
+  struct az_http_caller *caller = pending->caller;
+
   az_table_rows_remove (server->requests, handle);
   if (server->stopped || server->closes_after_response)
     request->http1_is_persistent = 0;
@@ -123,6 +136,7 @@
   h2o_add_header (&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, content_type,
                   strlen (content_type));
   h2o_send_inline (request, body, length);
+  az_http_caller_answered (caller);
 }
 
 static void
@@ -151,11 +165,10 @@
 {
   struct tracker *tracker = memory;
   struct az_http_server *server = tracker->server;
-  struct pending *pending = az_table_rows_get (server->requests, tracker->handle);
 
-  if (!pending)
+  az_http_caller_end_request (tracker->caller);
+  if (!az_table_rows_get (server->requests, tracker->handle))
     return;
-  az_http_caller_set_request (pending->caller, 0);
   az_table_rows_remove (server->requests, tracker->handle);
   notify_disconnected (server, tracker->handle);
 }
@@ -177,7 +190,8 @@
   tracker->handle = az_table_rows_add (server->requests, (void **)&pending);
   pending->request = request;
   pending->caller = az_http_caller_from_request (request);
-  az_http_caller_set_request (pending->caller, tracker->handle);
+  tracker->caller = pending->caller;
+  az_http_caller_begin_request (pending->caller, tracker->handle);
   return tracker->handle;
 }
 
@@ -191,6 +205,14 @@
     on_caller_disconnected (server, handle);
 }
 
+static bool
+is_refused (struct az_http_server *server, uint32_t handle)
+{
+  const struct pending *pending = az_table_rows_get (server->requests, handle);
+
+  return server->destroyed || az_http_caller_is_cut (pending->caller);
+}
+
 static int
 handle_request (h2o_handler_t *handler, h2o_req_t *request)
 {
@@ -209,8 +231,9 @@
     received.query = copy_text (request, request->path.base + path_length + 1,
                                 request->path.len - path_length - 1);
   received.handle = track_request (server, request);
-  if (server->destroyed)
+  if (is_refused (server, received.handle))
     {
+      request->http1_is_persistent = 0;
       send_response (server, received.handle, STATUS_UNAVAILABLE, "text/plain", "", 0);
       return 0;
     }
@@ -219,18 +242,21 @@
   return 0;
 }
 
-static void
-on_connection (uv_stream_t *listener, int status)
+static bool
+on_connection (void *context, uv_stream_t *stream)
 {
-  struct az_http_server *server = listener->data;
-  const struct az_http_caller_owner owner = { on_caller_disconnected, on_caller_freed, server };
-  struct az_http_caller *caller;
+  struct az_http_server *server = context;
+  const struct az_http_caller_owner owner = {
+    .disconnected = on_caller_disconnected,
+    .freed = on_caller_freed,
+    .context = server,
+    .admission = server->admission,
+  };
+  struct az_http_caller *caller = az_http_caller_accept (stream, &server->accept, &owner);
 
-  if (status < 0)
-    return;
-  caller = az_http_caller_accept (listener, &server->accept, &owner);
   if (caller)
     g_hash_table_add (server->callers, caller);
+  return caller != NULL;
 }
 
 static void
@@ -256,25 +282,31 @@
 }
 
 static void
-listener_closed (uv_handle_t *handle)
+on_listener_closed (void *context)
 {
-  struct az_http_server *server = handle->data;
+  struct az_http_server *server = context;
 
   server->listener_closed = true;
   dispose_if_unused (server);
 }
 
-static int
-start_listening (struct az_http_server *server, struct sockaddr_storage *bound)
+static struct az_http_server *
+create_server (uv_loop_t *loop, size_t max_body, const struct az_http_handlers *handlers)
 {
-  int length = sizeof *bound;
-  int status = uv_tcp_bind (&server->listener, (struct sockaddr *)bound, 0);
+  struct az_http_server *server = g_new0 (struct az_http_server, 1);
+  const struct az_http_admission_owner owner
+      = { on_connection, on_listener_closed, on_handle_closed, server };
 
-  if (status == 0)
-    status = uv_listen ((uv_stream_t *)&server->listener, BACKLOG, on_connection);
-  if (status == 0)
-    status = uv_tcp_getsockname (&server->listener, (struct sockaddr *)bound, &length);
-  return status;
+  server->handlers = *handlers;
+  server->requests = az_table_rows_create (sizeof (struct pending));
+  server->callers = g_hash_table_new (NULL, NULL);
+  init_configuration (server, max_body);
+  h2o_context_init (&server->context, loop, &server->configuration);
+  server->admission = az_http_admission_create (loop, max_body == 0, &owner);
+  uv_timer_init (loop, &server->close_timer);
+  server->close_timer.data = server;
+  server->n_open_handles = 2;
+  return server;
 }
 
 struct az_http_server *
@@ -293,17 +325,9 @@
       g_set_error (error, AZ_HTTP_ERROR, 0, "%s: not a numeric address and port", address);
       return NULL;
     }
-  server = g_new0 (struct az_http_server, 1);
   az_broken_pipe_ignore ();
-  server->handlers = *handlers;
-  server->requests = az_table_rows_create (sizeof (struct pending));
-  server->callers = g_hash_table_new (NULL, NULL);
-  init_configuration (server, max_body);
-  h2o_context_init (&server->context, loop, &server->configuration);
-  uv_tcp_init (loop, &server->listener);
-  uv_timer_init (loop, &server->close_timer);
-  server->listener.data = server->close_timer.data = server;
-  status = start_listening (server, &bound);
+  server = create_server (loop, max_body, handlers);
+  status = az_http_admission_open (server->admission, &bound);
   if (status < 0)
     {
       g_set_error (error, AZ_HTTP_ERROR, 0, "%s: %s", address, uv_strerror (status));
@@ -385,7 +409,7 @@
   if (server->stopped)
     return;
   server->stopped = true;
-  uv_close ((uv_handle_t *)&server->listener, listener_closed);
+  az_http_admission_stop (server->admission);
 }
 
 static void
