--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's metadata store and executors, with faults that tests set."""
 import asyncio
 import base64
+import contextlib
 import json
 import random
 import time
@@ -102,9 +103,10 @@
     @drops_answers: runs orders and answers none; @unanswered_share: share of the calls that are
     neither run nor answered; @failing_share: share of the tasks that fail; @delayed_share: share of
     the orders that are not answered and run seconds later, even by a later incarnation if it has
-    the same id; @speed: of the tasks, 0 for no progress; @guards_capacity: refuses starts over the
-    capacity. If the specification of a job has "crash-ms", the first task of each step crashes the
-    executor after that time."""
+    the same id; @speed: of the tasks, 0 for no progress; @stop_delay_s: time after which stops are
+    carried out, for which @acknowledges_stops says whether they are answered at once or not at all;
+    @guards_capacity: refuses starts over the capacity. If the specification of a job has
+    "crash-ms", the first task of each step crashes the executor after that time."""
 
     def __init__(self, name, host, port, registry, zone, history, seed):
         self.machine, self.host, self.port = name, host, port
@@ -113,6 +115,8 @@
         self.is_unresponsive, self.unanswered_share, self.failing_share, self.speed = \
             False, 0.0, 0.0, 1.0
         self.drops_answers, self.delayed_share = False, 0.0
+        self.stop_delay_s, self.acknowledges_stops = 0.0, True
+        self.stop_requested = asyncio.Event()
         self.capacity, self.capacity_shrunk_s, self.guards_capacity = CAPACITY_CPU, 0.0, True
         self.sidecar, self.last_disturbed_s = None, 0.0
         self.is_up, self.is_draining, self.draining_acknowledged_s = False, False, None
@@ -252,6 +256,11 @@
         self.task_ended.set()
         self.task_ended = asyncio.Event()
 
+    def expire_tasks(self):
+        if self.tasks and self.clock() > self.lease_end:
+            for name in list(self.tasks):
+                self.end(name, "lapsed")
+
     async def run_tasks(self):
         last = time.monotonic()
         while True:
@@ -261,9 +270,7 @@
                 last = time.monotonic()
             await asyncio.sleep(0.005)
             now = time.monotonic()
-            if self.tasks and self.clock() > self.lease_end:
-                for name in list(self.tasks):
-                    self.end(name, "lapsed")
+            self.expire_tasks()
             for name, task in list(self.tasks.items()):
                 task["done"] += (now - last) * 1000 * self.speed
                 if task["done"] >= task["work"]:
@@ -302,7 +309,8 @@
     async def run_order_late(self, name, call, expected_id):
         await asyncio.sleep(self.random.uniform(*LATE_ORDER_S))
         if self.is_up and self.id == expected_id:
-            await self.run_order(name, dict(call, is_late=True))
+            with contextlib.suppress(standin_http.NoAnswer):
+                await self.run_order(name, dict(call, is_late=True))
 
     def reject(self, reason):
         return 409, {"clock-ms": self.clock(), "born": self.born, "reason": reason}
@@ -335,11 +343,30 @@
             self.crash_soon(name, work["crash-ms"] / 1000)
         return 200, {"clock-ms": self.clock(), "born": self.born}
 
-    async def run_stop(self, call):
-        name, attempt = call["task"], call["attempt"]
+    def forbid_attempts(self, name, attempt):
         self.stopped_attempts[name] = max(self.stopped_attempts.get(name, 0), attempt)
+
+    def stop_task(self, name, attempt):
+        self.forbid_attempts(name, attempt)
         if name in self.tasks and self.tasks[name]["attempt"] <= attempt:
             self.end(name, "stopped")
+
+    async def stop_task_late(self, name, attempt):
+        incarnation_before = self.incarnation
+        await asyncio.sleep(self.stop_delay_s)
+        if self.is_up and self.incarnation == incarnation_before:
+            self.stop_task(name, attempt)
+
+    async def run_stop(self, call):
+        name, attempt = call["task"], call["attempt"]
+        self.stop_requested.set()
+        if self.stop_delay_s == 0:
+            self.stop_task(name, attempt)
+        else:
+            asyncio.ensure_future(self.stop_task_late(name, attempt))
+            if not self.acknowledges_stops:
+                raise standin_http.NoAnswer
+            self.forbid_attempts(name, attempt)
         return 200, {"clock-ms": self.clock(), "born": self.born}
 
     async def hold(self, call):
