Count the limit of a stop from the time its caller can have left

A gateway that is paused while a caller's connection breaks asks for the stop up to a session time-out later: until then its session is kept. The sidecar allowed the stopped task the whole orphan timeout from the request on, so if the upstream was slow to carry out the stop, the task ran beyond the 1,300 ms after which the caller sends the job again through another gateway.

The limit now counts from a session time-out before the request, which leaves the lease that the task has and no renewal. While a stop isn't confirmed, tasks of other gateways at that upstream therefore lose their leases after 720 ms instead of 1,170 ms, and nothing starts after 370 ms instead of 820 ms.

test_late_stop_request_limits_the_leases failed before. All tests of the sidecar core pass.

--- a/src/sidecar/lease_limit.c
+++ b/src/sidecar/lease_limit.c
@@ -5,8 +5,8 @@
  * between them. */
 #define ORPHAN_RESERVE_MS 30
 
-/* A gateway runs the tasks of a lost session elsewhere after the orphan timeout. The caller of a
- * job that was stopped sends it again no sooner than that. */
+/* A gateway runs the tasks of a lost session elsewhere after the orphan timeout. A caller whose
+ * connection broke sends the job again no sooner than that. */
 int64_t
 az_sidecar_must_end_us (const struct az_sidecar *sidecar, int64_t asked_us)
 {
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -268,7 +268,8 @@
                        const struct az_node_stop *stop);
 
 /** az_sidecar_cancel_task - stops the task and doesn't start it again
- * @asked_us: when the gateway asked for it, or last gave a sign of life
+ * @asked_us: earliest time at which the reason for it can have arisen: the time of the gateway's
+ * last sign of life, or a session time-out before it asked for the stop
  */
 void
 az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle, int64_t asked_us);
@@ -300,8 +301,8 @@
 
 /* lease_limit.c */
 
-/** az_sidecar_must_end_us - time by which a task must have ended whose gateway asked at @asked_us
- * to stop it, or gave its last sign of life then */
+/** az_sidecar_must_end_us - time by which a task must have ended that is stopped for a reason that
+ * can have arisen at @asked_us */
 int64_t
 az_sidecar_must_end_us (const struct az_sidecar *sidecar, int64_t asked_us);
 
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -225,6 +225,10 @@
                        uint32_t session,
                        const struct az_node_stop *stop)
 {
+  /* A gateway that was paused for up to the session time-out sends the stop that much later than
+   * its caller left. */
+  int64_t earliest_reason_us
+      = sidecar->now_us - sidecar->settings.session_timeout_ms * AZ_US_PER_MS;
   uint32_t handle = 0;
 
   while ((handle = az_table_rows_next (sidecar->tasks, handle)))
@@ -237,7 +241,7 @@
       for (u_int i = 0; i < stop->indexes.indexes_len && !is_named; i++)
         is_named = stop->indexes.indexes_val[i] == task->index;
       if (is_named)
-        az_sidecar_cancel_task (sidecar, handle, sidecar->now_us);
+        az_sidecar_cancel_task (sidecar, handle, earliest_reason_us);
     }
 }
 
--- a/tests/test_sidecar_lease_limit.c
+++ b/tests/test_sidecar_lease_limit.c
@@ -87,6 +87,28 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against the same for a job whose caller left while its gateway was paused: the stop is
+ * asked for up to a session time-out later, and the caller sends the job again regardless. */
+static void
+test_late_stop_request_limits_the_leases (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  struct az_message stop = { .proc = AZ_NODE_STOP };
+  int64_t asked_ms;
+
+  (void)state;
+  stop.az_message_u.node_stop.job = 1;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_send_run (rig, 2, 2, 1);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_answer_start (rig, 1, AZ_UPSTREAM_OK);
+  asked_ms = rig->now_ms;
+  az_sidecar_received (rig->core, 1, &stop);
+  assert_true (latest_lease_end_ms (rig, 2000, "job.0.0.0 job.0.0.1") + STOP_MS
+               <= asked_ms - AZ_SESSION_TIMEOUT_MS + AZ_ORPHAN_TIMEOUT_MS);
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against tasks of other gateways that lose their leases although the stop was carried out
  * in time. */
 static void
@@ -110,6 +132,7 @@
     cmocka_unit_test (test_unconfirmed_stop_limits_the_leases),
     cmocka_unit_test (test_acknowledged_stop_limits_the_leases_until_the_end),
     cmocka_unit_test (test_start_does_not_renew_beyond_the_limit),
+    cmocka_unit_test (test_late_stop_request_limits_the_leases),
     cmocka_unit_test (test_leases_are_renewed_after_the_stop),
   };
 
--- a/tests/test_slow_stop.py
+++ b/tests/test_slow_stop.py
@@ -16,6 +16,7 @@
 STOP_DELAY_S = 3.0
 TASK_MS = 2500
 OTHER_TASK_MS = 8000  # outlasts the test, in which its leases must be renewed
+PAUSE_S = 0.33  # below the session time-out, also if the last heartbeat was sent 0.1 s before
 MOVE_WAIT_S = 0.2
 STEP_TIMEOUT_S = 12
 JOB_ID = "00000000000000a1"
@@ -124,14 +125,24 @@
     return await cluster.submit(cluster.gateways[1], JOB_ID, 1, 1000)
 
 
-async def leave(cluster, job):
-    """The caller's connection breaks, and the caller sends the job again through the second
-    gateway."""
+async def leave(cluster, job, pause_s=0.0):
+    """The caller's connection breaks, at the begin of a pause of the gateway if @pause_s is above
+    0, and the caller sends the job again through the second gateway."""
+    process = cluster.gateways[0].process
+    if pause_s > 0:
+        process.send_signal(signal.SIGSTOP)
     job.cancel()
-    await asyncio.sleep(RESUBMIT_DELAY_S)
+    left_s = time.monotonic()
+    await asyncio.sleep(pause_s)
+    process.send_signal(signal.SIGCONT)
+    await asyncio.sleep(left_s + RESUBMIT_DELAY_S - time.monotonic())
     return await cluster.submit(cluster.gateways[1], JOB_ID, 1, 1000)
 
 
+async def leave_paused_gateway(cluster, job):
+    return await leave(cluster, job, PAUSE_S)
+
+
 async def move_and_lose_sessions(cluster, job):
     """The task stalls, and while the gateway waits for its stop the connections break."""
     executor = next(e for e in cluster.executors if JOB_ID + ".0.0.0" in e.tasks)
@@ -180,6 +191,10 @@
         """Guards against the same if the gateway asks for the stop."""
         self.check(leave, acknowledges_stops=False)
 
+    def test_stop_that_a_paused_gateway_asks_for_late_ends_the_task_in_time(self):
+        """Guards against a limit that counts from the request although the caller left before."""
+        self.check(leave_paused_gateway, acknowledges_stops=False)
+
     def test_move_whose_session_closes_does_not_let_a_task_run_twice(self):
         """Guards against a lost session that is taken for the end of a task that is being moved."""
         self.check(move_and_lose_sessions, acknowledges_stops=False)
