Report the end of a task before a surplus session is closed

A sidecar closes sessions without tasks in favour of gateways with a higher rank. The end of the last task may not have been reported yet: a tick that expires leases and then closes the session lost the report, and the gateway ran the task again after the orphan timeout, although it knew nothing new.

A session now counts as idle only when no end is left to be reported. test_session_with_an_unreported_end_is_not_idle failed before.

--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -62,7 +62,8 @@
 void
 az_sidecar_session_closed (struct az_sidecar *sidecar, uint32_t session, const char *reason);
 
-/** az_sidecar_is_session_idle - whether the session has no tasks */
+/** az_sidecar_is_session_idle - whether the session has no tasks and no end of
+ * one that is still to be reported */
 bool
 az_sidecar_is_session_idle (const struct az_sidecar *sidecar, uint32_t session);
 void
--- a/src/sidecar/sessions.c
+++ b/src/sidecar/sessions.c
@@ -69,7 +69,7 @@
 {
   const struct session *session = az_sidecar_get_session (sidecar, handle);
 
-  return !session || session->n_tasks == 0;
+  return !session || (session->n_tasks == 0 && session->events->len == 0);
 }
 
 static int64_t
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -89,6 +89,28 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against a surplus session that is closed before the end of its last task is reported: the
+ * gateway would run the task again after the orphan timeout. */
+static void
+test_session_with_an_unreported_end_is_not_idle (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+  struct az_upstream_ended ended = { 1, (char *)"job.0.0.0", 1, AZ_TASK_DONE };
+  struct az_upstream_lists lists = { .answer = { .result = AZ_UPSTREAM_OK, .clock_ms = 1000 } };
+
+  (void)state;
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_advance (rig, 25);
+  lists.ended = &ended;
+  lists.n_ended = 1;
+  az_sidecar_hold_answered (rig->core, rig->hold, &lists);
+  assert_false (az_sidecar_is_session_idle (rig->core, 1));
+  az_sidecar_flush (rig->core);
+  assert_true (az_sidecar_is_session_idle (rig->core, 1));
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against reporting a task as lost before the lease of its start request has ended, and
  * against a task that uses capacity for ever because no stop request is answered. Holds succeed
  * meanwhile. */
@@ -476,6 +498,7 @@
     cmocka_unit_test (test_unanswered_start_is_repeated_after_acknowledged_stop),
     cmocka_unit_test (test_hold_sent_before_the_stop_proves_nothing),
     cmocka_unit_test (test_cancelled_task_is_not_started_again),
+    cmocka_unit_test (test_session_with_an_unreported_end_is_not_idle),
     cmocka_unit_test (test_late_answer_adopts_nothing),
     cmocka_unit_test (test_unanswered_start_is_lost_after_its_lease),
     cmocka_unit_test (test_tasks_of_unreachable_upstream_are_lost_after_the_lease),
