Add faults of slow stops and leaving callers to the soak

The soak had no upstream that is slow to carry out stops, no callers that leave before their deadlines, no groups of processes that end together, no short pauses and no other processes that take the processors.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -85,7 +85,7 @@
         self.gateways, self.sidecars, self.executors, self.proxies = [], [], [], []
         self.counts = {"completed": 0, "failed": 0, "not_run": 0, "unanswered": 0}
         self.job_outcomes, self.jobs, self.stopping, self.version = [], 0, False, 0
-        self.n_unplanned, self.due_crashes_ms = 0, []
+        self.n_unplanned, self.due_crashes_ms, self.leaving_share = 0, [], 0.0
         self.network, self.store_server, self.longest_stall = None, None, (0.0, "")
 
     def host(self, index):
@@ -200,7 +200,8 @@
             try:
                 status, _, text = await client.call(
                     "POST", "/jobs/" + job_id,
-                    {"host": "h.example", "x-deadline-ms": "%d" % (left * 1000)}, body, left)
+                    {"host": "h.example", "x-deadline-ms": "%d" % (left * 1000)}, body,
+                    self.choose_wait_s(left))
             except (OSError, TimeoutError) as error:
                 may_have_run = True
                 # A reset within 10 ms is a connection that was never established.
@@ -220,6 +221,12 @@
             await asyncio.sleep(RESUBMIT_DELAY_S)
         return "unanswered"
 
+    def choose_wait_s(self, left_s):
+        """Returns the time after which the caller's connection breaks."""
+        if self.leaving_share > 0 and self.load_random.random() < self.leaving_share:
+            return min(left_s, self.load_random.uniform(0.1, 1.5))
+        return left_s
+
     def check_cut(self, gateway, job_id, sent_s):
         """A request may be cut off only during an unplanned fault or up to UNDISTURBED_S after."""
         if sent_s > self.history.unplanned_until_s + UNDISTURBED_S:
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -1,7 +1,9 @@
 """The faults of soaks: fault_NAME injects one and returns when its direct effects are over."""
 import asyncio
 import json
+import os
 import signal
+import sys
 import time
 
 from foreign_heartbeats import send_foreign_heartbeats
@@ -12,9 +14,12 @@
 PLANNED = {"stop_gateway", "stop_sidecar", "hangup", "configuration", "withdraw", "drain",
            "capacity", "malformed"}
 
-# KNOWN-RED.txt lists runs with these, so other runs don't inject them.
-ONLY_BY_NAME = {"deadly_unanswered"}
+# Not injected unless they are named: KNOWN-RED.txt lists runs with the first one, and the others
+# would change the plans of the seeds that are recorded.
+ONLY_BY_NAME = {"deadly_unanswered", "slow_stops", "callers_leave", "kill_sidecars",
+                "kill_gateways", "pause_gateway", "busy"}
 LINK_FAULTS = {"link", "reset"}
+BUSY_PROCESSES_PER_PROCESSOR = 6
 CRASH_MS = [5, 10, 50, 200]
 MISSING = object()
 
@@ -208,6 +213,54 @@
             pass
         await asyncio.sleep(1)
 
+    async def fault_slow_stops(self):
+        """Stops are carried out late, and each executor answers all of them at once or none."""
+        for executor in self.executors:
+            executor.stop_delay_s = self.random.uniform(0.3, 4)
+            executor.acknowledges_stops = self.random.random() < 0.5
+        await asyncio.sleep(4)
+        for executor in self.executors:
+            executor.stop_delay_s = 0.0
+
+    async def fault_callers_leave(self):
+        """Connections of callers break, and the callers send their jobs again."""
+        self.leaving_share = 0.3
+        await asyncio.sleep(4)
+        self.leaving_share = 0.0
+
+    async def kill_some(self, nodes):
+        idle = [node for node in nodes if not node.active_fault]
+        chosen = self.random.sample(idle, max(len(idle) // 3, 1)) if idle else []
+        await asyncio.gather(*[self.restart(node, signal.SIGKILL, self.random.uniform(0, 1.5))
+                               for node in chosen])
+
+    async def fault_kill_sidecars(self):
+        await self.kill_some(self.sidecars)
+
+    async def fault_kill_gateways(self):
+        await self.kill_some(self.gateways)
+
+    async def fault_pause_gateway(self):
+        """A gateway is paused for about a session time-out several times, while callers leave."""
+        node = self.choose_idle(self.gateways)
+        if not node:
+            return
+        node.active_fault, self.leaving_share = "pause", 0.5
+        for _ in range(5):
+            node.send(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.2, 0.6))
+            node.send(signal.SIGCONT)
+            await asyncio.sleep(self.random.uniform(0.1, 0.5))
+        node.active_fault, self.leaving_share = False, 0.0
+
+    async def fault_busy(self):
+        """Other processes take the processors for some seconds."""
+        loop = [sys.executable, "-c", "import time\nend = time.monotonic() + 6\n"
+                "while time.monotonic() < end: pass"]
+        processes = [await asyncio.create_subprocess_exec(*loop)
+                     for _ in range(BUSY_PROCESSES_PER_PROCESSOR * os.cpu_count())]
+        await asyncio.gather(*[process.wait() for process in processes])
+
     async def fault_failing(self):
         executor = self.random.choice(self.executors)
         executor.failing_share = 1.0
