Close a surplus session only after its last run message

A sidecar that found gateways with a higher rank closed a session without tasks at once. A run message on its way was lost with it: the gateway saw the end of file, couldn't know whether the task had started, and ran it elsewhere only after the orphan timeout of 1,250 ms. This is not a second run, since the message is never read, but it costs more than a job's objective.

The sidecar now reports the upstream as closed in that session first, and closes it when it is idle and a session time-out has passed since, or at once if the upstream was never reported as open there. One session is retired at a time.

The two new tests of the sidecar core are for functions that didn't exist; there was no test that could fail before.

--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -62,10 +62,26 @@
 void
 az_sidecar_session_closed (struct az_sidecar *sidecar, uint32_t session, const char *reason);
 
-/** az_sidecar_is_session_idle - whether the session has no tasks and no end of
- * one that is still to be reported */
+/** az_sidecar_is_session_idle - whether the session has no tasks and no end of one that is still to
+ * be reported */
 bool
 az_sidecar_is_session_idle (const struct az_sidecar *sidecar, uint32_t session);
+
+/** az_sidecar_can_retire_session - whether to retire this session if it is a surplus one: one at a
+ * time is retired */
+bool
+az_sidecar_can_retire_session (const struct az_sidecar *sidecar, uint32_t session);
+
+/**
+ * az_sidecar_retire_session - prepares a surplus session for its end; call it at each tick
+ * @session: the session, or 0 if there is none
+ *
+ * The upstream is reported as closed in that session, so that the gateway sends no more tasks.
+ *
+ * Return: whether the session can be closed without the loss of a run message or of a report.
+ */
+bool
+az_sidecar_retire_session (struct az_sidecar *sidecar, uint32_t session);
 void
 az_sidecar_received (struct az_sidecar *sidecar,
                      uint32_t session,
--- a/src/sidecar/links.c
+++ b/src/sidecar/links.c
@@ -180,7 +180,7 @@
 
 uint32_t
 az_links_surplus_session (const struct az_links *links,
-                          bool (*is_idle) (const void *context, uint32_t session),
+                          bool (*can_retire) (const void *context, uint32_t session),
                           const void *context)
 {
   GHashTableIter iterator;
@@ -193,7 +193,7 @@
     {
       const struct link *link = value;
 
-      if (link->session && !is_preferred (links, link) && is_idle (context, link->session))
+      if (link->session && !is_preferred (links, link) && can_retire (context, link->session))
         return link->session;
     }
   return 0;
--- a/src/sidecar/links.h
+++ b/src/sidecar/links.h
@@ -29,10 +29,12 @@
 void
 az_links_closed (struct az_links *links, uint32_t session);
 
-/** az_links_surplus_session - returns an idle session to close in favour of other gateways, or 0 */
+/** az_links_surplus_session - returns a session to close in favour of other gateways, or 0
+ * @can_retire: whether the session may be chosen
+ */
 uint32_t
 az_links_surplus_session (const struct az_links *links,
-                          bool (*is_idle) (const void *context, uint32_t session),
+                          bool (*can_retire) (const void *context, uint32_t session),
                           const void *context);
 
 /** az_links_since_last_session_ms - time since the last open session was closed, or since the start
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -93,9 +93,9 @@
 }
 
 static bool
-is_idle (const void *context, uint32_t session)
+can_retire (const void *context, uint32_t session)
 {
-  return az_sidecar_is_session_idle (context, session);
+  return az_sidecar_can_retire_session (context, session);
 }
 
 void
@@ -106,7 +106,7 @@
 
   while ((address = az_links_next_to_connect (program->links)))
     az_rpc_connect (program->rpc, address);
-  surplus = az_links_surplus_session (program->links, is_idle, program->sidecar);
-  if (surplus)
+  surplus = az_links_surplus_session (program->links, can_retire, program->sidecar);
+  if (az_sidecar_retire_session (program->sidecar, surplus))
     az_rpc_close (program->rpc, surplus, "surplus session: other gateways have a higher rank");
 }
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -70,13 +70,15 @@
 {
   struct az_message message = { .proc = AZ_NODE_UPSTREAM };
   const struct life *life = &sidecar->life;
-  bool is_open = az_sidecar_is_open (sidecar)
+  bool is_open = az_sidecar_is_open (sidecar) && session->handle != sidecar->retiring
                  && (session->is_reported_open || !az_sidecar_has_orphans (sidecar, session));
 
   if (session->reported_life == life->number && session->is_reported_open == is_open
       && session->reported_description == life->description
       && are_equal (&session->reported_capacity, &life->capacity))
     return;
+  if (session->is_reported_open && !is_open)
+    session->reported_closed_us = sidecar->now_us;
   session->reported_life = life->number;
   session->reported_description = life->description;
   session->reported_capacity = life->capacity;
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -96,6 +96,7 @@
   uint32_t waiting_cpu_milli;
   bool wants_reports;
   bool is_reported_open;
+  int64_t reported_closed_us; /* when the upstream was last reported as no longer open; 0: never */
   uint64_t reported_life;
   uint32_t reported_description;
   struct az_resources reported_capacity;
@@ -232,6 +233,7 @@
   uint64_t fence;
   uint64_t fence_step;
   bool is_stopping;
+  uint32_t retiring; /* surplus session that is being closed, or 0 */
 };
 
 /* sessions.c */
--- a/tests/test_sidecar.c
+++ b/tests/test_sidecar.c
@@ -111,6 +111,46 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against run messages that are lost with a surplus session: their tasks would wait for the
+ * orphan timeout. */
+static void
+test_retired_session_is_closed_after_its_last_run_message (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  assert_true (az_sidecar_can_retire_session (rig->core, 1));
+  assert_false (az_sidecar_retire_session (rig->core, 1));
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  assert_false (az_sidecar_can_retire_session (rig->core, 2));
+  sidecar_rig_send_run (rig, 1, 1, 0);
+  assert_int_equal (rig->starts->len, 1);
+  sidecar_rig_answer_start (rig, 0, AZ_UPSTREAM_OK);
+  sidecar_rig_advance_answering_holds (rig, 500, "job.0.0.0");
+  assert_false (az_sidecar_retire_session (rig->core, 1));
+  sidecar_rig_answer_hold (rig, "", "job.0.0.0");
+  assert_true (az_sidecar_retire_session (rig->core, 1));
+  sidecar_rig_destroy (rig);
+}
+
+/* Guards against an upstream that stays closed to a gateway whose session is surplus no more. */
+static void
+test_session_that_is_not_retired_any_more_is_open (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create ();
+
+  (void)state;
+  assert_false (az_sidecar_retire_session (rig->core, 1));
+  az_sidecar_flush (rig->core);
+  assert_false (rig->is_open);
+  assert_false (az_sidecar_retire_session (rig->core, 0));
+  az_sidecar_flush (rig->core);
+  assert_true (rig->is_open);
+  assert_true (az_sidecar_can_retire_session (rig->core, 2));
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against reporting a task as lost before the lease of its start request has ended, and
  * against a task that uses capacity for ever because no stop request is answered. Holds succeed
  * meanwhile. */
@@ -499,6 +539,8 @@
     cmocka_unit_test (test_hold_sent_before_the_stop_proves_nothing),
     cmocka_unit_test (test_cancelled_task_is_not_started_again),
     cmocka_unit_test (test_session_with_an_unreported_end_is_not_idle),
+    cmocka_unit_test (test_retired_session_is_closed_after_its_last_run_message),
+    cmocka_unit_test (test_session_that_is_not_retired_any_more_is_open),
     cmocka_unit_test (test_late_answer_adopts_nothing),
     cmocka_unit_test (test_unanswered_start_is_lost_after_its_lease),
     cmocka_unit_test (test_tasks_of_unreachable_upstream_are_lost_after_the_lease),
