Log and count stops that are overdue

While a stop isn't confirmed, leases are limited and later nothing starts. Only refused tasks showed this. The sidecar now writes one line when a stop becomes overdue while none was, and counts it in azurerock_sidecar_overdue_stops_total. All tests of the sidecar core pass.

--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -43,6 +43,9 @@
                                                    "Tasks that were stopped");
   sidecar->crashes_counter = az_counters_register (counters, "azurerock_sidecar_crashes_total",
                                                    "Crashes of the upstream");
+  sidecar->overdue_counter
+      = az_counters_register (counters, "azurerock_sidecar_overdue_stops_total",
+                              "Times that nothing was started since a stop wasn't confirmed");
   az_histogram_init (&sidecar->run_times_ms, counters, "azurerock_sidecar_run_ms",
                      "Time from the order to start a task to its end as done");
   az_speed_init (&sidecar->life.speed);
@@ -85,6 +88,7 @@
   sidecar->now_us = az_now_us (sidecar->clock);
   az_sidecar_expire_sessions (sidecar);
   az_sidecar_expire_tasks (sidecar);
+  az_sidecar_record_overdue_stop (sidecar);
   az_sidecar_probe_candidate (sidecar);
   az_sidecar_send_due_holds (sidecar);
 }
--- a/src/sidecar/lease_limit.c
+++ b/src/sidecar/lease_limit.c
@@ -1,3 +1,4 @@
+#include "azurerock/log.h"
 #include "dispatch/session_times.h"
 #include "sidecar/state.h"
 
@@ -15,21 +16,22 @@
   return asked_us + within_ms * AZ_US_PER_MS;
 }
 
-/* Returns INT64_MAX if no cancelled task may still run. */
-static int64_t
-find_first_must_end_us (const struct az_sidecar *sidecar)
+/* Returns the cancelled task that must end first, or NULL if none may still run. */
+static const struct task *
+find_first_to_end (const struct az_sidecar *sidecar)
 {
-  int64_t first_us = INT64_MAX;
+  const struct task *first = NULL;
   uint32_t handle = 0;
 
   while ((handle = az_table_rows_next (sidecar->tasks, handle)))
     {
       const struct task *task = az_sidecar_get_task (sidecar, handle);
 
-      if (task->life == sidecar->life.number)
-        first_us = MIN (first_us, task->must_end_us);
+      if (task->life == sidecar->life.number && task->must_end_us != INT64_MAX
+          && (!first || task->must_end_us < first->must_end_us))
+        first = task;
     }
-  return first_us;
+  return first;
 }
 
 int64_t
@@ -38,20 +40,45 @@
   const struct az_lease *lease = &sidecar->lease;
   int64_t now_clock_ms = az_lease_end_clock (lease, 0, sidecar->now_us);
   int64_t wanted_ms = now_clock_ms + sidecar->settings.lease_ms;
-  int64_t must_end_us = find_first_must_end_us (sidecar);
+  const struct task *first = find_first_to_end (sidecar);
   int64_t end_ms;
 
-  if (must_end_us == INT64_MAX)
+  if (!first)
     return wanted_ms;
-  end_ms = MIN (wanted_ms, az_lease_end_clock_before (lease, must_end_us));
+  end_ms = MIN (wanted_ms, az_lease_end_clock_before (lease, first->must_end_us));
   return end_ms > now_clock_ms ? end_ms : 0;
 }
 
+/* Returns NULL if no stop is overdue. */
+static const struct task *
+find_overdue_stop (const struct az_sidecar *sidecar)
+{
+  const struct task *first = find_first_to_end (sidecar);
+  int64_t reserve_us = sidecar->settings.lease_ms / 2 * AZ_US_PER_MS;
+
+  return first && first->must_end_us - sidecar->now_us < reserve_us ? first : NULL;
+}
+
 bool
 az_sidecar_is_stop_overdue (const struct az_sidecar *sidecar)
 {
-  int64_t must_end_us = find_first_must_end_us (sidecar);
+  return find_overdue_stop (sidecar) != NULL;
+}
+
+void
+az_sidecar_record_overdue_stop (struct az_sidecar *sidecar)
+{
+  const struct task *task = find_overdue_stop (sidecar);
+  bool was_overdue = sidecar->has_overdue_stop;
 
-  return must_end_us != INT64_MAX
-         && must_end_us - sidecar->now_us < sidecar->settings.lease_ms / 2 * AZ_US_PER_MS;
+  sidecar->has_overdue_stop = task != NULL;
+  if (!task || was_overdue)
+    return;
+  az_counters_add (sidecar->counters, sidecar->overdue_counter, 1);
+  az_log (LOG_WARNING,
+          "event=stop-overdue task=%s attempt=%u acknowledged=%s ends_in_ms=%" G_GINT64_FORMAT
+          " tasks=%u",
+          task->name, task->attempt, task->is_stop_acknowledged ? "yes" : "no",
+          (task->must_end_us - sidecar->now_us) / AZ_US_PER_MS,
+          az_table_rows_count (sidecar->tasks));
 }
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -218,6 +218,7 @@
   uint32_t lost_counter;
   uint32_t stopped_counter;
   uint32_t crashes_counter;
+  uint32_t overdue_counter;
   struct az_histogram run_times_ms; /* run times of tasks that ended as done */
   int64_t now_us;
   GHashTable *sessions; /* handle -> struct session * */
@@ -233,6 +234,7 @@
   uint64_t fence;
   uint64_t fence_step;
   bool is_stopping;
+  bool has_overdue_stop;
   uint32_t retiring; /* surplus session that is being closed, or 0 */
 };
 
@@ -324,6 +326,11 @@
 bool
 az_sidecar_is_stop_overdue (const struct az_sidecar *sidecar);
 
+/** az_sidecar_record_overdue_stop - counts and logs it when a stop becomes overdue while none was
+ */
+void
+az_sidecar_record_overdue_stop (struct az_sidecar *sidecar);
+
 /* suspension.c */
 
 /**
