Play a stop that a paused sidecar reads late

A stop that waits at a paused sidecar is as late as one of a paused gateway.

History now has the executors check their leases, on their own clocks, before each start.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -176,6 +176,7 @@
             executor.start(fence=int(time.time() * 1000) + self.random.choice([0, 0, 60000]))
             await executor.open()
             self.executors.append(executor)
+            self.history.executors.append(executor)
         for node in self.gateways + self.sidecars:
             await node.start()
 
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -42,7 +42,7 @@
     """
 
     def __init__(self, store):
-        self.store = store
+        self.store, self.executors = store, []
         self.running, self.runs, self.done, self.violations = {}, {}, set(), []
         self.withdrawn_s, self.unplanned_until_s = {}, 0.0
         self.answered_s, self.left_s = {}, {}
@@ -55,6 +55,7 @@
     def record_start(self, machine, zone, name, attempt, executor, is_late):
         """@is_late: the executor itself delayed the order, so its start may be after a limit."""
         now = time.monotonic()
+        self.expire_leases()
         running_on = self.running.setdefault(name, set())
         if running_on:
             self.report_violation("TWICE", "%s attempt %d starts%s on %s while it runs on %s (%s)"
@@ -78,6 +79,12 @@
         if acknowledged_s and now - acknowledged_s > DRAIN_LIMIT_S:
             self.report_violation("DRAIN", "%s starts on draining %s" % (name, machine))
 
+    def expire_leases(self):
+        """A stall of the stand-ins' process, after which it may read a start before it checks the
+        leases, doesn't make a lease longer than the executor's clock says."""
+        for executor in self.executors:
+            executor.expire_tasks()
+
     def record_start_elsewhere(self, machine, executor_id):
         """A start request reaches an executor other than the one that it names."""
         left_s = self.left_s.get(executor_id)
--- a/tests/test_slow_stop.py
+++ b/tests/test_slow_stop.py
@@ -16,6 +16,8 @@
 STOP_DELAY_S = 3.0
 TASK_MS = 2500
 OTHER_TASK_MS = 8000  # outlasts the test, in which its leases must be renewed
+CONNECT_S = 0.5
+RUN_S = 0.3
 PAUSE_S = 0.33  # below the session time-out, also if the last heartbeat was sent 0.1 s before
 MOVE_WAIT_S = 0.2
 STEP_TIMEOUT_S = 12
@@ -25,16 +27,11 @@
 
 
 class SlowStopHistory(History):
-    """@executors: those of the test. They share one process, whose stalls must not make leases
-    longer than their clocks say."""
-
     def __init__(self, store):
         super().__init__(store)
-        self.executors, self.started, self.unlapsed_s = [], asyncio.Event(), {}
+        self.started = asyncio.Event()
 
     def record_start(self, *arguments):
-        for executor in self.executors:
-            executor.expire_tasks()
         super().record_start(*arguments)
         self.started.set()
         self.started = asyncio.Event()
@@ -56,10 +53,6 @@
             direct=False))
         self.history = SlowStopHistory(self.store)
 
-    async def open(self):
-        await self.build_cluster()
-        self.history.executors = self.executors
-
     async def close(self):
         for executor in self.executors:
             executor.stop_delay_s = 0.0
@@ -99,9 +92,12 @@
         other = asyncio.ensure_future(self.submit(self.gateways[1], OTHER_JOB_ID, 2, 9000,
                                                   OTHER_TASK_MS))
         await self.history.wait_for_runs(OTHER_JOB_ID, 2)
+        # The first gateway then knows both upstreams and chooses that of its domain, which the
+        # second one doesn't prefer.
+        await asyncio.sleep(CONNECT_S)
         job = asyncio.ensure_future(self.submit(self.gateways[0], JOB_ID, 1, 1000))
         await self.history.wait_for_runs(JOB_ID, 1)
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(RUN_S)
         return job, other
 
     def set_slow_stops(self, acknowledges_stops):
@@ -125,22 +121,27 @@
     return await cluster.submit(cluster.gateways[1], JOB_ID, 1, 1000)
 
 
-async def leave(cluster, job, pause_s=0.0):
-    """The caller's connection breaks, at the begin of a pause of the gateway if @pause_s is above
-    0, and the caller sends the job again through the second gateway."""
-    process = cluster.gateways[0].process
-    if pause_s > 0:
-        process.send_signal(signal.SIGSTOP)
+async def leave(cluster, job, paused_nodes=()):
+    """The caller's connection breaks while @paused_nodes are paused, and the caller sends the job
+    again through the second gateway."""
+    for node in paused_nodes:
+        node.send(signal.SIGSTOP)
     job.cancel()
     left_s = time.monotonic()
-    await asyncio.sleep(pause_s)
-    process.send_signal(signal.SIGCONT)
+    if paused_nodes:
+        await asyncio.sleep(PAUSE_S)
+    for node in paused_nodes:
+        node.send(signal.SIGCONT)
     await asyncio.sleep(left_s + RESUBMIT_DELAY_S - time.monotonic())
     return await cluster.submit(cluster.gateways[1], JOB_ID, 1, 1000)
 
 
 async def leave_paused_gateway(cluster, job):
-    return await leave(cluster, job, PAUSE_S)
+    return await leave(cluster, job, cluster.gateways[:1])
+
+
+async def leave_with_paused_sidecars(cluster, job):
+    return await leave(cluster, job, cluster.sidecars)
 
 
 async def move_and_lose_sessions(cluster, job):
@@ -157,7 +158,7 @@
     """Returns the history and the status of the job's answer."""
     with tempfile.TemporaryDirectory() as folder:
         cluster = TwoGateways(folder)
-        await cluster.open()
+        await cluster.build_cluster()
         try:
             job, other = await cluster.start_jobs()
             cluster.set_slow_stops(acknowledges_stops)
@@ -195,6 +196,10 @@
         """Guards against a limit that counts from the request although the caller left before."""
         self.check(leave_paused_gateway, acknowledges_stops=False)
 
+    def test_stop_that_a_paused_sidecar_reads_late_ends_the_task_in_time(self):
+        """Guards against the same if the request waits at the sidecar."""
+        self.check(leave_with_paused_sidecars, acknowledges_stops=False)
+
     def test_move_whose_session_closes_does_not_let_a_task_run_twice(self):
         """Guards against a lost session that is taken for the end of a task that is being moved."""
         self.check(move_and_lose_sessions, acknowledges_stops=False)
