--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -96,6 +96,7 @@
   uint32_t waiting_cpu_milli;
   bool wants_reports;
   bool is_reported_open;
+  int64_t reported_closed_us; /* when the upstream was last reported as no longer open; 0: never */
   uint64_t reported_life;
   uint32_t reported_description;
   struct az_resources reported_capacity;
@@ -217,6 +218,7 @@
   uint32_t lost_counter;
   uint32_t stopped_counter;
   uint32_t crashes_counter;
+  uint32_t overdue_counter;
   struct az_histogram run_times_ms; /* run times of tasks that ended as done */
   int64_t now_us;
   GHashTable *sessions; /* handle -> struct session * */
@@ -232,6 +234,8 @@
   uint64_t fence;
   uint64_t fence_step;
   bool is_stopping;
+  bool has_overdue_stop;
+  uint32_t retiring; /* surplus session that is being closed, or 0 */
 };
 
 /* sessions.c */
@@ -268,7 +272,8 @@
                        const struct az_node_stop *stop);
 
 /** az_sidecar_cancel_task - stops the task and doesn't start it again
- * @asked_us: when the gateway asked for it, or last gave a sign of life
+ * @asked_us: earliest time at which the reason for it can have arisen: the time of the gateway's
+ * last sign of life, or a session time-out before it asked for the stop
  */
 void
 az_sidecar_cancel_task (struct az_sidecar *sidecar, uint32_t handle, int64_t asked_us);
@@ -300,8 +305,8 @@
 
 /* lease_limit.c */
 
-/** az_sidecar_must_end_us - time by which a task must have ended whose gateway asked at @asked_us
- * to stop it, or gave its last sign of life then */
+/** az_sidecar_must_end_us - time by which a task must have ended that is stopped for a reason that
+ * can have arisen at @asked_us */
 int64_t
 az_sidecar_must_end_us (const struct az_sidecar *sidecar, int64_t asked_us);
 
@@ -321,6 +326,11 @@
 bool
 az_sidecar_is_stop_overdue (const struct az_sidecar *sidecar);
 
+/** az_sidecar_record_overdue_stop - counts and logs it when a stop becomes overdue while none was
+ */
+void
+az_sidecar_record_overdue_stop (struct az_sidecar *sidecar);
+
 /* suspension.c */
 
 /**
