Give gateways of the emulator a processor share

Cause: gateways of the emulator react to each event at once, so it can't show that freed capacity goes to the gateway that reacts first (docs/contention.md, part D).

Change: with a share in processor_shares, events wait in an inbox; an iteration handles all that are there, flushes once, and its messages leave at its end. The costs of an event and of a flush are provisional here. Bursts can name kinds of jobs; upstream speeds, the delay to callers and the swing of the rate are fields of the scenario. Results have counts by gateway, the factor between their shares of refused jobs, and the tasks that sidecars refused for want of room. fair_division and tail_aware_moves have no effect yet.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FAULTS_MAX 4
+#define FAULTS_MAX 5
 
 /* Any other name selects the base scenario. */
 static struct emulator_scenario
@@ -16,21 +16,31 @@
     return emulator_small_upstreams_scenario (load);
   if (!g_strcmp0 (name, "swap-grown"))
     return emulator_uneven_gateways_scenario (load);
+  if (!g_strcmp0 (name, "contention"))
+    return emulator_contention_scenario (load);
   return emulator_base_scenario (load);
 }
 
+struct row
+{
+  const char *name;
+  double load;
+  double duration_s; /* 0 means that of the scenario */
+  struct emulator_fault faults[FAULTS_MAX];
+};
+
 static struct emulator_scenario
-create_scenario_with_faults (double load,
-                             const struct emulator_fault *faults,
-                             const char *deployment)
+create_scenario_with_faults (const struct row *row, const char *deployment)
 {
-  struct emulator_scenario scenario = create_deployment_scenario (deployment, load);
+  struct emulator_scenario scenario = create_deployment_scenario (deployment, row->load);
 
-  while (scenario.n_faults < FAULTS_MAX && faults[scenario.n_faults].to_s > 0)
+  while (scenario.n_faults < FAULTS_MAX && row->faults[scenario.n_faults].to_s > 0)
     {
-      scenario.faults[scenario.n_faults] = faults[scenario.n_faults];
+      scenario.faults[scenario.n_faults] = row->faults[scenario.n_faults];
       scenario.n_faults++;
     }
+  if (row->duration_s > 0)
+    scenario.duration_s = row->duration_s;
   return scenario;
 }
 
@@ -94,58 +104,81 @@
             (double)mean.n_returned_in_time / mean.n_returned);
 }
 
+static const struct row standard_rows[] = {
+  { "quiet", 0.7, 0, { { 0 } } },
+  { "busy", 1.0, 0, { { 0 } } },
+  { "busy, burst of 1.3", 1.0, 0, { { EMULATOR_BURST, 5, 9, 0, 0, 1.3 } } },
+  { "busy, burst of 1.8", 1.0, 0, { { EMULATOR_BURST, 5, 9, 0, 0, 1.8 } } },
+  { "busy, a domain withdrawn", 1.0, 0, { { EMULATOR_WITHDRAW, 5, 15, 0, 0, 1 } } },
+  { "busy, two slow", 1.0, 0, { { EMULATOR_SLOW, 5, 12, 3, 2, 6.5 } } },
+  { "busy, one stands still", 1.0, 0, { { EMULATOR_STALL, 5, 11, 4, 1, 1 } } },
+  { "busy, one fails all", 1.0, 0, { { EMULATOR_FAIL, 5, 11, 4, 1, 1 } } },
+  { "busy, 5% unanswered", 1.0, 0, { { EMULATOR_CALL_LOSS, 5, 11, 0, 0, 0.05 } } },
+  { "busy, five of eleven left",
+    1.0,
+    0,
+    { { EMULATOR_WITHDRAW, 5, 15, 0, 0, 1 }, { EMULATOR_CRASH, 4, 15, 1, 3, 1 } } },
+  { "busy, six of eleven left",
+    1.0,
+    0,
+    { { EMULATOR_WITHDRAW, 2, 18, 0, 0, 1 }, { EMULATOR_CRASH, 2, 18, 1, 2, 1 } } },
+  { "busy, seven of eleven left",
+    1.0,
+    0,
+    { { EMULATOR_WITHDRAW, 2, 18, 0, 0, 1 }, { EMULATOR_CRASH, 2, 18, 1, 1, 1 } } },
+  { "busy, four kinds of fault",
+    0.9,
+    0,
+    { { EMULATOR_WITHDRAW, 3, 16, 0, 0, 1 },
+      { EMULATOR_CRASH, 5, 14, 1, 1, 1 },
+      { EMULATOR_SLOW, 6, 13, 3, 1, 6.5 },
+      { EMULATOR_FAIL, 6, 13, 5, 1, 1 } } },
+  { "busy, power loss", 1.0, 0, { { EMULATOR_POWER_LOSS, 8, 9.8, 0, 0, 1 } } },
+  { "six left, power loss",
+    0.9,
+    0,
+    { { EMULATOR_WITHDRAW, 2, 18, 0, 0, 1 },
+      { EMULATOR_CRASH, 2, 18, 1, 2, 1 },
+      { EMULATOR_POWER_LOSS, 8, 9.8, 0, 0, 1 } } },
+  { "busy, two crash", 1.0, 0, { { EMULATOR_CRASH, 5, 9, 5, 2, 1 } } },
+  { "busy, tasks that crash", 1.0, 0, { { EMULATOR_CRASHING_JOBS, 2, 20, 0, 0, 0.1 } } },
+};
+
+/* Rows of the deployments contention and uneven. */
+static const struct row contention_rows[] = {
+  { "usual", 1.0, 0, { { 0 } } },
+  { "a domain withdrawn", 1.0, 0, { { EMULATOR_WITHDRAW, 1, 18, 2, 0, 1 } } },
+  { "withdrawn, bursts, departure",
+    1.0,
+    26,
+    { { EMULATOR_WITHDRAW, 1, 21, 2, 0, 1 },
+      { EMULATOR_BURST, 4, 12, 2, 1, 2.5 },
+      { EMULATOR_BURST, 6, 12, 0, 0, 1.6 },
+      { EMULATOR_CRASH, 14, 60, 0, 12, 1 },
+      { EMULATOR_BURST, 18, 24, 0, 1, 2.2 } } },
+};
+
+static bool
+has_contention (const char *deployment)
+{
+  return !strcmp (deployment, "contention") || !strcmp (deployment, "uneven");
+}
+
 int
 main (int argc, char **argv)
 {
-  static const struct
-  {
-    const char *name;
-    double load;
-    struct emulator_fault faults[FAULTS_MAX];
-  } rows[] = {
-    { "quiet", 0.7, { { 0 } } },
-    { "busy", 1.0, { { 0 } } },
-    { "busy, burst of 1.3", 1.0, { { EMULATOR_BURST, 5, 9, 0, 0, 1.3 } } },
-    { "busy, burst of 1.8", 1.0, { { EMULATOR_BURST, 5, 9, 0, 0, 1.8 } } },
-    { "busy, a domain withdrawn", 1.0, { { EMULATOR_WITHDRAW, 5, 15, 0, 0, 1 } } },
-    { "busy, two slow", 1.0, { { EMULATOR_SLOW, 5, 12, 3, 2, 6.5 } } },
-    { "busy, one stands still", 1.0, { { EMULATOR_STALL, 5, 11, 4, 1, 1 } } },
-    { "busy, one fails all", 1.0, { { EMULATOR_FAIL, 5, 11, 4, 1, 1 } } },
-    { "busy, 5% unanswered", 1.0, { { EMULATOR_CALL_LOSS, 5, 11, 0, 0, 0.05 } } },
-    { "busy, five of eleven left",
-      1.0,
-      { { EMULATOR_WITHDRAW, 5, 15, 0, 0, 1 }, { EMULATOR_CRASH, 4, 15, 1, 3, 1 } } },
-    { "busy, six of eleven left",
-      1.0,
-      { { EMULATOR_WITHDRAW, 2, 18, 0, 0, 1 }, { EMULATOR_CRASH, 2, 18, 1, 2, 1 } } },
-    { "busy, seven of eleven left",
-      1.0,
-      { { EMULATOR_WITHDRAW, 2, 18, 0, 0, 1 }, { EMULATOR_CRASH, 2, 18, 1, 1, 1 } } },
-    { "busy, four kinds of fault",
-      0.9,
-      { { EMULATOR_WITHDRAW, 3, 16, 0, 0, 1 },
-        { EMULATOR_CRASH, 5, 14, 1, 1, 1 },
-        { EMULATOR_SLOW, 6, 13, 3, 1, 6.5 },
-        { EMULATOR_FAIL, 6, 13, 5, 1, 1 } } },
-    { "busy, power loss", 1.0, { { EMULATOR_POWER_LOSS, 8, 9.8, 0, 0, 1 } } },
-    { "six left, power loss",
-      0.9,
-      { { EMULATOR_WITHDRAW, 2, 18, 0, 0, 1 },
-        { EMULATOR_CRASH, 2, 18, 1, 2, 1 },
-        { EMULATOR_POWER_LOSS, 8, 9.8, 0, 0, 1 } } },
-    { "busy, two crash", 1.0, { { EMULATOR_CRASH, 5, 9, 5, 2, 1 } } },
-    { "busy, tasks that crash", 1.0, { { EMULATOR_CRASHING_JOBS, 2, 20, 0, 0, 0.1 } } },
-  };
   unsigned first = argc > 1 ? (unsigned)atoi (argv[1]) : 1;
   unsigned count = argc > 2 ? (unsigned)atoi (argv[2]) : 5;
   const char *deployment = argc > 3 ? argv[3] : "theatre";
   bool refused_callers_return = argc > 4 && !strcmp (argv[4], "return");
+  const struct row *rows = has_contention (deployment) ? contention_rows : standard_rows;
+  size_t n_rows
+      = has_contention (deployment) ? G_N_ELEMENTS (contention_rows) : G_N_ELEMENTS (standard_rows);
 
   az_log_init ("dispatch_emulator", LOG_ERR);
-  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+  for (size_t i = 0; i < n_rows; i++)
     {
-      struct emulator_scenario scenario
-          = create_scenario_with_faults (rows[i].load, rows[i].faults, deployment);
+      struct emulator_scenario scenario = create_scenario_with_faults (&rows[i], deployment);
 
       scenario.refused_callers_return = refused_callers_return;
       run_seeds (rows[i].name, &scenario, first, count);
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -13,6 +13,7 @@
 
 #define EMULATOR_JOB_KINDS 3
 #define EMULATOR_GATEWAYS_MAX 16
+#define EMULATOR_SPEEDS_MAX 5
 
 /** struct emulator_job_kind - a class of jobs; its run times and sizes vary around the means */
 struct emulator_job_kind
@@ -33,7 +34,8 @@
   EMULATOR_FAIL,           /* the factor is the share of tasks that fail */
   EMULATOR_CRASH,          /* the upstreams are down and have lost their tasks */
   EMULATOR_WITHDRAW,       /* a failure domain is withdrawn from service */
-  EMULATOR_BURST,          /* the arrival rate is multiplied by the factor */
+  EMULATOR_BURST,          /* the arrival rate is multiplied by the factor, of @count kinds of jobs
+                            * from @first on, or of all if @count is 0 */
   EMULATOR_CALL_LOSS,      /* the factor is the share of calls to upstreams that are lost */
   EMULATOR_POWER_LOSS,     /* all gateways and sidecars lose power and their state */
   EMULATOR_CRASHING_JOBS,  /* the factor is the share of jobs of the kind @first that have a task
@@ -55,20 +57,35 @@
 struct emulator_scenario
 {
   unsigned n_gateways;
-  double gateway_weights[EMULATOR_GATEWAYS_MAX]; /* shares of the arrivals; all 0 means equal */
+  double gateway_weights[EMULATOR_GATEWAYS_MAX];  /* shares of the arrivals; all 0 means equal */
+  double processor_shares[EMULATOR_GATEWAYS_MAX]; /* cores of a gateway; with 0 it handles events
+                                                   * at once */
   unsigned n_upstreams;
   unsigned n_domains;
   double upstream_cores; /* cores of an upstream; every third one has 1.5 times as many */
+  double upstream_speeds[EMULATOR_SPEEDS_MAX]; /* of the hardware, in turn */
+  unsigned n_upstream_speeds;
   double mean_task_cores;
   double duration_s;
   double load; /* factor on all arrival rates */
   double cross_domain_delay_ms;
+  double caller_delay_ms;      /* one way, between callers and gateways */
+  double rate_swing;           /* part of its mean by which the arrival rate goes up and down */
+  bool fair_division;          /* sidecars divide freed capacity between gateways */
+  bool tail_aware_moves;       /* gateways tell long tasks from slow upstreams */
   bool refused_callers_return; /* once, in whole seconds, as Retry-After tells them */
   struct emulator_job_kind kinds[EMULATOR_JOB_KINDS];
   struct emulator_fault faults[8];
   unsigned n_faults;
 };
 
+struct emulator_gateway_counts
+{
+  unsigned submitted;
+  unsigned late;
+  unsigned refused;
+};
+
 struct emulator_job_counts
 {
   unsigned submitted;
@@ -85,12 +102,18 @@
 struct emulator_result
 {
   struct emulator_job_counts kinds[EMULATOR_JOB_KINDS];
-  double goodput;              /* over the whole run */
+  struct emulator_gateway_counts gateways[EMULATOR_GATEWAYS_MAX];
+  double refusal_factor; /* between the gateways with the highest and the lowest share of refused
+                          * jobs; shares below 2% count as 2% */
+  double goodput;        /* over the whole run */
   double worst_window_goodput; /* mean of the two windows of 2 s with the lowest goodput */
   double wasted_core_s;
   double late_core_s;     /* work of the jobs that were completed late */
   double mean_refusal_ms; /* from arrival to refusal */
   unsigned n_runs;
+  unsigned n_sent;             /* tasks sent to sidecars */
+  unsigned n_no_room;          /* of these, refused by the sidecar for want of room */
+  unsigned n_closed_sessions;  /* closed by a timeout; the emulator doesn't open them again */
   unsigned n_crashes;          /* of upstreams, caused by tasks or random */
   unsigned n_suspected;        /* times that a gateway suspected a queue */
   unsigned n_overlapping_runs; /* starts of a task that was still running */
@@ -118,6 +141,11 @@
 struct emulator_scenario
 emulator_uneven_gateways_scenario (double load);
 
+/** emulator_contention_scenario - 61 upstreams and ten gateways in three domains; six gateways have
+ * half a core, the others an eighth of it */
+struct emulator_scenario
+emulator_contention_scenario (double load);
+
 /** emulator_run - runs the scenario; the same seed gives the same load */
 struct emulator_result
 emulator_run (const struct emulator_scenario *scenario, uint32_t seed);
--- a/bench/emulator/ideal.c
+++ b/bench/emulator/ideal.c
@@ -81,7 +81,8 @@
   for (unsigned i = 0; i < ideal->scenario->n_upstreams; i++)
     {
       bool is_closed;
-      double speed = fault_speed_factor (ideal, i, &is_closed) * emu_upstream_speed (i);
+      double speed
+          = fault_speed_factor (ideal, i, &is_closed) * emu_upstream_speed (ideal->scenario, i);
 
       if (is_closed || ideal->free_cpu_milli[i] < job->cpu_milli
           || (double)work_us / speed > (double)left_us)
@@ -102,7 +103,7 @@
   int64_t work_us = job->work_us[row->n_started++];
   bool is_closed;
   double speed = fault_speed_factor (ideal, (unsigned)upstream, &is_closed)
-                 * emu_upstream_speed ((unsigned)upstream);
+                 * emu_upstream_speed (ideal->scenario, (unsigned)upstream);
   int64_t end_us = emu_now_us (ideal->events) + (int64_t)((double)work_us / speed);
   struct cpu_release *cpu_release = g_new0 (struct cpu_release, 1);
 
@@ -141,7 +142,8 @@
       double speed_factor = fault_speed_factor (ideal, i, &is_closed);
 
       if (!is_closed)
-        cores += emu_upstream_cores (ideal->scenario, i) * emu_upstream_speed (i) * speed_factor;
+        cores += emu_upstream_cores (ideal->scenario, i) * emu_upstream_speed (ideal->scenario, i)
+                 * speed_factor;
     }
   return cores;
 }
--- a/bench/emulator/links.c
+++ b/bench/emulator/links.c
@@ -66,38 +66,62 @@
 }
 
 static void
-deliver_to_gateway (void *context, void *data)
+receive_at_gateway (struct world *world, unsigned gateway, void *data)
 {
-  struct world *world = context;
   const struct packet *packet = data;
   struct az_message message;
 
-  if (!world->is_powered)
-    return;
   if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_gateway_received (world->gateways[packet->gateway], packet->upstream + 1, &message);
-  az_gateway_flush (world->gateways[packet->gateway]);
+  az_gateway_received (world->gateways[gateway], packet->upstream + 1, &message);
   az_message_clear (&message);
 }
 
+static void
+deliver_to_gateway (void *context, void *data)
+{
+  struct world *world = context;
+  struct packet *packet = data;
+
+  if (world->is_powered)
+    emu_post_to_gateway (world, packet->gateway, receive_at_gateway, packet,
+                         sizeof *packet + packet->length);
+}
+
 void
 emu_send_to_sidecar (void *context, uint32_t session, const struct az_message *message)
 {
   const struct node_context *node = context;
   struct world *world = node->world;
 
+  if (message->proc == AZ_NODE_RUN)
+    world->metrics.result.n_sent += message->az_message_u.node_run.tasks.tasks_len;
   emu_schedule (world->events,
-                emu_now_us (world->events) + link_delay_us (world, node->index, session - 1),
+                emu_output_time_us (world, node->index)
+                    + link_delay_us (world, node->index, session - 1),
                 deliver_to_sidecar, world, create_packet (node->index, session - 1, message));
 }
 
+static unsigned
+count_refused_for_room (const struct az_message *message)
+{
+  const struct az_node_report *report = &message->az_message_u.node_report;
+  unsigned n = 0;
+
+  if (message->proc != AZ_NODE_REPORT)
+    return 0;
+  for (u_int i = 0; i < report->events.events_len; i++)
+    n += report->events.events_val[i].how == AZ_TASK_NO_ROOM;
+  return n;
+}
+
 void
 emu_send_to_gateway (void *context, uint32_t session, const struct az_message *message)
 {
   const struct node_context *node = context;
   struct world *world = node->world;
 
+  world->metrics.result.n_no_room += count_refused_for_room (message);
   emu_schedule (world->events,
                 emu_now_us (world->events) + link_delay_us (world, session - 1, node->index),
                 deliver_to_gateway, world, create_packet (session - 1, node->index, message));
@@ -106,9 +130,11 @@
 void
 emu_close_session (void *context, uint32_t session, const char *reason)
 {
-  (void)context;
+  const struct node_context *node = context;
+
   (void)session;
   (void)reason;
+  node->world->metrics.result.n_closed_sessions++;
 }
 
 void
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -14,11 +14,9 @@
 }
 
 double
-emu_upstream_speed (unsigned upstream)
+emu_upstream_speed (const struct emulator_scenario *scenario, unsigned upstream)
 {
-  static const double speeds[] = { 1.0, 0.8, 1.25, 0.9, 1.1 };
-
-  return speeds[upstream % G_N_ELEMENTS (speeds)];
+  return scenario->upstream_speeds[upstream % scenario->n_upstream_speeds];
 }
 
 static double
@@ -38,15 +36,18 @@
 }
 
 static double
-burst_factor (const struct emulator_scenario *scenario, double at_s)
+burst_factor (const struct emulator_scenario *scenario, unsigned kind, double at_s)
 {
   double factor = 1;
 
   for (unsigned i = 0; i < scenario->n_faults; i++)
     {
       const struct emulator_fault *fault = &scenario->faults[i];
+      bool is_affected
+          = fault->count == 0 || (kind >= fault->first && kind < fault->first + fault->count);
 
-      if (fault->kind == EMULATOR_BURST && at_s >= fault->from_s && at_s < fault->to_s)
+      if (fault->kind == EMULATOR_BURST && is_affected && at_s >= fault->from_s
+          && at_s < fault->to_s)
         factor *= fault->factor;
     }
   return factor;
@@ -171,9 +172,9 @@
 
       while (scenario->kinds[kind].arrivals_per_s > 0)
         {
-          double wave = 1 + 0.15 * sin (2 * G_PI * at_s / 11);
+          double wave = 1 + scenario->rate_swing * sin (2 * G_PI * at_s / 11);
           double rate = scenario->kinds[kind].arrivals_per_s * scenario->load * wave
-                        * burst_factor (scenario, at_s);
+                        * burst_factor (scenario, kind, at_s);
           struct emu_job job;
 
           at_s += -log (g_rand_double_range (random, 1e-9, 1)) / rate;
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -15,8 +15,14 @@
   *now = az_time_from_ns (emu_now_us (world->events) * 1000);
 }
 
+static int64_t
+caller_delay_us (const struct world *world)
+{
+  return (int64_t)(world->scenario->caller_delay_ms * 1000);
+}
+
 static void
-submit_job (void *context, void *data);
+send_job (void *context, void *data);
 
 static void
 return_job (void *context, void *data)
@@ -26,15 +32,15 @@
 
   g_array_index (world->load->jobs, struct emu_job, index).returned_us = emu_now_us (world->events);
   world->metrics.result.n_returned++;
-  submit_job (world, data);
+  send_job (world, data);
 }
 
 static void
-schedule_return (struct world *world, guint index, int64_t retry_after_ms)
+schedule_return (struct world *world, guint index, int64_t refused_us, int64_t retry_after_ms)
 {
   int64_t seconds = (retry_after_ms + 999) / 1000;
 
-  emu_schedule (world->events, emu_now_us (world->events) + seconds * 1000000, return_job, world,
+  emu_schedule (world->events, refused_us + seconds * 1000000, return_job, world,
                 g_memdup2 (&index, sizeof index));
 }
 
@@ -44,6 +50,7 @@
   const struct node_context *node = context;
   struct world *world = node->world;
   struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, caller - 1);
+  int64_t received_us = emu_output_time_us (world, node->index) + caller_delay_us (world);
 
   if (!world->is_powered)
     return;
@@ -51,13 +58,12 @@
     {
       world->metrics.result.n_returned_in_time
           += answer->outcome == AZ_JOB_COMPLETED
-             && emu_now_us (world->events) - job->returned_us <= job->objective_us;
+             && received_us - job->returned_us <= job->objective_us;
       return;
     }
   if (answer->outcome == AZ_JOB_NOT_RUN && world->scenario->refused_callers_return)
-    schedule_return (world, caller - 1, answer->retry_after_ms);
-  emu_metrics_record_answer (&world->metrics, job, answer->outcome,
-                             emu_now_us (world->events) - job->arrival_us);
+    schedule_return (world, caller - 1, received_us, answer->retry_after_ms);
+  emu_metrics_record_answer (&world->metrics, job, answer->outcome, received_us - job->arrival_us);
 }
 
 /* Plays a caller without a connection, which tries again or gives up at its deadline. */
@@ -68,29 +74,26 @@
   int64_t at_us = emu_now_us (world->events) + RESUBMIT_US;
 
   if (at_us < job->arrival_us + job->deadline_us)
-    emu_schedule (world->events, at_us, submit_job, world, g_memdup2 (&index, sizeof index));
+    emu_schedule (world->events, at_us, send_job, world, g_memdup2 (&index, sizeof index));
   else
     emu_metrics_record_answer (&world->metrics, job, AZ_JOB_UNFINISHED, at_us - job->arrival_us);
 }
 
+struct submission
+{
+  guint index;
+  int64_t wait_us; /* time after its sending at which the caller gives up */
+};
+
 static void
-submit_job (void *context, void *data)
+submit_job (struct world *world, unsigned gateway, void *data)
 {
-  struct world *world = context;
-  guint index = *(guint *)data;
-  struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, index);
-  struct az_gateway *gateway = world->gateways[job->gateway];
+  const struct submission *submission = data;
+  guint index = submission->index;
+  const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, index);
   g_autofree char *id = g_strdup_printf ("%016x", index);
   struct az_job_request request = { .specification = NULL, .n_steps = 1 };
-  int64_t sent_us = MAX (job->arrival_us, job->returned_us);
-  int64_t left_us = sent_us + job->deadline_us - emu_now_us (world->events);
 
-  if (!world->is_powered)
-    {
-      schedule_resubmission (world, index);
-      return;
-    }
-  job->is_submitted = true;
   request.specification = g_strdup ("spec");
 
   request.steps = g_new0 (struct az_job_step, 1);
@@ -100,9 +103,49 @@
     .estimate_ms = (uint32_t)job->estimate_ms,
   };
   g_hash_table_insert (world->jobs, g_strdup (id), GUINT_TO_POINTER (index + 1));
-  az_gateway_submit (gateway, index + 1, &az_gateway_catalog (gateway)->routes[job->kind], id,
-                     &request, left_us / 1000);
-  az_gateway_flush (gateway);
+  az_gateway_submit (world->gateways[gateway], index + 1,
+                     &az_gateway_catalog (world->gateways[gateway])->routes[job->kind], id,
+                     &request, submission->wait_us / 1000);
+}
+
+static void
+deliver_job (void *context, void *data)
+{
+  struct world *world = context;
+  struct submission *submission = data;
+  struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, submission->index);
+
+  if (!world->is_powered)
+    {
+      schedule_resubmission (world, submission->index);
+      return;
+    }
+  job->is_submitted = true;
+  emu_post_to_gateway (world, job->gateway, submit_job, submission, sizeof *submission);
+}
+
+static void
+send_job (void *context, void *data)
+{
+  struct world *world = context;
+  struct submission submission = { .index = *(guint *)data };
+  const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, submission.index);
+  int64_t sent_us = MAX (job->arrival_us, job->returned_us);
+
+  submission.wait_us = sent_us + job->deadline_us - emu_now_us (world->events);
+  if (caller_delay_us (world) == 0)
+    deliver_job (world, &submission);
+  else
+    emu_schedule (world->events, emu_now_us (world->events) + caller_delay_us (world), deliver_job,
+                  world, g_memdup2 (&submission, sizeof submission));
+}
+
+static void
+handle_tick (struct world *world, unsigned gateway, void *data)
+{
+  (void)data;
+  world->processors[gateway].is_tick_waiting = false;
+  az_gateway_tick (world->gateways[gateway]);
 }
 
 static void
@@ -114,8 +157,12 @@
   (void)data;
   if (!world->is_powered)
     return;
-  az_gateway_tick (world->gateways[node->index]);
-  az_gateway_flush (world->gateways[node->index]);
+  /* A timer that is late doesn't expire twice. */
+  if (!world->processors[node->index].is_tick_waiting)
+    {
+      world->processors[node->index].is_tick_waiting = true;
+      emu_post_to_gateway (world, node->index, handle_tick, NULL, 0);
+    }
   emu_schedule (world->events, emu_now_us (world->events) + GATEWAY_TICK_US, tick_gateway, node,
                 NULL);
 }
@@ -221,7 +268,7 @@
   world->holds[index] = g_array_new (FALSE, FALSE, sizeof (struct waiting_hold));
   world->upstreams[index]
       = emu_upstream_create (world->events, index, emu_upstream_cores (world->scenario, index),
-                             emu_upstream_speed (index), &observer);
+                             emu_upstream_speed (world->scenario, index), &observer);
 }
 
 static void
@@ -266,6 +313,7 @@
 {
   world->is_powered = false;
   destroy_processes (world);
+  emu_stop_processors (world);
   for (unsigned i = 0; i < world->scenario->n_upstreams; i++)
     g_array_set_size (world->holds[i], 0);
   for (guint i = 0; i < world->load->jobs->len; i++)
@@ -288,7 +336,7 @@
 {
   for (guint i = 0; i < world->load->jobs->len; i++)
     emu_schedule (world->events, g_array_index (world->load->jobs, struct emu_job, i).arrival_us,
-                  submit_job, world, g_memdup2 (&i, sizeof i));
+                  send_job, world, g_memdup2 (&i, sizeof i));
   for (unsigned i = 0; i < world->scenario->n_faults; i++)
     {
       emu_schedule_fault (world, i, true, world->scenario->faults[i].from_s);
@@ -319,6 +367,7 @@
   world->refuses_connections = g_new0 (bool, n_upstreams);
   world->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   emu_metrics_init (&world->metrics, scenario);
+  emu_create_processors (world);
   for (unsigned i = 0; i < n_upstreams; i++)
     create_upstream (world, i);
   start_processes (world);
@@ -335,6 +384,7 @@
       emu_upstream_destroy (world->upstreams[i]);
       g_array_unref (world->holds[i]);
     }
+  emu_destroy_processors (world);
   emu_events_destroy (world->events);
   emu_load_destroy (world->load);
   g_rand_free (world->random);
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -21,6 +21,17 @@
   bool is_call_delivered;
 };
 
+/** struct gateway_processor - a gateway whose processor share is limited: what arrives waits in its
+ * inbox during an iteration of its event loop */
+struct gateway_processor
+{
+  GPtrArray *inbox;    /* struct gateway_event */
+  unsigned generation; /* of the process; iterations of earlier ones are ignored */
+  bool is_iterating;
+  bool is_tick_waiting;
+  int64_t output_at_us; /* when what the gateway sends at present leaves */
+};
+
 struct world
 {
   const struct emulator_scenario *scenario;
@@ -31,6 +42,7 @@
   struct az_clock clock;
   struct az_counters *counters;
   struct az_gateway **gateways;
+  struct gateway_processor *processors;
   struct az_sidecar **sidecars;
   struct emu_upstream **upstreams;
   GArray **holds; /* struct waiting_hold, per upstream */
@@ -51,6 +63,31 @@
 void
 emu_restore_power (struct world *world);
 
+/* processor.c: gateways handle events at once, or as fast as their processor share allows */
+void
+emu_create_processors (struct world *world);
+void
+emu_destroy_processors (struct world *world);
+
+/** emu_stop_processors - forgets all waiting events */
+void
+emu_stop_processors (struct world *world);
+
+/** emu_post_to_gateway - calls @handle with @data or a copy of it, and flushes the gateway, now or
+ * in the next iteration of its event loop */
+void
+emu_post_to_gateway (struct world *world,
+                     unsigned gateway,
+                     void (*handle) (struct world *world, unsigned gateway, void *data),
+                     void *data,
+                     size_t size);
+bool
+emu_is_processor_limited (const struct world *world, unsigned gateway);
+
+/** emu_output_time_us - when messages and answers leave that the gateway sends in a callback */
+int64_t
+emu_output_time_us (const struct world *world, unsigned gateway);
+
 /* links.c: the callbacks of both cores that send messages; sessions never close */
 unsigned
 emu_domain_of_gateway (const struct world *world, unsigned gateway);
--- a/bench/emulator/scenarios.c
+++ b/bench/emulator/scenarios.c
@@ -12,7 +12,10 @@
     .mean_task_cores = 3.1,
     .duration_s = 20,
     .load = load,
+    .upstream_speeds = { 1.0, 0.8, 1.25, 0.9, 1.1 },
+    .n_upstream_speeds = 5,
     .cross_domain_delay_ms = 0.9,
+    .rate_swing = 0.15,
     .kinds = {
       { "hold", 34.4 * 1.1, 60, 8, 32, 0, 0.0291 },
       { "release", 100 * 1.1, 200, 2, 8, 1, 0.01 },
@@ -58,3 +61,25 @@
   scenario.cross_domain_delay_ms = 0.5;
   return scenario;
 }
+
+struct emulator_scenario
+emulator_contention_scenario (double load)
+{
+  /* The gateway with index i is in domain i % 3. */
+  static const double shares[] = { 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.12, 0.12, 0.12, 0.12 };
+  static const double speeds[] = { 1.0, 1.0, 1.3 };
+  struct emulator_scenario scenario = emulator_base_scenario (load);
+
+  scenario.n_gateways = G_N_ELEMENTS (shares);
+  memcpy (scenario.processor_shares, shares, sizeof shares);
+  scenario.n_upstreams = 61;
+  scenario.n_upstream_speeds = G_N_ELEMENTS (speeds);
+  memcpy (scenario.upstream_speeds, speeds, sizeof speeds);
+  scenario.mean_task_cores = 2.9;
+  scenario.cross_domain_delay_ms = 1.4;
+  scenario.caller_delay_ms = 3;
+  scenario.kinds[0].arrivals_per_s = 206;
+  scenario.kinds[1].arrivals_per_s = 600;
+  scenario.kinds[2].arrivals_per_s = 37.5;
+  return scenario;
+}
--- a/bench/emulator/tally.c
+++ b/bench/emulator/tally.c
@@ -3,6 +3,7 @@
 
 #define WINDOW_US 2000000
 #define LATE_VALUE_SHARE 0.2
+#define REFUSED_SHARE_MIN 0.02
 
 void
 emu_metrics_init (struct emu_metrics *metrics, const struct emulator_scenario *scenario)
@@ -29,6 +30,7 @@
                            int64_t answered_us)
 {
   struct emulator_job_counts *row = &metrics->result.kinds[job->kind];
+  struct emulator_gateway_counts *gateway = &metrics->result.gateways[job->gateway];
   double served = 0;
 
   job->is_answered = true;
@@ -41,12 +43,14 @@
   else if (outcome == AZ_JOB_COMPLETED)
     {
       row->late++;
+      gateway->late++;
       metrics->result.late_core_s += job->core_s;
       served = answered_us <= 3 * job->objective_us ? LATE_VALUE_SHARE * job->value : 0;
     }
   else if (outcome == AZ_JOB_NOT_RUN)
     {
       row->refused++;
+      gateway->refused++;
       metrics->n_refused++;
       metrics->refusal_ms_sum += (double)answered_us / 1000;
     }
@@ -78,6 +82,25 @@
   return (worst + second) / 2;
 }
 
+static double
+refusal_factor (const struct emulator_result *result)
+{
+  double highest = REFUSED_SHARE_MIN;
+  double lowest = 1;
+
+  for (unsigned i = 0; i < EMULATOR_GATEWAYS_MAX; i++)
+    {
+      const struct emulator_gateway_counts *row = &result->gateways[i];
+      double share = (double)row->refused / MAX (row->submitted, 1);
+
+      if (row->submitted == 0)
+        continue;
+      highest = MAX (highest, share);
+      lowest = MIN (lowest, MAX (share, REFUSED_SHARE_MIN));
+    }
+  return highest / lowest;
+}
+
 struct emulator_result
 emu_metrics_finish (struct emu_metrics *metrics, const struct emu_load *load)
 {
@@ -90,6 +113,7 @@
       const struct emu_job *job = &g_array_index (load->jobs, struct emu_job, i);
 
       result->kinds[job->kind].submitted++;
+      result->gateways[job->gateway].submitted++;
       result->kinds[job->kind].large_submitted += job->is_large;
       result->n_unanswered += !job->is_answered;
       g_array_index (metrics->window_offered_value, double, window_index (metrics, job))
@@ -99,6 +123,7 @@
   for (guint i = 0; i < metrics->window_served_value->len; i++)
     goodput += g_array_index (metrics->window_served_value, double, i);
   result->goodput = offered > 0 ? goodput / offered : 1;
+  result->refusal_factor = refusal_factor (result);
   result->worst_window_goodput = mean_of_two_worst_windows (metrics);
   result->mean_refusal_ms = metrics->n_refused ? metrics->refusal_ms_sum / metrics->n_refused : 0;
   g_array_unref (metrics->window_offered_value);
@@ -106,6 +131,25 @@
   return *result;
 }
 
+static void
+print_gateways (const struct emulator_scenario *scenario, const struct emulator_result *result)
+{
+  printf (
+      "  sent %u  of these without room %.3f  sessions closed %u  refusals differ by a factor of "
+      "%.2f\n",
+      result->n_sent, (double)result->n_no_room / MAX (result->n_sent, 1),
+      result->n_closed_sessions, result->refusal_factor);
+  for (unsigned i = 0; i < scenario->n_gateways; i++)
+    {
+      const struct emulator_gateway_counts *row = &result->gateways[i];
+
+      printf ("  gateway %2u  domain %u  cores %.2f  asked %6u  late %.3f  refused %.3f\n", i,
+              i % scenario->n_domains, scenario->processor_shares[i], row->submitted,
+              (double)row->late / MAX (row->submitted, 1),
+              (double)row->refused / MAX (row->submitted, 1));
+    }
+}
+
 void
 emulator_print_result (const struct emulator_scenario *scenario,
                        const struct emulator_result *result)
@@ -126,4 +170,6 @@
               (double)row->unfinished / MAX (row->submitted, 1),
               (double)row->large_in_time / MAX (row->large_submitted, 1));
     }
+  if (result->n_sent > 0 && scenario->processor_shares[0] > 0)
+    print_gateways (scenario, result);
 }
--- a/bench/emulator/troubles.c
+++ b/bench/emulator/troubles.c
@@ -122,16 +122,25 @@
   bool begins;
 };
 
-void
-emu_send_withdrawn (struct world *world)
+static void
+set_withdrawn (struct world *world, unsigned gateway, void *data)
 {
   g_autofree char *name = g_strdup_printf ("d%d", world->withdrawn_domain);
   const char *const domains[] = { name };
-  uint64_t revision = (uint64_t)emu_now_us (world->events);
 
+  (void)data;
+  az_gateway_set_withdrawn (world->gateways[gateway], (uint64_t)emu_now_us (world->events), 0,
+                            domains, world->withdrawn_domain < 0 ? 0 : 1);
+}
+
+void
+emu_send_withdrawn (struct world *world)
+{
   for (unsigned i = 0; i < world->scenario->n_gateways; i++)
-    az_gateway_set_withdrawn (world->gateways[i], revision, 0, domains,
-                              world->withdrawn_domain < 0 ? 0 : 1);
+    if (emu_is_processor_limited (world, i))
+      emu_post_to_gateway (world, i, set_withdrawn, NULL, 0);
+    else
+      set_withdrawn (world, i, NULL);
 }
 
 static void
--- a/bench/emulator/world.h
+++ b/bench/emulator/world.h
@@ -48,7 +48,7 @@
 
 /** emu_upstream_speed - relative speed of the hardware when no fault affects it */
 double
-emu_upstream_speed (unsigned upstream);
+emu_upstream_speed (const struct emulator_scenario *scenario, unsigned upstream);
 
 /* Metrics by windows of arrival time. */
 struct emu_metrics
