Calibrate the costs of emulated gateways, add scenario uneven

Cause: the costs of an event and a flush were provisional, and the load of customer 2 was missing.

Change: a message or timer costs 10 us of processor time, a job 150 us and an iteration 30 us. Tasks can take longer than estimated with a probability by kind; nothing is drawn without it.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -18,6 +18,8 @@
     return emulator_uneven_gateways_scenario (load);
   if (!g_strcmp0 (name, "contention"))
     return emulator_contention_scenario (load);
+  if (!g_strcmp0 (name, "uneven"))
+    return emulator_uneven_scenario (load);
   return emulator_base_scenario (load);
 }
 
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -24,7 +24,9 @@
   double mean_tasks;
   unsigned max_tasks;
   unsigned priority;
-  double value; /* value of a job with the mean amount of work */
+  double value;       /* value of a job with the mean amount of work */
+  double tail_share;  /* share of the tasks that take longer by the factor @tail_factor */
+  double tail_factor; /* the estimate doesn't include it */
 };
 
 enum emulator_fault_kind
@@ -146,6 +148,12 @@
 struct emulator_scenario
 emulator_contention_scenario (double load);
 
+/** emulator_uneven_scenario - 67 upstreams, of which every fourth has half the speed, and twelve
+ * gateways of 0.5 to 0.09 cores in three domains; 3% of the tasks take seven times as long as
+ * estimated */
+struct emulator_scenario
+emulator_uneven_scenario (double load);
+
 /** emulator_run - runs the scenario; the same seed gives the same load */
 struct emulator_result
 emulator_run (const struct emulator_scenario *scenario, uint32_t seed);
--- a/bench/emulator/links.c
+++ b/bench/emulator/links.c
@@ -84,7 +84,7 @@
   struct packet *packet = data;
 
   if (world->is_powered)
-    emu_post_to_gateway (world, packet->gateway, receive_at_gateway, packet,
+    emu_post_to_gateway (world, packet->gateway, EMU_EVENT_MESSAGE, receive_at_gateway, packet,
                          sizeof *packet + packet->length);
 }
 
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -89,6 +89,13 @@
   return false;
 }
 
+/* Draws nothing without a tail, so that the load of other scenarios stays the same. */
+static bool
+is_in_tail (const struct emulator_job_kind *row, GRand *random)
+{
+  return row->tail_share > 0 && g_rand_double (random) < row->tail_share;
+}
+
 static struct emu_job
 draw_job (const struct emulator_scenario *scenario, unsigned kind, int64_t at_us, GRand *random)
 {
@@ -110,6 +117,8 @@
   for (unsigned i = 0; i < job.n_tasks; i++)
     {
       job.work_us[i] = (int64_t)(run_us * draw_lognormal (random, 0.15));
+      if (is_in_tail (row, random))
+        job.work_us[i] = (int64_t)((double)job.work_us[i] * row->tail_factor);
       job.longest_work_us = MAX (job.longest_work_us, job.work_us[i]);
       job.core_s += (double)job.work_us[i] / 1e6 * job.cpu_milli / 1000;
     }
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -121,7 +121,8 @@
       return;
     }
   job->is_submitted = true;
-  emu_post_to_gateway (world, job->gateway, submit_job, submission, sizeof *submission);
+  emu_post_to_gateway (world, job->gateway, EMU_EVENT_JOB, submit_job, submission,
+                       sizeof *submission);
 }
 
 static void
@@ -161,7 +162,7 @@
   if (!world->processors[node->index].is_tick_waiting)
     {
       world->processors[node->index].is_tick_waiting = true;
-      emu_post_to_gateway (world, node->index, handle_tick, NULL, 0);
+      emu_post_to_gateway (world, node->index, EMU_EVENT_MESSAGE, handle_tick, NULL, 0);
     }
   emu_schedule (world->events, emu_now_us (world->events) + GATEWAY_TICK_US, tick_gateway, node,
                 NULL);
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -64,6 +64,12 @@
 emu_restore_power (struct world *world);
 
 /* processor.c: gateways handle events at once, or as fast as their processor share allows */
+enum emu_event_kind
+{
+  EMU_EVENT_MESSAGE, /* or a timer, or an update of the store */
+  EMU_EVENT_JOB,
+};
+
 void
 emu_create_processors (struct world *world);
 void
@@ -78,6 +84,7 @@
 void
 emu_post_to_gateway (struct world *world,
                      unsigned gateway,
+                     enum emu_event_kind kind,
                      void (*handle) (struct world *world, unsigned gateway, void *data),
                      void *data,
                      size_t size);
--- a/bench/emulator/processor.c
+++ b/bench/emulator/processor.c
@@ -1,12 +1,14 @@
 #include "emulator/play.h"
 
-/* Processor time of one event, and of what an iteration of the event loop does besides: it waits
- * for events, places tasks and sends messages. */
-#define EVENT_COST_US 20
-#define FLUSH_COST_US 100
+/* Processor time of a message or timer, of a job from its connection to its answer, and of what an
+ * iteration of the event loop does besides: it waits for events, places tasks and sends messages.
+ */
+static const double event_cost_us[] = { [EMU_EVENT_MESSAGE] = 10, [EMU_EVENT_JOB] = 150 };
+#define FLUSH_COST_US 30
 
 struct gateway_event
 {
+  enum emu_event_kind kind;
   void (*handle) (struct world *world, unsigned gateway, void *data);
   void *data;
 };
@@ -118,6 +120,16 @@
                 g_memdup2 (iteration, sizeof *iteration));
 }
 
+static double
+inbox_cost_us (const struct gateway_processor *processor)
+{
+  double cost_us = 0;
+
+  for (guint i = 0; i < processor->inbox->len; i++)
+    cost_us += event_cost_us[((const struct gateway_event *)processor->inbox->pdata[i])->kind];
+  return cost_us;
+}
+
 static void
 start_iteration (struct world *world, unsigned gateway)
 {
@@ -129,14 +141,14 @@
   iteration->generation = processor->generation;
   iteration->n_events = processor->inbox->len;
   emu_schedule (world->events,
-                emu_now_us (world->events)
-                    + elapsed_us (world, gateway, iteration->n_events * EVENT_COST_US),
+                emu_now_us (world->events) + elapsed_us (world, gateway, inbox_cost_us (processor)),
                 handle_events, world, iteration);
 }
 
 void
 emu_post_to_gateway (struct world *world,
                      unsigned gateway,
+                     enum emu_event_kind kind,
                      void (*handle) (struct world *world, unsigned gateway, void *data),
                      void *data,
                      size_t size)
@@ -150,6 +162,7 @@
       return;
     }
   event = g_new0 (struct gateway_event, 1);
+  event->kind = kind;
   event->handle = handle;
   event->data = g_memdup2 (data, size);
   g_ptr_array_add (world->processors[gateway].inbox, event);
--- a/bench/emulator/scenarios.c
+++ b/bench/emulator/scenarios.c
@@ -62,6 +62,15 @@
   return scenario;
 }
 
+/* Rates of the kinds in the order of their priorities. */
+static void
+set_rates (struct emulator_scenario *scenario, double first, double second, double third)
+{
+  scenario->kinds[0].arrivals_per_s = first;
+  scenario->kinds[1].arrivals_per_s = second;
+  scenario->kinds[2].arrivals_per_s = third;
+}
+
 struct emulator_scenario
 emulator_contention_scenario (double load)
 {
@@ -78,8 +87,34 @@
   scenario.mean_task_cores = 2.9;
   scenario.cross_domain_delay_ms = 1.4;
   scenario.caller_delay_ms = 3;
-  scenario.kinds[0].arrivals_per_s = 206;
-  scenario.kinds[1].arrivals_per_s = 600;
-  scenario.kinds[2].arrivals_per_s = 37.5;
+  set_rates (&scenario, 206, 600, 37.5);
+  return scenario;
+}
+
+struct emulator_scenario
+emulator_uneven_scenario (double load)
+{
+  /* The gateway with index i is in domain i % 3. */
+  static const double shares[] = { 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.3, 0.3, 0.3, 0.09, 0.09, 0.09 };
+  static const double speeds[] = { 0.55, 1.2, 1.2, 1.2 };
+  struct emulator_scenario scenario = emulator_base_scenario (load);
+
+  scenario.n_gateways = G_N_ELEMENTS (shares);
+  memcpy (scenario.processor_shares, shares, sizeof shares);
+  scenario.n_upstreams = 67;
+  scenario.n_upstream_speeds = G_N_ELEMENTS (speeds);
+  memcpy (scenario.upstream_speeds, speeds, sizeof speeds);
+  scenario.mean_task_cores = 3.2;
+  scenario.caller_delay_ms = 1;
+  scenario.rate_swing = 0.5;
+  set_rates (&scenario, 181, 529, 33);
+  scenario.kinds[0].mean_run_ms = 51;
+  scenario.kinds[1].mean_run_ms = 170;
+  scenario.kinds[2].mean_run_ms = 760;
+  for (unsigned i = 0; i < EMULATOR_JOB_KINDS; i++)
+    {
+      scenario.kinds[i].tail_share = 0.03;
+      scenario.kinds[i].tail_factor = 7;
+    }
   return scenario;
 }
--- a/bench/emulator/troubles.c
+++ b/bench/emulator/troubles.c
@@ -138,7 +138,7 @@
 {
   for (unsigned i = 0; i < world->scenario->n_gateways; i++)
     if (emu_is_processor_limited (world, i))
-      emu_post_to_gateway (world, i, set_withdrawn, NULL, 0);
+      emu_post_to_gateway (world, i, EMU_EVENT_MESSAGE, set_withdrawn, NULL, 0);
     else
       set_withdrawn (world, i, NULL);
 }
