Test uneven gateways in the emulator, vary delays and sessions

Cause: equal gateways at equal distance refused up to 11 times as many jobs as others, since all messages took the same time and all processes numbered their sessions alike, so the same gateways came first at each sidecar where the order of sessions decided.

Change: in the scenarios contention and uneven, delays between processes vary by a tenth, and each process numbers its sessions in an order of its own.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -90,6 +90,10 @@
       mean.mean_refusal_ms += result.mean_refusal_ms / count;
       worst_kind += worst_kind_share (&result) / count;
       mean.worst_window_goodput += result.worst_window_goodput / count;
+      mean.wasted_core_s += result.wasted_core_s / count;
+      mean.refusal_factor += result.refusal_factor / count;
+      mean.n_sent += result.n_sent;
+      mean.n_no_room += result.n_no_room;
       mean.n_returned += result.n_returned;
       mean.n_returned_in_time += result.n_returned_in_time;
       mean.n_overlapping_runs += result.n_overlapping_runs;
@@ -101,6 +105,11 @@
           "refused after %.0f ms  overlapping runs %u  unanswered %u\n",
           name, mean.goodput, ideal, mean.worst_window_goodput, ideal_window, worst_kind,
           mean.mean_refusal_ms, mean.n_overlapping_runs, mean.n_unanswered);
+  if (scenario->processor_shares[0] > 0)
+    printf ("%-28s refusals differ by a factor of %.2f  sent tasks without room %.3f  wasted %.0f "
+            "core-s\n",
+            name, mean.refusal_factor, (double)mean.n_no_room / MAX (mean.n_sent, 1),
+            mean.wasted_core_s);
   if (mean.n_returned > 0)
     printf ("%-28s returned %u  of these in time %.3f\n", name, mean.n_returned,
             (double)mean.n_returned_in_time / mean.n_returned);
@@ -150,6 +159,13 @@
 static const struct row contention_rows[] = {
   { "usual", 1.0, 0, { { 0 } } },
   { "a domain withdrawn", 1.0, 0, { { EMULATOR_WITHDRAW, 1, 18, 2, 0, 1 } } },
+  { "bursts, departure",
+    1.0,
+    26,
+    { { EMULATOR_BURST, 4, 12, 2, 1, 2.5 },
+      { EMULATOR_BURST, 6, 12, 0, 0, 1.6 },
+      { EMULATOR_CRASH, 14, 60, 0, 12, 1 },
+      { EMULATOR_BURST, 18, 24, 0, 1, 2.2 } } },
   { "withdrawn, bursts, departure",
     1.0,
     26,
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -71,6 +71,8 @@
   double duration_s;
   double load; /* factor on all arrival rates */
   double cross_domain_delay_ms;
+  double delay_spread;         /* part of a delay between processes by which it varies; with it, the
+                                * numbers of sessions differ between processes */
   double caller_delay_ms;      /* one way, between callers and gateways */
   double rate_swing;           /* part of its mean by which the arrival rate goes up and down */
   bool fair_division;          /* sidecars divide freed capacity between gateways */
--- a/bench/emulator/links.c
+++ b/bench/emulator/links.c
@@ -33,6 +33,22 @@
   uint8_t bytes[];
 };
 
+/* Messages of a session arrive in the order of their sending. */
+static int64_t
+arrival_time_us (struct world *world, const struct packet *packet, int64_t sent_us, int64_t *last)
+{
+  size_t link = packet->gateway * world->scenario->n_upstreams + packet->upstream;
+  double spread = world->scenario->delay_spread;
+  int64_t delay_us = link_delay_us (world, packet->gateway, packet->upstream);
+
+  if (spread <= 0)
+    return sent_us + delay_us;
+  delay_us
+      = (int64_t)((double)delay_us * g_rand_double_range (world->random, 1 - spread, 1 + spread));
+  last[link] = MAX (last[link], sent_us + delay_us);
+  return last[link];
+}
+
 static struct packet *
 create_packet (unsigned gateway, unsigned upstream, const struct az_message *message)
 {
@@ -60,7 +76,9 @@
     return;
   if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_sidecar_received (world->sidecars[packet->upstream], packet->gateway + 1, &message);
+  az_sidecar_received (
+      world->sidecars[packet->upstream],
+      emu_session_of_peer (world->gateway_numbers, packet->upstream, packet->gateway), &message);
   az_sidecar_flush (world->sidecars[packet->upstream]);
   az_message_clear (&message);
 }
@@ -73,7 +91,9 @@
 
   if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_gateway_received (world->gateways[gateway], packet->upstream + 1, &message);
+  az_gateway_received (world->gateways[gateway],
+                       emu_session_of_peer (world->upstream_numbers, gateway, packet->upstream),
+                       &message);
   az_message_clear (&message);
 }
 
@@ -93,13 +113,14 @@
 {
   const struct node_context *node = context;
   struct world *world = node->world;
+  unsigned upstream = emu_peer_of_session (world->upstream_numbers, node->index, session);
+  struct packet *packet = create_packet (node->index, upstream, message);
+  int64_t sent_us = emu_output_time_us (world, node->index);
 
   if (message->proc == AZ_NODE_RUN)
     world->metrics.result.n_sent += message->az_message_u.node_run.tasks.tasks_len;
-  emu_schedule (world->events,
-                emu_output_time_us (world, node->index)
-                    + link_delay_us (world, node->index, session - 1),
-                deliver_to_sidecar, world, create_packet (node->index, session - 1, message));
+  emu_schedule (world->events, arrival_time_us (world, packet, sent_us, world->to_sidecar_us),
+                deliver_to_sidecar, world, packet);
 }
 
 static unsigned
@@ -120,11 +141,13 @@
 {
   const struct node_context *node = context;
   struct world *world = node->world;
+  unsigned gateway = emu_peer_of_session (world->gateway_numbers, node->index, session);
+  struct packet *packet = create_packet (gateway, node->index, message);
+  int64_t sent_us = emu_now_us (world->events);
 
   world->metrics.result.n_no_room += count_refused_for_room (message);
-  emu_schedule (world->events,
-                emu_now_us (world->events) + link_delay_us (world, session - 1, node->index),
-                deliver_to_gateway, world, create_packet (session - 1, node->index, message));
+  emu_schedule (world->events, arrival_time_us (world, packet, sent_us, world->to_gateway_us),
+                deliver_to_gateway, world, packet);
 }
 
 void
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -279,8 +279,10 @@
     {
       for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
         {
-          az_gateway_session_opened (world->gateways[g], s + 1, NULL);
-          az_sidecar_session_opened (world->sidecars[s], g + 1);
+          az_gateway_session_opened (world->gateways[g],
+                                     emu_session_of_peer (world->upstream_numbers, g, s), NULL);
+          az_sidecar_session_opened (world->sidecars[s],
+                                     emu_session_of_peer (world->gateway_numbers, s, g));
         }
     }
   emu_send_withdrawn (world);
@@ -345,6 +347,17 @@
     }
 }
 
+static void
+create_numbers (struct world *world)
+{
+  const struct emulator_scenario *scenario = world->scenario;
+  GRand *random = scenario->delay_spread > 0 ? world->random : NULL;
+
+  world->upstream_numbers
+      = emu_numbers_create (scenario->n_gateways, scenario->n_upstreams, random);
+  world->gateway_numbers = emu_numbers_create (scenario->n_upstreams, scenario->n_gateways, random);
+}
+
 static void
 create_world (struct world *world, const struct emulator_scenario *scenario, uint32_t seed)
 {
@@ -355,6 +368,7 @@
   world->events = emu_events_create ();
   world->load = emu_load_create (scenario, seed);
   world->random = g_rand_new_with_seed (seed + 1);
+  create_numbers (world);
   world->clock = (struct az_clock){ read_clock, read_clock, world };
   world->counters = az_counters_create ();
   world->gateways = g_new0 (struct az_gateway *, scenario->n_gateways);
@@ -363,6 +377,8 @@
   world->sidecar_contexts = g_new0 (struct node_context, n_upstreams);
   world->upstreams = g_new0 (struct emu_upstream *, n_upstreams);
   world->holds = g_new0 (GArray *, n_upstreams);
+  world->to_sidecar_us = g_new0 (int64_t, scenario->n_gateways * n_upstreams);
+  world->to_gateway_us = g_new0 (int64_t, scenario->n_gateways * n_upstreams);
   world->incarnations = g_new0 (unsigned, n_upstreams);
   world->task_failure_share = g_new0 (double, n_upstreams);
   world->refuses_connections = g_new0 (bool, n_upstreams);
@@ -397,11 +413,36 @@
   g_free (world->sidecar_contexts);
   g_free (world->upstreams);
   g_free (world->holds);
+  g_free (world->to_sidecar_us);
+  g_free (world->to_gateway_us);
+  emu_numbers_destroy (world->upstream_numbers);
+  emu_numbers_destroy (world->gateway_numbers);
   g_free (world->incarnations);
   g_free (world->task_failure_share);
   g_free (world->refuses_connections);
 }
 
+static void
+run_until (struct world *world, int64_t end_us)
+{
+  while (emu_run_next_event (world->events, end_us))
+    continue;
+}
+
+/* Whether a job has no answer, and its deadline is after @at_us. */
+static bool
+has_open_job (const struct world *world, int64_t at_us)
+{
+  for (guint i = 0; i < world->load->jobs->len; i++)
+    {
+      const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, i);
+
+      if (!job->is_answered && job->arrival_us + job->deadline_us >= at_us)
+        return true;
+    }
+  return false;
+}
+
 struct emulator_result
 emulator_run (const struct emulator_scenario *scenario, uint32_t seed)
 {
@@ -410,8 +451,12 @@
   int64_t end_us = 1500000 + (int64_t)((scenario->duration_s + 8) * 1e6);
 
   create_world (&world, scenario, seed);
-  while (emu_run_next_event (world.events, end_us))
-    continue;
+  run_until (&world, end_us);
+  while (has_open_job (&world, end_us))
+    {
+      end_us += 1000000;
+      run_until (&world, end_us);
+    }
   for (unsigned i = 0; i < scenario->n_upstreams; i++)
     world.metrics.result.wasted_core_s += emu_upstream_wasted_core_s (world.upstreams[i]);
   world.metrics.result.n_suspected = (unsigned)az_counters_get (
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -45,7 +45,11 @@
   struct gateway_processor *processors;
   struct az_sidecar **sidecars;
   struct emu_upstream **upstreams;
-  GArray **holds; /* struct waiting_hold, per upstream */
+  GArray **holds;         /* struct waiting_hold, per upstream */
+  int64_t *to_sidecar_us; /* when the last message arrives, per gateway and upstream */
+  int64_t *to_gateway_us;
+  struct emu_numbers *upstream_numbers; /* of the sessions of gateways */
+  struct emu_numbers *gateway_numbers;  /* of the sessions of sidecars */
   struct node_context *gateway_contexts;
   struct node_context *sidecar_contexts;
   unsigned *incarnations;
@@ -95,6 +99,21 @@
 int64_t
 emu_output_time_us (const struct world *world, unsigned gateway);
 
+/* numbers.c: the numbers of sessions. Processes that number them alike prefer the same peers where
+ * their decisions depend on the order of sessions. */
+struct emu_numbers;
+
+/** emu_numbers_create - sessions of @n_processes with @n_peers each; they have the numbers of the
+ * peers if @random is NULL */
+struct emu_numbers *
+emu_numbers_create (unsigned n_processes, unsigned n_peers, GRand *random);
+void
+emu_numbers_destroy (struct emu_numbers *numbers);
+uint32_t
+emu_session_of_peer (const struct emu_numbers *numbers, unsigned process, unsigned peer);
+unsigned
+emu_peer_of_session (const struct emu_numbers *numbers, unsigned process, uint32_t session);
+
 /* links.c: the callbacks of both cores that send messages; sessions never close */
 unsigned
 emu_domain_of_gateway (const struct world *world, unsigned gateway);
--- a/bench/emulator/scenarios.c
+++ b/bench/emulator/scenarios.c
@@ -86,6 +86,7 @@
   memcpy (scenario.upstream_speeds, speeds, sizeof speeds);
   scenario.mean_task_cores = 2.9;
   scenario.cross_domain_delay_ms = 1.4;
+  scenario.delay_spread = 0.1;
   scenario.caller_delay_ms = 3;
   set_rates (&scenario, 206, 600, 37.5);
   return scenario;
@@ -105,6 +106,7 @@
   scenario.n_upstream_speeds = G_N_ELEMENTS (speeds);
   memcpy (scenario.upstream_speeds, speeds, sizeof speeds);
   scenario.mean_task_cores = 3.2;
+  scenario.delay_spread = 0.1;
   scenario.caller_delay_ms = 1;
   scenario.rate_swing = 0.5;
   set_rates (&scenario, 181, 529, 33);
