--- a/bench/emulator/links.c
+++ b/bench/emulator/links.c
@@ -33,6 +33,22 @@
   uint8_t bytes[];
 };
 
+/* Messages of a session arrive in the order of their sending. */
+static int64_t
+arrival_time_us (struct world *world, const struct packet *packet, int64_t sent_us, int64_t *last)
+{
+  size_t link = packet->gateway * world->scenario->n_upstreams + packet->upstream;
+  double spread = world->scenario->delay_spread;
+  int64_t delay_us = link_delay_us (world, packet->gateway, packet->upstream);
+
+  if (spread <= 0)
+    return sent_us + delay_us;
+  delay_us
+      = (int64_t)((double)delay_us * g_rand_double_range (world->random, 1 - spread, 1 + spread));
+  last[link] = MAX (last[link], sent_us + delay_us);
+  return last[link];
+}
+
 static struct packet *
 create_packet (unsigned gateway, unsigned upstream, const struct az_message *message)
 {
@@ -60,36 +76,64 @@
     return;
   if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_sidecar_received (world->sidecars[packet->upstream], packet->gateway + 1, &message);
+  az_sidecar_received (
+      world->sidecars[packet->upstream],
+      emu_session_of_peer (world->gateway_numbers, packet->upstream, packet->gateway), &message);
   az_sidecar_flush (world->sidecars[packet->upstream]);
   az_message_clear (&message);
 }
 
 static void
-deliver_to_gateway (void *context, void *data)
+receive_at_gateway (struct world *world, unsigned gateway, void *data)
 {
-  struct world *world = context;
   const struct packet *packet = data;
   struct az_message message;
 
-  if (!world->is_powered)
-    return;
   if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
     abort ();
-  az_gateway_received (world->gateways[packet->gateway], packet->upstream + 1, &message);
-  az_gateway_flush (world->gateways[packet->gateway]);
+  az_gateway_received (world->gateways[gateway],
+                       emu_session_of_peer (world->upstream_numbers, gateway, packet->upstream),
+                       &message);
   az_message_clear (&message);
 }
 
+static void
+deliver_to_gateway (void *context, void *data)
+{
+  struct world *world = context;
+  struct packet *packet = data;
+
+  if (world->is_powered)
+    emu_post_to_gateway (world, packet->gateway, EMU_EVENT_MESSAGE, receive_at_gateway, packet,
+                         sizeof *packet + packet->length);
+}
+
 void
 emu_send_to_sidecar (void *context, uint32_t session, const struct az_message *message)
 {
   const struct node_context *node = context;
   struct world *world = node->world;
+  unsigned upstream = emu_peer_of_session (world->upstream_numbers, node->index, session);
+  struct packet *packet = create_packet (node->index, upstream, message);
+  int64_t sent_us = emu_output_time_us (world, node->index);
+
+  if (message->proc == AZ_NODE_RUN)
+    world->metrics.result.n_sent += message->az_message_u.node_run.tasks.tasks_len;
+  emu_schedule (world->events, arrival_time_us (world, packet, sent_us, world->to_sidecar_us),
+                deliver_to_sidecar, world, packet);
+}
 
-  emu_schedule (world->events,
-                emu_now_us (world->events) + link_delay_us (world, node->index, session - 1),
-                deliver_to_sidecar, world, create_packet (node->index, session - 1, message));
+static unsigned
+count_refused_for_room (const struct az_message *message)
+{
+  const struct az_node_report *report = &message->az_message_u.node_report;
+  unsigned n = 0;
+
+  if (message->proc != AZ_NODE_REPORT)
+    return 0;
+  for (u_int i = 0; i < report->events.events_len; i++)
+    n += report->events.events_val[i].how == AZ_TASK_NO_ROOM;
+  return n;
 }
 
 void
@@ -97,18 +141,23 @@
 {
   const struct node_context *node = context;
   struct world *world = node->world;
+  unsigned gateway = emu_peer_of_session (world->gateway_numbers, node->index, session);
+  struct packet *packet = create_packet (gateway, node->index, message);
+  int64_t sent_us = emu_now_us (world->events);
 
-  emu_schedule (world->events,
-                emu_now_us (world->events) + link_delay_us (world, session - 1, node->index),
-                deliver_to_gateway, world, create_packet (session - 1, node->index, message));
+  world->metrics.result.n_no_room += count_refused_for_room (message);
+  emu_schedule (world->events, arrival_time_us (world, packet, sent_us, world->to_gateway_us),
+                deliver_to_gateway, world, packet);
 }
 
 void
 emu_close_session (void *context, uint32_t session, const char *reason)
 {
-  (void)context;
+  const struct node_context *node = context;
+
   (void)session;
   (void)reason;
+  node->world->metrics.result.n_closed_sessions++;
 }
 
 void
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -15,8 +15,14 @@
   *now = az_time_from_ns (emu_now_us (world->events) * 1000);
 }
 
+static int64_t
+caller_delay_us (const struct world *world)
+{
+  return (int64_t)(world->scenario->caller_delay_ms * 1000);
+}
+
 static void
-submit_job (void *context, void *data);
+send_job (void *context, void *data);
 
 static void
 return_job (void *context, void *data)
@@ -26,15 +32,15 @@
 
   g_array_index (world->load->jobs, struct emu_job, index).returned_us = emu_now_us (world->events);
   world->metrics.result.n_returned++;
-  submit_job (world, data);
+  send_job (world, data);
 }
 
 static void
-schedule_return (struct world *world, guint index, int64_t retry_after_ms)
+schedule_return (struct world *world, guint index, int64_t refused_us, int64_t retry_after_ms)
 {
   int64_t seconds = (retry_after_ms + 999) / 1000;
 
-  emu_schedule (world->events, emu_now_us (world->events) + seconds * 1000000, return_job, world,
+  emu_schedule (world->events, refused_us + seconds * 1000000, return_job, world,
                 g_memdup2 (&index, sizeof index));
 }
 
@@ -44,6 +50,7 @@
   const struct node_context *node = context;
   struct world *world = node->world;
   struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, caller - 1);
+  int64_t received_us = emu_output_time_us (world, node->index) + caller_delay_us (world);
 
   if (!world->is_powered)
     return;
@@ -51,13 +58,12 @@
     {
       world->metrics.result.n_returned_in_time
           += answer->outcome == AZ_JOB_COMPLETED
-             && emu_now_us (world->events) - job->returned_us <= job->objective_us;
+             && received_us - job->returned_us <= job->objective_us;
       return;
     }
   if (answer->outcome == AZ_JOB_NOT_RUN && world->scenario->refused_callers_return)
-    schedule_return (world, caller - 1, answer->retry_after_ms);
-  emu_metrics_record_answer (&world->metrics, job, answer->outcome,
-                             emu_now_us (world->events) - job->arrival_us);
+    schedule_return (world, caller - 1, received_us, answer->retry_after_ms);
+  emu_metrics_record_answer (&world->metrics, job, answer->outcome, received_us - job->arrival_us);
 }
 
 /* Plays a caller without a connection, which tries again or gives up at its deadline. */
@@ -68,29 +74,26 @@
   int64_t at_us = emu_now_us (world->events) + RESUBMIT_US;
 
   if (at_us < job->arrival_us + job->deadline_us)
-    emu_schedule (world->events, at_us, submit_job, world, g_memdup2 (&index, sizeof index));
+    emu_schedule (world->events, at_us, send_job, world, g_memdup2 (&index, sizeof index));
   else
     emu_metrics_record_answer (&world->metrics, job, AZ_JOB_UNFINISHED, at_us - job->arrival_us);
 }
 
+struct submission
+{
+  guint index;
+  int64_t wait_us; /* time after its sending at which the caller gives up */
+};
+
 static void
-submit_job (void *context, void *data)
+submit_job (struct world *world, unsigned gateway, void *data)
 {
-  struct world *world = context;
-  guint index = *(guint *)data;
-  struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, index);
-  struct az_gateway *gateway = world->gateways[job->gateway];
+  const struct submission *submission = data;
+  guint index = submission->index;
+  const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, index);
   g_autofree char *id = g_strdup_printf ("%016x", index);
   struct az_job_request request = { .specification = NULL, .n_steps = 1 };
-  int64_t sent_us = MAX (job->arrival_us, job->returned_us);
-  int64_t left_us = sent_us + job->deadline_us - emu_now_us (world->events);
 
-  if (!world->is_powered)
-    {
-      schedule_resubmission (world, index);
-      return;
-    }
-  job->is_submitted = true;
   request.specification = g_strdup ("spec");
 
   request.steps = g_new0 (struct az_job_step, 1);
@@ -100,9 +103,50 @@
     .estimate_ms = (uint32_t)job->estimate_ms,
   };
   g_hash_table_insert (world->jobs, g_strdup (id), GUINT_TO_POINTER (index + 1));
-  az_gateway_submit (gateway, index + 1, &az_gateway_catalog (gateway)->routes[job->kind], id,
-                     &request, left_us / 1000);
-  az_gateway_flush (gateway);
+  az_gateway_submit (world->gateways[gateway], index + 1,
+                     &az_gateway_catalog (world->gateways[gateway])->routes[job->kind], id,
+                     &request, submission->wait_us / 1000);
+}
+
+static void
+deliver_job (void *context, void *data)
+{
+  struct world *world = context;
+  struct submission *submission = data;
+  struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, submission->index);
+
+  if (!world->is_powered)
+    {
+      schedule_resubmission (world, submission->index);
+      return;
+    }
+  job->is_submitted = true;
+  emu_post_to_gateway (world, job->gateway, EMU_EVENT_JOB, submit_job, submission,
+                       sizeof *submission);
+}
+
+static void
+send_job (void *context, void *data)
+{
+  struct world *world = context;
+  struct submission submission = { .index = *(guint *)data };
+  const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, submission.index);
+  int64_t sent_us = MAX (job->arrival_us, job->returned_us);
+
+  submission.wait_us = sent_us + job->deadline_us - emu_now_us (world->events);
+  if (caller_delay_us (world) == 0)
+    deliver_job (world, &submission);
+  else
+    emu_schedule (world->events, emu_now_us (world->events) + caller_delay_us (world), deliver_job,
+                  world, g_memdup2 (&submission, sizeof submission));
+}
+
+static void
+handle_tick (struct world *world, unsigned gateway, void *data)
+{
+  (void)data;
+  world->processors[gateway].is_tick_waiting = false;
+  az_gateway_tick (world->gateways[gateway]);
 }
 
 static void
@@ -114,8 +158,12 @@
   (void)data;
   if (!world->is_powered)
     return;
-  az_gateway_tick (world->gateways[node->index]);
-  az_gateway_flush (world->gateways[node->index]);
+  /* A timer that is late doesn't expire twice. */
+  if (!world->processors[node->index].is_tick_waiting)
+    {
+      world->processors[node->index].is_tick_waiting = true;
+      emu_post_to_gateway (world, node->index, EMU_EVENT_MESSAGE, handle_tick, NULL, 0);
+    }
   emu_schedule (world->events, emu_now_us (world->events) + GATEWAY_TICK_US, tick_gateway, node,
                 NULL);
 }
@@ -222,7 +270,7 @@
   world->holds[index] = g_array_new (FALSE, FALSE, sizeof (struct waiting_hold));
   world->upstreams[index]
       = emu_upstream_create (world->events, index, emu_upstream_cores (world->scenario, index),
-                             emu_upstream_speed (index), &observer);
+                             emu_upstream_speed (world->scenario, index), &observer);
 }
 
 static void
@@ -232,8 +280,10 @@
     {
       for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
         {
-          az_gateway_session_opened (world->gateways[g], s + 1, NULL);
-          az_sidecar_session_opened (world->sidecars[s], g + 1);
+          az_gateway_session_opened (world->gateways[g],
+                                     emu_session_of_peer (world->upstream_numbers, g, s), NULL);
+          az_sidecar_session_opened (world->sidecars[s],
+                                     emu_session_of_peer (world->gateway_numbers, s, g));
         }
     }
   emu_send_withdrawn (world);
@@ -267,6 +317,7 @@
 {
   world->is_powered = false;
   destroy_processes (world);
+  emu_stop_processors (world);
   for (unsigned i = 0; i < world->scenario->n_upstreams; i++)
     g_array_set_size (world->holds[i], 0);
   for (guint i = 0; i < world->load->jobs->len; i++)
@@ -289,7 +340,7 @@
 {
   for (guint i = 0; i < world->load->jobs->len; i++)
     emu_schedule (world->events, g_array_index (world->load->jobs, struct emu_job, i).arrival_us,
-                  submit_job, world, g_memdup2 (&i, sizeof i));
+                  send_job, world, g_memdup2 (&i, sizeof i));
   for (unsigned i = 0; i < world->scenario->n_faults; i++)
     {
       emu_schedule_fault (world, i, true, world->scenario->faults[i].from_s);
@@ -297,6 +348,17 @@
     }
 }
 
+static void
+create_numbers (struct world *world)
+{
+  const struct emulator_scenario *scenario = world->scenario;
+  GRand *random = scenario->delay_spread > 0 ? world->random : NULL;
+
+  world->upstream_numbers
+      = emu_numbers_create (scenario->n_gateways, scenario->n_upstreams, random);
+  world->gateway_numbers = emu_numbers_create (scenario->n_upstreams, scenario->n_gateways, random);
+}
+
 static void
 create_world (struct world *world, const struct emulator_scenario *scenario, uint32_t seed)
 {
@@ -307,6 +369,7 @@
   world->events = emu_events_create ();
   world->load = emu_load_create (scenario, seed);
   world->random = g_rand_new_with_seed (seed + 1);
+  create_numbers (world);
   world->clock = (struct az_clock){ read_clock, read_clock, world };
   world->counters = az_counters_create ();
   world->gateways = g_new0 (struct az_gateway *, scenario->n_gateways);
@@ -315,11 +378,14 @@
   world->sidecar_contexts = g_new0 (struct node_context, n_upstreams);
   world->upstreams = g_new0 (struct emu_upstream *, n_upstreams);
   world->holds = g_new0 (GArray *, n_upstreams);
+  world->to_sidecar_us = g_new0 (int64_t, scenario->n_gateways * n_upstreams);
+  world->to_gateway_us = g_new0 (int64_t, scenario->n_gateways * n_upstreams);
   world->incarnations = g_new0 (unsigned, n_upstreams);
   world->task_failure_share = g_new0 (double, n_upstreams);
   world->refuses_connections = g_new0 (bool, n_upstreams);
   world->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   emu_metrics_init (&world->metrics, scenario);
+  emu_create_processors (world);
   for (unsigned i = 0; i < n_upstreams; i++)
     create_upstream (world, i);
   start_processes (world);
@@ -336,6 +402,7 @@
       emu_upstream_destroy (world->upstreams[i]);
       g_array_unref (world->holds[i]);
     }
+  emu_destroy_processors (world);
   emu_events_destroy (world->events);
   emu_load_destroy (world->load);
   g_rand_free (world->random);
@@ -347,11 +414,36 @@
   g_free (world->sidecar_contexts);
   g_free (world->upstreams);
   g_free (world->holds);
+  g_free (world->to_sidecar_us);
+  g_free (world->to_gateway_us);
+  emu_numbers_destroy (world->upstream_numbers);
+  emu_numbers_destroy (world->gateway_numbers);
   g_free (world->incarnations);
   g_free (world->task_failure_share);
   g_free (world->refuses_connections);
 }
 
+static void
+run_until (struct world *world, int64_t end_us)
+{
+  while (emu_run_next_event (world->events, end_us))
+    continue;
+}
+
+/* Whether a job has no answer, and its deadline is after @at_us. */
+static bool
+has_open_job (const struct world *world, int64_t at_us)
+{
+  for (guint i = 0; i < world->load->jobs->len; i++)
+    {
+      const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, i);
+
+      if (!job->is_answered && job->arrival_us + job->deadline_us >= at_us)
+        return true;
+    }
+  return false;
+}
+
 struct emulator_result
 emulator_run (const struct emulator_scenario *scenario, uint32_t seed)
 {
@@ -360,8 +452,12 @@
   int64_t end_us = 1500000 + (int64_t)((scenario->duration_s + 8) * 1e6);
 
   create_world (&world, scenario, seed);
-  while (emu_run_next_event (world.events, end_us))
-    continue;
+  run_until (&world, end_us);
+  while (has_open_job (&world, end_us))
+    {
+      end_us += 1000000;
+      run_until (&world, end_us);
+    }
   for (unsigned i = 0; i < scenario->n_upstreams; i++)
     world.metrics.result.wasted_core_s += emu_upstream_wasted_core_s (world.upstreams[i]);
   world.metrics.result.n_suspected = (unsigned)az_counters_get (
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -21,6 +21,17 @@
   bool is_call_delivered;
 };
 
+/** struct gateway_processor - a gateway whose processor share is limited: what arrives waits in its
+ * inbox during an iteration of its event loop */
+struct gateway_processor
+{
+  GPtrArray *inbox;    /* struct gateway_event */
+  unsigned generation; /* of the process; iterations of earlier ones are ignored */
+  bool is_iterating;
+  bool is_tick_waiting;
+  int64_t output_at_us; /* when what the gateway sends at present leaves */
+};
+
 struct world
 {
   const struct emulator_scenario *scenario;
@@ -31,9 +42,14 @@
   struct az_clock clock;
   struct az_counters *counters;
   struct az_gateway **gateways;
+  struct gateway_processor *processors;
   struct az_sidecar **sidecars;
   struct emu_upstream **upstreams;
-  GArray **holds; /* struct waiting_hold, per upstream */
+  GArray **holds;         /* struct waiting_hold, per upstream */
+  int64_t *to_sidecar_us; /* when the last message arrives, per gateway and upstream */
+  int64_t *to_gateway_us;
+  struct emu_numbers *upstream_numbers; /* of the sessions of gateways */
+  struct emu_numbers *gateway_numbers;  /* of the sessions of sidecars */
   struct node_context *gateway_contexts;
   struct node_context *sidecar_contexts;
   unsigned *incarnations;
@@ -51,6 +67,53 @@
 void
 emu_restore_power (struct world *world);
 
+/* processor.c: gateways handle events at once, or as fast as their processor share allows */
+enum emu_event_kind
+{
+  EMU_EVENT_MESSAGE, /* or a timer, or an update of the store */
+  EMU_EVENT_JOB,
+};
+
+void
+emu_create_processors (struct world *world);
+void
+emu_destroy_processors (struct world *world);
+
+/** emu_stop_processors - forgets all waiting events */
+void
+emu_stop_processors (struct world *world);
+
+/** emu_post_to_gateway - calls @handle with @data or a copy of it, and flushes the gateway, now or
+ * in the next iteration of its event loop */
+void
+emu_post_to_gateway (struct world *world,
+                     unsigned gateway,
+                     enum emu_event_kind kind,
+                     void (*handle) (struct world *world, unsigned gateway, void *data),
+                     void *data,
+                     size_t size);
+bool
+emu_is_processor_limited (const struct world *world, unsigned gateway);
+
+/** emu_output_time_us - when messages and answers leave that the gateway sends in a callback */
+int64_t
+emu_output_time_us (const struct world *world, unsigned gateway);
+
+/* numbers.c: the numbers of sessions. Processes that number them alike prefer the same peers where
+ * their decisions depend on the order of sessions. */
+struct emu_numbers;
+
+/** emu_numbers_create - sessions of @n_processes with @n_peers each; they have the numbers of the
+ * peers if @random is NULL */
+struct emu_numbers *
+emu_numbers_create (unsigned n_processes, unsigned n_peers, GRand *random);
+void
+emu_numbers_destroy (struct emu_numbers *numbers);
+uint32_t
+emu_session_of_peer (const struct emu_numbers *numbers, unsigned process, unsigned peer);
+unsigned
+emu_peer_of_session (const struct emu_numbers *numbers, unsigned process, uint32_t session);
+
 /* links.c: the callbacks of both cores that send messages; sessions never close */
 unsigned
 emu_domain_of_gateway (const struct world *world, unsigned gateway);
