Share cores between gateways and between queues when they are short

Each gateway took the work that arrives at it relative to the cores that others use for its share. Others can't use more cores than there are, so under shortage the shares added up to more than the cores, and distance and processor speed decided who was served. A queue with a burst lost all cores to the others.

Gateways now state their demand to each other in heartbeats that pass anyway; one that uses its share starts no new job while cores are short (share_demand). The queues of a service get shares by max-min fairness (fair_queue_shares). The emulator connects gateways with each other for it.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -189,6 +189,7 @@
   unsigned count = argc > 2 ? (unsigned)atoi (argv[2]) : 5;
   const char *deployment = argc > 3 ? argv[3] : "theatre";
   bool refused_callers_return = argc > 4 && !strcmp (argv[4], "return");
+  bool divides_cores = argc > 4 && !strcmp (argv[4], "shares");
   const struct row *rows = has_contention (deployment) ? contention_rows : standard_rows;
   size_t n_rows
       = has_contention (deployment) ? G_N_ELEMENTS (contention_rows) : G_N_ELEMENTS (standard_rows);
@@ -199,6 +200,7 @@
       struct emulator_scenario scenario = create_scenario_with_faults (&rows[i], deployment);
 
       scenario.refused_callers_return = refused_callers_return;
+      scenario.shares_demand = scenario.divides_by_queue = divides_cores;
       run_seeds (rows[i].name, &scenario, first, count);
     }
   return 0;
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -75,6 +75,7 @@
   double duration_s;
   double load; /* factor on all arrival rates */
   double cross_domain_delay_ms;
+  bool divides_by_queue;       /* the gateways divide cores equally among the kinds of jobs */
   double delay_spread;         /* part of a delay between processes by which it varies; with it, the
                                 * numbers of sessions differ between processes */
   double caller_delay_ms;      /* one way, between callers and gateways */
--- a/bench/emulator/links.c
+++ b/bench/emulator/links.c
@@ -108,15 +108,60 @@
                          sizeof *packet + packet->length);
 }
 
+static void
+receive_from_peer (struct world *world, unsigned gateway, void *data)
+{
+  const struct packet *packet = data;
+  struct az_message message;
+
+  if (!az_message_decode (packet->bytes, packet->length, &message, NULL))
+    abort ();
+  az_gateway_received (world->gateways[gateway], EMU_PEER_SESSION_FIRST + packet->upstream,
+                       &message);
+  az_message_clear (&message);
+}
+
+static void
+deliver_to_peer (void *context, void *data)
+{
+  struct world *world = context;
+  struct packet *packet = data;
+
+  if (world->is_powered)
+    emu_post_to_gateway (world, packet->gateway, EMU_EVENT_MESSAGE, receive_from_peer, packet,
+                         sizeof *packet + packet->length);
+}
+
+/* The packet names the sending gateway in place of an upstream. */
+static void
+send_to_peer (const struct node_context *node, unsigned peer, const struct az_message *message)
+{
+  struct world *world = node->world;
+  bool is_same_domain
+      = emu_domain_of_gateway (world, node->index) == emu_domain_of_gateway (world, peer);
+  int64_t delay_us = is_same_domain ? SAME_DOMAIN_DELAY_US
+                                    : (int64_t)(world->scenario->cross_domain_delay_ms * 1000);
+
+  emu_schedule (world->events, emu_output_time_us (world, node->index) + delay_us, deliver_to_peer,
+                world, create_packet (peer, node->index, message));
+}
+
 void
-emu_send_to_sidecar (void *context, uint32_t session, const struct az_message *message)
+emu_send_from_gateway (void *context, uint32_t session, const struct az_message *message)
 {
   const struct node_context *node = context;
   struct world *world = node->world;
-  unsigned upstream = emu_peer_of_session (world->upstream_numbers, node->index, session);
-  struct packet *packet = create_packet (node->index, upstream, message);
   int64_t sent_us = emu_output_time_us (world, node->index);
+  struct packet *packet;
+  unsigned upstream;
 
+  if (session >= EMU_PEER_SESSION_FIRST)
+    {
+      send_to_peer (node, session - EMU_PEER_SESSION_FIRST, message);
+      return;
+    }
+  upstream = emu_peer_of_session (world->upstream_numbers, node->index, session);
+  packet = create_packet (node->index, upstream, message);
   if (message->proc == AZ_NODE_RUN)
     world->metrics.result.n_sent += message->az_message_u.node_run.tasks.tasks_len;
   emu_schedule (world->events, arrival_time_us (world, packet, sent_us, world->to_sidecar_us),
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -209,20 +209,20 @@
 create_gateway (struct world *world, unsigned index)
 {
   g_autofree char *domain = g_strdup_printf ("d%u", emu_domain_of_gateway (world, index));
-  const struct az_gateway_io io = { emu_send_to_sidecar,
-                                    emu_close_session,
-                                    emu_connect_to,
-                                    record_answer,
-                                    NULL,
-                                    &world->gateway_contexts[index] };
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", index + 1);
+  const struct az_gateway_io io
+      = { emu_send_from_gateway,          emu_close_session, emu_connect_to, record_answer, NULL,
+          &world->gateway_contexts[index] };
   const struct az_gateway_settings settings = {
     .instance = "gateway",
     .domain = g_intern_string (domain),
-    .address = "127.0.0.1:1",
+    .address = g_intern_string (address),
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = 1.5,
+    .shares_demand = world->scenario->shares_demand,
+    .divides_by_queue = world->scenario->divides_by_queue,
     .tail_aware_moves = world->scenario->tail_aware_moves,
   };
 
@@ -273,6 +273,15 @@
                              emu_upstream_speed (world->scenario, index), &observer);
 }
 
+static void
+connect_gateways (struct world *world)
+{
+  for (unsigned g = 0; g < world->scenario->n_gateways; g++)
+    for (unsigned peer = 0; peer < world->scenario->n_gateways; peer++)
+      if (peer != g)
+        az_gateway_session_opened (world->gateways[g], EMU_PEER_SESSION_FIRST + peer, NULL);
+}
+
 static void
 connect_sessions (struct world *world)
 {
@@ -286,6 +295,8 @@
                                      emu_session_of_peer (world->gateway_numbers, s, g));
         }
     }
+  if (world->scenario->shares_demand)
+    connect_gateways (world);
   emu_send_withdrawn (world);
   for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
     if (!emu_upstream_is_down (world->upstreams[s]))
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -5,6 +5,9 @@
 
 /* State and parts of a run on the decision code: links, calls to upstreams and faults. */
 
+/* Sessions of gateways with each other have numbers from this one on. */
+#define EMU_PEER_SESSION_FIRST 100000u
+
 struct world;
 
 struct node_context
@@ -120,7 +123,7 @@
 unsigned
 emu_domain_of_upstream (const struct world *world, unsigned upstream);
 void
-emu_send_to_sidecar (void *context, uint32_t session, const struct az_message *message);
+emu_send_from_gateway (void *context, uint32_t session, const struct az_message *message);
 void
 emu_send_to_gateway (void *context, uint32_t session, const struct az_message *message);
 void
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -18,6 +18,7 @@
  *   elsewhere
  * @cores: cores that this gateway can expect to use
  * @queued_work: core-seconds of the waiting tasks up to the job that is examined
+ * @shares: struct az_queue_share; NULL if the queues aren't served by shares
  */
 struct forecast
 {
@@ -27,8 +28,17 @@
   struct az_capacity capacity;
   double cores;
   double queued_work;
+  GArray *shares;
 };
 
+/* What arrives at a gateway is work at normal speed, so where its part is known, the speeds count.
+ */
+static double
+expected_capacity (const struct az_capacity *capacity)
+{
+  return capacity->peers_offered_cores > 0 ? capacity->work_per_s : capacity->total_cores;
+}
+
 /* The rate at which work ends is not used for the cores, since it changes only some time after a
  * withdrawal. */
 static void
@@ -43,10 +53,37 @@
   az_candidates_init (&candidates, gateway, service, pool);
   az_gateway_measure_capacity (gateway, &candidates, &forecast->capacity);
   az_candidates_clear (&candidates);
-  forecast->cores
-      = forecast->capacity.total_cores * MAX (forecast->capacity.own_share, USABLE_SHARE_MIN);
+  forecast->cores = expected_capacity (&forecast->capacity)
+                    * MAX (forecast->capacity.own_share, USABLE_SHARE_MIN);
   if (pool == AZ_POOL_ISOLATED && forecast->cores <= 0)
     forecast->closed_s = az_gateway_isolated_return_s (gateway, service);
+  if (gateway->settings.divides_by_queue)
+    forecast->shares = az_gateway_divide_cores (gateway, service, pool, forecast->cores);
+}
+
+static void
+clear_forecast (struct forecast *forecast)
+{
+  if (forecast->shares)
+    g_array_unref (forecast->shares);
+}
+
+/* Returns NULL if the queue isn't served by its share. A job that runs away from the usual pool of
+ * its queue has none there. */
+static struct az_queue_share *
+find_share (const struct forecast *forecast, const struct queue *queue)
+{
+  return forecast->shares ? az_gateway_find_share (forecast->shares, queue) : NULL;
+}
+
+static void
+add_queued_work (struct forecast *forecast, const struct job *job, double work)
+{
+  struct az_queue_share *share = find_share (forecast, job->queue);
+
+  forecast->queued_work += work;
+  if (share)
+    share->queued_work += work;
 }
 
 static double
@@ -55,15 +92,19 @@
   return (double)(job->objective_us - job->critical_path_us - gateway->now_us) / 1e6;
 }
 
-/* Cores that jobs of the queue can expect to use. More valuable jobs that arrive meanwhile begin
- * before them. */
+/* Cores that jobs of the queue can expect to use: its share, or what is left beside more valuable
+ * jobs that arrive meanwhile and begin before them. */
 static double
 count_open_cores (const struct az_gateway *gateway,
                   const struct forecast *forecast,
                   const struct queue *queue)
 {
-  double claimed = az_gateway_more_valuable_cores (gateway, queue);
+  const struct az_queue_share *share = find_share (forecast, queue);
+  double claimed;
 
+  if (share)
+    return share->cores;
+  claimed = az_gateway_more_valuable_cores (gateway, queue);
   return MAX (forecast->cores - claimed, forecast->cores * OPEN_SHARE_MIN);
 }
 
@@ -73,8 +114,12 @@
                  const struct forecast *forecast,
                  const struct job *job)
 {
+  const struct az_queue_share *share = find_share (forecast, job->queue);
   double work = az_gateway_job_work_core_s (gateway, job, true);
 
+  /* Its own tasks may start wherever there is room, so only what is ahead waits for the share. */
+  if (share)
+    return (share->queued_work - work) / share->cores + work / 2 / forecast->cores;
   return (forecast->queued_work - work / 2) / count_open_cores (gateway, forecast, job->queue);
 }
 
@@ -146,10 +191,12 @@
 
   az_log (LOG_INFO,
           "event=refuse job=%s queue=%s slack_ms=%.0f work_core_s=%.2f queued_core_s=%.2f "
-          "cores=%.1f claimed_cores=%.1f share=%.2f free_cores=%.1f protected_cores=%.1f "
+          "cores=%.1f queue_cores=%.1f claimed_cores=%.1f share=%.2f free_cores=%.1f "
+          "protected_cores=%.1f "
           "report_age_ms=%" G_GINT64_FORMAT " retry_after_ms=%" G_GINT64_FORMAT,
           job->id, job->queue->name, seconds_until_latest_start (gateway, job) * 1000,
           az_gateway_job_work_core_s (gateway, job, true), forecast->queued_work, forecast->cores,
+          count_open_cores (gateway, forecast, job->queue),
           az_gateway_more_valuable_cores (gateway, job->queue), capacity->own_share,
           capacity->free_cores, az_gateway_protected_cores (gateway, job->queue, capacity),
           oldest_report_ms (gateway, forecast->service), retry_after_ms);
@@ -164,13 +211,16 @@
 }
 
 /* Finds the job with the lowest value per work among the first @n jobs of the service, except those
- * with a placed task. Within a queue the latest arrival is chosen, since it has waited least. */
+ * with a placed task. Within a queue the latest arrival is chosen, since it has waited least. A
+ * queue with a share delays only its own jobs, so only these count for @delayed then. */
 static guint
 find_least_valuable (const struct az_gateway *gateway,
                      const GPtrArray *jobs,
                      guint n,
-                     const struct forecast *forecast)
+                     const struct forecast *forecast,
+                     const struct job *delayed)
 {
+  bool is_own_queue_only = find_share (forecast, delayed->queue) != NULL;
   const struct job *least = NULL;
   double least_value = 0;
   guint found = n;
@@ -180,7 +230,8 @@
       const struct job *job = jobs->pdata[i];
       double value;
 
-      if (!is_waiting (job, forecast) || job->was_placed)
+      if (!is_waiting (job, forecast) || job->was_placed
+          || (is_own_queue_only && job->queue != delayed->queue))
         continue;
       value = az_gateway_value_per_work (gateway, job->queue);
       if (least && value >= least_value
@@ -208,10 +259,10 @@
 
       if (!is_waiting (job, &forecast))
         continue;
-      forecast.queued_work += az_gateway_job_work_core_s (gateway, job, true);
+      add_queued_work (&forecast, job, az_gateway_job_work_core_s (gateway, job, true));
       while (!can_start_in_time (gateway, &forecast, job))
         {
-          guint least = find_least_valuable (gateway, jobs, i + 1, &forecast);
+          guint least = find_least_valuable (gateway, jobs, i + 1, &forecast, job);
           struct job *refused;
           double work;
 
@@ -221,11 +272,12 @@
           work = az_gateway_job_work_core_s (gateway, refused, true);
           jobs->pdata[least] = NULL;
           refuse_job (gateway, &forecast, refused);
-          forecast.queued_work -= work;
+          add_queued_work (&forecast, refused, -work);
           if (refused == job)
             break;
         }
     }
+  clear_forecast (&forecast);
 }
 
 void
--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -21,9 +21,9 @@
   return offered;
 }
 
-/* The share is the work that arrives here relative to that and what others were given. Shares of
- * the cores in use aren't used: a gateway that refuses more would then count on less and refuse
- * still more. */
+/* The share is the work that arrives here relative to that and what arrives at the others, or if
+ * that isn't known, what they were given. Shares of the cores in use aren't used: a gateway that
+ * refuses more would then count on less and refuse still more. */
 static double
 own_share (double offered_cores, double others_cores)
 {
@@ -36,7 +36,6 @@
                              struct az_capacity *capacity)
 {
   double others_cores = 0;
-
   *capacity = (struct az_capacity){ 0 };
   for (guint i = 0; i < candidates->regular->len; i++)
     {
@@ -46,8 +45,13 @@
 
       capacity->total_cores += upstream->capacity.cpu_milli / 1000.0;
       capacity->free_cores += upstream->free.cpu_milli / 1000.0;
+      capacity->work_per_s += upstream->capacity.cpu_milli / 1000.0 * upstream->speed;
+      capacity->own_cores += upstream->used_cpu_milli / 1000.0;
       others_cores += (used_milli - MIN (upstream->used_cpu_milli, used_milli)) / 1000.0;
     }
   capacity->offered_cores = sum_offered_cores (gateway, candidates);
+  capacity->peers_offered_cores = az_gateway_peers_offered_cores (gateway, capacity->offered_cores);
+  if (capacity->peers_offered_cores > 0)
+    others_cores = capacity->peers_offered_cores;
   capacity->own_share = own_share (capacity->offered_cores, others_cores);
 }
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -31,6 +31,12 @@
     "whether a slow task is left where it is if it is probably long in itself" },
   { "body_max", AZ_SETTING_INTEGER, FIELD (body_max), false, 1024, 16777216,
     "longest body of a request, in bytes" },
+  { "share_demand", AZ_SETTING_BOOLEAN, FIELD (share_demand), false, 0, 0,
+    "when cores are short, use no more of them than this gateway's share of the demand" },
+  { "fair_queue_shares", AZ_SETTING_BOOLEAN, FIELD (fair_queue_shares), false, 0, 0,
+    "when cores are short, divide them among the queues of a service" },
+  { "priority_discount", AZ_SETTING_NUMBER, FIELD (priority_discount), false, 0, 100,
+    "how much each step of priority lowers the weight of a queue's share; 0: not at all" },
   AZ_HTTP_LIMIT_SETTINGS (az_gateway_options, limits),
 };
 
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -336,18 +336,18 @@
     send_assigned (gateway, job, step_index, assigned);
 }
 
-/* Whether the job has to leave the free cores to more valuable jobs. A job that has begun needs the
- * rest of its tasks, so it doesn't wait. */
+/* Whether the job has to leave the free cores to other gateways or to more valuable jobs. A job
+ * that has begun needs the rest of its tasks, so it doesn't wait. */
 static bool
-is_held_back (const struct az_gateway *gateway,
-              const struct az_candidates *candidates,
-              const struct job *job)
+is_held_back (struct az_gateway *gateway, const struct az_candidates *candidates, struct job *job)
 {
   struct az_capacity capacity;
 
   if (job->was_placed)
     return false;
   az_gateway_measure_capacity (gateway, candidates, &capacity);
+  if (az_gateway_must_leave_cores (gateway, job, &capacity))
+    return true;
   return capacity.free_cores < az_gateway_protected_cores (gateway, job->queue, &capacity);
 }
 
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -28,6 +28,9 @@
   double remote_factor;
   bool tail_aware_moves;
   int64_t body_max;
+  bool share_demand;
+  bool fair_queue_shares;
+  double priority_discount;
   struct az_http_limit_options limits;
 };
 
--- a/src/gateway/queue.c
+++ b/src/gateway/queue.c
@@ -12,6 +12,7 @@
       queue->name = g_strdup (route->name);
       g_hash_table_insert (gateway->queues, queue->name, queue);
     }
+  queue->priority = route->priority;
   if (g_strcmp0 (queue->service, route->service) != 0)
     {
       g_free (queue->service);
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -7,7 +7,7 @@
 #define HEARTBEAT_BUSY_MS 100
 #define HEARTBEAT_IDLE_MS 400
 
-/* Heartbeat interval for peers, and for sidecars outside the working set. */
+/* Heartbeat interval for sidecars outside the working set. */
 #define HEARTBEAT_DORMANT_MS 2000
 
 void
@@ -160,6 +160,8 @@
       handle_withdrawn (gateway, &message->az_message_u.node_withdrawn);
       break;
     case AZ_NODE_PULSE:
+      if (session->peer_address)
+        az_gateway_record_peer_demand (gateway, session, &message->az_message_u.node_pulse);
       if (message->az_message_u.node_pulse.wants_updates)
         az_gateway_send_updates (gateway, session, &message->az_message_u.node_pulse);
       break;
@@ -238,6 +240,8 @@
 static int64_t
 heartbeat_interval_ms (const struct az_gateway *gateway, const struct session *session)
 {
+  if (session->peer_address)
+    return az_gateway_demand_interval_ms (gateway);
   if (has_tasks (gateway, session))
     return HEARTBEAT_BUSY_MS;
   return in_working_set (gateway, session) ? HEARTBEAT_IDLE_MS : HEARTBEAT_DORMANT_MS;
@@ -250,7 +254,6 @@
   GHashTableIter iterator;
   gpointer value;
 
-  pulse.az_message_u.node_pulse.waiting_cpu_milli = gateway->queued_cpu_milli;
   g_hash_table_iter_init (&iterator, gateway->sessions);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
@@ -260,6 +263,8 @@
       if (gateway->now_us - session->last_heartbeat_us < every_ms * AZ_US_PER_MS)
         continue;
       session->last_heartbeat_us = gateway->now_us;
+      pulse.az_message_u.node_pulse.waiting_cpu_milli
+          = az_gateway_stated_cpu_milli (gateway, session);
       pulse.az_message_u.node_pulse.clock_ms = az_gateway_peer_clock_ms (gateway, session);
       pulse.az_message_u.node_pulse.wants_reports = in_working_set (gateway, session);
       gateway->io.send (gateway->io.context, session->handle, &pulse);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -27,6 +27,8 @@
  * @peer_clock_ahead_us: lower bound, from the reports up to @peer_clock_observed_us, of how far the
  *   sidecar's clock is ahead of the gateway's
  * @peer_clock_observed_us: 0 before the first report
+ * @offered_cores: of another gateway, the work that arrives there per second, as it last stated
+ * @offered_stated_us: when it did; 0 if never
  */
 struct session
 {
@@ -41,6 +43,8 @@
   int64_t withdrawn_sent_us;
   int64_t peer_clock_ahead_us;
   int64_t peer_clock_observed_us;
+  double offered_cores;
+  int64_t offered_stated_us;
 };
 
 /** struct reservation - resources of a run message that the sidecar's reports don't include yet */
@@ -162,6 +166,7 @@
  *   with its upstream is lost
  * @n_started: starts of tasks, certain or possible; a start that the upstream refused isn't counted
  * @was_placed: at least one task was sent to an upstream
+ * @was_held: it had to wait because the gateway used its share of the cores
  * @pool: determined before each placement
  * @is_answered: the job only waits for its last tasks in flight
  */
@@ -186,6 +191,7 @@
   uint32_t n_done;
   uint32_t n_started;
   bool was_placed;
+  bool was_held;
   enum az_pool pool;
   bool is_answered;
 };
@@ -199,6 +205,7 @@
 {
   char *name;
   char *service;
+  uint32_t priority;
   struct az_run_estimate run_estimate;
   struct az_run_ratio run_ratio;
   struct az_traffic traffic;
@@ -292,6 +299,8 @@
   uint32_t c_moves_budget;
   uint32_t c_examined;
   uint32_t c_suspected;
+  uint32_t c_held;
+  int64_t held_logged_us;          /* when the last line about a held job was written */
   struct az_histogram response_ms; /* response times of completed jobs */
 };
 
@@ -593,6 +602,9 @@
  * struct az_capacity - cores of the regular candidates of a service
  * @offered_cores: work that arrives at this gateway for the service, per second
  * @own_share: this gateway's share of the demand for the service
+ * @work_per_s: core-seconds at normal speed that the upstreams can do per second
+ * @own_cores: cores that this gateway's tasks use
+ * @peers_offered_cores: work that arrives at the other gateways, per second; 0 if it isn't known
  */
 struct az_capacity
 {
@@ -600,6 +612,9 @@
   double free_cores;
   double offered_cores;
   double own_share;
+  double work_per_s;
+  double own_cores;
+  double peers_offered_cores;
 };
 
 void
@@ -607,6 +622,44 @@
                              const struct az_candidates *candidates,
                              struct az_capacity *capacity);
 
+/* demand.c: gateways tell each other how much work arrives at them, so that each knows its share of
+ * the cores when there are too few for all */
+
+/** az_gateway_record_peer_demand - call for a heartbeat of another gateway */
+void
+az_gateway_record_peer_demand (const struct az_gateway *gateway,
+                               struct session *session,
+                               const struct az_node_pulse *pulse);
+
+/** az_gateway_stated_cpu_milli - returns the demand that a heartbeat states, in thousandths of a
+ * core: to sidecars that of the waiting tasks, to other gateways the work that arrives per second
+ */
+uint32_t
+az_gateway_stated_cpu_milli (const struct az_gateway *gateway, const struct session *session);
+
+/**
+ * az_gateway_peers_offered_cores - estimates the work that arrives at the other gateways for the
+ * service and pool of which @offered_cores arrive here
+ *
+ * Gateways state one number for all services, so each is taken to have the same mix of them.
+ *
+ * Return: core-seconds per second; 0 if too few gateways have stated their demand.
+ */
+double
+az_gateway_peers_offered_cores (const struct az_gateway *gateway, double offered_cores);
+
+/** az_gateway_demand_interval_ms - interval of heartbeats to other gateways */
+int64_t
+az_gateway_demand_interval_ms (const struct az_gateway *gateway);
+
+/** az_gateway_must_leave_cores - whether a job that hasn't begun has to wait because this gateway
+ * uses its share, while hardly any cores are free and all gateways together ask for more than there
+ * are */
+bool
+az_gateway_must_leave_cores (struct az_gateway *gateway,
+                             struct job *job,
+                             const struct az_capacity *capacity);
+
 /* value.c */
 
 /**
@@ -632,6 +685,35 @@
 double
 az_gateway_more_valuable_cores (const struct az_gateway *gateway, const struct queue *queue);
 
+/* shares.c */
+
+/** struct az_queue_share - cores of a pool of upstreams that the jobs of a queue can expect at this
+ * gateway, and the core-seconds of its waiting tasks up to the job that is examined */
+struct az_queue_share
+{
+  const struct queue *queue;
+  double cores;
+  double queued_work;
+};
+
+/**
+ * az_gateway_divide_cores - divides cores among the queues of a service that run in the pool
+ *
+ * Each queue gets what it asks for, or its share by weighted max-min fairness. Cores that nobody
+ * asks for count for each queue, since any of them may use them.
+ *
+ * Return: struct az_queue_share.
+ */
+GArray *
+az_gateway_divide_cores (const struct az_gateway *gateway,
+                         const char *service,
+                         enum az_pool pool,
+                         double cores);
+
+/** az_gateway_find_share - returns NULL if the queue wasn't there when the cores were divided */
+struct az_queue_share *
+az_gateway_find_share (GArray *shares, const struct queue *queue);
+
 /* place.c */
 
 /** az_gateway_place_tasks - sends waiting tasks to upstreams, in the order of @jobs */
--- a/src/gateway/value.c
+++ b/src/gateway/value.c
@@ -62,13 +62,29 @@
   return CLAMP ((load - PROTECTION_LOAD_MIN) / (PROTECTION_LOAD_FULL - PROTECTION_LOAD_MIN), 0, 1);
 }
 
+/* Value per work of the jobs of @other relative to that of @queue. Where queues are served by
+ * shares, a core is worth more to the queue that has fewer of them. */
+static double
+value_ratio (const struct az_gateway *gateway,
+             const struct queue *other,
+             const struct queue *queue,
+             GArray *shares)
+{
+  const struct az_queue_share *theirs = shares ? az_gateway_find_share (shares, other) : NULL;
+  const struct az_queue_share *ours = shares ? az_gateway_find_share (shares, queue) : NULL;
+
+  if (theirs && ours)
+    return ours->cores / MAX (theirs->cores, 1e-3);
+  return az_gateway_value_per_work (gateway, other) / az_gateway_value_per_work (gateway, queue);
+}
+
 double
 az_gateway_protected_cores (const struct az_gateway *gateway,
                             const struct queue *queue,
                             const struct az_capacity *capacity)
 {
   double factor = protection_factor (capacity);
-  double own_value = az_gateway_value_per_work (gateway, queue);
+  g_autoptr (GArray) shares = NULL;
   double cores = 0;
   double freed;
   GHashTableIter iterator;
@@ -76,6 +92,11 @@
 
   if (factor <= 0)
     return 0;
+  if (gateway->settings.divides_by_queue)
+    shares = az_gateway_divide_cores (gateway, queue->service,
+                                      az_gateway_is_suspected (gateway, queue) ? AZ_POOL_ISOLATED
+                                                                               : AZ_POOL_REGULAR,
+                                      capacity->total_cores * capacity->own_share);
   freed = estimate_freed_cores_per_s (gateway, queue, capacity);
   g_hash_table_iter_init (&iterator, gateway->queues);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
@@ -86,7 +107,7 @@
         .cores_per_s = rates.cores_per_s / capacity->own_share,
         .cores_squared_per_s = rates.cores_squared_per_s / capacity->own_share,
         .slack_s = rates.mean_slack_s,
-        .value_ratio = az_gateway_value_per_work (gateway, other) / own_value,
+        .value_ratio = value_ratio (gateway, other, queue, shares),
       };
 
       if (rates.jobs_per_s > 0 && share_upstreams (gateway, other, queue))
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -47,6 +47,7 @@
   bool replied_held;                     /* as the last NODE_CANCELLED states it */
   int64_t report_delay_ms;               /* between the sending and the arrival of reports */
   uint64_t heartbeat_clock_ms;           /* as the last heartbeat states it */
+  uint32_t heartbeat_cpu_milli[16];      /* as the last heartbeat to each session states it */
   unsigned n_update_requests;            /* NODE_PULSE messages that request updates */
   unsigned n_catalogs_sent;              /* configurations sent to peers */
   uint32_t received[16];                 /* run messages per session */
@@ -68,6 +69,14 @@
 /** gateway_rig_create_tail_aware - creates the same with the setting tail_aware_moves */
 struct gateway_rig *
 gateway_rig_create_tail_aware (unsigned n_upstreams);
+
+/** gateway_rig_create_sharing_demand - creates the same with the setting share_demand */
+struct gateway_rig *
+gateway_rig_create_sharing_demand (unsigned n_upstreams);
+
+/** gateway_rig_create_dividing_by_queue - creates the same with the setting fair_queue_shares */
+struct gateway_rig *
+gateway_rig_create_dividing_by_queue (unsigned n_upstreams);
 void
 gateway_rig_destroy (struct gateway_rig *rig);
 
