Take an upstream back whose heartbeats disprove its departure

Anybody can report a departure, and one by another writer closed an upstream for good although it ran on (test_foreign_departure.py, red until now).

--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -116,6 +116,8 @@
  * @is_announced: false if the incarnation is only known from an answer of the upstream; its service
  * and labels are not known then
  * @description: counts the changes of service and labels
+ * @left_clock_ms: lower bound of the upstream's clock when it was reported to have left, -1 if that
+ * wasn't known or the departure is final
  * @is_fenced: the upstream accepted the fence and runs no task of a former sidecar process
  */
 struct life
@@ -133,6 +135,7 @@
   uint32_t description;
   bool is_draining;
   bool has_left;
+  int64_t left_clock_ms;
   bool has_crashed;
   bool is_fenced;
   struct az_resources capacity;
@@ -411,6 +414,18 @@
 bool
 az_sidecar_has_labels (const struct life *life, const GPtrArray *labels);
 
+/* departure.c */
+
+/**
+ * az_sidecar_review_departure - takes the upstream back if the announcement, which must be valid
+ * and of the present incarnation, was written after the reported departure
+ *
+ * Anybody can report a departure, as anybody can write a heartbeat.
+ */
+void
+az_sidecar_review_departure (struct az_sidecar *sidecar,
+                             const struct az_upstream_announcement *announcement);
+
 /* candidate.c */
 
 /** az_sidecar_set_candidate - replaces the candidate, and probes whether it runs */
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -356,29 +356,10 @@
         az_sidecar_send_immediate_hold (sidecar);
       return false;
     }
+  az_sidecar_review_departure (sidecar, announcement);
   if (announcement->is_draining && !life->is_draining)
     az_log (LOG_NOTICE, "event=upstream-draining instance=%s", life->instance);
   update_life (sidecar, announcement);
   az_sidecar_send_due_holds (sidecar);
   return true;
 }
-
-void
-az_sidecar_upstream_left (struct az_sidecar *sidecar, const char *instance, int64_t started_ms)
-{
-  const struct life *life = &sidecar->life;
-
-  if (life->number == 0 || strcmp (life->instance, instance) != 0)
-    return;
-  if (started_ms > 0 && started_ms != life->started_ms
-      && started_ms <= MAX (life->started_ms, life->former_started_ms))
-    {
-      az_log (LOG_INFO,
-              "event=departure-ignored instance=%s born_ms=%" G_GINT64_FORMAT
-              " present_born_ms=%" G_GINT64_FORMAT,
-              instance, started_ms, life->started_ms);
-      return;
-    }
-  sidecar->life.has_left = true;
-  az_log (LOG_NOTICE, "event=upstream-left instance=%s", instance);
-}
