Compare demand only between gateways of the same upstreams

Found by a review of the shares: - With more than twelve gateways a sidecar has sessions with some of them only, so the demand of all peers was compared with a part of the upstreams: a gateway of 55 would have stopped at a fifth of its share. Such gateways, and those of several services, now keep the former estimate. - A peer with two sessions counted twice, and gateways that have gone counted as silent ones. - A queue whose tasks need no processor divided by zero. - Without the setting, nothing is computed for it. Fields have the names of their settings; the limit of twelve stands once.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -200,7 +200,7 @@
       struct emulator_scenario scenario = create_scenario_with_faults (&rows[i], deployment);
 
       scenario.refused_callers_return = refused_callers_return;
-      scenario.shares_demand = scenario.divides_by_queue = divides_cores;
+      scenario.share_demand = scenario.fair_queue_shares = divides_cores;
       run_seeds (rows[i].name, &scenario, first, count);
     }
   return 0;
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -75,12 +75,12 @@
   double duration_s;
   double load; /* factor on all arrival rates */
   double cross_domain_delay_ms;
-  bool divides_by_queue;       /* the gateways divide cores equally among the kinds of jobs */
+  bool fair_queue_shares;      /* the gateways divide cores equally among the kinds of jobs */
   double delay_spread;         /* part of a delay between processes by which it varies; with it, the
                                 * numbers of sessions differ between processes */
   double caller_delay_ms;      /* one way, between callers and gateways */
   double rate_swing;           /* part of its mean by which the arrival rate goes up and down */
-  bool shares_demand;          /* gateways leave cores beyond their share to each other */
+  bool share_demand;           /* gateways leave cores beyond their share to each other */
   bool refused_callers_return; /* once, in whole seconds, as Retry-After tells them */
   bool tail_aware_moves;       /* setting of the gateways */
   struct emulator_job_kind kinds[EMULATOR_JOB_KINDS];
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -221,8 +221,8 @@
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = 1.5,
-    .shares_demand = world->scenario->shares_demand,
-    .divides_by_queue = world->scenario->divides_by_queue,
+    .share_demand = world->scenario->share_demand,
+    .fair_queue_shares = world->scenario->fair_queue_shares,
     .tail_aware_moves = world->scenario->tail_aware_moves,
   };
 
@@ -295,7 +295,7 @@
                                      emu_session_of_peer (world->gateway_numbers, s, g));
         }
     }
-  if (world->scenario->shares_demand)
+  if (world->scenario->share_demand)
     connect_gateways (world);
   emu_send_withdrawn (world);
   for (unsigned s = 0; s < world->scenario->n_upstreams; s++)
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -24,9 +24,9 @@
  * @orphan_timeout_ms: after this time the tasks of a lost session are taken to have ended
  * @cross_domain_cost_ms: placement cost of an upstream in another failure domain
  * @remote_factor: factor by which a task takes longer on an upstream without its preferred label
- * @shares_demand: gateways tell each other their demand, and when cores are short each of them uses
+ * @share_demand: gateways tell each other their demand, and when cores are short each of them uses
  *   no more than its share
- * @divides_by_queue: when cores are short, the queues of a service get shares by max-min fairness;
+ * @fair_queue_shares: when cores are short, the queues of a service get shares by max-min fairness;
  *   otherwise the jobs of the queues that ask for most are refused first
  * @priority_discount: a queue of priority p has the weight 1 / (1 + p x @priority_discount), so 0
  *   gives all queues equal shares
@@ -42,8 +42,8 @@
   int64_t orphan_timeout_ms;
   int64_t cross_domain_cost_ms;
   double remote_factor;
-  bool shares_demand;
-  bool divides_by_queue;
+  bool share_demand;
+  bool fair_queue_shares;
   double priority_discount;
   bool tail_aware_moves;
 };
--- a/src/dispatch/session_times.h
+++ b/src/dispatch/session_times.h
@@ -22,6 +22,11 @@
 #define AZ_IDLE_SESSION_TIMEOUT_FACTOR 4
 #define AZ_DORMANT_SESSION_TIMEOUT_FACTOR 16
 
+/* Limit of the gateways that a sidecar keeps sessions with, so that its heartbeats and reports
+ * don't grow with the number of gateways, nor the control traffic with the product of the numbers
+ * of sidecars and gateways. With no more gateways, each has a session with each sidecar. */
+#define AZ_SIDECAR_GATEWAYS_MAX 12
+
 /* Lease of the tasks at the upstream; it is renewed several times per lease period. */
 #define AZ_TASK_LEASE_MS 700
 
--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -11,6 +11,9 @@
  * all of them. */
 #define OPEN_SHARE_MIN 0.2
 
+/* Lower bound of a queue's share, for queues whose tasks need no processor. */
+#define SHARE_CORES_MIN 1e-3
+
 /**
  * struct forecast - what the jobs of a service that wait at this gateway can expect
  * @pool: upstreams on which the jobs have to run
@@ -31,14 +34,6 @@
   GArray *shares;
 };
 
-/* What arrives at a gateway is work at normal speed, so where its part is known, the speeds count.
- */
-static double
-expected_capacity (const struct az_capacity *capacity)
-{
-  return capacity->peers_offered_cores > 0 ? capacity->work_per_s : capacity->total_cores;
-}
-
 /* The rate at which work ends is not used for the cores, since it changes only some time after a
  * withdrawal. */
 static void
@@ -53,11 +48,11 @@
   az_candidates_init (&candidates, gateway, service, pool);
   az_gateway_measure_capacity (gateway, &candidates, &forecast->capacity);
   az_candidates_clear (&candidates);
-  forecast->cores = expected_capacity (&forecast->capacity)
+  forecast->cores = az_gateway_expected_capacity (&forecast->capacity)
                     * MAX (forecast->capacity.own_share, USABLE_SHARE_MIN);
   if (pool == AZ_POOL_ISOLATED && forecast->cores <= 0)
     forecast->closed_s = az_gateway_isolated_return_s (gateway, service);
-  if (gateway->settings.divides_by_queue)
+  if (gateway->settings.fair_queue_shares)
     forecast->shares = az_gateway_divide_cores (gateway, service, pool, forecast->cores);
 }
 
@@ -103,7 +98,7 @@
   double claimed;
 
   if (share)
-    return share->cores;
+    return MAX (share->cores, SHARE_CORES_MIN);
   claimed = az_gateway_more_valuable_cores (gateway, queue);
   return MAX (forecast->cores - claimed, forecast->cores * OPEN_SHARE_MIN);
 }
@@ -119,7 +114,8 @@
 
   /* Its own tasks may start wherever there is room, so only what is ahead waits for the share. */
   if (share)
-    return (share->queued_work - work) / share->cores + work / 2 / forecast->cores;
+    return (share->queued_work - work) / MAX (share->cores, SHARE_CORES_MIN)
+           + work / 2 / forecast->cores;
   return (forecast->queued_work - work / 2) / count_open_cores (gateway, forecast, job->queue);
 }
 
--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -22,7 +22,7 @@
 }
 
 /* The share is the work that arrives here relative to that and what arrives at the others, or if
- * that isn't known, what they were given. Shares of the cores in use aren't used: a gateway that
+ * that isn't known, what they were given. It isn't taken from the cores in use: a gateway that
  * refuses more would then count on less and refuse still more. */
 static double
 own_share (double offered_cores, double others_cores)
@@ -36,6 +36,7 @@
                              struct az_capacity *capacity)
 {
   double others_cores = 0;
+
   *capacity = (struct az_capacity){ 0 };
   for (guint i = 0; i < candidates->regular->len; i++)
     {
@@ -55,3 +56,9 @@
     others_cores = capacity->peers_offered_cores;
   capacity->own_share = own_share (capacity->offered_cores, others_cores);
 }
+
+double
+az_gateway_expected_capacity (const struct az_capacity *capacity)
+{
+  return capacity->peers_offered_cores > 0 ? capacity->work_per_s : capacity->total_cores;
+}
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -71,7 +71,7 @@
       "Tasks left on their upstream because of the work already thrown away" },
     { &gateway->c_examined, "azurerock_gateway_examined_total",
       "Upstreams examined in the search for room" },
-    { &gateway->c_held, "azurerock_gateway_held_total",
+    { &gateway->c_share_waits, "azurerock_gateway_share_waits_total",
       "Jobs that waited because the gateway used its share of the cores" },
     { &gateway->c_suspected, "azurerock_gateway_suspected_queues_total",
       "Queues that came under suspicion of crashing upstreams" },
--- a/src/gateway/demand.c
+++ b/src/gateway/demand.c
@@ -1,7 +1,9 @@
 #include "azurerock/log.h"
+#include "dispatch/session_times.h"
 #include "gateway/state.h"
+#include <string.h>
 
-/* A statement older than this doesn't count: the peer is silent. */
+/* A statement older than this doesn't count: two heartbeats were missed at the longest interval. */
 #define DEMAND_VALID_MS 5000
 
 /* A gateway sends at most this many statements per second, to all peers together. */
@@ -9,7 +11,8 @@
 #define DEMAND_INTERVAL_MIN_MS 250
 #define DEMAND_INTERVAL_MAX_MS 2000
 
-/* Part of the known gateways that must have stated their demand. */
+/* Part of the gateways that must have stated their demand. With fewer, those that haven't would be
+ * taken to have no callers. */
 #define STATED_SHARE_MIN 0.5
 
 /* A gateway may use this much of its share, and none waits for the others while this part of the
@@ -17,7 +20,8 @@
 #define SHARE_TOLERANCE 1.05
 #define FREE_SHARE_MIN 0.05
 
-/* From this load on, cores are short at times: demand and arrivals vary. */
+/* From this load on, cores are short for some of the time, since arrivals vary by about a tenth
+ * within a second. */
 #define SHORT_LOAD_MIN 0.9
 
 #define LOG_INTERVAL_MS 1000
@@ -47,11 +51,24 @@
 uint32_t
 az_gateway_stated_cpu_milli (const struct az_gateway *gateway, const struct session *session)
 {
-  if (!gateway->settings.shares_demand || !session->peer_address)
+  if (!gateway->settings.share_demand || !session->peer_address)
     return gateway->queued_cpu_milli;
   return (uint32_t)MIN (own_demand_cores (gateway) * 1000, UINT32_MAX);
 }
 
+/* Counts the gateways with a session and those that have lost it some seconds ago. */
+static guint
+count_gateways (const struct az_gateway *gateway, GHashTable *known)
+{
+  GHashTableIter iterator;
+  gpointer address;
+
+  g_hash_table_iter_init (&iterator, gateway->lost_peers);
+  while (g_hash_table_iter_next (&iterator, &address, NULL))
+    g_hash_table_add (known, address);
+  return g_hash_table_size (known);
+}
+
 static bool
 has_recent_statement (const struct az_gateway *gateway, const struct session *session)
 {
@@ -59,31 +76,65 @@
          && gateway->now_us - session->offered_stated_us <= DEMAND_VALID_MS * AZ_US_PER_MS;
 }
 
-/* Returns 0 if too few of the gateways have stated their demand. */
+/* Sums the demand of each peer once: two gateways that connected to each other at the same time
+ * have two sessions. Returns 0 if too few of the gateways have stated their demand. */
 static double
 sum_peers_demand_cores (const struct az_gateway *gateway)
 {
+  g_autoptr (GHashTable) stated = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GHashTable) known = g_hash_table_new (g_str_hash, g_str_equal);
   double cores = 0;
-  guint n_stated = 0;
   GHashTableIter iterator;
   gpointer value;
 
   g_hash_table_iter_init (&iterator, gateway->sessions);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    if (has_recent_statement (gateway, value))
-      {
-        cores += ((const struct session *)value)->offered_cores;
-        n_stated++;
-      }
-  return n_stated >= STATED_SHARE_MIN * g_hash_table_size (gateway->members) ? cores : 0;
+    {
+      const struct session *session = value;
+
+      if (!session->peer_address)
+        continue;
+      g_hash_table_add (known, session->peer_address);
+      if (has_recent_statement (gateway, session)
+          && g_hash_table_add (stated, session->peer_address))
+        cores += session->offered_cores;
+    }
+  return g_hash_table_size (stated) >= STATED_SHARE_MIN * count_gateways (gateway, known) ? cores
+                                                                                          : 0;
+}
+
+/* With several services, or with sidecars that keep sessions with some gateways only, the demand of
+ * a peer may be for other upstreams than those of this gateway. */
+static bool
+is_demand_comparable (const struct az_gateway *gateway)
+{
+  const char *service = NULL;
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (g_hash_table_size (gateway->members) >= AZ_SIDECAR_GATEWAYS_MAX)
+    return false;
+  g_hash_table_iter_init (&iterator, gateway->queues);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct queue *queue = value;
+
+      if (service && strcmp (service, queue->service) != 0)
+        return false;
+      service = queue->service;
+    }
+  return true;
 }
 
 double
 az_gateway_peers_offered_cores (const struct az_gateway *gateway, double offered_cores)
 {
-  double own_cores = own_demand_cores (gateway);
+  double own_cores;
 
-  if (!gateway->settings.shares_demand || own_cores <= 0)
+  if (!gateway->settings.share_demand || !is_demand_comparable (gateway))
+    return 0;
+  own_cores = own_demand_cores (gateway);
+  if (own_cores <= 0)
     return 0;
   return sum_peers_demand_cores (gateway) * offered_cores / own_cores;
 }
@@ -93,7 +144,7 @@
 {
   int64_t interval_ms = 1000 * (int64_t)g_hash_table_size (gateway->members) / STATEMENTS_PER_S;
 
-  if (!gateway->settings.shares_demand)
+  if (!gateway->settings.share_demand)
     return DEMAND_INTERVAL_MAX_MS;
   return CLAMP (interval_ms, DEMAND_INTERVAL_MIN_MS, DEMAND_INTERVAL_MAX_MS);
 }
@@ -110,12 +161,14 @@
 }
 
 static void
-log_held_job (struct az_gateway *gateway, const struct job *job, const struct az_capacity *capacity)
+log_share_wait (struct az_gateway *gateway,
+                const struct job *job,
+                const struct az_capacity *capacity)
 {
-  if (gateway->held_logged_us > 0
-      && gateway->now_us - gateway->held_logged_us < LOG_INTERVAL_MS * AZ_US_PER_MS)
+  if (gateway->share_wait_logged_us > 0
+      && gateway->now_us - gateway->share_wait_logged_us < LOG_INTERVAL_MS * AZ_US_PER_MS)
     return;
-  gateway->held_logged_us = gateway->now_us;
+  gateway->share_wait_logged_us = gateway->now_us;
   az_log (LOG_INFO,
           "event=share-used job=%s queue=%s own_cores=%.1f share=%.3f cores=%.1f free_cores=%.1f "
           "offered_cores=%.1f peers_offered_cores=%.1f",
@@ -125,15 +178,15 @@
 }
 
 bool
-az_gateway_must_leave_cores (struct az_gateway *gateway,
-                             struct job *job,
-                             const struct az_capacity *capacity)
+az_gateway_wait_for_share (struct az_gateway *gateway,
+                           struct job *job,
+                           const struct az_capacity *capacity)
 {
   if (!is_share_used (capacity))
     return false;
-  if (!job->was_held)
-    az_counters_add (gateway->counters, gateway->c_held, 1);
-  job->was_held = true;
-  log_held_job (gateway, job, capacity);
+  if (!job->has_waited_for_share)
+    az_counters_add (gateway->counters, gateway->c_share_waits, 1);
+  job->has_waited_for_share = true;
+  log_share_wait (gateway, job, capacity);
   return true;
 }
--- a/src/gateway/feasibility.c
+++ b/src/gateway/feasibility.c
@@ -1,10 +1,7 @@
+#include "dispatch/session_times.h"
 #include "gateway/state.h"
 #include <string.h>
 
-/* Each sidecar keeps sessions with all gateways if there are no more than this. Must equal
- * GATEWAYS_MAX in src/sidecar/links.c. */
-#define FULL_MESH_GATEWAYS_MAX 12
-
 /* After a start, or after the loss of all upstreams, sidecars are given this time to connect. */
 #define RECONNECT_GRACE_MS 1500
 
@@ -81,7 +78,7 @@
         return "no upstream is known to have at present the capacity or label that a task needs";
       /* If there are more gateways, an upstream without a session with this one may fit, as may
        * one whose sidecar hasn't connected yet. */
-      *is_permanent = g_hash_table_size (gateway->members) < FULL_MESH_GATEWAYS_MAX
+      *is_permanent = g_hash_table_size (gateway->members) < AZ_SIDECAR_GATEWAYS_MAX
                       && gateway->now_us - gateway->started_us >= RECONNECT_GRACE_MS * AZ_US_PER_MS;
       return "no upstream has the capacity or label that a task needs";
     }
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -346,7 +346,7 @@
   if (job->was_placed)
     return false;
   az_gateway_measure_capacity (gateway, candidates, &capacity);
-  if (az_gateway_must_leave_cores (gateway, job, &capacity))
+  if (az_gateway_wait_for_share (gateway, job, &capacity))
     return true;
   return capacity.free_cores < az_gateway_protected_cores (gateway, job->queue, &capacity);
 }
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -87,8 +87,8 @@
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = options->remote_factor,
-    .shares_demand = options->share_demand,
-    .divides_by_queue = options->fair_queue_shares,
+    .share_demand = options->share_demand,
+    .fair_queue_shares = options->fair_queue_shares,
     .priority_discount = options->priority_discount,
     .tail_aware_moves = options->tail_aware_moves,
   };
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -166,7 +166,7 @@
  *   with its upstream is lost
  * @n_started: starts of tasks, certain or possible; a start that the upstream refused isn't counted
  * @was_placed: at least one task was sent to an upstream
- * @was_held: it had to wait because the gateway used its share of the cores
+ * @has_waited_for_share: it had to wait because the gateway used its share of the cores
  * @pool: determined before each placement
  * @is_answered: the job only waits for its last tasks in flight
  */
@@ -191,7 +191,7 @@
   uint32_t n_done;
   uint32_t n_started;
   bool was_placed;
-  bool was_held;
+  bool has_waited_for_share;
   enum az_pool pool;
   bool is_answered;
 };
@@ -299,8 +299,8 @@
   uint32_t c_moves_budget;
   uint32_t c_examined;
   uint32_t c_suspected;
-  uint32_t c_held;
-  int64_t held_logged_us;          /* when the last line about a held job was written */
+  uint32_t c_share_waits;
+  int64_t share_wait_logged_us;    /* when event=share-used was last logged */
   struct az_histogram response_ms; /* response times of completed jobs */
 };
 
@@ -652,13 +652,20 @@
 int64_t
 az_gateway_demand_interval_ms (const struct az_gateway *gateway);
 
-/** az_gateway_must_leave_cores - whether a job that hasn't begun has to wait because this gateway
- * uses its share, while hardly any cores are free and all gateways together ask for more than there
- * are */
+/** az_gateway_wait_for_share - returns whether a job that hasn't begun has to wait because this
+ * gateway uses its share, while hardly any cores are free and all gateways together ask for more
+ * than there are; counts and logs it if so */
 bool
-az_gateway_must_leave_cores (struct az_gateway *gateway,
-                             struct job *job,
-                             const struct az_capacity *capacity);
+az_gateway_wait_for_share (struct az_gateway *gateway,
+                           struct job *job,
+                           const struct az_capacity *capacity);
+
+/** az_gateway_expected_capacity - cores on which all gateways together can count
+ *
+ * What arrives at gateways is work at normal speed, so where it is known, the speeds count.
+ */
+double
+az_gateway_expected_capacity (const struct az_capacity *capacity);
 
 /* value.c */
 
@@ -699,8 +706,9 @@
 /**
  * az_gateway_divide_cores - divides cores among the queues of a service that run in the pool
  *
- * Each queue gets what it asks for, or its share by weighted max-min fairness. Cores that nobody
- * asks for count for each queue, since any of them may use them.
+ * A queue can expect its share by weighted max-min fairness, also if it asks for less on average,
+ * so that jobs that arrive together aren't refused. Cores that nobody asks for count for each
+ * queue, since any of them may use them.
  *
  * Return: struct az_queue_share.
  */
--- a/src/gateway/value.c
+++ b/src/gateway/value.c
@@ -92,7 +92,7 @@
 
   if (factor <= 0)
     return 0;
-  if (gateway->settings.divides_by_queue)
+  if (gateway->settings.fair_queue_shares)
     shares = az_gateway_divide_cores (gateway, queue->service,
                                       az_gateway_is_suspected (gateway, queue) ? AZ_POOL_ISOLATED
                                                                                : AZ_POOL_REGULAR,
--- a/src/sidecar/links.c
+++ b/src/sidecar/links.c
@@ -1,17 +1,13 @@
 #include "sidecar/links.h"
 #include "azurerock/limits.h"
 #include "azurerock/message.h"
+#include "dispatch/session_times.h"
 #include "dispatch/time_us.h"
 #include "net/address.h"
 #include <glib.h>
 #include <string.h>
 #include <xxhash.h>
 
-/* Limit of the gateways that a sidecar keeps sessions with, so that its heartbeats and reports
- * don't grow with the number of gateways, nor the control traffic with the product of the numbers
- * of sidecars and gateways. Must equal FULL_MESH_GATEWAYS_MAX in src/gateway/feasibility.c. */
-#define GATEWAYS_MAX 12
-
 /* A gateway that can't be reached is replaced by another one for this time. */
 #define UNREACHABLE_MS 5000
 
@@ -86,7 +82,7 @@
   return true;
 }
 
-/* Whether the gateway is among the GATEWAYS_MAX reachable ones with the highest rank. */
+/* Whether the gateway is among the AZ_SIDECAR_GATEWAYS_MAX reachable ones with the highest rank. */
 static bool
 is_preferred (const struct az_links *links, const struct link *link)
 {
@@ -95,7 +91,7 @@
   gpointer value;
   unsigned n_higher = 0;
 
-  if (g_hash_table_size (links->gateways) <= GATEWAYS_MAX)
+  if (g_hash_table_size (links->gateways) <= AZ_SIDECAR_GATEWAYS_MAX)
     return true;
   g_hash_table_iter_init (&iterator, links->gateways);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
@@ -104,7 +100,7 @@
 
       n_higher += other->rank > link->rank && other->unreachable_until_us < now_us;
     }
-  return n_higher < GATEWAYS_MAX;
+  return n_higher < AZ_SIDECAR_GATEWAYS_MAX;
 }
 
 const char *
@@ -186,7 +182,7 @@
   GHashTableIter iterator;
   gpointer value;
 
-  if (links->n_sessions <= GATEWAYS_MAX)
+  if (links->n_sessions <= AZ_SIDECAR_GATEWAYS_MAX)
     return 0;
   g_hash_table_iter_init (&iterator, links->gateways);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -138,8 +138,8 @@
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
     .remote_factor = 1.5,
-    .shares_demand = features->shares_demand,
-    .divides_by_queue = features->divides_by_queue,
+    .share_demand = features->share_demand,
+    .fair_queue_shares = features->fair_queue_shares,
     .tail_aware_moves = features->tail_aware_moves,
   };
   struct gateway_rig *rig = g_new0 (struct gateway_rig, 1);
@@ -186,13 +186,13 @@
 struct gateway_rig *
 gateway_rig_create_sharing_demand (unsigned n_upstreams)
 {
-  return create_rig (n_upstreams, &(struct az_gateway_settings){ .shares_demand = true });
+  return create_rig (n_upstreams, &(struct az_gateway_settings){ .share_demand = true });
 }
 
 struct gateway_rig *
 gateway_rig_create_dividing_by_queue (unsigned n_upstreams)
 {
-  return create_rig (n_upstreams, &(struct az_gateway_settings){ .divides_by_queue = true });
+  return create_rig (n_upstreams, &(struct az_gateway_settings){ .fair_queue_shares = true });
 }
 
 void
--- a/tests/test_dispatch_near_capacity.c
+++ b/tests/test_dispatch_near_capacity.c
@@ -27,9 +27,9 @@
       struct emulator_result first_come = emulator_run (scenario, seed);
       struct emulator_result fair;
 
-      scenario->shares_demand = true;
+      scenario->share_demand = true;
       fair = emulator_run (scenario, seed);
-      scenario->shares_demand = false;
+      scenario->share_demand = false;
       assert_true (first_come.refusal_factor > REFUSAL_FACTOR_MAX);
       assert_true (fair.refusal_factor < REFUSAL_FACTOR_MAX);
       assert_true (fair.goodput >= first_come.goodput - GOODPUT_SPREAD);
--- a/tests/test_gateway_demand.c
+++ b/tests/test_gateway_demand.c
@@ -38,7 +38,7 @@
   gateway_rig_submit (rig, 2, "fast", 1);
   gateway_rig_advance (rig, 60, 0);
   assert_int_equal (rig->runs->len, 1);
-  assert_int_equal (gateway_rig_read_counter (rig, "azurerock_gateway_held_total"), 1);
+  assert_int_equal (gateway_rig_read_counter (rig, "azurerock_gateway_share_waits_total"), 1);
   gateway_rig_destroy (rig);
 }
 
