Split the declarations of capacity and moves from the gateway's state

What concerns the capacity and shares of a service is in capacity.h now, what concerns moved tasks in moves.h. No code changed.

--- a/src/gateway/admission.c
+++ b/src/gateway/admission.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "gateway/capacity.h"
 #include "gateway/crashes.h"
 #include "gateway/state.h"
 #include <string.h>
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -1,4 +1,5 @@
 #include "dispatch/speed.h"
+#include "gateway/capacity.h"
 #include "gateway/state.h"
 #include <string.h>
 
--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -1,3 +1,4 @@
+#include "gateway/capacity.h"
 #include "gateway/crashes.h"
 #include "gateway/state.h"
 #include <string.h>
--- a/src/gateway/demand.c
+++ b/src/gateway/demand.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "dispatch/session_times.h"
+#include "gateway/capacity.h"
 #include "gateway/state.h"
 #include <string.h>
 
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "gateway/crashes.h"
+#include "gateway/moves.h"
 #include "gateway/state.h"
 
 static struct job *
--- a/src/gateway/move_evidence.c
+++ b/src/gateway/move_evidence.c
@@ -1,4 +1,5 @@
 #include "dispatch/speed.h"
+#include "gateway/moves.h"
 #include "gateway/state.h"
 
 static void
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "dispatch/speed.h"
+#include "gateway/moves.h"
 #include "gateway/state.h"
 
 #define MOVES_MAX 2
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -1,6 +1,8 @@
 #include "azurerock/log.h"
 #include "dispatch/session_times.h"
+#include "gateway/capacity.h"
 #include "gateway/crashes.h"
+#include "gateway/moves.h"
 #include "gateway/state.h"
 #include <string.h>
 
--- a/src/gateway/shares.c
+++ b/src/gateway/shares.c
@@ -1,4 +1,5 @@
 #include "dispatch/fair_share.h"
+#include "gateway/capacity.h"
 #include "gateway/crashes.h"
 #include "gateway/state.h"
 #include <string.h>
