--- a/src/net/http_admission.c
+++ b/src/net/http_admission.c
@@ -32,7 +32,6 @@
   bool is_busy;      /* and no other one can be closed for it */
   bool has_accepted; /* since the loop has polled; the connection hasn't been read from yet */
   bool is_short;     /* the system gave no descriptor; accept nothing until the next check */
-  bool needs_room;   /* a connection is to be closed after the loop has polled */
   bool is_stopped;
 };
 
@@ -42,22 +41,14 @@
   return az_http_pool_count (admission->pool) < admission->connections_max;
 }
 
-/* Returns false if no connection can be closed. */
-static bool
-close_one (struct az_http_admission *admission)
-{
-  struct az_http_holder *holder = az_http_pool_choose_for_room (admission->pool);
-
-  if (!holder)
-    return false;
-  az_http_caller_cut (az_http_caller_from_holder (holder), AZ_HTTP_CAUSE_CONNECTIONS);
-  return true;
-}
-
 static void
 close_for_room (struct az_http_admission *admission)
 {
-  if (!close_one (admission) && !admission->is_busy && !az_http_pool_is_closing (admission->pool))
+  struct az_http_holder *holder = az_http_pool_choose_for_room (admission->pool);
+
+  if (holder)
+    az_http_caller_cut (az_http_caller_from_holder (holder), AZ_HTTP_CAUSE_CONNECTIONS);
+  else if (!admission->is_busy && !az_http_pool_is_closing (admission->pool))
     {
       az_http_limits_count (AZ_HTTP_CAUSE_FULL);
       admission->is_busy = true;
@@ -117,11 +108,6 @@
 
   admission->has_accepted = false;
   uv_idle_stop (&admission->wake);
-  if (admission->needs_room && !has_accepted)
-    {
-      close_one (admission);
-      admission->needs_room = false;
-    }
   if (!admission->is_full || admission->is_stopped)
     return;
   if (has_accepted)
@@ -156,7 +142,8 @@
   allow_for_pause (admission, now_ms);
   while ((holder = az_http_pool_choose_expired (admission->pool, limits, now_ms, &cause)))
     az_http_caller_cut (az_http_caller_from_holder (holder), cause);
-  admission->needs_room = admission->needs_room || admission->is_short;
+  if (admission->is_short)
+    close_for_room (admission);
   admission->is_short = false;
   if (!admission->is_stopped)
     az_http_listener_resume (admission->listener);
