Declare the interface of interference reports and two settings

NODE_INTERFERENCE carries a sidecar's evidence of which queues slow each other down; report_interference, separate_queues and relative_slowness are off by default and change nothing yet.

test_message has a sample of the new message, fuzz_sessions reaches it. test_message and test_settings pass.

--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -224,6 +224,7 @@
     .share_demand = world->scenario->share_demand,
     .fair_queue_shares = world->scenario->fair_queue_shares,
     .tail_aware_moves = world->scenario->tail_aware_moves,
+    .separate_queues = world->scenario->separate_queues,
   };
 
   world->gateway_contexts[index] = (struct node_context){ world, index };
@@ -253,6 +254,8 @@
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .stop_ms = 50,
     .withdrawals_max_age_ms = 2500,
+    .relative_slowness = world->scenario->relative_slowness,
+    .report_interference = world->scenario->separate_queues,
   };
 
   world->sidecar_contexts[index] = (struct node_context){ world, index };
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -32,6 +32,8 @@
  *   gives all queues equal shares
  * @tail_aware_moves: whether a task is moved only if it is expected to end sooner as a result, in
  *   view of how often tasks of its queue are long in themselves
+ * @separate_queues: queues whose tasks slow each other down run on different upstreams where there
+ *   is room
  */
 struct az_gateway_settings
 {
@@ -46,6 +48,7 @@
   bool fair_queue_shares;
   double priority_discount;
   bool tail_aware_moves;
+  bool separate_queues;
 };
 
 enum az_job_outcome
--- a/include/azurerock/sidecar.h
+++ b/include/azurerock/sidecar.h
@@ -25,6 +25,8 @@
   int64_t stop_ms;                /* the upstream takes at most this long to stop a task */
   int64_t withdrawals_max_age_ms; /* if the known list of withdrawn domains is older than this, a
                                    * new one is read from the store */
+  bool relative_slowness;         /* the upstream is slow compared with its own usual speed */
+  bool report_interference;       /* gateways get evidence of which queues slow each other down */
 };
 
 /**
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -567,6 +567,31 @@
 	bool was_held;
 };
 
+const AZ_MAX_KINDS = 8;
+
+/*
+ * Evidence that tasks of the kind with index slowed take longer or shorter beside tasks of the kind
+ * with index beside. effect_milli is the mean difference of the natural logarithms of their run
+ * times, in thousandths, with and without such tasks beside them. weight_milli is the number of
+ * observations that this mean is worth, in thousandths.
+ */
+struct az_interference_row {
+	unsigned int slowed;
+	unsigned int beside;
+	unsigned int weight_milli;
+	int effect_milli;
+};
+
+/*
+ * Sidecar to gateway: evidence of interference between the kinds of tasks that ran on this
+ * incarnation of the upstream. It replaces that of the former message.
+ */
+struct az_node_interference {
+	unsigned hyper life;
+	az_name kinds<AZ_MAX_KINDS>;
+	az_interference_row rows<64>;
+};
+
 enum az_proc {
 	AZ_PROC_NULL = 0,
 	AZ_HELLO = 1,
@@ -605,7 +630,8 @@
 	AZ_NODE_PULSE = 34,
 	AZ_NODE_CRASH = 35,
 	AZ_NODE_CANCEL = 36,
-	AZ_NODE_CANCELLED = 37
+	AZ_NODE_CANCELLED = 37,
+	AZ_NODE_INTERFERENCE = 38
 };
 
 union az_message switch (az_proc proc) {
@@ -685,4 +711,6 @@
 	az_node_cancel node_cancel;
 case AZ_NODE_CANCELLED:
 	az_node_cancelled node_cancelled;
+case AZ_NODE_INTERFERENCE:
+	az_node_interference node_interference;
 };
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -543,6 +543,28 @@
 	bool_t was_held;
 };
 typedef struct az_node_cancelled az_node_cancelled;
+#define AZ_MAX_KINDS 8
+
+struct az_interference_row {
+	u_int slowed;
+	u_int beside;
+	u_int weight_milli;
+	int effect_milli;
+};
+typedef struct az_interference_row az_interference_row;
+
+struct az_node_interference {
+	u_quad_t life;
+	struct {
+		u_int kinds_len;
+		az_name *kinds_val;
+	} kinds;
+	struct {
+		u_int rows_len;
+		az_interference_row *rows_val;
+	} rows;
+};
+typedef struct az_node_interference az_node_interference;
 
 enum az_proc {
 	AZ_PROC_NULL = 0,
@@ -583,6 +605,7 @@
 	AZ_NODE_CRASH = 35,
 	AZ_NODE_CANCEL = 36,
 	AZ_NODE_CANCELLED = 37,
+	AZ_NODE_INTERFERENCE = 38,
 };
 typedef enum az_proc az_proc;
 
@@ -626,6 +649,7 @@
 		az_node_crash node_crash;
 		az_node_cancel node_cancel;
 		az_node_cancelled node_cancelled;
+		az_node_interference node_interference;
 	} az_message_u;
 };
 typedef struct az_message az_message;
@@ -695,6 +719,8 @@
 extern  bool_t xdr_az_node_crash (XDR *, az_node_crash*);
 extern  bool_t xdr_az_node_cancel (XDR *, az_node_cancel*);
 extern  bool_t xdr_az_node_cancelled (XDR *, az_node_cancelled*);
+extern  bool_t xdr_az_interference_row (XDR *, az_interference_row*);
+extern  bool_t xdr_az_node_interference (XDR *, az_node_interference*);
 extern  bool_t xdr_az_proc (XDR *, az_proc*);
 extern  bool_t xdr_az_message (XDR *, az_message*);
 
@@ -761,6 +787,8 @@
 extern bool_t xdr_az_node_crash ();
 extern bool_t xdr_az_node_cancel ();
 extern bool_t xdr_az_node_cancelled ();
+extern bool_t xdr_az_interference_row ();
+extern bool_t xdr_az_node_interference ();
 extern bool_t xdr_az_proc ();
 extern bool_t xdr_az_message ();
 
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1133,6 +1133,77 @@
 	return TRUE;
 }
 
+bool_t
+xdr_az_interference_row (XDR *xdrs, az_interference_row *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slowed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->beside))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight_milli))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->effect_milli))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->slowed);
+			IXDR_PUT_U_LONG(buf, objp->beside);
+			IXDR_PUT_U_LONG(buf, objp->weight_milli);
+			IXDR_PUT_LONG(buf, objp->effect_milli);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slowed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->beside))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight_milli))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->effect_milli))
+				 return FALSE;
+		} else {
+			objp->slowed = IXDR_GET_U_LONG(buf);
+			objp->beside = IXDR_GET_U_LONG(buf);
+			objp->weight_milli = IXDR_GET_U_LONG(buf);
+			objp->effect_milli = IXDR_GET_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->slowed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->beside))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight_milli))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->effect_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_az_node_interference (XDR *xdrs, az_node_interference *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->life))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->kinds.kinds_val, (u_int *) &objp->kinds.kinds_len, AZ_MAX_KINDS,
+		sizeof (az_name), (xdrproc_t) xdr_az_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+		sizeof (az_interference_row), (xdrproc_t) xdr_az_interference_row))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_az_proc (XDR *xdrs, az_proc *objp)
 {
@@ -1301,6 +1372,10 @@
 		 if (!xdr_az_node_cancelled (xdrs, &objp->az_message_u.node_cancelled))
 			 return FALSE;
 		break;
+	case AZ_NODE_INTERFERENCE:
+		 if (!xdr_az_node_interference (xdrs, &objp->az_message_u.node_interference))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/proto/message.c
+++ b/src/proto/message.c
@@ -73,6 +73,7 @@
   [AZ_NODE_CRASH] = { "NODE_CRASH", (xdrproc_t)xdr_az_node_crash },
   [AZ_NODE_CANCEL] = { "NODE_CANCEL", (xdrproc_t)xdr_az_node_cancel },
   [AZ_NODE_CANCELLED] = { "NODE_CANCELLED", (xdrproc_t)xdr_az_node_cancelled },
+  [AZ_NODE_INTERFERENCE] = { "NODE_INTERFERENCE", (xdrproc_t)xdr_az_node_interference },
 };
 
 static const struct procedure *
--- a/src/sidecar/main.c
+++ b/src/sidecar/main.c
@@ -23,6 +23,11 @@
     "time that the upstream takes at most to stop a task" },
   { "lease_max_ms", AZ_SETTING_NUMBER, FIELD (lease_max_ms), false, 100, 60000,
     "longest lease that the upstream grants its tasks" },
+  { "relative_slowness", AZ_SETTING_BOOLEAN, FIELD (relative_slowness), false, 0, 0,
+    "whether the upstream counts as slow compared with its own usual speed" },
+  { "report_interference", AZ_SETTING_BOOLEAN, FIELD (report_interference), false, 0, 0,
+    "whether gateways get evidence of which queues slow each other down; only if none of them is "
+    "older than this release" },
   AZ_HTTP_LIMIT_SETTINGS (az_sidecar_options, limits),
 };
 
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -26,6 +26,8 @@
   double grace_s;
   double stop_ms;
   double lease_max_ms;
+  bool relative_slowness;
+  bool report_interference;
   struct az_http_limit_options limits;
 };
 
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -95,6 +95,8 @@
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .stop_ms = (int64_t)options->stop_ms,
     .withdrawals_max_age_ms = WITHDRAWALS_MAX_AGE_MS,
+    .relative_slowness = options->relative_slowness,
+    .report_interference = options->report_interference,
   };
 
   program->counters = az_counters_create ();
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -35,6 +35,9 @@
 static struct az_task_event task_events[] = { { 3, 1, 17, 2, AZ_TASK_CRASHED, 61 } };
 static struct az_task_progress task_progress[] = { { 3, 1, 17, 200, 900 } };
 
+static az_name kinds[] = { (char *)"fast", (char *)"slow" };
+static az_interference_row interference_rows[] = { { 0, 1, 40000, -180 } };
+
 #define BODY(member, ...) .az_message_u.member = { __VA_ARGS__ }
 
 /* One message of each procedure, in the order of their numbers. */
@@ -97,6 +100,7 @@
   { AZ_NODE_CRASH, BODY (node_crash, (char *)"fast", (char *)"5c0e7a21d94b36f8", 1, 17) },
   { AZ_NODE_CANCEL, BODY (node_cancel, 3, (char *)"5c0e7a21d94b36f8") },
   { AZ_NODE_CANCELLED, BODY (node_cancelled, 3, TRUE) },
+  { AZ_NODE_INTERFERENCE, BODY (node_interference, 2, { 2, kinds }, { 1, interference_rows }) },
 };
 
 static GByteArray *
@@ -138,7 +142,7 @@
 static void
 test_every_procedure_round_trip (void **state)
 {
-  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_CANCELLED + 1);
+  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_INTERFERENCE + 1);
   for (size_t i = 0; i < G_N_ELEMENTS (samples); i++)
     {
       GByteArray *record = encode (&samples[i]);
@@ -220,7 +224,7 @@
   put_word (record, VERSION_OFFSET, 2);
   assert_rejected (record, AZ_MESSAGE_ERROR_VERSION);
   put_word (record, VERSION_OFFSET, 1);
-  put_word (record, PROCEDURE_OFFSET, AZ_NODE_CANCELLED + 1);
+  put_word (record, PROCEDURE_OFFSET, AZ_NODE_INTERFERENCE + 1);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
   put_word (record, PROCEDURE_OFFSET, 0xffffffff);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
