Keep expected run times and speeds from shrinking together

A gateway learns the expected run time of a queue from run times at the speed of the upstream, and a sidecar learns that speed from the expected time. An error of one enters the other, and only the callers' estimates, with a tenth of the weight, pull both back. Three errors had one direction: the speed that was used already contained the run time of the task, the reported speed was truncated to a whole percent, and times were truncated to milliseconds. The speeds of normal upstreams fell to 0.71 to 0.85 within half a minute of load, and slower hardware near the slow threshold became probe-only and usable again all the time.

The speed at which the task was sent is used now, and the values are rounded.

--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -26,6 +26,12 @@
   return value < SLOW_THRESHOLD;
 }
 
+uint32_t
+az_speed_percent (const struct az_speed *speed)
+{
+  return (uint32_t)lround (speed->value * 100);
+}
+
 /* Consecutive slow tasks of one job count once. */
 static void
 count_slow_job (struct az_speed *speed, uint64_t job, bool is_slow)
--- a/src/dispatch/speed.h
+++ b/src/dispatch/speed.h
@@ -31,6 +31,10 @@
 void
 az_speed_update (struct az_speed *speed, uint64_t job, int64_t expected_us, int64_t run_us);
 
+/** az_speed_percent - the speed in percent, as sidecars report it */
+uint32_t
+az_speed_percent (const struct az_speed *speed);
+
 /** az_speed_is_slow - whether an upstream of this speed should get only single probe tasks */
 bool
 az_speed_is_slow (double value);
--- a/src/gateway/events.c
+++ b/src/gateway/events.c
@@ -56,7 +56,7 @@
     case AZ_TASK_DONE:
       az_gateway_record_done_task (gateway, job, event->step, task,
                                    (int64_t)event->run_ms * AZ_US_PER_MS);
-      az_gateway_record_run_time (job, &job->request.steps[event->step], upstream,
+      az_gateway_record_run_time (job, &job->request.steps[event->step], task, upstream,
                                   (int64_t)event->run_ms * AZ_US_PER_MS);
       finish_task (gateway, job, event->step, task);
       break;
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -222,6 +222,7 @@
   task->sent_us = gateway->now_us;
   task->is_stopping = false;
   task->is_crash_counted = false;
+  task->sent_speed = upstream->speed;
   task->own_ratio = 0;
   task->is_move_refused = false;
   job->steps[step_index].n_waiting--;
@@ -260,8 +261,7 @@
     .name = name,
     .specification = { (u_int)strlen (job->request.specification), job->request.specification },
     .need = step->need,
-    .expected_ms
-    = (u_int)(az_gateway_expected_run_us (gateway, job, step_index, NULL) / AZ_US_PER_MS),
+    .expected_ms = (u_int)az_round_ms (az_gateway_expected_run_us (gateway, job, step_index, NULL)),
     .deadline_ms = (u_int)MAX ((job->deadline_us - gateway->now_us) / AZ_US_PER_MS, 0),
     .tasks = { tasks->len, (struct az_run_task *)(void *)tasks->data },
   };
--- a/src/gateway/run_time.c
+++ b/src/gateway/run_time.c
@@ -25,9 +25,12 @@
   return (int64_t)run_us;
 }
 
+/* With the speed after the task, which contains its run time, an error of the expected time would
+ * be confirmed by the speed that follows from it. */
 void
 az_gateway_record_run_time (struct job *job,
                             const struct az_job_step *step,
+                            const struct task *task,
                             const struct upstream *upstream,
                             int64_t run_us)
 {
@@ -35,7 +38,7 @@
   double ratio = (double)run_us / AZ_US_PER_MS / estimate_ms;
   double run_ms = estimate_ms * CLAMP (ratio, RUN_TIME_RATIO_MIN, RUN_TIME_RATIO_MAX);
 
-  if (!az_speed_is_slow (upstream->speed))
-    az_run_estimate_record (&job->queue->run_estimate, estimate_ms, run_ms * upstream->speed,
+  if (!az_speed_is_slow (upstream->speed) && !az_speed_is_slow (task->sent_speed))
+    az_run_estimate_record (&job->queue->run_estimate, estimate_ms, run_ms * task->sent_speed,
                             1.0 / step->n_tasks);
 }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -121,6 +121,7 @@
  * struct task
  * @n_crashes: number of upstreams that crashed under it, whichever gateway had sent it
  * @is_crash_counted: the crash of the upstream that runs it is included in @n_crashes
+ * @sent_speed: speed of the upstream when the task was sent; its run time hasn't entered that one
  * @own_ratio: projected run time as a multiple of the expected one at the speed of the upstream
  * that runs it, 0 before it reports progress
  * @is_ratio_recorded: the distribution of its queue includes it
@@ -135,6 +136,7 @@
   uint32_t n_crashes;
   bool is_crash_counted;
   uint32_t n_moved;
+  double sent_speed;
   double own_ratio;
   bool is_ratio_recorded;
   bool is_move_refused;
@@ -452,6 +454,7 @@
 void
 az_gateway_record_run_time (struct job *job,
                             const struct az_job_step *step,
+                            const struct task *task,
                             const struct upstream *upstream,
                             int64_t run_us);
 
--- a/src/sidecar/reports.c
+++ b/src/sidecar/reports.c
@@ -98,7 +98,7 @@
     .clock_ms = (uint64_t)(sidecar->now_us / AZ_US_PER_MS),
     .received = session->received,
     .free = free,
-    .speed_percent = (u_int)(sidecar->life.speed.value * 100),
+    .speed_percent = az_speed_percent (&sidecar->life.speed),
     .n_done = sidecar->life.n_done,
     .n_failed = sidecar->life.n_failed,
     .events = { n_events, (struct az_task_event *)(void *)session->events->data },
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -286,7 +286,7 @@
     .step = task->step,
     .index = task->index,
     .attempt = MAX (task->attempt, task->ordered_attempt),
-    .run_ms = (u_int)((sidecar->now_us - task->start_sent_us) / AZ_US_PER_MS),
+    .run_ms = (u_int)az_round_ms (sidecar->now_us - task->start_sent_us),
   };
 
   if (how == AZ_TASK_LOST && task->has_upstream_crashed)
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -25,7 +25,8 @@
                                  .job = message->job,
                                  .index = message->tasks.tasks_val[i].index,
                                  .attempt = message->tasks.tasks_val[i].attempt,
-                                 .clock_ms = (int64_t)message->clock_ms };
+                                 .clock_ms = (int64_t)message->clock_ms,
+                                 .expected_ms = message->expected_ms };
 
       g_strlcpy (run.name, message->name, sizeof run.name);
       rig->used_cpu_milli[session] += message->need.cpu_milli;
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -18,6 +18,7 @@
   uint32_t index;
   uint32_t attempt;
   int64_t clock_ms; /* the sidecar's clock, as stated in the run message */
+  uint32_t expected_ms;
   char name[64];    /* of the step */
 };
 
