--- a/tests/limits_testing.py
+++ b/tests/limits_testing.py
@@ -32,9 +32,11 @@
 class StoreThread:
     """The stand-in store in a thread of its own."""
 
-    def __init__(self):
+    def __init__(self, n_routes=1):
         self.port, self.store = free_port(), Store()
-        self.store.write("op/config", json.dumps({"version": 1, "routes": [ROUTE],
+        routes = [ROUTE] + [dict(ROUTE, name="jobs%d" % i, prefix="/jobs%d/" % i)
+                            for i in range(1, n_routes)]
+        self.store.write("op/config", json.dumps({"version": 1, "routes": routes,
                                                   "services": []}).encode())
         self.loop = asyncio.new_event_loop()
         self.server = self.loop.run_until_complete(
@@ -56,11 +58,12 @@
 
 class Limited:
     """A process with lowered limits. @program: "gateway", "sidecar" or "entry"; @descriptors: its limit of
-    open descriptors, which the system enforces."""
+    open descriptors, which the system enforces; @n_routes: of its configuration."""
 
-    def __init__(self, program, ordinary_status, descriptors=DESCRIPTORS_MAX, **settings):
+    def __init__(self, program, ordinary_status, descriptors=DESCRIPTORS_MAX, n_routes=1,
+                 **settings):
         self.folder = tempfile.TemporaryDirectory()
-        self.store = StoreThread()
+        self.store = StoreThread(n_routes)
         self.ports = [free_port() for _ in range(4)]
         values = dict(self.addresses(program), instance="x0", domain="d0",
                       descriptors_max=descriptors, request_buffer_mb=BUFFER_MB,
@@ -81,8 +84,8 @@
         self.open_max = self.n_open()
 
     def addresses(self, program):
-        """The settings that name addresses. Callers connect to the first port; the last one has
-        the metrics."""
+        """The settings that name addresses. Callers connect to the first port, peers to the third;
+        the last one has the metrics."""
         addresses = ["%s:%d" % (HOST, port) for port in self.ports]
         store = "%s:%d" % (HOST, self.store.port)
         if program == "entry":
