--- a/src/net/http_admission.c
+++ b/src/net/http_admission.c
@@ -1,6 +1,6 @@
 #include "net/http_admission.h"
 #include "net/http_caller.h"
-#include "net/http_listener.h"
+#include "net/listener.h"
 
 /* How often time limits are checked, and how often a paused listener tries again. */
 #define CHECK_INTERVAL_MS 100
@@ -17,7 +17,7 @@
 struct az_http_admission
 {
   struct az_http_admission_owner owner;
-  struct az_http_listener *listener;
+  struct az_listener *listener;
   uv_timer_t check_timer;
   uv_prepare_t prepare;
   uv_check_t after_poll;
@@ -117,7 +117,7 @@
   if (!has_room (admission))
     return;
   admission->is_busy = false;
-  az_http_listener_resume (admission->listener);
+  az_listener_resume (admission->listener);
 }
 
 static void
@@ -146,7 +146,7 @@
     close_for_room (admission);
   admission->is_short = false;
   if (!admission->is_stopped)
-    az_http_listener_resume (admission->listener);
+    az_listener_resume (admission->listener);
   az_http_limits_log (az_http_ledger_process ()->bytes, now_ms);
 }
 
@@ -176,7 +176,7 @@
 {
   struct az_http_admission *admission = g_new0 (struct az_http_admission, 1);
   const struct az_http_limits *limits = az_http_limits_get ();
-  const struct az_http_listener_owner listener_owner
+  const struct az_listener_owner listener_owner
       = { on_connection, on_listener_failed, on_listener_closed, admission };
 
   admission->owner = *owner;
@@ -184,7 +184,7 @@
   admission->descriptors_max
       = limits->descriptors - (is_status ? STATUS_SPARE_DESCRIPTORS : SPARE_DESCRIPTORS);
   admission->pool = az_http_pool_create (az_http_ledger_process ());
-  admission->listener = az_http_listener_create (loop, &listener_owner);
+  admission->listener = az_listener_create (loop, &listener_owner);
   start_handles (admission, loop);
   return admission;
 }
@@ -192,14 +192,14 @@
 int
 az_http_admission_open (struct az_http_admission *admission, struct sockaddr_storage *address)
 {
-  return az_http_listener_open (admission->listener, address);
+  return az_listener_open (admission->listener, address);
 }
 
 void
 az_http_admission_stop (struct az_http_admission *admission)
 {
   admission->is_stopped = true;
-  az_http_listener_close (admission->listener);
+  az_listener_close (admission->listener);
 }
 
 static void
--- a/src/net/http_admission.h
+++ b/src/net/http_admission.h
@@ -32,7 +32,7 @@
                           bool is_status,
                           const struct az_http_admission_owner *owner);
 
-/** az_http_admission_open - listens; see az_http_listener_open() */
+/** az_http_admission_open - listens; see az_listener_open() */
 int
 az_http_admission_open (struct az_http_admission *admission, struct sockaddr_storage *address);
 
--- a/src/net/http_listener.c
+++ b/src/net/listener.c
@@ -1,14 +1,14 @@
-#include "net/http_listener.h"
+#include "net/listener.h"
 #include <glib.h>
 
 #define BACKLOG 1024
 
-struct az_http_listener
+struct az_listener
 {
   uv_tcp_t tcp;
   uv_loop_t *loop;
   struct sockaddr_storage address; /* port 0 until the first success */
-  struct az_http_listener_owner owner;
+  struct az_listener_owner owner;
   bool is_listening;
   bool is_resetting; /* @tcp is closed to be opened again */
   bool has_waiting;  /* @tcp has a connection that wasn't accepted for lack of room */
@@ -18,14 +18,14 @@
 static void
 on_closed (uv_handle_t *handle)
 {
-  struct az_http_listener *listener = handle->data;
+  struct az_listener *listener = handle->data;
 
   listener->owner.closed (listener->owner.context);
   g_free (listener);
 }
 
 static void
-init_socket (struct az_http_listener *listener)
+init_socket (struct az_listener *listener)
 {
   uv_tcp_init (listener->loop, &listener->tcp);
   listener->tcp.data = listener;
@@ -34,7 +34,7 @@
 static void
 on_reset (uv_handle_t *handle)
 {
-  struct az_http_listener *listener = handle->data;
+  struct az_listener *listener = handle->data;
 
   listener->is_resetting = false;
   if (listener->is_closing)
@@ -44,7 +44,7 @@
 }
 
 static void
-reset (struct az_http_listener *listener)
+reset (struct az_listener *listener)
 {
   listener->is_listening = false;
   listener->has_waiting = false;
@@ -62,7 +62,7 @@
 static void
 on_connection (uv_stream_t *stream, int status)
 {
-  struct az_http_listener *listener = stream->data;
+  struct az_listener *listener = stream->data;
 
   if (status == 0)
     {
@@ -75,10 +75,10 @@
   reset (listener);
 }
 
-struct az_http_listener *
-az_http_listener_create (uv_loop_t *loop, const struct az_http_listener_owner *owner)
+struct az_listener *
+az_listener_create (uv_loop_t *loop, const struct az_listener_owner *owner)
 {
-  struct az_http_listener *listener = g_new0 (struct az_http_listener, 1);
+  struct az_listener *listener = g_new0 (struct az_listener, 1);
 
   listener->loop = loop;
   listener->owner = *owner;
@@ -87,7 +87,7 @@
 }
 
 static int
-listen_on (struct az_http_listener *listener, struct sockaddr_storage *address)
+listen_on (struct az_listener *listener, struct sockaddr_storage *address)
 {
   int length = sizeof *address;
   int status = uv_tcp_bind (&listener->tcp, (struct sockaddr *)address, 0);
@@ -100,7 +100,7 @@
 }
 
 int
-az_http_listener_open (struct az_http_listener *listener, struct sockaddr_storage *address)
+az_listener_open (struct az_listener *listener, struct sockaddr_storage *address)
 {
   int status = listen_on (listener, address);
 
@@ -110,19 +110,19 @@
 }
 
 void
-az_http_listener_resume (struct az_http_listener *listener)
+az_listener_resume (struct az_listener *listener)
 {
   if (listener->is_resetting || listener->is_closing)
     return;
   if (listener->has_waiting)
     listener->has_waiting
         = !listener->owner.accept (listener->owner.context, (uv_stream_t *)&listener->tcp);
-  else if (!listener->is_listening && az_http_listener_open (listener, &listener->address) < 0)
+  else if (!listener->is_listening && az_listener_open (listener, &listener->address) < 0)
     reset (listener);
 }
 
 void
-az_http_listener_close (struct az_http_listener *listener)
+az_listener_close (struct az_listener *listener)
 {
   if (listener->is_closing)
     return;
