Limit connections of unknown peers and what peers make a process hold

The RPC listener limited connections neither in number nor in bytes, and an accept without descriptors was tried again without end. 100 silent connections shut out callers, and 8 peers took 34 to 64 MB.

Connections without a hello are now limited to 64, 5 s and records of 4,096 bytes; more wait in the backlog, so that peers that connect at once aren't closed. Incomplete records and unsent messages have a budget, peer_buffer_mb, by default a quarter of the memory. Known peers that make progress aren't closed for records; their records are read in turn. Without descriptors the listener pauses for 0.1 s.

--- a/include/azurerock/http_limits.h
+++ b/include/azurerock/http_limits.h
@@ -7,14 +7,15 @@
 #include <stdint.h>
 
 /**
- * struct az_http_limit_options - limits of the HTTP listeners of a process, in the units of the
- * settings file; 0 stands for the default
+ * struct az_http_limit_options - limits of the listeners of a process, in the units of the settings
+ * file; 0 stands for the default
  */
 struct az_http_limit_options
 {
   double memory_mb;
   int64_t descriptors_max;
   int64_t request_buffer_mb;
+  int64_t peer_buffer_mb;
   int64_t connections_max;
   int64_t head_timeout_ms;
   int64_t body_timeout_ms;
@@ -34,6 +35,8 @@
     "descriptors that the machine lets this process open; 0: what the system says"), \
   AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, request_buffer_mb, 1, G_MAXINT32,    \
     "memory for requests and for answers that callers haven't read yet, in MiB"),    \
+  AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, peer_buffer_mb, 1, G_MAXINT32,       \
+    "memory for incomplete records and unsent messages of peers, in MiB"),           \
   AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, connections_max, 1, 524288,          \
     "connections of callers that are open at once"),                                 \
   AZ_HTTP_LIMIT_SETTING (INTEGER, type, limits, head_timeout_ms, 100, 3600000,       \
@@ -43,11 +46,11 @@
 /* clang-format on */
 /* NOLINTEND(bugprone-macro-parentheses) */
 
-/** az_http_limits_set - sets the limits of all HTTP listeners of this process
+/** az_http_limits_set - sets the limits of all listeners of this process
  * @counters: for the connections that a limit closes, until az_http_limits_clear_counters()
  *
- * Call it before the first az_http_server_create(). Without it, the defaults apply. They follow
- * from the memory and the descriptors that the system gives the process.
+ * Call it before the first az_http_server_create() or az_rpc_create(). Without it, the defaults
+ * apply. They follow from the memory and the descriptors that the system gives the process.
  */
 void
 az_http_limits_set (const struct az_http_limit_options *options, struct az_counters *counters);
--- a/include/azurerock/rpc.h
+++ b/include/azurerock/rpc.h
@@ -1,6 +1,7 @@
 #ifndef AZUREROCK_RPC_H
 #define AZUREROCK_RPC_H
 
+#include "azurerock/counters.h"
 #include "azurerock/message.h"
 #include <stdbool.h>
 #include <uv.h>
@@ -31,12 +32,22 @@
 void
 az_rpc_set_connect_timeout (struct az_rpc *rpc, uint64_t timeout_ms);
 
+/** az_rpc_set_counters - registers counters of connections that a limit closes; they must outlive
+ * the endpoint */
+void
+az_rpc_set_counters (struct az_rpc *rpc, struct az_counters *counters);
+
 /** az_rpc_destroy - closes all connections; the loop must then run until the handles are closed */
 void
 az_rpc_destroy (struct az_rpc *rpc);
 
-/** az_rpc_listen - accepts connections on "ip:port"; port 0 selects a free port. Errors are in the
- * domain AZ_RPC_ERROR. */
+/**
+ * az_rpc_listen - accepts connections on "ip:port"; port 0 selects a free port
+ *
+ * A peer identifies itself by HELLO, PEER_HELLO or NODE_HELLO. Until then, its connection is
+ * limited in time, and its records and the number of such connections are limited too. Errors are
+ * in the domain AZ_RPC_ERROR.
+ */
 bool
 az_rpc_listen (struct az_rpc *rpc, const char *address, GError **error);
 
@@ -51,7 +62,8 @@
 /**
  * az_rpc_send - queues a message; the messages of one loop iteration are sent with one write
  *
- * A connection whose send queue exceeds 32 MiB is closed, because its peer doesn't read.
+ * A connection whose send queue exceeds 32 MiB is closed, because its peer doesn't read. One that
+ * doesn't read may be closed before, if all connections hold more than peer_buffer_mb.
  */
 void
 az_rpc_send (struct az_rpc *rpc, uint32_t connection, const struct az_message *message);
--- a/src/entry/program_rpc.c
+++ b/src/entry/program_rpc.c
@@ -48,6 +48,7 @@
       = options->rpc_listen_address ? options->rpc_listen_address : options->rpc_address;
 
   program->rpc = az_rpc_create (program->loop, &handlers);
+  az_rpc_set_counters (program->rpc, program->counters);
   return az_rpc_listen (program->rpc, address, error);
 }
 
--- a/src/gateway/program_rpc.c
+++ b/src/gateway/program_rpc.c
@@ -69,6 +69,7 @@
       = { on_opened, on_received, on_closed, on_refused, program };
 
   program->rpc = az_rpc_create (program->loop, &handlers);
+  az_rpc_set_counters (program->rpc, program->counters);
   az_rpc_set_connect_timeout (program->rpc, AZ_NODE_CONNECT_TIMEOUT_MS);
   return az_rpc_listen (program->rpc, program->options->peer_address, error);
 }
--- a/src/net/http_limits.c
+++ b/src/net/http_limits.c
@@ -5,8 +5,8 @@
 
 #define MIB 1048576
 
-/* The part of the memory that requests and answers of listeners may hold, and the part that
- * responses to the clients of this process may. */
+/* The part of the memory that requests and answers of listeners may hold, the part that responses
+ * to the clients of this process may, and the part that connections of peers may. */
 #define BUFFER_PART 4
 #define BUFFER_MIN_BYTES MIB
 
@@ -67,6 +67,12 @@
   return system_limit (RLIMIT_AS, memory);
 }
 
+static size_t
+buffer_bytes (int64_t stated_mb, size_t otherwise)
+{
+  return stated_mb ? (size_t)stated_mb * MIB : otherwise;
+}
+
 static unsigned
 default_connections (uint64_t descriptors)
 {
@@ -92,9 +98,9 @@
   if (options->descriptors_max)
     descriptors = MIN (descriptors, (uint64_t)options->descriptors_max);
   limits.response_buffer_bytes = (size_t)MAX (memory_bytes / BUFFER_PART, BUFFER_MIN_BYTES);
-  limits.request_buffer_bytes = options->request_buffer_mb
-                                    ? (size_t)options->request_buffer_mb * MIB
-                                    : limits.response_buffer_bytes;
+  limits.request_buffer_bytes
+      = buffer_bytes (options->request_buffer_mb, limits.response_buffer_bytes);
+  limits.peer_buffer_bytes = buffer_bytes (options->peer_buffer_mb, limits.response_buffer_bytes);
   limits.connections_max = default_connections (descriptors);
   if (options->connections_max)
     limits.connections_max = (unsigned)options->connections_max;
--- a/src/net/http_limits.h
+++ b/src/net/http_limits.h
@@ -22,12 +22,14 @@
 /**
  * struct az_http_limits - limits in force
  * @request_buffer_bytes: for requests and unread answers of all listeners
+ * @peer_buffer_bytes: for incomplete records and unsent messages of the RPC endpoint
  * @descriptors: what the system lets the process open, whatever the settings say
  * @response_buffer_bytes: for responses that all clients of this process are reading
  */
 struct az_http_limits
 {
   size_t request_buffer_bytes;
+  size_t peer_buffer_bytes;
   size_t response_buffer_bytes;
   int64_t descriptors;
   unsigned connections_max;        /* of a listener that takes requests with bodies */
--- a/src/net/rpc.c
+++ b/src/net/rpc.c
@@ -1,11 +1,11 @@
 #include "azurerock/rpc.h"
 #include "net/address.h"
 #include "net/broken_pipe.h"
+#include "net/http_limits.h"
+#include "net/rpc_admission.h"
 #include "net/rpc_connection.h"
 #include <string.h>
 
-#define BACKLOG 1024
-
 /* The kernel retries a connection attempt for two minutes. Shorter attempts detect sooner that a
  * network partition has healed. */
 #define CONNECT_TIMEOUT_MS 2000
@@ -26,6 +26,7 @@
     return;
   az_table_rows_destroy (rpc->connections);
   g_ptr_array_unref (rpc->dirty);
+  az_rpc_limits_destroy (rpc->limits);
   g_free (rpc->local_address);
   g_free (rpc->read_buffer);
   g_free (rpc);
@@ -55,6 +56,7 @@
 on_check (uv_check_t *check)
 {
   az_rpc_flush (check->data);
+  az_rpc_admission_polled (check->data);
 }
 
 static void
@@ -94,12 +96,14 @@
   rpc->connections = az_table_rows_create (sizeof (struct az_rpc_connection *));
   rpc->dirty = g_ptr_array_new ();
   rpc->read_buffer = g_malloc (AZ_RPC_READ_BUFFER_BYTES);
-  uv_tcp_init (loop, &rpc->listener);
+  rpc->limits = az_rpc_limits_create ();
+  rpc->budget.bytes_max = az_http_limits_get ()->peer_buffer_bytes;
+  az_rpc_admission_open (rpc);
   uv_prepare_init (loop, &rpc->prepare);
   uv_check_init (loop, &rpc->check);
   uv_timer_init (loop, &rpc->connect_timer);
-  rpc->listener.data = rpc->prepare.data = rpc->check.data = rpc->connect_timer.data = rpc;
-  rpc->n_open_handles = 4;
+  rpc->prepare.data = rpc->check.data = rpc->connect_timer.data = rpc;
+  rpc->n_open_handles = 5;
   uv_prepare_start (&rpc->prepare, on_prepare);
   uv_check_start (&rpc->check, on_check);
   az_rpc_set_connect_timeout (rpc, CONNECT_TIMEOUT_MS);
@@ -120,33 +124,12 @@
   rpc->destroyed = true;
   while ((handle = az_table_rows_next (rpc->connections, 0)))
     az_rpc_connection_close (get_connection (rpc, handle), "stopped");
-  uv_close ((uv_handle_t *)&rpc->listener, on_handle_closed);
+  az_rpc_admission_close (rpc);
   uv_close ((uv_handle_t *)&rpc->prepare, on_handle_closed);
   uv_close ((uv_handle_t *)&rpc->check, on_handle_closed);
   uv_close ((uv_handle_t *)&rpc->connect_timer, on_handle_closed);
 }
 
-static void
-on_connection (uv_stream_t *listener, int status)
-{
-  struct az_rpc *rpc = listener->data;
-  struct sockaddr_storage peer = { 0 };
-  int length = sizeof peer;
-  struct az_rpc_connection *connection;
-
-  if (status < 0)
-    return;
-  connection = az_rpc_connection_create (rpc, NULL, false);
-  if (uv_accept (listener, (uv_stream_t *)&connection->tcp) < 0)
-    {
-      az_rpc_connection_close (connection, "accept failed");
-      return;
-    }
-  uv_tcp_getpeername (&connection->tcp, (struct sockaddr *)&peer, &length);
-  connection->address = az_address_format (&peer);
-  az_rpc_connection_start (connection);
-}
-
 static bool
 set_error (GError **error, const char *address, const char *reason)
 {
@@ -158,22 +141,26 @@
 az_rpc_listen (struct az_rpc *rpc, const char *address, GError **error)
 {
   struct sockaddr_storage bound = { 0 };
-  int length = sizeof bound;
   int status;
 
   if (!az_address_parse (address, &bound))
     return set_error (error, address, "not a numeric address and port");
-  status = uv_tcp_bind (&rpc->listener, (struct sockaddr *)&bound, 0);
-  if (status == 0)
-    status = uv_listen ((uv_stream_t *)&rpc->listener, BACKLOG, on_connection);
+  status = az_listener_open (rpc->listener, &bound);
   if (status < 0)
     return set_error (error, address, uv_strerror (status));
-  uv_tcp_getsockname (&rpc->listener, (struct sockaddr *)&bound, &length);
   g_free (rpc->local_address);
   rpc->local_address = az_address_format (&bound);
+  /* Keeps the loop alive while the listener is closed for want of descriptors. */
+  uv_ref ((uv_handle_t *)&rpc->limit_timer);
   return true;
 }
 
+void
+az_rpc_set_counters (struct az_rpc *rpc, struct az_counters *counters)
+{
+  az_rpc_limits_set_counters (rpc->limits, counters);
+}
+
 const char *
 az_rpc_local_address (const struct az_rpc *rpc)
 {
--- a/src/net/rpc_connection.c
+++ b/src/net/rpc_connection.c
@@ -1,5 +1,7 @@
 #include "net/rpc_connection.h"
 #include "azurerock/log.h"
+#include "net/rpc_admission.h"
+#include "net/rpc_pressure.h"
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -11,6 +13,10 @@
 #define TCP_USER_TIMEOUT_MS 10000
 #define KEEPALIVE_IDLE_S 5
 
+/* Records of peers that haven't identified themselves. A hello takes less than 400 bytes. */
+#define HELLO_MAX_BYTES 4096
+#define RECORD_LENGTH_MASK 0x7fffffffu
+
 /* Buffers that hold more than this are freed once their data is used. */
 #define IDLE_BUFFER_MAX_BYTES 65536
 
@@ -29,6 +35,8 @@
   connection->connect_started_ms = uv_now (rpc->loop);
   connection->handle = az_table_rows_add (rpc->connections, (void **)&row);
   *row = connection;
+  connection->holder.is_known = outgoing;
+  az_rpc_budget_add (&rpc->budget, &connection->holder);
   uv_tcp_init (rpc->loop, &connection->tcp);
   connection->tcp.data = connection;
   rpc->n_open_handles++;
@@ -60,6 +68,8 @@
     return;
   connection->state = AZ_RPC_CLOSED;
   az_table_rows_remove (rpc->connections, connection->handle);
+  az_rpc_budget_remove (&rpc->budget, &connection->holder);
+  az_rpc_admission_forget (connection);
   g_ptr_array_remove_fast (rpc->dirty, connection);
   uv_close ((uv_handle_t *)&connection->tcp, free_connection);
   if (rpc->destroyed || !connection->is_known_to_owner)
@@ -70,6 +80,40 @@
     rpc->handlers.connect_failed (rpc->handlers.context, connection->address, reason);
 }
 
+static void
+add_dirty (struct az_rpc_connection *connection)
+{
+  if (connection->dirty)
+    return;
+  connection->dirty = true;
+  g_ptr_array_add (connection->rpc->dirty, connection);
+}
+
+static void
+drop_bytes (GByteArray **buffer)
+{
+  g_byte_array_unref (*buffer);
+  *buffer = g_byte_array_new ();
+}
+
+void
+az_rpc_connection_cut (struct az_rpc_connection *connection, enum az_rpc_cause cause)
+{
+  struct az_rpc *rpc = connection->rpc;
+
+  if (connection->state == AZ_RPC_CLOSED || connection->holder.is_cut)
+    return;
+  az_rpc_limits_count (rpc->limits, cause, connection->address);
+  connection->cut_cause = cause;
+  connection->holder.is_cut = true;
+  drop_bytes (&connection->unsent);
+  if (!connection->is_parsing)
+    drop_bytes (&connection->unparsed);
+  az_rpc_budget_update (&rpc->budget, &connection->holder, 0, 0);
+  uv_read_stop ((uv_stream_t *)&connection->tcp);
+  add_dirty (connection);
+}
+
 static void
 clear_buffer (GByteArray **buffer)
 {
@@ -78,8 +122,30 @@
       g_byte_array_set_size (*buffer, 0);
       return;
     }
-  g_byte_array_unref (*buffer);
-  *buffer = g_byte_array_new ();
+  drop_bytes (buffer);
+}
+
+/* A peer is known by its hello, which is its first message. */
+static void
+note_hello (struct az_rpc_connection *connection, const struct az_message *message)
+{
+  bool is_hello = message->proc == AZ_HELLO || message->proc == AZ_PEER_HELLO
+                  || message->proc == AZ_NODE_HELLO;
+
+  if (is_hello && !connection->holder.is_known)
+    az_rpc_admission_identify (connection);
+}
+
+/* Length of the record that begins at @data, as its mark states it; 0 if the mark is incomplete. */
+static uint32_t
+stated_length (const uint8_t *data, size_t length)
+{
+  uint32_t mark;
+
+  if (length < sizeof mark)
+    return 0;
+  memcpy (&mark, data, sizeof mark);
+  return GUINT32_FROM_BE (mark) & RECORD_LENGTH_MASK;
 }
 
 /* Passes the complete records in @data to the owner, which may close the connection from within
@@ -92,12 +158,17 @@
   GError *error = NULL;
   struct az_message message;
 
-  while (connection->state == AZ_RPC_OPEN)
+  while (connection->state == AZ_RPC_OPEN && !connection->holder.is_cut)
     {
       gssize record = az_message_record_length (data + offset, length - offset, &error);
 
-      if (record <= 0 || !az_message_decode (data + offset, (size_t)record, &message, &error))
+      if (record >= 0 && !connection->holder.is_known
+          && stated_length (data + offset, length - offset) > HELLO_MAX_BYTES)
+        az_rpc_connection_cut (connection, AZ_RPC_CAUSE_HELLO_LENGTH);
+      if (connection->holder.is_cut || record <= 0
+          || !az_message_decode (data + offset, (size_t)record, &message, &error))
         break;
+      note_hello (connection, &message);
       rpc->handlers.received (rpc->handlers.context, connection->handle, &message);
       az_message_clear (&message);
       offset += (size_t)record;
@@ -117,6 +188,19 @@
   *buffer = uv_buf_init (connection->rpc->read_buffer, AZ_RPC_READ_BUFFER_BYTES);
 }
 
+void
+az_rpc_connection_reserve (struct az_rpc_connection *connection)
+{
+  GByteArray *unparsed = connection->unparsed;
+  guint length = unparsed->len;
+  guint whole = stated_length (unparsed->data, length) + (guint)sizeof (uint32_t);
+
+  if (whole <= length)
+    return;
+  g_byte_array_set_size (unparsed, whole);
+  g_byte_array_set_size (unparsed, length);
+}
+
 static void
 process_bytes (struct az_rpc_connection *connection, const uint8_t *data, size_t length)
 {
@@ -129,7 +213,9 @@
       return;
     }
   g_byte_array_append (connection->unparsed, data, (guint)length);
+  connection->is_parsing = true;
   used = deliver_records (connection, connection->unparsed->data, connection->unparsed->len);
+  connection->is_parsing = false;
   if (used == connection->unparsed->len)
     clear_buffer (&connection->unparsed);
   else if (used > 0)
@@ -142,9 +228,20 @@
   struct az_rpc_connection *connection = stream->data;
 
   if (length < 0)
-    az_rpc_connection_close (connection, uv_strerror ((int)length));
-  else
-    process_bytes (connection, (const uint8_t *)buffer->base, (size_t)length);
+    {
+      az_rpc_connection_close (connection, uv_strerror ((int)length));
+      return;
+    }
+  connection->holder.in.moved += (size_t)length;
+  process_bytes (connection, (const uint8_t *)buffer->base, (size_t)length);
+  az_rpc_pressure_update (connection);
+  az_rpc_pressure_limit_reading (connection);
+}
+
+void
+az_rpc_connection_read (struct az_rpc_connection *connection)
+{
+  uv_read_start ((uv_stream_t *)&connection->tcp, on_allocate, on_read);
 }
 
 static void
@@ -167,7 +264,7 @@
   set_socket_options (connection);
   connection->state = AZ_RPC_OPEN;
   connection->is_known_to_owner = true;
-  uv_read_start ((uv_stream_t *)&connection->tcp, on_allocate, on_read);
+  az_rpc_connection_read (connection);
   rpc->handlers.opened (rpc->handlers.context, connection->handle, connection->outgoing,
                         connection->address);
 }
@@ -179,8 +276,10 @@
 
   if (connection->state == AZ_RPC_CLOSED)
     return;
+  az_rpc_pressure_observe_write (connection);
   g_byte_array_unref (connection->pending_write);
   connection->pending_write = NULL;
+  az_rpc_pressure_update (connection);
   if (status < 0)
     az_rpc_connection_close (connection, uv_strerror (status));
   else
@@ -199,6 +298,7 @@
                       (unsigned)(connection->pending_write->len - offset));
   connection->write.data = connection;
   status = uv_write (&connection->write, (uv_stream_t *)&connection->tcp, &rest, 1, on_written);
+  connection->write_queue_bytes = uv_stream_get_write_queue_size ((uv_stream_t *)&connection->tcp);
   if (status < 0)
     az_rpc_connection_close (connection, uv_strerror (status));
 }
@@ -209,15 +309,9 @@
   uv_buf_t all;
   int written;
 
-  if (connection->state != AZ_RPC_OPEN || connection->unsent->len == 0)
-    return;
-  if (connection->unsent->len + (connection->pending_write ? connection->pending_write->len : 0)
-      > SEND_QUEUE_MAX_BYTES)
-    {
-      az_rpc_connection_close (connection, "peer doesn't read");
-      return;
-    }
-  if (connection->pending_write)
+  if (connection->holder.is_cut)
+    az_rpc_connection_close (connection, az_rpc_limits_reason (connection->cut_cause));
+  if (connection->state != AZ_RPC_OPEN || connection->unsent->len == 0 || connection->pending_write)
     return;
   all = uv_buf_init ((char *)connection->unsent->data, connection->unsent->len);
   written = uv_try_write ((uv_stream_t *)&connection->tcp, &all, 1);
@@ -227,6 +321,8 @@
     write_remaining (connection, written > 0 ? (size_t)written : 0);
   else
     az_rpc_connection_close (connection, uv_strerror (written));
+  connection->holder.out.moved += written > 0 ? (size_t)written : 0;
+  az_rpc_pressure_update (connection);
 }
 
 void
@@ -234,7 +330,7 @@
 {
   GError *error = NULL;
 
-  if (connection->state != AZ_RPC_OPEN)
+  if (connection->state != AZ_RPC_OPEN || connection->holder.is_cut)
     return;
   if (!az_message_encode (message, connection->next_xid++, connection->unsent, &error))
     {
@@ -242,8 +338,9 @@
       g_error_free (error);
       return;
     }
-  if (connection->dirty)
-    return;
-  connection->dirty = true;
-  g_ptr_array_add (connection->rpc->dirty, connection);
+  if (connection->unsent->len + (connection->pending_write ? connection->pending_write->len : 0)
+      > SEND_QUEUE_MAX_BYTES)
+    az_rpc_connection_cut (connection, AZ_RPC_CAUSE_UNREAD);
+  az_rpc_pressure_update (connection);
+  add_dirty (connection);
 }
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -66,6 +66,7 @@
       = { on_opened, on_received, on_closed, on_connect_failed, program };
 
   program->rpc = az_rpc_create (program->loop, &handlers);
+  az_rpc_set_counters (program->rpc, program->counters);
   az_rpc_set_connect_timeout (program->rpc, AZ_NODE_CONNECT_TIMEOUT_MS);
   program->links = az_links_create (program->options->instance, az_clock_system ());
 }
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -15,6 +15,7 @@
 
   (void)state;
   assert_int_equal (limits.request_buffer_bytes, 30 << 20);
+  assert_int_equal (limits.peer_buffer_bytes, 30 << 20);
   assert_int_equal (limits.connections_max, 925);
   assert_int_equal (limits.status_connections_max, 32);
   assert_int_equal (limits.head_timeout_ms, 10000);
@@ -37,6 +38,7 @@
 {
   const struct az_http_limit_options options = { .descriptors_max = 100000,
                                                  .request_buffer_mb = 3,
+                                                 .peer_buffer_mb = 5,
                                                  .head_timeout_ms = 200,
                                                  .body_timeout_ms = 300 };
   const struct az_http_limit_options connections = { .connections_max = 9 };
@@ -44,6 +46,7 @@
 
   (void)state;
   assert_int_equal (limits.request_buffer_bytes, 3 << 20);
+  assert_int_equal (limits.peer_buffer_bytes, 5 << 20);
   assert_int_equal (limits.connections_max, 256);
   assert_int_equal (limits.head_timeout_ms, 200);
   assert_int_equal (limits.body_timeout_ms, 300);
