Keep no large buffer for a part of a record, and copy none while memory is short

While the budget is exceeded, records are read up to an equal share of half of the budget instead of all.

--- a/src/net/rpc_budget.c
+++ b/src/net/rpc_budget.c
@@ -13,6 +13,10 @@
  * closed at once otherwise while known peers exceed the budget. */
 #define UNKNOWN_FREE_BYTES 65536
 
+/* While the budget is exceeded, incomplete records that hold less than their share of this part of
+ * it are read, so that large ones don't hold up short ones. */
+#define SHARE_PART 2
+
 void
 az_rpc_budget_add (struct az_rpc_budget *budget, struct az_rpc_holder *holder)
 {
@@ -164,6 +168,6 @@
 az_rpc_budget_may_read (const struct az_rpc_budget *budget, const struct az_rpc_holder *holder)
 {
   return !az_rpc_budget_is_exceeded (budget)
-         || holder->in.held < budget->bytes_max / budget->holders.length
+         || holder->in.held < budget->bytes_max / SHARE_PART / budget->holders.length
          || az_rpc_budget_is_in_turn (budget, holder);
 }
--- a/src/net/rpc_budget.h
+++ b/src/net/rpc_budget.h
@@ -87,8 +87,8 @@
 /**
  * az_rpc_budget_may_read - whether more may be read from a connection
  *
- * While the budget is exceeded, the connections that hold less than an equal share of it are read
- * from, and the one that is in turn.
+ * While the budget is exceeded, the connections that hold less than an equal share of half of it
+ * are read from, and the one that is in turn.
  */
 bool
 az_rpc_budget_may_read (const struct az_rpc_budget *budget, const struct az_rpc_holder *holder);
--- a/src/net/rpc_connection.c
+++ b/src/net/rpc_connection.c
@@ -191,14 +191,28 @@
 void
 az_rpc_connection_reserve (struct az_rpc_connection *connection)
 {
-  GByteArray *unparsed = connection->unparsed;
-  guint length = unparsed->len;
-  guint whole = stated_length (unparsed->data, length) + (guint)sizeof (uint32_t);
+  GByteArray *former = connection->unparsed;
+  guint whole = stated_length (former->data, former->len) + (guint)sizeof (uint32_t);
 
-  if (whole <= length)
+  if (connection->is_reserved || whole <= former->len)
     return;
-  g_byte_array_set_size (unparsed, whole);
-  g_byte_array_set_size (unparsed, length);
+  /* A GByteArray that grows would take up to twice as much. */
+  connection->unparsed = g_byte_array_new_take (g_malloc (whole), whole);
+  g_byte_array_set_size (connection->unparsed, 0);
+  g_byte_array_append (connection->unparsed, former->data, former->len);
+  connection->is_reserved = true;
+  g_byte_array_unref (former);
+}
+
+/* Keeps no large buffer for the first bytes of the next record. */
+static void
+keep_rest (struct az_rpc_connection *connection, guint used)
+{
+  GByteArray *former = connection->unparsed;
+
+  connection->unparsed = g_byte_array_new ();
+  g_byte_array_append (connection->unparsed, former->data + used, former->len - used);
+  g_byte_array_unref (former);
 }
 
 static void
@@ -216,10 +230,11 @@
   connection->is_parsing = true;
   used = deliver_records (connection, connection->unparsed->data, connection->unparsed->len);
   connection->is_parsing = false;
+  connection->is_reserved = connection->is_reserved && used == 0;
   if (used == connection->unparsed->len)
     clear_buffer (&connection->unparsed);
   else if (used > 0)
-    g_byte_array_remove_range (connection->unparsed, 0, (guint)used);
+    keep_rest (connection, (guint)used);
 }
 
 static void
--- a/src/net/rpc_connection.h
+++ b/src/net/rpc_connection.h
@@ -67,6 +67,7 @@
   uint64_t connect_started_ms;
   uint32_t next_xid;
   bool is_parsing;           /* @unparsed is in use */
+  bool is_reserved;          /* @unparsed has room for all of its record */
   GByteArray *unparsed;      /* start of a record that is incomplete */
   GByteArray *unsent;        /* encoded records */
   GByteArray *pending_write; /* records that uv_write() has not finished, or NULL */
@@ -87,8 +88,7 @@
 void
 az_rpc_connection_read (struct az_rpc_connection *connection);
 
-/** az_rpc_connection_reserve - allocates room for all of the incomplete record, since growing the
- * buffer may copy it while memory is short */
+/** az_rpc_connection_reserve - allocates room for all of the incomplete record */
 void
 az_rpc_connection_reserve (struct az_rpc_connection *connection);
 
--- a/src/net/rpc_pressure.c
+++ b/src/net/rpc_pressure.c
@@ -28,13 +28,23 @@
   relieve (connection->rpc);
 }
 
+/* While memory is short, growing the buffer of a record must not copy it. */
+static void
+reserve_in_turn (struct az_rpc_connection *connection)
+{
+  if (az_rpc_budget_is_in_turn (&connection->rpc->budget, &connection->holder))
+    az_rpc_connection_reserve (connection);
+}
+
 void
 az_rpc_pressure_limit_reading (struct az_rpc_connection *connection)
 {
   struct az_rpc_holder *holder = &connection->holder;
 
-  if (connection->state != AZ_RPC_OPEN || holder->is_cut
-      || az_rpc_budget_may_read (&connection->rpc->budget, holder))
+  if (connection->state != AZ_RPC_OPEN || holder->is_cut)
+    return;
+  reserve_in_turn (connection);
+  if (az_rpc_budget_may_read (&connection->rpc->budget, holder))
     return;
   holder->is_waiting = true;
   uv_read_stop ((uv_stream_t *)&connection->tcp);
@@ -60,8 +70,7 @@
       if (!holder->is_waiting || holder->is_cut || !az_rpc_budget_may_read (&rpc->budget, holder))
         continue;
       holder->is_waiting = false;
-      if (az_rpc_budget_is_in_turn (&rpc->budget, holder))
-        az_rpc_connection_reserve (connection_of (holder));
+      reserve_in_turn (connection_of (holder));
       az_rpc_connection_read (connection_of (holder));
     }
 }
--- a/tests/test_limits_rpc.py
+++ b/tests/test_limits_rpc.py
@@ -11,16 +11,18 @@
 N_MORE_THAN_DESCRIPTORS = 200
 N_UNFINISHED = 8  # whose records, all but the last byte, exceed the memory of the test
 N_UNREAD = 8
+N_LONG = 16
 MANY_DESCRIPTORS = 1024
 MANY_DESCRIPTORS_OPEN = 800
 MEMORY_MB = 8
 PLAY_S = 2
 
 RECORD_MAX = 8388608
+CONFIG_MAX = 1048576
 LAST_FRAGMENT = 0x80000000
 PROGRAM, PROGRAM_VERSION, RPC_VERSION, CALL = 0x20415A52, 1, 2, 0
 HELLO_OF_PEER, STATE_OF_PEER = 19, 20  # between entries
-NODE_HELLO, NODE_WITHDRAWN, NODE_REPORT, NODE_PULSE = 26, 29, 33, 34
+NODE_HELLO, NODE_CATALOG, NODE_WITHDRAWN, NODE_REPORT, NODE_PULSE = 26, 28, 29, 33, 34
 
 
 def record(procedure, body):
@@ -124,6 +126,14 @@
 class LimitsRpcOfGateway(LimitsOfAnyListener, LimitsRpc):
     stranger_hello = node_hello(2, b"127.0.0.1:1")  # where nothing listens
 
+    def test_long_records_with_the_start_of_the_next(self):
+        """Guards against buffers that stay as large as the last record while they hold a byte."""
+        catalog = record(NODE_CATALOG, struct.pack(">Q", 1) + text(b"x" * CONFIG_MAX))
+        crowd = Crowd(self.start(descriptors=MANY_DESCRIPTORS, memory_mb=MEMORY_MB), N_LONG,
+                      self.stranger_hello + catalog + b"\x80")
+        self.play(crowd, PLAY_S)
+        self.check(crowd, MANY_DESCRIPTORS_OPEN)
+
     def unread(self, first):
         crowd = Crowd(self.start(descriptors=MANY_DESCRIPTORS, memory_mb=MEMORY_MB, n_routes=300),
                       N_UNREAD, first + PULSE * 100, drip=PULSE, receive_bytes=4096)
