Add a fuzzer of the HTTP path

It sends whole, partial, chunked, pipelined and broken requests over six connections to a server with four, and checks that an ordinary request is answered afterwards and that no bytes count as held without connections.

--- a/Makefile
+++ b/Makefile
@@ -126,13 +126,16 @@
 fuzz_seeds = $(subst $(empty) $(empty),$(comma),$(wildcard tests/fuzz_seeds/$(1).json tests/fuzz_seeds/$(1)-*.json))
 
 # Fuzzers are built with clang into build-fuzz and run a fixed number of inputs.
-FUZZERS = message settings objects platform sessions
+FUZZERS = message settings objects platform sessions http
 FUZZ_FLAGS = -seed=1 -max_len=4096 -timeout=5 -rss_limit_mb=1024 -print_final_stats=1
 fuzz_runs_message = 600000
 fuzz_runs_settings = 200000
 fuzz_runs_objects = 100000
 fuzz_runs_platform = 100000
 fuzz_runs_sessions = 15000
+fuzz_runs_http = 25000
+# A limit that fails to hold shows as memory.
+fuzz_flags_http = -rss_limit_mb=512 -max_len=256 -len_control=0
 
 RIG_OBJECTS = $(BUILD)/tests/gateway_rig.o $(BUILD)/tests/sidecar_rig.o
 
@@ -146,7 +149,7 @@
 fuzz:
 	$(MAKE) fuzz-programs BUILD=build-fuzz CC=clang-14 CFLAGS="-O1 -g" \
 	  SANITIZE="-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all"
-	$(foreach f,$(FUZZERS),build-fuzz/tests/fuzz_$(f) $(FUZZ_FLAGS) -runs=$(fuzz_runs_$(f)) \
+	$(foreach f,$(FUZZERS),build-fuzz/tests/fuzz_$(f) $(FUZZ_FLAGS) $(fuzz_flags_$(f)) -runs=$(fuzz_runs_$(f)) \
 	  $(addprefix -seed_inputs=,$(call fuzz_seeds,$(f))) && ) true
 
 .PHONY: format
