--- a/src/gateway/demand.c
+++ b/src/gateway/demand.c
@@ -22,8 +22,7 @@
 #define STARTABLE_SHARE_MIN 0.05
 
 /* Part of the cores that gateways see in use which do work. Others are reserved for tasks on their
- * way that the sidecar then refuses, or their release isn't reported yet: in a trial in the
- * emulator, the work done per second was 0.77 of the cores seen in use. */
+ * way that the sidecar then refuses, or their release isn't reported yet. */
 #define WORKING_SHARE 0.85
 
 /* From this part of the working cores on, cores are short for some of the time, since arrivals vary
@@ -34,9 +33,9 @@
  * is free beyond that is about to be used. */
 #define UNUSABLE_SHARE_MAX 0.2
 
-/* Weight of the refused share in the demand that is stated. In trials in the emulator with bursts
- * and the departure of upstreams, refusals of gateways differed by a factor of 2.06 with 3 and of
- * 1.59 with 6. */
+/* Weight of the refused share in the demand that is stated: a gateway that refuses a tenth more of
+ * its jobs than the others states about half as much again, which makes up for lost races within
+ * the half-life of the refused share. */
 #define REFUSED_WEIGHT 6
 
 /* A larger refused share counts as this one, so that a gateway that refuses all jobs for a reason
