Show in the emulator how long upstreams are reported as slow

dispatch_emulator prints the share of the time in which the upstreams of each speed of hardware are reported as slow, without upstreams that are down or in a withdrawn domain. The words uneven-speeds and tail-aware switch on relative_slowness and tail_aware_moves; several words can be given.

--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -182,14 +182,26 @@
   return !strcmp (deployment, "contention") || !strcmp (deployment, "uneven");
 }
 
+/* Words after the deployment switch on settings. */
+static bool
+has_word (int argc, char **argv, const char *word)
+{
+  for (int i = 4; i < argc; i++)
+    if (!strcmp (argv[i], word))
+      return true;
+  return false;
+}
+
 int
 main (int argc, char **argv)
 {
   unsigned first = argc > 1 ? (unsigned)atoi (argv[1]) : 1;
   unsigned count = argc > 2 ? (unsigned)atoi (argv[2]) : 5;
   const char *deployment = argc > 3 ? argv[3] : "theatre";
-  bool refused_callers_return = argc > 4 && !strcmp (argv[4], "return");
-  bool divides_cores = argc > 4 && !strcmp (argv[4], "shares");
+  bool refused_callers_return = has_word (argc, argv, "return");
+  bool divides_cores = has_word (argc, argv, "shares");
+  bool knows_uneven_speeds = has_word (argc, argv, "uneven-speeds");
+  bool moves_by_tail = has_word (argc, argv, "tail-aware");
   const struct row *rows = has_contention (deployment) ? contention_rows : standard_rows;
   size_t n_rows
       = has_contention (deployment) ? G_N_ELEMENTS (contention_rows) : G_N_ELEMENTS (standard_rows);
@@ -201,6 +213,8 @@
 
       scenario.refused_callers_return = refused_callers_return;
       scenario.share_demand = scenario.fair_queue_shares = divides_cores;
+      scenario.relative_slowness = knows_uneven_speeds;
+      scenario.tail_aware_moves = moves_by_tail;
       run_seeds (rows[i].name, &scenario, first, count);
     }
   return 0;
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -119,8 +119,10 @@
   double goodput;        /* over the whole run */
   double worst_window_goodput; /* mean of the two windows of 2 s with the lowest goodput */
   double wasted_core_s;
-  double late_core_s;     /* work of the jobs that were completed late */
-  double mean_refusal_ms; /* from arrival to refusal */
+  double late_core_s;                      /* work of the jobs that were completed late */
+  double mean_refusal_ms;                  /* from arrival to refusal */
+  double slow_shares[EMULATOR_SPEEDS_MAX]; /* share of the time in which upstreams of each speed of
+                                            * hardware were reported as slow */
   unsigned n_runs;
   unsigned n_sent;             /* tasks sent to sidecars */
   unsigned n_no_room;          /* of these, refused by the sidecar for want of room */
--- a/bench/emulator/links.c
+++ b/bench/emulator/links.c
@@ -1,3 +1,4 @@
+#include "dispatch/speed.h"
 #include "emulator/play.h"
 #include <stdlib.h>
 #include <string.h>
@@ -190,6 +191,9 @@
   struct packet *packet = create_packet (gateway, node->index, message);
   int64_t sent_us = emu_now_us (world->events);
 
+  if (message->proc == AZ_NODE_REPORT)
+    world->is_reported_slow[node->index]
+        = az_speed_is_slow (message->az_message_u.node_report.speed_percent / 100.0);
   world->metrics.result.n_no_room += count_refused_for_room (message);
   emu_schedule (world->events, arrival_time_us (world, packet, sent_us, world->to_gateway_us),
                 deliver_to_gateway, world, packet);
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -168,6 +168,21 @@
                 NULL);
 }
 
+static void
+sample_slowness (struct world *world, unsigned index)
+{
+  unsigned speed = index % world->scenario->n_upstream_speeds;
+
+  if (emu_now_us (world->events) > 1500000 + (int64_t)(world->scenario->duration_s * 1e6))
+    return;
+  /* No tasks run there that could change what was reported. */
+  if (emu_upstream_is_down (world->upstreams[index])
+      || (int)emu_domain_of_upstream (world, index) == world->withdrawn_domain)
+    return;
+  world->speed_samples[speed]++;
+  world->slow_samples[speed] += world->is_reported_slow[index];
+}
+
 static void
 tick_sidecar (void *context, void *data)
 {
@@ -179,6 +194,7 @@
     return;
   az_sidecar_tick (world->sidecars[node->index]);
   az_sidecar_flush (world->sidecars[node->index]);
+  sample_slowness (world, node->index);
   emu_schedule (world->events, emu_now_us (world->events) + SIDECAR_TICK_US, tick_sidecar, node,
                 NULL);
 }
@@ -397,6 +413,7 @@
   world->incarnations = g_new0 (unsigned, n_upstreams);
   world->task_failure_share = g_new0 (double, n_upstreams);
   world->refuses_connections = g_new0 (bool, n_upstreams);
+  world->is_reported_slow = g_new0 (bool, n_upstreams);
   world->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   emu_metrics_init (&world->metrics, scenario);
   emu_create_processors (world);
@@ -435,6 +452,7 @@
   g_free (world->incarnations);
   g_free (world->task_failure_share);
   g_free (world->refuses_connections);
+  g_free (world->is_reported_slow);
 }
 
 static void
@@ -474,6 +492,9 @@
     }
   for (unsigned i = 0; i < scenario->n_upstreams; i++)
     world.metrics.result.wasted_core_s += emu_upstream_wasted_core_s (world.upstreams[i]);
+  for (unsigned i = 0; i < scenario->n_upstream_speeds; i++)
+    world.metrics.result.slow_shares[i]
+        = (double)world.slow_samples[i] / MAX (world.speed_samples[i], 1);
   world.metrics.result.n_suspected = (unsigned)az_counters_get (
       world.counters,
       az_counters_register (world.counters, "azurerock_gateway_suspected_queues_total", ""));
--- a/bench/emulator/play.h
+++ b/bench/emulator/play.h
@@ -59,6 +59,9 @@
   double *task_failure_share;
   bool *refuses_connections; /* per upstream: its process has crashed, its machine runs */
   double call_loss_share;
+  bool *is_reported_slow; /* per upstream, by its last report */
+  unsigned slow_samples[EMULATOR_SPEEDS_MAX];
+  unsigned speed_samples[EMULATOR_SPEEDS_MAX];
   bool is_powered;
   int withdrawn_domain; /* -1 if none is withdrawn */
   GHashTable *jobs;     /* id -> index into the load + 1 */
--- a/bench/emulator/tally.c
+++ b/bench/emulator/tally.c
@@ -131,6 +131,15 @@
   return *result;
 }
 
+static void
+print_slow_shares (const struct emulator_scenario *scenario, const struct emulator_result *result)
+{
+  printf ("  reported as slow, by speed of hardware:");
+  for (unsigned i = 0; i < scenario->n_upstream_speeds; i++)
+    printf (" %.2f: %.3f", scenario->upstream_speeds[i], result->slow_shares[i]);
+  printf ("\n");
+}
+
 static void
 print_gateways (const struct emulator_scenario *scenario, const struct emulator_result *result)
 {
@@ -170,6 +179,8 @@
               (double)row->unfinished / MAX (row->submitted, 1),
               (double)row->large_in_time / MAX (row->large_submitted, 1));
     }
+  if (result->n_sent > 0)
+    print_slow_shares (scenario, result);
   if (result->n_sent > 0 && scenario->processor_shares[0] > 0)
     print_gateways (scenario, result);
 }
