Compare an upstream with the usual speed of its hardware

An upstream counted as slow below 0.45 of normal speed. Hardware of 0.55 is only a fifth above that, so three underestimated jobs in a row, which come within seconds, left it with single probes.

With relative_slowness, a sidecar takes the median speed of the last 64 jobs as the usual speed of the hardware, and tasks are slow below 0.45 of that. The reported speed is at least 0.45 unless the upstream is slow, since gateways compare it with that. The tests of the speed without the setting pass az_speed_init() the new argument and are otherwise unchanged.

--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -14,9 +14,9 @@
 #define SLOW_JOBS_MIN 3
 
 void
-az_speed_init (struct az_speed *speed)
+az_speed_init (struct az_speed *speed, bool is_relative)
 {
-  *speed = (struct az_speed){ .value = 1 };
+  *speed = (struct az_speed){ .value = 1, .is_relative = is_relative };
   az_slow_streak_init (&speed->streak);
 }
 
@@ -45,23 +45,53 @@
   return value * pow (sample / value, weight);
 }
 
+double
+az_speed_usual (const struct az_speed *speed)
+{
+  double usual = speed->is_relative ? az_usual_speed_get (&speed->usual) : 0;
+
+  return usual > 0 ? usual : 1;
+}
+
+/* While the upstream is slow compared with a known usual speed, its tasks tell nothing about that
+ * speed. Without a known one they do, since otherwise only the faster ones would be recorded. */
+static void
+record_usual (struct az_speed *speed, uint64_t job, double sample)
+{
+  bool is_known = az_usual_speed_get (&speed->usual) > 0;
+
+  if (speed->is_relative && !(is_known && az_speed_is_slow (speed->value)))
+    az_usual_speed_record (&speed->usual, job, sample);
+}
+
+/* Speed of an upstream that is slow. Gateways compare it with SLOW_THRESHOLD, so it has to reach
+ * that as soon as the upstream is no longer slow compared with its usual speed. */
+static double
+recover (double value, double sample, double threshold)
+{
+  double recovered = value + SLOW_SMOOTHING_WEIGHT * (sample - value);
+
+  return recovered < threshold ? recovered : MAX (recovered, SLOW_THRESHOLD);
+}
+
 void
 az_speed_update (struct az_speed *speed, uint64_t job, int64_t expected_us, int64_t run_us)
 {
   double sample = CLAMP ((double)expected_us / (double)MAX (run_us, 1), 0.05, 4);
+  double threshold = SLOW_THRESHOLD * az_speed_usual (speed);
+  bool is_sample_slow = sample < threshold;
 
-  count_slow_job (speed, job, az_speed_is_slow (sample));
-  if (az_speed_is_slow (sample))
+  record_usual (speed, job, sample);
+  count_slow_job (speed, job, is_sample_slow);
+  if (is_sample_slow)
     az_slow_streak_extend (&speed->streak, job, sample);
   else
     az_slow_streak_end (&speed->streak, job, sample, az_speed_is_slow (speed->value));
   if (speed->n_slow_jobs >= SLOW_JOBS_MIN && !az_slow_streak_is_chance (&speed->streak))
     speed->value = MIN (speed->value, sample);
   else if (az_speed_is_slow (speed->value))
-    speed->value += SLOW_SMOOTHING_WEIGHT * (sample - speed->value);
-  else if (az_speed_is_slow (sample))
+    speed->value = recover (speed->value, sample, threshold);
+  else
     speed->value
         = MAX (average_logarithmically (speed->value, sample, SMOOTHING_WEIGHT), SLOW_THRESHOLD);
-  else
-    speed->value = average_logarithmically (speed->value, sample, SMOOTHING_WEIGHT);
 }
--- a/src/dispatch/speed.h
+++ b/src/dispatch/speed.h
@@ -2,26 +2,32 @@
 #define AZUREROCK_DISPATCH_SPEED_H
 
 #include "dispatch/slow_streak.h"
+#include "dispatch/usual_speed.h"
 #include <stdbool.h>
 #include <stdint.h>
 
 /**
  * struct az_speed - smoothed speed of an upstream
  * @value: expected run time of its tasks divided by the actual one; 1 is normal
- * @n_slow_jobs: consecutive jobs with a slow task, which is one for whose own speed
- * az_speed_is_slow() is true
+ * @is_relative: tasks and upstream are slow compared with @usual, once it is known, instead of with
+ * normal speed; az_speed_is_slow() is true for @value exactly if the upstream is slow
+ * @n_slow_jobs: consecutive jobs with a slow task
  * @streak: the consecutive slow tasks, and whether they may be long rather than the upstream slow
+ * @usual: recorded only with @is_relative
  */
 struct az_speed
 {
   double value;
+  bool is_relative;
   uint32_t n_slow_jobs;
   uint64_t last_slow_job;
   struct az_slow_streak streak;
+  struct az_usual_speed usual;
 };
 
+/** az_speed_init - starts at normal speed; no usual speed is known */
 void
-az_speed_init (struct az_speed *speed);
+az_speed_init (struct az_speed *speed, bool is_relative);
 
 /**
  * az_speed_update - updates the speed from one task
@@ -31,6 +37,10 @@
 void
 az_speed_update (struct az_speed *speed, uint64_t job, int64_t expected_us, int64_t run_us);
 
+/** az_speed_usual - speed with which the upstream and its tasks are compared, at most 1 */
+double
+az_speed_usual (const struct az_speed *speed);
+
 /** az_speed_is_slow - whether an upstream of this speed should get only single probe tasks */
 bool
 az_speed_is_slow (double value);
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -48,7 +48,7 @@
                               "Times that nothing was started since a stop wasn't confirmed");
   az_histogram_init (&sidecar->run_times_ms, counters, "azurerock_sidecar_run_ms",
                      "Time from the order to start a task to its end as done");
-  az_speed_init (&sidecar->life.speed);
+  az_speed_init (&sidecar->life.speed, settings->relative_slowness);
   sidecar->hold.in_flight = g_array_new (FALSE, FALSE, sizeof (struct sent_hold));
   sidecar->now_us = az_now_us (clock);
   sidecar->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -156,7 +156,7 @@
   life->announced_clock_ms = -1;
   if (replacement == RESTARTED)
     life->former_started_ms = former_started_ms;
-  az_speed_init (&life->speed);
+  az_speed_init (&life->speed, sidecar->settings.relative_slowness);
   sidecar->lease.is_known = false;
   g_array_set_size (sidecar->hold.in_flight, 0);
   sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -48,7 +48,7 @@
   struct az_speed speed;
 
   (void)state;
-  az_speed_init (&speed);
+  az_speed_init (&speed, false);
   run_tasks (&speed, 1, 1000, 0, 1);
   assert_int_equal (count_jobs_until_slow (&speed, 6.5), 3);
 }
@@ -60,7 +60,7 @@
   struct az_speed speed;
 
   (void)state;
-  az_speed_init (&speed);
+  az_speed_init (&speed, false);
   run_tasks (&speed, 1, 1000, 33, 1);
   for (uint64_t i = 0; i < 4; i++)
     az_speed_update (&speed, 5000 + i, EXPECTED_US, 7 * EXPECTED_US);
@@ -74,7 +74,7 @@
   struct az_speed speed;
 
   (void)state;
-  az_speed_init (&speed);
+  az_speed_init (&speed, false);
   run_tasks (&speed, 1, 1000, 33, 1);
   assert_in_range (count_jobs_until_slow (&speed, 6.5), 4, 10);
 }
@@ -86,7 +86,7 @@
   struct az_speed speed;
 
   (void)state;
-  az_speed_init (&speed);
+  az_speed_init (&speed, false);
   run_tasks (&speed, 1, 1000, 33, 1);
   assert_int_equal (count_jobs_until_slow (&speed, 100), 3);
 }
@@ -99,7 +99,7 @@
   struct az_speed speed;
 
   (void)state;
-  az_speed_init (&speed);
+  az_speed_init (&speed, false);
   run_tasks (&speed, 1, 1000, 33, 0.55);
   for (uint64_t i = 0; i < 4; i++)
     az_speed_update (&speed, 5000 + i, EXPECTED_US, 3 * EXPECTED_US);
@@ -114,7 +114,7 @@
   struct az_speed speed;
 
   (void)state;
-  az_speed_init (&speed);
+  az_speed_init (&speed, false);
   run_tasks (&speed, 1, 1000, 33, 1);
   for (uint64_t i = 0; i < 16; i++)
     az_speed_update (&speed, 5000 + i % 2, EXPECTED_US, 7 * EXPECTED_US);
