Compare a task with the run time at the speed of its upstream

A task was considered for a move if it was projected to take 2.2 times its expected time at normal speed. On hardware of 0.55 that is 1.2 times the time expected there, so ordinary tasks were stopped.

With tail_aware_moves, the projected time is compared with that at the reported speed, unless the upstream is reported as slow. Where tasks are seldom long, this and the probabilities of move_decision.c apply only on upstreams that were reported between 0.45 and 0.65 for 5 s: the speed of an upstream that becomes slow, or recovers, passes that range sooner, and decisions on other upstreams remain as without the setting (test_moves_load, unchanged).

--- a/src/dispatch/move_decision.c
+++ b/src/dispatch/move_decision.c
@@ -1,4 +1,5 @@
 #include "dispatch/move_decision.h"
+#include "dispatch/speed.h"
 #include <glib.h>
 #include <math.h>
 
@@ -6,6 +7,11 @@
  * Moving every task that would end sooner elsewhere costs more than it gains. */
 #define SLOW_FACTOR 2.2
 
+/* At this speed, a task that takes 1.4 times its expected time looks slow compared with normal
+ * speed, which one in five does if estimates are off by a spread of 0.4. The reported speed of
+ * normal hardware, which varies by a tenth, seldom falls so low. */
+#define SLOW_HARDWARE_SPEED 0.65
+
 /* A task is moved only if its remaining time exceeds MOVE_GAIN_FACTOR times its run time on another
  * upstream plus MOVE_COST_MS for stopping and starting it. */
 #define MOVE_GAIN_FACTOR 1.5
@@ -32,6 +38,12 @@
   return projected >= expected * SLOW_FACTOR;
 }
 
+bool
+az_move_is_slow_hardware (double speed)
+{
+  return speed < SLOW_HARDWARE_SPEED && !az_speed_is_slow (speed);
+}
+
 /* Whether a task ends sooner if it is run again, by a margin that pays for the move. */
 static bool
 is_gain (double left_here_ms, double run_elsewhere_ms)
--- a/src/dispatch/run_ratio.c
+++ b/src/dispatch/run_ratio.c
@@ -63,9 +63,15 @@
   return MIN (sum / ratio->total, 1);
 }
 
+bool
+az_run_ratio_is_known (const struct az_run_ratio *ratio)
+{
+  return ratio->n_tasks >= TASKS_MIN;
+}
+
 bool
 az_run_ratio_is_heavy (const struct az_run_ratio *ratio)
 {
-  return ratio->n_tasks >= TASKS_MIN && ratio->n_long_jobs >= LONG_JOBS_MIN
+  return az_run_ratio_is_known (ratio) && ratio->n_long_jobs >= LONG_JOBS_MIN
          && az_run_ratio_tail (ratio, LONG_RATIO) >= LONG_SHARE_MIN;
 }
--- a/src/dispatch/run_ratio.h
+++ b/src/dispatch/run_ratio.h
@@ -41,6 +41,10 @@
 double
 az_run_ratio_tail (const struct az_run_ratio *ratio, double value);
 
+/** az_run_ratio_is_known - whether a few hundred tasks are known */
+bool
+az_run_ratio_is_known (const struct az_run_ratio *ratio);
+
 /** az_run_ratio_is_heavy - whether tasks are long more often than errors of estimates explain;
  * false until a few hundred tasks are known */
 bool
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -1,14 +1,19 @@
 #include "azurerock/log.h"
+#include "dispatch/move_decision.h"
 #include "dispatch/speed.h"
 #include "gateway/state.h"
 
 static void
-update_speed (struct upstream *upstream, double speed)
+update_speed (const struct az_gateway *gateway, struct upstream *upstream, double speed)
 {
   bool was_slow = az_speed_is_slow (upstream->speed);
   bool is_slow = az_speed_is_slow (speed);
 
   upstream->speed = speed;
+  if (!az_move_is_slow_hardware (speed))
+    upstream->slow_hardware_since_us = 0;
+  else if (upstream->slow_hardware_since_us == 0)
+    upstream->slow_hardware_since_us = gateway->now_us;
   if (was_slow == is_slow)
     return;
   if (!is_slow)
@@ -61,6 +66,6 @@
                           struct upstream *upstream,
                           const struct az_node_report *report)
 {
-  update_speed (upstream, MAX (report->speed_percent, 1) / 100.0);
+  update_speed (gateway, upstream, MAX (report->speed_percent, 1) / 100.0);
   update_failures (gateway, upstream, report);
 }
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -5,6 +5,10 @@
 
 #define MOVES_MAX 2
 
+/* The speed of an upstream that becomes slow, or recovers, passes that of slow hardware within a
+ * fraction of this time. */
+#define SLOW_HARDWARE_MIN_MS 5000
+
 /* Refused moves are logged at most this often. */
 #define REFUSAL_LOG_INTERVAL_MS 1000
 
@@ -58,14 +62,43 @@
   return az_move_decide (&question);
 }
 
-/* A task without progress is moved whatever the distribution of its queue. */
+static bool
+is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream)
+{
+  return upstream->slow_hardware_since_us > 0
+         && gateway->now_us - upstream->slow_hardware_since_us
+                >= SLOW_HARDWARE_MIN_MS * AZ_US_PER_MS;
+}
+
+/* A task without progress is moved whatever the distribution of its queue. Where tasks are seldom
+ * long, the distribution counts only on hardware that is usually slow, and decisions on other
+ * upstreams are as without the setting. */
 static bool
 is_tail_aware (const struct az_gateway *gateway,
                const struct job *job,
+               const struct upstream *here,
                const struct az_task_progress *progress)
 {
-  return gateway->settings.tail_aware_moves && progress->projected_ms != UINT32_MAX
-         && az_run_ratio_is_heavy (&job->queue->run_ratio);
+  const struct az_run_ratio *ratio = &job->queue->run_ratio;
+
+  if (!gateway->settings.tail_aware_moves || progress->projected_ms == UINT32_MAX)
+    return false;
+  return az_run_ratio_is_heavy (ratio)
+         || (is_slow_hardware (gateway, here) && az_run_ratio_is_known (ratio));
+}
+
+/* Run time with which the projected one is compared. */
+static int64_t
+compared_run_us (const struct az_gateway *gateway,
+                 const struct job *job,
+                 const struct az_task_progress *progress,
+                 const struct upstream *here)
+{
+  int64_t expected_us = az_gateway_expected_run_us (gateway, job, progress->step, NULL);
+
+  if (!is_tail_aware (gateway, job, here, progress) || az_speed_is_slow (here->speed))
+    return expected_us;
+  return az_gateway_expected_run_us (gateway, job, progress->step, here);
 }
 
 static double
@@ -122,7 +155,7 @@
   run_ms = az_gateway_expected_run_us (gateway, job, progress->step, other) / AZ_US_PER_MS;
   if (gateway->now_us + run_ms * AZ_US_PER_MS > job->deadline_us)
     return false;
-  if (!is_tail_aware (gateway, job, progress))
+  if (!is_tail_aware (gateway, job, here, progress))
     {
       *decision = az_move_decide_by_speed ((double)left_ms (progress), (double)run_ms);
       return decision->verdict == AZ_MOVE_YES;
@@ -155,7 +188,7 @@
   if (task->state != TASK_SENT || task->upstream != upstream->handle || task->is_stopping)
     return;
   az_gateway_record_progress (gateway, job, task, upstream, progress);
-  expected_us = az_gateway_expected_run_us (gateway, job, progress->step, NULL);
+  expected_us = compared_run_us (gateway, job, progress, upstream);
   if (!az_move_looks_slow ((double)progress->projected_ms * AZ_US_PER_MS, (double)expected_us))
     return;
   if (task->n_moved >= MOVES_MAX
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -23,6 +23,7 @@
   upstream->labels = g_ptr_array_new_with_free_func (g_free);
   upstream->reservations = g_array_new (FALSE, FALSE, sizeof (struct reservation));
   upstream->speed = 1;
+  upstream->slow_hardware_since_us = 0;
   g_ptr_array_add (gateway->upstreams, upstream);
   upstream->handle = gateway->upstreams->len;
   az_ejector_add (gateway->ejector, upstream->handle);
@@ -46,6 +47,7 @@
     upstream->largest_capacity = (struct az_resources){ 0 };
   upstream->life = life;
   upstream->speed = 1;
+  upstream->slow_hardware_since_us = 0;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
   az_ejector_remove (gateway->ejector, upstream->handle);
--- a/tests/test_gateway_moves.c
+++ b/tests/test_gateway_moves.c
@@ -87,6 +87,83 @@
     }
 }
 
+#define SLOW_HARDWARE_PERCENT 55
+
+static void
+set_speed (struct gateway_rig *rig, uint32_t percent, int64_t for_ms)
+{
+  rig->speed[1] = rig->speed[2] = percent;
+  gateway_rig_advance (rig, for_ms, 0);
+}
+
+struct hardware_row
+{
+  const char *name;
+  bool tail_aware_moves;
+  unsigned n_known_jobs;
+  int64_t slow_for_ms;
+  uint32_t projected_ms;
+  bool moves;
+};
+
+/* Guards against the loss of the work of tasks that run as expected on hardware that is usually
+ * slow, and against a change for upstreams that have just become that slow. At 0.55, the expected
+ * run time of 100 ms becomes 182 ms; elsewhere it is 100 ms. */
+static void
+test_slow_hardware (void **state)
+{
+  static const struct hardware_row rows[] = {
+    { "underestimated", true, LEARNED_JOBS, 6000, 330, false },
+    { "without the setting", false, LEARNED_JOBS, 6000, 330, true },
+    { "after a restart", true, 0, 6000, 330, true },
+    { "slow since a moment", true, LEARNED_JOBS, 300, 330, true },
+    { "slow even for that hardware", true, LEARNED_JOBS, 6000, 1800, true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const struct hardware_row *row = &rows[i];
+      struct gateway_rig *rig
+          = row->tail_aware_moves ? gateway_rig_create_tail_aware (2) : gateway_rig_create (2);
+      guint run;
+
+      for (uint32_t job = 0; job < row->n_known_jobs; job++)
+        gateway_rig_end_run (rig, start_task (rig, 1000 + job), AZ_TASK_DONE, 100);
+      set_speed (rig, SLOW_HARDWARE_PERCENT, row->slow_for_ms);
+      run = start_task (rig, 1);
+      rig->speed[3 - gateway_rig_get_run (rig, run)->session] = 100;
+      gateway_rig_advance (rig, 100, 0);
+      gateway_rig_report_progress (rig, run, 140, row->projected_ms);
+      if (moves (rig) != row->moves)
+        fail_msg ("%s: %u stops", row->name, rig->stops->len);
+      gateway_rig_destroy (rig);
+    }
+}
+
+/* Guards against the same where tasks are known to be long, whose distribution would otherwise be
+ * asked about tasks that run as expected. */
+static void
+test_slow_hardware_beside_long_tasks (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
+  guint run;
+
+  (void)state;
+  run_tasks_with_tail (rig);
+  set_speed (rig, SLOW_HARDWARE_PERCENT, 300);
+  run = start_task (rig, 1);
+  rig->speed[3 - gateway_rig_get_run (rig, run)->session] = 100;
+  gateway_rig_advance (rig, 100, 0);
+  gateway_rig_report_progress (rig, run, 140, 390);
+  assert_int_equal (moves (rig), 0);
+  assert_int_equal (refused_as_long (rig), 0);
+  gateway_rig_report_progress (rig, run, 280, 1300);
+  assert_int_equal (moves (rig), 0);
+  assert_int_equal (refused_as_long (rig), 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against waiting for the sidecar's report while all tasks of the upstream are slow. */
 static void
 test_task_beside_slow_tasks_moves (void **state)
@@ -171,6 +248,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_moves),
+    cmocka_unit_test (test_slow_hardware),
+    cmocka_unit_test (test_slow_hardware_beside_long_tasks),
     cmocka_unit_test (test_task_beside_slow_tasks_moves),
     cmocka_unit_test (test_moved_tasks_are_learned),
     cmocka_unit_test (test_budget_limits_moves),
