Use slow hardware for every task where there is no other

Without other hardware in regular use, tasks that would end late on slow hardware waited until their jobs were too late at normal speed. The rule now applies only if a candidate has other hardware, and not to tasks that require a label.

--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -1,3 +1,4 @@
+#include "dispatch/move_decision.h"
 #include "dispatch/speed.h"
 #include "gateway/capacity.h"
 #include "gateway/state.h"
@@ -25,6 +26,14 @@
          && !az_gateway_is_withdrawn (gateway, upstream->domain);
 }
 
+static void
+add_regular (struct az_candidates *candidates, struct upstream *upstream)
+{
+  g_ptr_array_add (candidates->regular, upstream);
+  if (!az_move_is_slow_hardware (upstream->speed))
+    candidates->has_normal_hardware = true;
+}
+
 void
 az_candidates_init (struct az_candidates *candidates,
                     const struct az_gateway *gateway,
@@ -33,6 +42,7 @@
 {
   candidates->service = service;
   candidates->pool = pool;
+  candidates->has_normal_hardware = false;
   candidates->regular = g_ptr_array_new ();
   candidates->probe_only = g_ptr_array_new ();
   for (guint i = 0; i < gateway->upstreams->len; i++)
@@ -48,7 +58,7 @@
           || az_ejector_is_ejected (gateway->ejector, upstream->handle))
         g_ptr_array_add (candidates->probe_only, upstream);
       else
-        g_ptr_array_add (candidates->regular, upstream);
+        add_regular (candidates, upstream);
     }
   az_candidates_update (candidates);
 }
--- a/src/gateway/capacity.h
+++ b/src/gateway/capacity.h
@@ -14,6 +14,7 @@
  * @probe_only: slow and ejected upstreams, which get single tasks as probes
  * @max_free: maximum of each resource that is free at one candidate; a task that needs more of a
  *   resource fits no candidate
+ * @has_normal_hardware: az_move_is_slow_hardware() is false for one of @regular
  */
 struct az_candidates
 {
@@ -22,6 +23,7 @@
   GPtrArray *regular;
   GPtrArray *probe_only;
   struct az_resources max_free;
+  bool has_normal_hardware;
 };
 
 /** az_candidates_init - lists the candidates; the list is valid until the state of an upstream
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -36,17 +36,20 @@
   return count;
 }
 
-/* Slow hardware is left to tasks that end in time there. A job that is too late anyway may use it.
- */
+/* Slow hardware is left to tasks that end in time there, if there is other hardware for the rest. A
+ * job that is too late anyway may use it. */
 static bool
 is_too_slow (const struct az_gateway *gateway,
+             const struct az_candidates *candidates,
              const struct job *job,
              size_t step_index,
              const struct upstream *upstream)
 {
   int64_t left_us = job->objective_us - gateway->now_us;
 
-  if (!gateway->settings.tail_aware_moves || !az_move_is_slow_hardware (upstream->speed))
+  if (!gateway->settings.tail_aware_moves || !candidates->has_normal_hardware
+      || job->request.steps[step_index].required_label
+      || !az_move_is_slow_hardware (upstream->speed))
     return false;
   return az_gateway_expected_run_us (gateway, job, step_index, upstream) > left_us
          && az_gateway_expected_run_us (gateway, job, step_index, NULL) <= left_us;
@@ -54,6 +57,7 @@
 
 static bool
 is_eligible (const struct az_gateway *gateway,
+             const struct az_candidates *candidates,
              const struct job *job,
              size_t step_index,
              const struct upstream *upstream)
@@ -66,7 +70,7 @@
       && !g_ptr_array_find_with_equal_func (upstream->labels, step->required_label, g_str_equal,
                                             NULL))
     return false;
-  if (is_too_slow (gateway, job, step_index, upstream))
+  if (is_too_slow (gateway, candidates, job, step_index, upstream))
     return false;
   return step->spread_max == 0 || count_tasks_on (job, step_index, upstream) < step->spread_max;
 }
@@ -150,7 +154,8 @@
       struct upstream *upstream = candidates->regular->pdata[i];
       int64_t upstream_cost;
 
-      if (upstream->handle == avoid || !is_eligible (gateway, job, step_index, upstream))
+      if (upstream->handle == avoid
+          || !is_eligible (gateway, candidates, job, step_index, upstream))
         continue;
       upstream_cost = placement_cost_us (gateway, job, step_index, upstream);
       if (upstream_cost < best_cost)
@@ -191,7 +196,7 @@
       struct upstream *upstream = candidates->probe_only->pdata[i];
 
       if (!can_probe (gateway, job, upstream, is_only_way)
-          || !is_eligible (gateway, job, step_index, upstream))
+          || !is_eligible (gateway, candidates, job, step_index, upstream))
         continue;
       if (az_ejector_is_ejected (gateway->ejector, upstream->handle)
           && !az_ejector_can_start (gateway->ejector, upstream->handle))
--- a/tests/test_gateway_slow_hardware.c
+++ b/tests/test_gateway_slow_hardware.c
@@ -78,11 +78,30 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a service without other hardware whose jobs wait until they are too late. */
+static void
+test_all_hardware_is_slow (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
+
+  (void)state;
+  rig->used_cpu_milli[1] = rig->used_cpu_milli[2] = CAPACITY_MILLI;
+  rig->speed[1] = rig->speed[2] = SLOW_HARDWARE_PERCENT;
+  gateway_rig_advance (rig, 100, 0);
+  gateway_rig_submit (rig, 1, "fast", 1);
+  gateway_rig_advance (rig, 40, 0);
+  rig->used_cpu_milli[1] = 0;
+  gateway_rig_advance (rig, 20, 0);
+  assert_int_equal (rig->runs->len, 1);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_task_waits_for_normal_hardware),
+    cmocka_unit_test (test_all_hardware_is_slow),
     cmocka_unit_test (test_late_job_uses_slow_hardware),
   };
 
