Leave an upstream to all tasks until it is known as slow hardware

The speed of an upstream that becomes slow, or recovers, passes that of slow hardware, and tasks that would be late there then waited. test_moves_load (results equal without long tasks) failed for that since the placement rule came in. The rule now applies after 5 s at that speed, as for moves.

--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -3,6 +3,18 @@
 #include "dispatch/speed.h"
 #include "gateway/state.h"
 
+/* The speed of an upstream that becomes slow, or recovers, passes that of slow hardware within a
+ * fraction of this time. */
+#define SLOW_HARDWARE_MIN_MS 5000
+
+bool
+az_gateway_is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream)
+{
+  return upstream->slow_hardware_since_us > 0
+         && gateway->now_us - upstream->slow_hardware_since_us
+                >= SLOW_HARDWARE_MIN_MS * AZ_US_PER_MS;
+}
+
 static void
 update_speed (const struct az_gateway *gateway, struct upstream *upstream, double speed)
 {
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -1,5 +1,4 @@
 #include "azurerock/log.h"
-#include "dispatch/move_decision.h"
 #include "dispatch/speed.h"
 #include "gateway/capacity.h"
 #include "gateway/state.h"
@@ -49,7 +48,7 @@
 
   if (!gateway->settings.tail_aware_moves || !candidates->has_normal_hardware
       || job->request.steps[step_index].required_label
-      || !az_move_is_slow_hardware (upstream->speed))
+      || !az_gateway_is_slow_hardware (gateway, upstream))
     return false;
   return az_gateway_expected_run_us (gateway, job, step_index, upstream) > left_us
          && az_gateway_expected_run_us (gateway, job, step_index, NULL) <= left_us;
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -5,10 +5,6 @@
 
 #define MOVES_MAX 2
 
-/* The speed of an upstream that becomes slow, or recovers, passes that of slow hardware within a
- * fraction of this time. */
-#define SLOW_HARDWARE_MIN_MS 5000
-
 /* Refused moves are logged at most this often. */
 #define REFUSAL_LOG_INTERVAL_MS 1000
 
@@ -62,14 +58,6 @@
   return az_move_decide (&question);
 }
 
-static bool
-is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream)
-{
-  return upstream->slow_hardware_since_us > 0
-         && gateway->now_us - upstream->slow_hardware_since_us
-                >= SLOW_HARDWARE_MIN_MS * AZ_US_PER_MS;
-}
-
 /* A task without progress is moved whatever the distribution of its queue. Where tasks are seldom
  * long, the distribution counts only on hardware that is usually slow, and decisions on other
  * upstreams are as without the setting. */
@@ -84,7 +72,7 @@
   if (!gateway->settings.tail_aware_moves || progress->projected_ms == UINT32_MAX)
     return false;
   return az_run_ratio_is_heavy (ratio)
-         || (is_slow_hardware (gateway, here) && az_run_ratio_is_known (ratio));
+         || (az_gateway_is_slow_hardware (gateway, here) && az_run_ratio_is_known (ratio));
 }
 
 /* Run time with which the projected one is compared. */
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -432,6 +432,11 @@
 
 /* health.c */
 
+/** az_gateway_is_slow_hardware - whether the upstream has been reported as slow hardware for some
+ * seconds */
+bool
+az_gateway_is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream);
+
 /** az_gateway_update_health - updates speed and ejection of the upstream from a report */
 void
 az_gateway_update_health (struct az_gateway *gateway,
