--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -5,7 +5,7 @@
 
 /* The speed of an upstream that becomes slow, or recovers, passes that of slow hardware within a
  * fraction of this time. */
-#define SLOW_HARDWARE_MIN_MS 5000
+#define SLOW_HARDWARE_MIN_MS 2000
 
 bool
 az_gateway_is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream)
