--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -1,14 +1,31 @@
 #include "azurerock/log.h"
+#include "dispatch/move_decision.h"
 #include "dispatch/speed.h"
 #include "gateway/state.h"
 
+/* The speed of an upstream that becomes slow, or recovers, passes that of slow hardware within a
+ * fraction of this time. */
+#define SLOW_HARDWARE_MIN_MS 2000
+
+bool
+az_gateway_is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream)
+{
+  return upstream->slow_hardware_since_us > 0
+         && gateway->now_us - upstream->slow_hardware_since_us
+                >= SLOW_HARDWARE_MIN_MS * AZ_US_PER_MS;
+}
+
 static void
-update_speed (struct upstream *upstream, double speed)
+update_speed (const struct az_gateway *gateway, struct upstream *upstream, double speed)
 {
   bool was_slow = az_speed_is_slow (upstream->speed);
   bool is_slow = az_speed_is_slow (speed);
 
   upstream->speed = speed;
+  if (!az_move_is_slow_hardware (speed))
+    upstream->slow_hardware_since_us = 0;
+  else if (upstream->slow_hardware_since_us == 0)
+    upstream->slow_hardware_since_us = gateway->now_us;
   if (was_slow == is_slow)
     return;
   if (!is_slow)
@@ -61,6 +78,6 @@
                           struct upstream *upstream,
                           const struct az_node_report *report)
 {
-  update_speed (upstream, MAX (report->speed_percent, 1) / 100.0);
+  update_speed (gateway, upstream, MAX (report->speed_percent, 1) / 100.0);
   update_failures (gateway, upstream, report);
 }
