--- a/tests/test_gateway_run_time.c
+++ b/tests/test_gateway_run_time.c
@@ -52,7 +52,7 @@
 
   (void)state;
   for (unsigned i = 0; i <= N_UPSTREAMS; i++)
-    az_speed_init (&speeds[i]);
+    az_speed_init (&speeds[i], false);
   for (uint32_t round = 0; round < N_ROUNDS; round++)
     {
       guint first = rig->runs->len;
