Give the treatment of slow hardware in gateways a setting of its own

It depended on tail_aware_moves, which deployments use that haven't asked for it. The gateway's relative_slowness is off by default and has no effect without tail_aware_moves. The tests of the setting use the new one; their rows and bounds are the same.

--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -84,7 +84,7 @@
   bool refused_callers_return; /* once, in whole seconds, as Retry-After tells them */
   bool tail_aware_moves;       /* setting of the gateways */
   bool separate_queues;        /* settings separate_queues and report_interference */
-  bool relative_slowness;      /* setting of the sidecars */
+  bool relative_slowness;      /* setting of sidecars and gateways */
   struct emulator_job_kind kinds[EMULATOR_JOB_KINDS];
   struct emulator_fault faults[8];
   unsigned n_faults;
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -240,6 +240,7 @@
     .share_demand = world->scenario->share_demand,
     .fair_queue_shares = world->scenario->fair_queue_shares,
     .tail_aware_moves = world->scenario->tail_aware_moves,
+    .relative_slowness = world->scenario->relative_slowness,
     .separate_queues = world->scenario->separate_queues,
   };
 
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -32,6 +32,8 @@
  *   gives all queues equal shares
  * @tail_aware_moves: whether a task is moved only if it is expected to end sooner as a result, in
  *   view of how often tasks of its queue are long in themselves
+ * @relative_slowness: tasks on slow hardware are compared with its usual speed, and jobs that would
+ * be late there are left to other hardware; only with @tail_aware_moves
  * @separate_queues: queues whose tasks slow each other down run on different upstreams where there
  *   is room
  */
@@ -48,6 +50,7 @@
   bool fair_queue_shares;
   double priority_discount;
   bool tail_aware_moves;
+  bool relative_slowness;
   bool separate_queues;
 };
 
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -93,6 +93,7 @@
   struct az_gateway *gateway = g_new0 (struct az_gateway, 1);
 
   gateway->settings = *settings;
+  gateway->settings.relative_slowness &= settings->tail_aware_moves;
   gateway->incarnation = incarnation;
   gateway->clock = clock;
   gateway->io = *io;
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -10,7 +10,7 @@
 bool
 az_gateway_is_slow_hardware (const struct az_gateway *gateway, const struct upstream *upstream)
 {
-  return upstream->slow_hardware_since_us > 0
+  return gateway->settings.relative_slowness && upstream->slow_hardware_since_us > 0
          && gateway->now_us - upstream->slow_hardware_since_us
                 >= SLOW_HARDWARE_MIN_MS * AZ_US_PER_MS;
 }
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -29,6 +29,9 @@
     "run time of a task away from the label that it prefers, as a multiple" },
   { "tail_aware_moves", AZ_SETTING_BOOLEAN, FIELD (tail_aware_moves), false, 0, 0,
     "whether a slow task is left where it is if it is probably long in itself" },
+  { "relative_slowness", AZ_SETTING_BOOLEAN, FIELD (relative_slowness), false, 0, 0,
+    "whether tasks on slow hardware are compared with its usual speed; only with "
+    "tail_aware_moves" },
   { "separate_queues", AZ_SETTING_BOOLEAN, FIELD (separate_queues), false, 0, 0,
     "whether queues whose tasks slow each other down run on different upstreams if there is room" },
   { "body_max", AZ_SETTING_INTEGER, FIELD (body_max), false, 1024, 16777216,
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -46,7 +46,7 @@
 {
   int64_t left_us = job->objective_us - gateway->now_us;
 
-  if (!gateway->settings.tail_aware_moves || !candidates->has_normal_hardware
+  if (!candidates->has_normal_hardware
       || job->request.steps[step_index].required_label
       || !az_gateway_is_slow_hardware (gateway, upstream))
     return false;
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -27,6 +27,7 @@
   double grace_s;
   double remote_factor;
   bool tail_aware_moves;
+  bool relative_slowness;
   bool separate_queues;
   int64_t body_max;
   bool share_demand;
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -91,6 +91,7 @@
     .fair_queue_shares = options->fair_queue_shares,
     .priority_discount = options->priority_discount,
     .tail_aware_moves = options->tail_aware_moves,
+    .relative_slowness = options->relative_slowness,
     .separate_queues = options->separate_queues,
   };
 
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -84,7 +84,8 @@
 {
   int64_t expected_us = az_gateway_expected_run_us (gateway, job, progress->step, NULL);
 
-  if (!is_tail_aware (gateway, job, here, progress) || az_speed_is_slow (here->speed))
+  if (!gateway->settings.relative_slowness || !is_tail_aware (gateway, job, here, progress)
+      || az_speed_is_slow (here->speed))
     return expected_us;
   return az_gateway_expected_run_us (gateway, job, progress->step, here);
 }
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -142,6 +142,7 @@
     .share_demand = features->share_demand,
     .fair_queue_shares = features->fair_queue_shares,
     .tail_aware_moves = features->tail_aware_moves,
+    .relative_slowness = features->relative_slowness,
   };
   struct gateway_rig *rig = g_new0 (struct gateway_rig, 1);
   const struct az_gateway_io io = { on_send, on_close, on_connect, on_answer, on_cancelled, rig };
@@ -184,6 +185,13 @@
   return create_rig (n_upstreams, &(struct az_gateway_settings){ .tail_aware_moves = true });
 }
 
+struct gateway_rig *
+gateway_rig_create_for_uneven_hardware (unsigned n_upstreams)
+{
+  return create_rig (n_upstreams, &(struct az_gateway_settings){ .tail_aware_moves = true,
+                                                                 .relative_slowness = true });
+}
+
 struct gateway_rig *
 gateway_rig_create_sharing_demand (unsigned n_upstreams)
 {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -19,7 +19,7 @@
   uint32_t attempt;
   int64_t clock_ms; /* the sidecar's clock, as stated in the run message */
   uint32_t expected_ms;
-  char name[64];    /* of the step */
+  char name[64]; /* of the step */
 };
 
 struct gateway_answer
@@ -71,6 +71,11 @@
 struct gateway_rig *
 gateway_rig_create_tail_aware (unsigned n_upstreams);
 
+/** gateway_rig_create_for_uneven_hardware - creates the same with the settings tail_aware_moves and
+ * relative_slowness */
+struct gateway_rig *
+gateway_rig_create_for_uneven_hardware (unsigned n_upstreams);
+
 /** gateway_rig_create_sharing_demand - creates the same with the setting share_demand */
 struct gateway_rig *
 gateway_rig_create_sharing_demand (unsigned n_upstreams);
--- a/tests/test_gateway_moves.c
+++ b/tests/test_gateway_moves.c
@@ -99,7 +99,7 @@
 struct hardware_row
 {
   const char *name;
-  bool tail_aware_moves;
+  bool relative_slowness;
   unsigned n_known_jobs;
   int64_t slow_for_ms;
   uint32_t projected_ms;
@@ -124,8 +124,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       const struct hardware_row *row = &rows[i];
-      struct gateway_rig *rig
-          = row->tail_aware_moves ? gateway_rig_create_tail_aware (2) : gateway_rig_create (2);
+      struct gateway_rig *rig = row->relative_slowness ? gateway_rig_create_for_uneven_hardware (2)
+                                                       : gateway_rig_create_tail_aware (2);
       guint run;
 
       for (uint32_t job = 0; job < row->n_known_jobs; job++)
@@ -146,7 +146,7 @@
 static void
 test_slow_hardware_beside_long_tasks (void **state)
 {
-  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
+  struct gateway_rig *rig = gateway_rig_create_for_uneven_hardware (2);
   guint run;
 
   (void)state;
--- a/tests/test_gateway_slow_hardware.c
+++ b/tests/test_gateway_slow_hardware.c
@@ -13,7 +13,7 @@
 struct wait_row
 {
   const char *name;
-  bool tail_aware_moves;
+  bool relative_slowness;
   uint32_t speed_percent; /* of the upstream of session 1 */
   int64_t wait_ms;        /* until it has room */
   bool is_placed;
@@ -35,8 +35,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       const struct wait_row *row = &rows[i];
-      struct gateway_rig *rig
-          = row->tail_aware_moves ? gateway_rig_create_tail_aware (2) : gateway_rig_create (2);
+      struct gateway_rig *rig = row->relative_slowness ? gateway_rig_create_for_uneven_hardware (2)
+                                                       : gateway_rig_create_tail_aware (2);
 
       rig->used_cpu_milli[1] = rig->used_cpu_milli[2] = CAPACITY_MILLI;
       rig->speed[1] = row->speed_percent;
@@ -62,7 +62,7 @@
 static void
 test_late_job_uses_slow_hardware (void **state)
 {
-  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
+  struct gateway_rig *rig = gateway_rig_create_for_uneven_hardware (2);
 
   (void)state;
   rig->used_cpu_milli[1] = CAPACITY_MILLI;
@@ -85,7 +85,7 @@
 static void
 test_all_hardware_is_slow (void **state)
 {
-  struct gateway_rig *rig = gateway_rig_create_tail_aware (2);
+  struct gateway_rig *rig = gateway_rig_create_for_uneven_hardware (2);
 
   (void)state;
   rig->used_cpu_milli[1] = rig->used_cpu_milli[2] = CAPACITY_MILLI;
