--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -46,8 +46,7 @@
 {
   int64_t left_us = job->objective_us - gateway->now_us;
 
-  if (!candidates->has_normal_hardware
-      || job->request.steps[step_index].required_label
+  if (!candidates->has_normal_hardware || job->request.steps[step_index].required_label
       || !az_gateway_is_slow_hardware (gateway, upstream))
     return false;
   return az_gateway_expected_run_us (gateway, job, step_index, upstream) > left_us
