Emulate kinds of tasks that slow each other down

The emulator had no interference, so that separation (docs/uneven-load.md, part C) couldn't be measured. A scenario now has up to four pairs of kinds with a factor, and up to four kinds of jobs. The ideal queue places a task where it and those that run there lose least; a variant of it doesn't know the factors. Its runs end in events of their own now, since their ends can change. Results tell the core time lost to interference and the goodput of the second half.

test_crashing_jobs skips kinds that the scenario does not have: 0 of 0 jobs is no share. The kinds that it compares are the same as before.

--- a/bench/emulator/calls.c
+++ b/bench/emulator/calls.c
@@ -65,7 +65,9 @@
   guint index = GPOINTER_TO_UINT (g_hash_table_lookup (world->jobs, parts[0])) - 1;
   const struct emu_job *job = &g_array_index (world->load->jobs, struct emu_job, index);
   struct call_answer answer = { .upstream = node->index, .task = task };
-  bool fails = g_rand_double (world->random) < world->task_failure_share[node->index];
+  struct emu_work work = { .kind = job->kind, .cpu_milli = job->cpu_milli };
+
+  work.fails = g_rand_double (world->random) < world->task_failure_share[node->index];
 
   if (!is_call_delivered (world, node->index))
     answer.result = AZ_UPSTREAM_UNANSWERED;
@@ -73,8 +75,8 @@
     {
       world->metrics.result.n_overlapping_runs += is_running_anywhere (world, start->task);
       world->metrics.result.n_runs++;
-      answer.result = emu_upstream_start (world->upstreams[node->index], start, job->cpu_milli,
-                                          job->work_us[atoi (parts[3])], fails);
+      work.work_us = job->work_us[atoi (parts[3])];
+      answer.result = emu_upstream_start (world->upstreams[node->index], start, &work);
       if (answer.result == AZ_UPSTREAM_OK && job->crashes_upstream && atoi (parts[3]) == 0)
         emu_schedule_crash (world, node->index, start->task);
     }
--- a/bench/emulator/emulator.h
+++ b/bench/emulator/emulator.h
@@ -11,9 +11,10 @@
  * can be run on one central queue that knows the true run times.
  */
 
-#define EMULATOR_JOB_KINDS 3
+#define EMULATOR_JOB_KINDS 4
 #define EMULATOR_GATEWAYS_MAX 16
 #define EMULATOR_SPEEDS_MAX 5
+#define EMULATOR_INTERFERENCES_MAX 4
 
 /**
  * struct emulator_job_kind - a class of jobs; its run times and sizes vary around the means
@@ -33,6 +34,18 @@
   double tail_factor;
 };
 
+/**
+ * struct emulator_interference - two kinds of jobs whose tasks slow each other down on one upstream
+ * @factor: while a task of one kind runs, tasks of the other progress that many times slower,
+ *   whatever the number of tasks; the factors of several pairs multiply
+ */
+struct emulator_interference
+{
+  unsigned first;
+  unsigned second;
+  double factor;
+};
+
 enum emulator_fault_kind
 {
   EMULATOR_SLOW,           /* run times are multiplied by the factor */
@@ -85,7 +98,9 @@
   bool tail_aware_moves;       /* setting of the gateways */
   bool separate_queues;        /* settings separate_queues and report_interference */
   bool relative_slowness;      /* setting of the sidecars */
-  struct emulator_job_kind kinds[EMULATOR_JOB_KINDS];
+  struct emulator_job_kind kinds[EMULATOR_JOB_KINDS]; /* up to the first without a name */
+  struct emulator_interference interferences[EMULATOR_INTERFERENCES_MAX];
+  unsigned n_interferences;
   struct emulator_fault faults[8];
   unsigned n_faults;
 };
@@ -117,9 +132,11 @@
   double refusal_factor; /* between the gateways with the highest and the lowest share of refused
                           * jobs; shares below 2% count as 2% */
   double goodput;        /* over the whole run */
+  double second_half_goodput;  /* of the jobs that arrive in the second half */
   double worst_window_goodput; /* mean of the two windows of 2 s with the lowest goodput */
   double wasted_core_s;
   double late_core_s;     /* work of the jobs that were completed late */
+  double slowed_core_s;   /* core time lost to interference */
   double mean_refusal_ms; /* from arrival to refusal */
   unsigned n_runs;
   unsigned n_sent;             /* tasks sent to sidecars */
@@ -163,14 +180,26 @@
 struct emulator_scenario
 emulator_uneven_scenario (double load);
 
+/** emulator_interference_scenario - the gateways and upstreams of the contention scenario with a
+ * fourth kind of jobs; the second and third kind slow each other down by @factor, and 1 stands for
+ * none */
+struct emulator_scenario
+emulator_interference_scenario (double load, double factor);
+
 /** emulator_run - runs the scenario; the same seed gives the same load */
 struct emulator_result
 emulator_run (const struct emulator_scenario *scenario, uint32_t seed);
 
-/** emulator_run_ideal - runs the same load on one central queue without delays */
+/** emulator_run_ideal - runs the same load on one central queue without delays, which places a task
+ * where it and the tasks that run there lose least to interference */
 struct emulator_result
 emulator_run_ideal (const struct emulator_scenario *scenario, uint32_t seed);
 
+/** emulator_run_ideal_unaware - the same queue, but placing tasks as if there were no interference
+ */
+struct emulator_result
+emulator_run_ideal_unaware (const struct emulator_scenario *scenario, uint32_t seed);
+
 void
 emulator_print_result (const struct emulator_scenario *scenario,
                        const struct emulator_result *result);
--- a/bench/emulator/ideal.c
+++ b/bench/emulator/ideal.c
@@ -1,25 +1,29 @@
-#include "emulator/world.h"
+#include "emulator/ideal.h"
 
 /*
  * One central queue without delays that knows the true run times and the true speed and state of
  * each upstream. Jobs with started tasks come first, then those with the earliest latest start
- * time. When not all can end in time, those with the lowest value per core-second are refused.
+ * time. When not all can end in time, those with the lowest value per core-second are refused. If
+ * it is aware of interference, it knows the factors between kinds, too; order and refusals don't
+ * depend on them.
  */
 
 struct ideal_job
 {
   struct emu_job *job;
   unsigned n_started;
-  int64_t end_us; /* latest end of the tasks started so far */
+  unsigned n_ended;
 };
 
 struct ideal
 {
   const struct emulator_scenario *scenario;
+  bool is_aware; /* of interference */
   struct emu_events *events;
   struct emu_load *load;
   struct emu_metrics metrics;
-  double *free_cpu_milli;
+  struct ideal_job *jobs; /* as in the load */
+  struct emu_ideal_upstream **upstreams;
   GPtrArray *waiting; /* struct ideal_job */
 };
 
@@ -50,68 +54,101 @@
   return speed_factor;
 }
 
-struct cpu_release
-{
-  unsigned upstream;
-  double cpu_milli;
-};
-
 static void
 dispatch (struct ideal *ideal);
 
 static void
-release_cpu (void *context, void *data)
+handle_task_end (void *context, void *data)
 {
   struct ideal *ideal = context;
-  const struct cpu_release *cpu_release = data;
+  struct ideal_job *row = data;
 
-  ideal->free_cpu_milli[cpu_release->upstream] += cpu_release->cpu_milli;
+  if (++row->n_ended == row->job->n_tasks)
+    emu_metrics_record_answer (&ideal->metrics, row->job, AZ_JOB_COMPLETED,
+                               emu_now_us (ideal->events) - row->job->arrival_us);
   dispatch (ideal);
 }
 
-/* Returns the slowest upstream that can end the task in time, or -1 if none can. The fast ones are
- * left to tasks that need them. */
+struct choice
+{
+  double loss_core_s;
+  double speed;
+};
+
+static bool
+is_better (const struct choice *choice, const struct choice *best)
+{
+  if (choice->loss_core_s != best->loss_core_s)
+    return choice->loss_core_s < best->loss_core_s;
+  return choice->speed < best->speed;
+}
+
+static struct emu_ideal_run
+create_run (const struct ideal *ideal,
+            unsigned upstream,
+            const struct emu_job *job,
+            int64_t work_us,
+            bool *is_closed)
+{
+  return (struct emu_ideal_run){
+    .kind = job->kind,
+    .cpu_milli = job->cpu_milli,
+    .remaining_us = (double)work_us,
+    .speed = fault_speed_factor (ideal, upstream, is_closed)
+             * emu_upstream_speed (ideal->scenario, upstream),
+  };
+}
+
+static bool
+can_end_in_time (const struct ideal *ideal,
+                 const struct emu_ideal_upstream *upstream,
+                 const struct emu_ideal_run *run,
+                 int64_t left_us)
+{
+  double factor = ideal->is_aware ? emu_ideal_upstream_factor (upstream, run->kind) : 1;
+
+  return emu_ideal_upstream_has_room (upstream, run->cpu_milli)
+         && run->remaining_us / run->speed * factor <= (double)left_us;
+}
+
+/* Returns the upstream that can end the task in time with the least loss to interference, or -1 if
+ * none can. Of equal ones it is the slowest: the fast ones are left to tasks that need them. */
 static int
 choose_upstream (const struct ideal *ideal, const struct emu_job *job, int64_t work_us)
 {
   int64_t left_us = job->arrival_us + job->objective_us - emu_now_us (ideal->events);
-  int best = -1;
-  double best_speed = 0;
+  struct choice best = { 0 };
+  int best_upstream = -1;
 
   for (unsigned i = 0; i < ideal->scenario->n_upstreams; i++)
     {
+      const struct emu_ideal_upstream *upstream = ideal->upstreams[i];
       bool is_closed;
-      double speed
-          = fault_speed_factor (ideal, i, &is_closed) * emu_upstream_speed (ideal->scenario, i);
+      struct emu_ideal_run run = create_run (ideal, i, job, work_us, &is_closed);
+      struct choice choice = { .speed = run.speed };
 
-      if (is_closed || ideal->free_cpu_milli[i] < job->cpu_milli
-          || (double)work_us / speed > (double)left_us)
+      if (is_closed || !can_end_in_time (ideal, upstream, &run, left_us))
         continue;
-      if (best < 0 || speed < best_speed)
+      if (ideal->is_aware)
+        choice.loss_core_s = emu_ideal_upstream_loss (upstream, &run);
+      if (best_upstream < 0 || is_better (&choice, &best))
         {
-          best = (int)i;
-          best_speed = speed;
+          best_upstream = (int)i;
+          best = choice;
         }
     }
-  return best;
+  return best_upstream;
 }
 
 static void
 start_task (struct ideal *ideal, struct ideal_job *row, int upstream)
 {
-  struct emu_job *job = row->job;
-  int64_t work_us = job->work_us[row->n_started++];
+  int64_t work_us = row->job->work_us[row->n_started++];
   bool is_closed;
-  double speed = fault_speed_factor (ideal, (unsigned)upstream, &is_closed)
-                 * emu_upstream_speed (ideal->scenario, (unsigned)upstream);
-  int64_t end_us = emu_now_us (ideal->events) + (int64_t)((double)work_us / speed);
-  struct cpu_release *cpu_release = g_new0 (struct cpu_release, 1);
-
-  cpu_release->upstream = (unsigned)upstream;
-  cpu_release->cpu_milli = job->cpu_milli;
-  ideal->free_cpu_milli[upstream] -= job->cpu_milli;
-  row->end_us = MAX (row->end_us, end_us);
-  emu_schedule (ideal->events, end_us, release_cpu, ideal, cpu_release);
+  struct emu_ideal_run run = create_run (ideal, (unsigned)upstream, row->job, work_us, &is_closed);
+
+  run.data = row;
+  emu_ideal_upstream_start (ideal->upstreams[upstream], &run);
 }
 
 static int64_t
@@ -218,8 +255,6 @@
         }
       if (row->n_started < row->job->n_tasks)
         continue;
-      emu_metrics_record_answer (&ideal->metrics, row->job, AZ_JOB_COMPLETED,
-                                 row->end_us - row->job->arrival_us);
       g_ptr_array_remove_index (ideal->waiting, i--);
     }
   refuse_excess (ideal);
@@ -229,37 +264,72 @@
 handle_arrival (void *context, void *data)
 {
   struct ideal *ideal = context;
-  struct ideal_job *row = g_new0 (struct ideal_job, 1);
 
-  row->job = &g_array_index (ideal->load->jobs, struct emu_job, *(guint *)data);
-  g_ptr_array_add (ideal->waiting, row);
+  g_ptr_array_add (ideal->waiting, &ideal->jobs[*(guint *)data]);
   dispatch (ideal);
 }
 
-struct emulator_result
-emulator_run_ideal (const struct emulator_scenario *scenario, uint32_t seed)
+static void
+create_ideal (struct ideal *ideal, const struct emulator_scenario *scenario, uint32_t seed)
+{
+  const struct emu_ideal_observer observer = { handle_task_end, ideal };
+
+  ideal->scenario = scenario;
+  ideal->events = emu_events_create ();
+  ideal->load = emu_load_create (scenario, seed);
+  ideal->jobs = g_new0 (struct ideal_job, ideal->load->jobs->len);
+  ideal->waiting = g_ptr_array_new ();
+  ideal->upstreams = g_new0 (struct emu_ideal_upstream *, scenario->n_upstreams);
+  emu_metrics_init (&ideal->metrics, scenario);
+  for (unsigned i = 0; i < scenario->n_upstreams; i++)
+    ideal->upstreams[i] = emu_ideal_upstream_create (
+        ideal->events, scenario, emu_upstream_cores (scenario, i) * 1000, &observer);
+  for (guint i = 0; i < ideal->load->jobs->len; i++)
+    {
+      ideal->jobs[i].job = &g_array_index (ideal->load->jobs, struct emu_job, i);
+      emu_schedule (ideal->events, ideal->jobs[i].job->arrival_us, handle_arrival, ideal,
+                    g_memdup2 (&i, sizeof i));
+    }
+}
+
+static void
+destroy_ideal (struct ideal *ideal)
 {
-  struct ideal ideal = { .scenario = scenario };
+  for (unsigned i = 0; i < ideal->scenario->n_upstreams; i++)
+    emu_ideal_upstream_destroy (ideal->upstreams[i]);
+  g_free (ideal->upstreams);
+  g_ptr_array_unref (ideal->waiting);
+  g_free (ideal->jobs);
+  emu_events_destroy (ideal->events);
+  emu_load_destroy (ideal->load);
+}
+
+static struct emulator_result
+run_ideal (const struct emulator_scenario *scenario, uint32_t seed, bool is_aware)
+{
+  struct ideal ideal = { .is_aware = is_aware };
   struct emulator_result result;
 
-  ideal.events = emu_events_create ();
-  ideal.load = emu_load_create (scenario, seed);
-  ideal.waiting = g_ptr_array_new_with_free_func (g_free);
-  ideal.free_cpu_milli = g_new0 (double, scenario->n_upstreams);
-  emu_metrics_init (&ideal.metrics, scenario);
-  for (unsigned i = 0; i < scenario->n_upstreams; i++)
-    ideal.free_cpu_milli[i] = emu_upstream_cores (scenario, i) * 1000;
-  for (guint i = 0; i < ideal.load->jobs->len; i++)
-    emu_schedule (ideal.events, g_array_index (ideal.load->jobs, struct emu_job, i).arrival_us,
-                  handle_arrival, &ideal, g_memdup2 (&i, sizeof i));
+  create_ideal (&ideal, scenario, seed);
   while (emu_run_next_event (ideal.events, INT64_MAX))
     continue;
   while (ideal.waiting->len > 0)
     refuse_job (&ideal, ideal.waiting->pdata[0]);
+  for (unsigned i = 0; i < scenario->n_upstreams; i++)
+    ideal.metrics.result.slowed_core_s += emu_ideal_upstream_slowed_core_s (ideal.upstreams[i]);
   result = emu_metrics_finish (&ideal.metrics, ideal.load);
-  g_ptr_array_unref (ideal.waiting);
-  g_free (ideal.free_cpu_milli);
-  emu_events_destroy (ideal.events);
-  emu_load_destroy (ideal.load);
+  destroy_ideal (&ideal);
   return result;
 }
+
+struct emulator_result
+emulator_run_ideal (const struct emulator_scenario *scenario, uint32_t seed)
+{
+  return run_ideal (scenario, seed, true);
+}
+
+struct emulator_result
+emulator_run_ideal_unaware (const struct emulator_scenario *scenario, uint32_t seed)
+{
+  return run_ideal (scenario, seed, false);
+}
--- a/bench/emulator/load.c
+++ b/bench/emulator/load.c
@@ -1,7 +1,6 @@
 #include "emulator/world.h"
 #include <math.h>
 
-#define ARRIVALS_START_US 1500000
 #define CPU_FACTOR_MAX 1.52
 #define SLACK_FACTOR 1.6
 #define OBJECTIVE_US 60000
--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -190,7 +190,7 @@
 
   catalog->version = 1;
   catalog->routes = g_new0 (struct az_route, EMULATOR_JOB_KINDS);
-  for (unsigned i = 0; i < EMULATOR_JOB_KINDS; i++)
+  for (unsigned i = 0; i < EMULATOR_JOB_KINDS && scenario->kinds[i].name; i++)
     catalog->routes[catalog->n_routes++] = (struct az_route){
       .name = g_strdup (scenario->kinds[i].name),
       .host = g_strdup ("host"),
@@ -271,9 +271,7 @@
   const struct emu_upstream_observer observer = { emu_answer_waiting_holds, world };
 
   world->holds[index] = g_array_new (FALSE, FALSE, sizeof (struct waiting_hold));
-  world->upstreams[index]
-      = emu_upstream_create (world->events, index, emu_upstream_cores (world->scenario, index),
-                             emu_upstream_speed (world->scenario, index), &observer);
+  world->upstreams[index] = emu_upstream_create (world->events, world->scenario, index, &observer);
 }
 
 static void
@@ -473,7 +471,10 @@
       run_until (&world, end_us);
     }
   for (unsigned i = 0; i < scenario->n_upstreams; i++)
-    world.metrics.result.wasted_core_s += emu_upstream_wasted_core_s (world.upstreams[i]);
+    {
+      world.metrics.result.wasted_core_s += emu_upstream_wasted_core_s (world.upstreams[i]);
+      world.metrics.result.slowed_core_s += emu_upstream_slowed_core_s (world.upstreams[i]);
+    }
   world.metrics.result.n_suspected = (unsigned)az_counters_get (
       world.counters,
       az_counters_register (world.counters, "azurerock_gateway_suspected_queues_total", ""));
--- a/bench/emulator/scenarios.c
+++ b/bench/emulator/scenarios.c
@@ -92,6 +92,19 @@
   return scenario;
 }
 
+struct emulator_scenario
+emulator_interference_scenario (double load, double factor)
+{
+  struct emulator_scenario scenario = emulator_contention_scenario (load);
+
+  scenario.duration_s = 60;
+  scenario.kinds[3] = (struct emulator_job_kind){ "refund", 75, 300, 4, 16, 3, 0.08, 0, 0 };
+  /* The second and third kind have most of the work, so that their tasks often meet. */
+  scenario.interferences[scenario.n_interferences++]
+      = (struct emulator_interference){ 1, 2, factor };
+  return scenario;
+}
+
 struct emulator_scenario
 emulator_uneven_scenario (double load)
 {
--- a/bench/emulator/tally.c
+++ b/bench/emulator/tally.c
@@ -10,7 +10,7 @@
 {
   guint n_windows = (guint)(scenario->duration_s * 1e6 / WINDOW_US) + 2;
 
-  *metrics = (struct emu_metrics){ 0 };
+  *metrics = (struct emu_metrics){ .duration_s = scenario->duration_s };
   metrics->window_offered_value = g_array_sized_new (FALSE, TRUE, sizeof (double), n_windows);
   metrics->window_served_value = g_array_sized_new (FALSE, TRUE, sizeof (double), n_windows);
   g_array_set_size (metrics->window_offered_value, n_windows);
@@ -82,6 +82,22 @@
   return (worst + second) / 2;
 }
 
+/* From the first window of arrivals that begins in the second half on. */
+static double
+second_half_goodput (const struct emu_metrics *metrics)
+{
+  double offered = 0;
+  double served = 0;
+  guint first = (guint)((ARRIVALS_START_US + metrics->duration_s * 1e6 / 2) / WINDOW_US) + 1;
+
+  for (guint i = first; i < metrics->window_offered_value->len; i++)
+    {
+      offered += g_array_index (metrics->window_offered_value, double, i);
+      served += g_array_index (metrics->window_served_value, double, i);
+    }
+  return offered > 0 ? served / offered : 1;
+}
+
 static double
 refusal_factor (const struct emulator_result *result)
 {
@@ -123,6 +139,7 @@
   for (guint i = 0; i < metrics->window_served_value->len; i++)
     goodput += g_array_index (metrics->window_served_value, double, i);
   result->goodput = offered > 0 ? goodput / offered : 1;
+  result->second_half_goodput = second_half_goodput (metrics);
   result->refusal_factor = refusal_factor (result);
   result->worst_window_goodput = mean_of_two_worst_windows (metrics);
   result->mean_refusal_ms = metrics->n_refused ? metrics->refusal_ms_sum / metrics->n_refused : 0;
@@ -157,7 +174,7 @@
   printf ("earned %.3f, worst windows %.3f, wasted %.0f core-s, refused after %.0f ms, %u runs\n",
           result->goodput, result->worst_window_goodput, result->wasted_core_s,
           result->mean_refusal_ms, result->n_runs);
-  for (unsigned i = 0; i < EMULATOR_JOB_KINDS; i++)
+  for (unsigned i = 0; i < EMULATOR_JOB_KINDS && scenario->kinds[i].name; i++)
     {
       const struct emulator_job_counts *row = &result->kinds[i];
 
--- a/bench/emulator/upstream.c
+++ b/bench/emulator/upstream.c
@@ -5,10 +5,8 @@
 {
   char *task;
   uint32_t attempt;
-  double cpu_milli;
-  bool fails;
+  struct emu_work work;
   double remaining_us; /* run time left at speed 1 */
-  double work_us;
   int64_t progress_updated_us;
   int64_t started_us;
   uint64_t generation; /* generation of the valid end event; earlier ones are ignored */
@@ -25,17 +23,20 @@
 struct emu_upstream
 {
   struct emu_events *events;
+  const struct emulator_scenario *scenario;
   unsigned index;
   double capacity_cpu_milli;
   double speed;
   double speed_factor;
   bool is_down;
   struct emu_upstream_observer observer;
-  GHashTable *runs; /* task -> struct run * */
+  GHashTable *runs;       /* task -> struct run * */
+  unsigned running_kinds; /* the set of kinds in @runs; bit n stands for kind n */
   GArray *ended_runs;
   uint64_t n_ends;
   uint64_t generation;
   double wasted_core_s;
+  double slowed_core_s;
 };
 
 static void
@@ -55,17 +56,17 @@
 
 struct emu_upstream *
 emu_upstream_create (struct emu_events *events,
+                     const struct emulator_scenario *scenario,
                      unsigned index,
-                     double cores,
-                     double speed,
                      const struct emu_upstream_observer *observer)
 {
   struct emu_upstream *upstream = g_new0 (struct emu_upstream, 1);
 
   upstream->events = events;
+  upstream->scenario = scenario;
   upstream->index = index;
-  upstream->capacity_cpu_milli = cores * 1000;
-  upstream->speed = speed;
+  upstream->capacity_cpu_milli = emu_upstream_cores (scenario, index) * 1000;
+  upstream->speed = emu_upstream_speed (scenario, index);
   upstream->speed_factor = 1;
   upstream->observer = *observer;
   upstream->runs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_run);
@@ -82,19 +83,22 @@
   g_free (upstream);
 }
 
+static double
+slow_down (const struct emu_upstream *upstream, const struct run *run)
+{
+  return emu_interference_factor (upstream->scenario, run->work.kind, upstream->running_kinds);
+}
+
 static void
-end_run (struct emu_upstream *upstream, struct run *run, enum az_task_end how)
+update_progress (struct emu_upstream *upstream, struct run *run)
 {
-  struct ended_run ended_run = {
-    .number = ++upstream->n_ends, .task = g_strdup (run->task), .attempt = run->attempt, .how = how
-  };
+  int64_t now_us = emu_now_us (upstream->events);
+  double elapsed_us = (double)(now_us - run->progress_updated_us);
+  double factor = slow_down (upstream, run);
 
-  if (how != AZ_TASK_DONE)
-    upstream->wasted_core_s
-        += (double)(emu_now_us (upstream->events) - run->started_us) / 1e6 * run->cpu_milli / 1000;
-  g_array_append_val (upstream->ended_runs, ended_run);
-  g_hash_table_remove (upstream->runs, run->task);
-  upstream->observer.tasks_changed (upstream->observer.context, upstream->index);
+  run->remaining_us -= elapsed_us * upstream->speed * upstream->speed_factor / factor;
+  run->progress_updated_us = now_us;
+  upstream->slowed_core_s += elapsed_us * (1 - 1 / factor) / 1e6 * run->work.cpu_milli / 1000;
 }
 
 struct end_event
@@ -104,44 +108,93 @@
 };
 
 static void
-handle_run_end (void *context, void *data)
-{
-  struct emu_upstream *upstream = context;
-  const struct end_event *event = data;
-  struct run *run = g_hash_table_lookup (upstream->runs, event->task);
-
-  if (run && run->generation == event->generation)
-    end_run (upstream, run, run->fails ? AZ_TASK_FAILED : AZ_TASK_DONE);
-}
-
-static void
-update_progress (const struct emu_upstream *upstream, struct run *run)
-{
-  int64_t now_us = emu_now_us (upstream->events);
-
-  run->remaining_us
-      -= (double)(now_us - run->progress_updated_us) * upstream->speed * upstream->speed_factor;
-  run->progress_updated_us = now_us;
-}
+handle_run_end (void *context, void *data);
 
 static void
 schedule_end (struct emu_upstream *upstream, struct run *run)
 {
   struct end_event *event;
-  double speed_factor = upstream->speed * upstream->speed_factor;
+  double speed = upstream->speed * upstream->speed_factor / slow_down (upstream, run);
 
   run->generation = ++upstream->generation;
-  if (speed_factor <= 0)
+  if (speed <= 0)
     return;
   event = g_new0 (struct end_event, 1);
   event->generation = run->generation;
   g_strlcpy (event->task, run->task, sizeof event->task);
   emu_schedule (upstream->events,
-                emu_now_us (upstream->events)
-                    + (int64_t)(MAX (run->remaining_us, 0) / speed_factor),
+                emu_now_us (upstream->events) + (int64_t)(MAX (run->remaining_us, 0) / speed),
                 handle_run_end, upstream, event);
 }
 
+static unsigned
+list_running_kinds (const struct emu_upstream *upstream)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  unsigned kinds = 0;
+
+  g_hash_table_iter_init (&iterator, upstream->runs);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    kinds |= 1u << ((const struct run *)value)->work.kind;
+  return kinds;
+}
+
+/* Tasks whose slow-down stays the same keep their end events. */
+static void
+set_running_kinds (struct emu_upstream *upstream, unsigned kinds)
+{
+  unsigned previous = upstream->running_kinds;
+  GHashTableIter iterator;
+  gpointer value;
+
+  if (kinds == previous)
+    return;
+  g_hash_table_iter_init (&iterator, upstream->runs);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct run *run = value;
+      unsigned kind = run->work.kind;
+
+      if (emu_interference_factor (upstream->scenario, kind, kinds)
+          == emu_interference_factor (upstream->scenario, kind, previous))
+        continue;
+      upstream->running_kinds = previous;
+      update_progress (upstream, run);
+      upstream->running_kinds = kinds;
+      schedule_end (upstream, run);
+    }
+  upstream->running_kinds = kinds;
+}
+
+static void
+end_run (struct emu_upstream *upstream, struct run *run, enum az_task_end how)
+{
+  struct ended_run ended_run = {
+    .number = ++upstream->n_ends, .task = g_strdup (run->task), .attempt = run->attempt, .how = how
+  };
+
+  if (how != AZ_TASK_DONE)
+    upstream->wasted_core_s += (double)(emu_now_us (upstream->events) - run->started_us) / 1e6
+                               * run->work.cpu_milli / 1000;
+  update_progress (upstream, run);
+  g_array_append_val (upstream->ended_runs, ended_run);
+  g_hash_table_remove (upstream->runs, run->task);
+  set_running_kinds (upstream, list_running_kinds (upstream));
+  upstream->observer.tasks_changed (upstream->observer.context, upstream->index);
+}
+
+static void
+handle_run_end (void *context, void *data)
+{
+  struct emu_upstream *upstream = context;
+  const struct end_event *event = data;
+  struct run *run = g_hash_table_lookup (upstream->runs, event->task);
+
+  if (run && run->generation == event->generation)
+    end_run (upstream, run, run->work.fails ? AZ_TASK_FAILED : AZ_TASK_DONE);
+}
+
 static double
 used_cpu_milli (const struct emu_upstream *upstream)
 {
@@ -151,31 +204,29 @@
 
   g_hash_table_iter_init (&iterator, upstream->runs);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    used += ((const struct run *)value)->cpu_milli;
+    used += ((const struct run *)value)->work.cpu_milli;
   return used;
 }
 
 enum az_upstream_result
 emu_upstream_start (struct emu_upstream *upstream,
                     const struct az_upstream_start *start,
-                    double cpu_milli,
-                    int64_t work_us,
-                    bool fails)
+                    const struct emu_work *work)
 {
   struct run *run;
 
-  if (used_cpu_milli (upstream) + cpu_milli > upstream->capacity_cpu_milli + 1)
+  if (used_cpu_milli (upstream) + work->cpu_milli > upstream->capacity_cpu_milli + 1)
     return AZ_UPSTREAM_NO_ROOM;
   run = g_new0 (struct run, 1);
   run->task = g_strdup (start->task);
   run->attempt = start->attempt;
-  run->cpu_milli = cpu_milli;
-  run->fails = fails;
-  run->work_us = run->remaining_us = (double)work_us;
+  run->work = *work;
+  run->remaining_us = (double)work->work_us;
   /* A failing task ends after a part of its work. */
-  if (fails)
+  if (work->fails)
     run->remaining_us *= 0.3;
   run->started_us = run->progress_updated_us = emu_now_us (upstream->events);
+  set_running_kinds (upstream, upstream->running_kinds | 1u << work->kind);
   g_hash_table_replace (upstream->runs, run->task, run);
   schedule_end (upstream, run);
   return AZ_UPSTREAM_OK;
@@ -218,7 +269,8 @@
       lists->active[lists->n_active++] = (struct az_upstream_active){
         .task = g_strdup (run->task),
         .attempt = run->attempt,
-        .percent = (uint32_t)CLAMP (100 * (1 - run->remaining_us / run->work_us), 0, 99),
+        .percent
+        = (uint32_t)CLAMP (100 * (1 - run->remaining_us / (double)run->work.work_us), 0, 99),
       };
     }
   for (guint i = 0; i < upstream->ended_runs->len; i++)
@@ -257,6 +309,7 @@
   if (!is_down)
     return;
   g_hash_table_remove_all (upstream->runs);
+  upstream->running_kinds = 0;
   g_array_set_size (upstream->ended_runs, 0);
   upstream->n_ends = 0;
 }
@@ -278,3 +331,9 @@
 {
   return upstream->wasted_core_s;
 }
+
+double
+emu_upstream_slowed_core_s (const struct emu_upstream *upstream)
+{
+  return upstream->slowed_core_s;
+}
--- a/bench/emulator/world.h
+++ b/bench/emulator/world.h
@@ -11,6 +11,8 @@
 /* Delay of an answer of an upstream to its sidecar. */
 #define LOCAL_CALL_US 150
 
+#define ARRIVALS_START_US 1500000
+
 /** struct emu_job - a job of the load, with the true run times of its tasks */
 struct emu_job
 {
@@ -50,9 +52,17 @@
 double
 emu_upstream_speed (const struct emulator_scenario *scenario, unsigned upstream);
 
+/* interference.c */
+
+/** emu_interference_factor - how many times slower tasks of @kind progress while tasks of the set
+ * of kinds @running run on the same upstream; bit n stands for kind n */
+double
+emu_interference_factor (const struct emulator_scenario *scenario, unsigned kind, unsigned running);
+
 /* Metrics by windows of arrival time. */
 struct emu_metrics
 {
+  double duration_s;
   struct emulator_result result;
   GArray *window_offered_value;
   GArray *window_served_value;
@@ -99,6 +109,16 @@
 /* Simulated upstreams. */
 struct emu_upstream;
 
+/** struct emu_work - what a task does; @work_us is its run time at speed 1, and a task with @fails
+ * ends as failed */
+struct emu_work
+{
+  unsigned kind;
+  double cpu_milli;
+  int64_t work_us;
+  bool fails;
+};
+
 /** struct emu_upstream_observer - @tasks_changed is called when a task has ended, so that waiting
  * holds are answered */
 struct emu_upstream_observer
@@ -109,20 +129,16 @@
 
 struct emu_upstream *
 emu_upstream_create (struct emu_events *events,
+                     const struct emulator_scenario *scenario,
                      unsigned index,
-                     double cores,
-                     double speed,
                      const struct emu_upstream_observer *observer);
 void
 emu_upstream_destroy (struct emu_upstream *upstream);
 
-/** emu_upstream_start - @work_us is the run time at speed 1; a task with @fails ends as failed */
 enum az_upstream_result
 emu_upstream_start (struct emu_upstream *upstream,
                     const struct az_upstream_start *start,
-                    double cpu_milli,
-                    int64_t work_us,
-                    bool fails);
+                    const struct emu_work *work);
 void
 emu_upstream_stop (struct emu_upstream *upstream, const struct az_upstream_stop *stop);
 
@@ -146,5 +162,7 @@
 emu_upstream_is_running (const struct emu_upstream *upstream, const char *task);
 double
 emu_upstream_wasted_core_s (const struct emu_upstream *upstream);
+double
+emu_upstream_slowed_core_s (const struct emu_upstream *upstream);
 
 #endif
--- a/tests/test_crashing_jobs.c
+++ b/tests/test_crashing_jobs.c
@@ -66,7 +66,7 @@
       struct emulator_result least = emulator_run (&target, seed);
 
       assert_true (result.n_crashes > 3);
-      for (unsigned kind = 0; kind < EMULATOR_JOB_KINDS; kind++)
+      for (unsigned kind = 0; kind < EMULATOR_JOB_KINDS && scenario.kinds[kind].name; kind++)
         if (kind != crashing_kind)
           assert_true (served_share (&result, kind) >= served_share (&least, kind));
     }
