--- a/bench/dispatch_emulator.c
+++ b/bench/dispatch_emulator.c
@@ -6,6 +6,9 @@
 
 #define FAULTS_MAX 5
 
+/* Leaves room to separate the kinds: the jobs ask for 45% of the capacity. */
+#define INTERFERENCE_LOAD 0.7
+
 /* Any other name selects the base scenario. */
 static struct emulator_scenario
 create_deployment_scenario (const char *name, double load)
@@ -65,6 +68,55 @@
   return worst;
 }
 
+static void
+add_interference (struct emulator_result *mean,
+                  const struct emulator_result *result,
+                  unsigned count)
+{
+  mean->goodput += result->goodput / count;
+  mean->second_half_goodput += result->second_half_goodput / count;
+  mean->slowed_core_s += result->slowed_core_s / count;
+}
+
+/* Prints means of the processes and, in brackets, of the ideal queue with the factors and without
+ * them. */
+static void
+run_interference (const char *name,
+                  const struct emulator_scenario *scenario,
+                  unsigned first,
+                  unsigned count)
+{
+  struct emulator_result mean = { 0 };
+  struct emulator_result ideal = { 0 };
+  struct emulator_result unaware = { 0 };
+
+  for (unsigned seed = first; seed < first + count; seed++)
+    {
+      struct emulator_result result = emulator_run (scenario, seed);
+      struct emulator_result aware_result = emulator_run_ideal (scenario, seed);
+      struct emulator_result unaware_result = emulator_run_ideal_unaware (scenario, seed);
+
+      if (count == 1)
+        {
+          emulator_print_result (scenario, &result);
+          emulator_print_result (scenario, &aware_result);
+          emulator_print_result (scenario, &unaware_result);
+        }
+      add_interference (&mean, &result, count);
+      add_interference (&ideal, &aware_result, count);
+      add_interference (&unaware, &unaware_result, count);
+      mean.wasted_core_s += result.wasted_core_s / count;
+      mean.n_overlapping_runs += result.n_overlapping_runs;
+      mean.n_unanswered += result.n_unanswered;
+    }
+  printf ("%-14s earned %.4f (%.4f, %.4f)  second half %.4f (%.4f, %.4f)  lost to interference "
+          "%.0f core-s (%.0f, %.0f)  wasted %.0f core-s  overlapping runs %u  unanswered %u\n",
+          name, mean.goodput, ideal.goodput, unaware.goodput, mean.second_half_goodput,
+          ideal.second_half_goodput, unaware.second_half_goodput, mean.slowed_core_s,
+          ideal.slowed_core_s, unaware.slowed_core_s, mean.wasted_core_s, mean.n_overlapping_runs,
+          mean.n_unanswered);
+}
+
 static void
 run_seeds (const char *name,
            const struct emulator_scenario *scenario,
@@ -176,31 +228,77 @@
       { EMULATOR_BURST, 18, 24, 0, 1, 2.2 } } },
 };
 
+struct interference_row
+{
+  const char *name;
+  double factor;
+};
+
+static const struct interference_row interference_rows[] = {
+  { "control", 1 },
+  { "factor of 1.2", 1.2 },
+  { "factor of 1.5", 1.5 },
+  { "factor of 2.5", 2.5 },
+};
+
 static bool
 has_contention (const char *deployment)
 {
   return !strcmp (deployment, "contention") || !strcmp (deployment, "uneven");
 }
 
+/* Whether the word is among the arguments after the deployment. */
+static bool
+has_word (int argc, char **argv, const char *word)
+{
+  for (int i = 4; i < argc; i++)
+    if (!strcmp (argv[i], word))
+      return true;
+  return false;
+}
+
+static void
+apply_words (struct emulator_scenario *scenario, int argc, char **argv)
+{
+  scenario->refused_callers_return = has_word (argc, argv, "return");
+  scenario->share_demand = scenario->fair_queue_shares = has_word (argc, argv, "shares");
+  scenario->separate_queues = has_word (argc, argv, "separate");
+}
+
+static void
+run_interference_rows (unsigned first, unsigned count, int argc, char **argv)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (interference_rows); i++)
+    {
+      struct emulator_scenario scenario
+          = emulator_interference_scenario (INTERFERENCE_LOAD, interference_rows[i].factor);
+
+      apply_words (&scenario, argc, argv);
+      run_interference (interference_rows[i].name, &scenario, first, count);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   unsigned first = argc > 1 ? (unsigned)atoi (argv[1]) : 1;
   unsigned count = argc > 2 ? (unsigned)atoi (argv[2]) : 5;
   const char *deployment = argc > 3 ? argv[3] : "theatre";
-  bool refused_callers_return = argc > 4 && !strcmp (argv[4], "return");
-  bool divides_cores = argc > 4 && !strcmp (argv[4], "shares");
   const struct row *rows = has_contention (deployment) ? contention_rows : standard_rows;
   size_t n_rows
       = has_contention (deployment) ? G_N_ELEMENTS (contention_rows) : G_N_ELEMENTS (standard_rows);
 
   az_log_init ("dispatch_emulator", LOG_ERR);
+  if (!strcmp (deployment, "interference"))
+    {
+      run_interference_rows (first, count, argc, argv);
+      return 0;
+    }
   for (size_t i = 0; i < n_rows; i++)
     {
       struct emulator_scenario scenario = create_scenario_with_faults (&rows[i], deployment);
 
-      scenario.refused_callers_return = refused_callers_return;
-      scenario.share_demand = scenario.fair_queue_shares = divides_cores;
+      apply_words (&scenario, argc, argv);
       run_seeds (rows[i].name, &scenario, first, count);
     }
   return 0;
--- a/bench/emulator/upstream.c
+++ b/bench/emulator/upstream.c
@@ -84,7 +84,7 @@
 }
 
 static double
-slow_down (const struct emu_upstream *upstream, const struct run *run)
+slow_down_factor (const struct emu_upstream *upstream, const struct run *run)
 {
   return emu_interference_factor (upstream->scenario, run->work.kind, upstream->running_kinds);
 }
@@ -94,7 +94,7 @@
 {
   int64_t now_us = emu_now_us (upstream->events);
   double elapsed_us = (double)(now_us - run->progress_updated_us);
-  double factor = slow_down (upstream, run);
+  double factor = slow_down_factor (upstream, run);
 
   run->remaining_us -= elapsed_us * upstream->speed * upstream->speed_factor / factor;
   run->progress_updated_us = now_us;
@@ -114,7 +114,7 @@
 schedule_end (struct emu_upstream *upstream, struct run *run)
 {
   struct end_event *event;
-  double speed = upstream->speed * upstream->speed_factor / slow_down (upstream, run);
+  double speed = upstream->speed * upstream->speed_factor / slow_down_factor (upstream, run);
 
   run->generation = ++upstream->generation;
   if (speed <= 0)
