Test the loss that separation of queues avoids

With a factor of 1.2 hardly any job is late (goodput 0.9999 of 1.0000), so core time lost to interference is compared at each factor, and goodput where more than 0.004 can be avoided.

The control passes. 72 s.

--- a/tests/test_dispatch_interference.c
+++ b/tests/test_dispatch_interference.c
@@ -2,9 +2,28 @@
 #include "emulator/emulator.h"
 #include "emulator/ideal.h"
 #include "testing.h"
+#include <stdlib.h>
 
 #define LOAD 0.7
 
+/* Separation avoids at least this part of the loss that the ideal queue avoids. */
+#define AVOIDED_SHARE_MIN 0.5
+
+/* Where no kinds interfere, goodput may fall by this. */
+#define CONTROL_LOSS_MAX 0.002
+
+/* Goodput of runs that differ only in chance differs by up to this. */
+#define GOODPUT_SPREAD 0.004
+
+/* The environment variable SEEDS sets the number of seeds for runs that are longer than in CI. */
+static unsigned
+n_seeds (void)
+{
+  const char *text = getenv ("SEEDS");
+
+  return text ? (unsigned)atoi (text) : 1;
+}
+
 /* An upstream whose task ends are recorded. */
 struct rig
 {
@@ -271,6 +290,83 @@
   assert_unaffected (&scenario, 3, 2.5);
 }
 
+static struct emulator_result
+run_separated (const struct emulator_scenario *scenario, unsigned seed)
+{
+  struct emulator_scenario separated = *scenario;
+  struct emulator_result result;
+
+  separated.separate_queues = true;
+  result = emulator_run (&separated, seed);
+  assert_int_equal (result.n_overlapping_runs, 0);
+  assert_int_equal (result.n_unanswered, 0);
+  return result;
+}
+
+/* Guards against separation that avoids too little of the loss. Goodput can't tell that if tasks
+ * are slower but hardly any job late; the core time lost to interference can. */
+static void
+assert_loss_is_avoided (double factor)
+{
+  struct emulator_scenario scenario = emulator_interference_scenario (LOAD, factor);
+
+  for (unsigned seed = 1; seed <= n_seeds (); seed++)
+    {
+      struct emulator_result together = emulator_run (&scenario, seed);
+      struct emulator_result apart = run_separated (&scenario, seed);
+      struct emulator_result ideal = emulator_run_ideal (&scenario, seed);
+      double avoidable = ideal.goodput - together.goodput;
+
+      print_message ("factor %.1f seed %u: goodput %.4f together, %.4f apart (second half %.4f), "
+                     "ideal %.4f; lost %.0f, %.0f, ideal %.0f core-s\n",
+                     factor, seed, together.goodput, apart.goodput, apart.second_half_goodput,
+                     ideal.goodput, together.slowed_core_s, apart.slowed_core_s,
+                     ideal.slowed_core_s);
+      assert_true (apart.goodput >= together.goodput - GOODPUT_SPREAD);
+      if (avoidable > GOODPUT_SPREAD)
+        assert_true (apart.goodput - together.goodput >= AVOIDED_SHARE_MIN * avoidable);
+      assert_true (together.slowed_core_s - apart.slowed_core_s
+                   >= AVOIDED_SHARE_MIN * (together.slowed_core_s - ideal.slowed_core_s));
+    }
+}
+
+static void
+test_separation_with_small_factor (void **state)
+{
+  (void)state;
+  assert_loss_is_avoided (1.2);
+}
+
+static void
+test_separation_with_medium_factor (void **state)
+{
+  (void)state;
+  assert_loss_is_avoided (1.5);
+}
+
+static void
+test_separation_with_large_factor (void **state)
+{
+  (void)state;
+  assert_loss_is_avoided (2.5);
+}
+
+/* Guards against kinds that are separated although they don't interfere, at a cost. */
+static void
+test_separation_costs_nothing_in_control (void **state)
+{
+  struct emulator_scenario scenario = emulator_interference_scenario (LOAD, 1);
+
+  (void)state;
+  for (unsigned seed = 1; seed <= n_seeds (); seed++)
+    {
+      struct emulator_result together = emulator_run (&scenario, seed);
+      struct emulator_result apart = run_separated (&scenario, seed);
+
+      assert_true (apart.goodput >= together.goodput - CONTROL_LOSS_MAX);
+    }
+}
+
 int
 main (void)
 {
@@ -281,6 +377,10 @@
     cmocka_unit_test (test_ideal_loss),
     cmocka_unit_test (test_ideal_avoids_loss),
     cmocka_unit_test (test_control_is_unaffected),
+    cmocka_unit_test (test_separation_with_small_factor),
+    cmocka_unit_test (test_separation_with_medium_factor),
+    cmocka_unit_test (test_separation_with_large_factor),
+    cmocka_unit_test (test_separation_costs_nothing_in_control),
   };
 
   az_log_init ("test", LOG_ERR);
