Let sidecars report which queues slow each other down

A sidecar with report_interference observes what ran beside each task that was done, and sends its evidence to each gateway every 5 s while it changes. A message has at most 1,000 bytes. Without the setting nothing is observed or sent.

test_sidecar_interference covers the effect, the interval, the size of the message and a new incarnation.

--- a/src/dispatch/interference.c
+++ b/src/dispatch/interference.c
@@ -207,9 +207,10 @@
   for (unsigned kind = 0; kind < AZ_MAX_KINDS; kind++)
     if (interference->ids[kind] > 0)
       n += list_effects_on (interference, kind, now_us, all + n);
+  if (n == 0)
+    return 0;
   qsort (all, n, sizeof all[0], compare_weight);
   n = MIN (n, n_max);
-  if (n > 0)
-    memcpy (effects, all, n * sizeof all[0]);
+  memcpy (effects, all, n * sizeof all[0]);
   return n;
 }
--- a/src/sidecar/core.c
+++ b/src/sidecar/core.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "sidecar/interference.h"
 #include "sidecar/state.h"
 
 /* First step by which the fence is raised if a former process of this sidecar used a higher one,
@@ -51,6 +52,7 @@
   az_speed_init (&sidecar->life.speed);
   sidecar->hold.in_flight = g_array_new (FALSE, FALSE, sizeof (struct sent_hold));
   sidecar->now_us = az_now_us (clock);
+  az_sidecar_open_interference (sidecar);
   sidecar->sessions = g_hash_table_new_full (NULL, NULL, NULL, free_session);
   sidecar->tasks = az_table_rows_create (sizeof (struct task *));
   sidecar->task_names = g_hash_table_new (g_str_hash, g_str_equal);
@@ -69,6 +71,7 @@
     return;
   while ((handle = az_table_rows_next (sidecar->tasks, 0)))
     az_sidecar_end_task (sidecar, handle, AZ_TASK_LOST);
+  az_sidecar_close_interference (sidecar);
   g_hash_table_unref (sidecar->sessions);
   g_hash_table_unref (sidecar->task_names);
   g_array_unref (sidecar->hold.in_flight);
@@ -91,6 +94,7 @@
   az_sidecar_record_overdue_stop (sidecar);
   az_sidecar_probe_candidate (sidecar);
   az_sidecar_send_due_holds (sidecar);
+  az_sidecar_send_interference (sidecar);
 }
 
 void
--- a/src/sidecar/state.h
+++ b/src/sidecar/state.h
@@ -5,6 +5,7 @@
 #include "azurerock/resources.h"
 #include "azurerock/sidecar.h"
 #include "azurerock/table.h"
+#include "dispatch/kind_overlap.h"
 #include "dispatch/speed.h"
 #include "dispatch/time_us.h"
 #include "sidecar/lease.h"
@@ -78,6 +79,7 @@
   uint32_t percent;
   int64_t percent_changed_us;
   int64_t progress_reported_us;
+  struct az_overlap_mark *overlap_mark; /* NULL unless report_interference is set */
 };
 
 /**
@@ -101,8 +103,9 @@
   uint32_t reported_description;
   struct az_resources reported_capacity;
   uint32_t reported_free_milli;
-  GArray *events;   /* struct az_task_event */
-  GArray *progress; /* struct az_task_progress */
+  uint64_t reported_interference; /* revision of the evidence that was last sent; 0: none */
+  GArray *events;                 /* struct az_task_event */
+  GArray *progress;               /* struct az_task_progress */
 };
 
 /**
@@ -233,6 +236,7 @@
   struct hold_state hold;
   struct withdrawal withdrawal;
   struct offer offer;
+  struct az_sidecar_interference *interference; /* NULL unless report_interference is set */
   struct az_resources used;
   uint64_t fence;
   uint64_t fence_step;
--- a/src/sidecar/tasks.c
+++ b/src/sidecar/tasks.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "sidecar/interference.h"
 #include "sidecar/state.h"
 #include <string.h>
 
@@ -109,6 +110,7 @@
   task->specification = g_bytes_ref (specification);
   session->n_tasks++;
   az_resources_add (&sidecar->used, &run->need);
+  az_sidecar_observe_start (sidecar, task);
   az_counters_add (sidecar->counters, sidecar->starts_counter, 1);
   send_start (sidecar, handle);
 }
@@ -292,6 +294,7 @@
   if (how == AZ_TASK_LOST && task->has_upstream_crashed)
     how = AZ_TASK_CRASHED;
   event.how = how;
+  az_sidecar_observe_end (sidecar, task, how);
   record_end (sidecar, task, how);
   if (how == AZ_TASK_DONE)
     az_histogram_observe (&sidecar->run_times_ms, event.run_ms);
--- a/src/sidecar/upstream_incarnation.c
+++ b/src/sidecar/upstream_incarnation.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "sidecar/interference.h"
 #include "sidecar/state.h"
 #include <string.h>
 
@@ -157,6 +158,7 @@
   if (replacement == RESTARTED)
     life->former_started_ms = former_started_ms;
   az_speed_init (&life->speed);
+  az_sidecar_reset_interference (sidecar);
   sidecar->lease.is_known = false;
   g_array_set_size (sidecar->hold.in_flight, 0);
   sidecar->hold = (struct hold_state){ .number = sidecar->hold.number + 1,
--- a/tests/sidecar_rig.c
+++ b/tests/sidecar_rig.c
@@ -32,6 +32,23 @@
              sizeof rig->reported_label);
 }
 
+static void
+record_interference (struct sidecar_rig *rig, uint32_t session, const struct az_message *message)
+{
+  const struct az_node_interference *body = &message->az_message_u.node_interference;
+  g_autoptr (GByteArray) bytes = g_byte_array_new ();
+
+  az_message_encode (message, 1, bytes, NULL);
+  rig->n_interference[session]++;
+  rig->interference_bytes = bytes->len;
+  rig->interference_life = body->life;
+  for (u_int i = 0; i < body->kinds.kinds_len; i++)
+    g_strlcpy (rig->interference_kinds[i], body->kinds.kinds_val[i], AZ_MAX_NAME + 1);
+  rig->n_interference_rows = body->rows.rows_len;
+  memcpy (rig->interference_rows, body->rows.rows_val,
+          body->rows.rows_len * sizeof rig->interference_rows[0]);
+}
+
 static void
 record_message (void *context, uint32_t session, const struct az_message *message)
 {
@@ -49,6 +66,8 @@
     }
   if (message->proc == AZ_NODE_UPSTREAM)
     record_upstream (rig, session, &message->az_message_u.node_upstream);
+  if (message->proc == AZ_NODE_INTERFERENCE)
+    record_interference (rig, session, message);
   if (message->proc != AZ_NODE_REPORT)
     return;
   rig->n_reports[session]++;
@@ -119,16 +138,17 @@
   g_free (((struct sidecar_request *)data)->name);
 }
 
-struct sidecar_rig *
-sidecar_rig_create_bare (void)
+static struct sidecar_rig *
+create_bare (bool report_interference)
 {
-  static const struct az_sidecar_settings settings = {
+  const struct az_sidecar_settings settings = {
     .instance = "s1",
     .domain = "d1",
     .lease_ms = AZ_TASK_LEASE_MS,
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .stop_ms = 50,
     .withdrawals_max_age_ms = 2500,
+    .report_interference = report_interference,
   };
   struct sidecar_rig *rig = g_new0 (struct sidecar_rig, 1);
   const struct az_sidecar_io io
@@ -138,6 +158,7 @@
   rig->wall_ms = 1700000000000;
   rig->capacity_milli = CAPACITY_MILLI;
   rig->service = "service";
+  rig->queue = "fast";
   rig->domain = "d1";
   rig->clock_ms = -1;
   rig->need = (struct az_resources){ .cpu_milli = 4000, .memory_mb = 64 };
@@ -153,9 +174,15 @@
 }
 
 struct sidecar_rig *
-sidecar_rig_create (void)
+sidecar_rig_create_bare (void)
 {
-  struct sidecar_rig *rig = sidecar_rig_create_bare ();
+  return create_bare (false);
+}
+
+static struct sidecar_rig *
+create_open (bool report_interference)
+{
+  struct sidecar_rig *rig = create_bare (report_interference);
 
   sidecar_rig_open_session (rig, 1, "g1");
   sidecar_rig_open_session (rig, 2, "g2");
@@ -165,6 +192,18 @@
   return rig;
 }
 
+struct sidecar_rig *
+sidecar_rig_create (void)
+{
+  return create_open (false);
+}
+
+struct sidecar_rig *
+sidecar_rig_create_reporting_interference (void)
+{
+  return create_open (true);
+}
+
 void
 sidecar_rig_destroy (struct sidecar_rig *rig)
 {
@@ -286,7 +325,7 @@
   message.az_message_u.node_run = (struct az_node_run){
     .clock_ms = (uint64_t)(rig->now_ms - rig->request_age_ms),
     .job = job,
-    .queue = (char *)"fast",
+    .queue = (char *)rig->queue,
     .job_id = job_id,
     .name = (char *)"job.0.0",
     .specification = { 4, (char *)"spec" },
--- a/tests/sidecar_rig.h
+++ b/tests/sidecar_rig.h
@@ -50,9 +50,16 @@
   char crashed_job_id[AZ_MAX_JOB_ID + 1]; /* from the last NODE_CRASH, like crashed_queue */
   char crashed_queue[AZ_MAX_NAME + 1];
   uint32_t crashed_index;
-  bool hides_withdrawals;   /* opened sessions don't send NODE_WITHDRAWN */
-  struct az_resources need; /* of the tasks that gateways request to run */
-  int64_t request_age_ms;   /* delay of the run requests of gateways */
+  bool hides_withdrawals;     /* opened sessions don't send NODE_WITHDRAWN */
+  struct az_resources need;   /* of the tasks that gateways request to run */
+  int64_t request_age_ms;     /* delay of the run requests of gateways */
+  const char *queue;          /* of the tasks that gateways request to run */
+  unsigned n_interference[4]; /* number of NODE_INTERFERENCE messages to each session */
+  guint interference_bytes;   /* length of the last of them, like the fields that follow */
+  uint64_t interference_life;
+  char interference_kinds[AZ_MAX_KINDS][AZ_MAX_NAME + 1];
+  unsigned n_interference_rows;
+  struct az_interference_row interference_rows[AZ_MAX_KINDS * AZ_MAX_KINDS];
 };
 
 /** sidecar_rig_create - creates a core with sessions 1 and 2 of gateways "g1" and "g2", and an open
@@ -60,6 +67,11 @@
 struct sidecar_rig *
 sidecar_rig_create (void);
 
+/** sidecar_rig_create_reporting_interference - creates the same as sidecar_rig_create() with the
+ * setting report_interference */
+struct sidecar_rig *
+sidecar_rig_create_reporting_interference (void);
+
 /** sidecar_rig_create_bare - creates a core without sessions and upstream */
 struct sidecar_rig *
 sidecar_rig_create_bare (void);
