Separate interfering queues in gateways

A gateway adds up the evidence of the upstreams of a service and decides for each pair of queues whether it interferes. With separate_queues, interfering queues get contiguous parts of the upstreams in the order of a hash of their names, in proportion to their demand. An upstream of another part costs what the task would take longer there, so a full part is no limit.

--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -1,4 +1,6 @@
 #include "gateway/crashes.h"
+#include "gateway/interference.h"
+#include "gateway/separation.h"
 #include "gateway/state.h"
 
 static const struct az_ejection_policy ejection_policy
@@ -20,6 +22,7 @@
 {
   struct upstream *upstream = value;
 
+  az_gateway_forget_interference (upstream);
   g_free (upstream->instance);
   g_free (upstream->domain);
   g_free (upstream->service);
@@ -116,6 +119,8 @@
   az_gateway_open_cancels (gateway);
   az_ejector_set_policy (gateway->ejector, &ejection_policy);
   register_counters (gateway);
+  az_gateway_open_interference (gateway);
+  az_gateway_open_separation (gateway);
   return gateway;
 }
 
@@ -137,6 +142,8 @@
   g_hash_table_unref (gateway->cancelled);
   g_hash_table_unref (gateway->sessions);
   g_ptr_array_unref (gateway->upstreams);
+  az_gateway_close_interference (gateway);
+  az_gateway_close_separation (gateway);
   g_hash_table_unref (gateway->members);
   g_hash_table_unref (gateway->jobs);
   g_hash_table_unref (gateway->job_ids);
@@ -163,6 +170,8 @@
   az_gateway_connect_members (gateway);
   az_gateway_choose_working_set (gateway);
   az_gateway_update_isolation (gateway);
+  az_gateway_update_interference (gateway);
+  az_gateway_update_separation (gateway);
   az_gateway_relay_withdrawn (gateway);
   az_gateway_request_updates (gateway);
   az_gateway_send_heartbeats (gateway);
--- a/src/gateway/isolation.c
+++ b/src/gateway/isolation.c
@@ -1,9 +1,9 @@
 #include "azurerock/log.h"
 #include "gateway/crashes.h"
 #include "gateway/state.h"
+#include "gateway/upstream_order.h"
 #include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 /* Part of the upstreams of a service that is isolated while one of its queues is suspected. If the
  * suspected queues have more of the work than the other part could bear, the parts are exchanged.
@@ -52,39 +52,6 @@
          || az_gateway_is_suspected (gateway, queue) == (pool == AZ_POOL_ISOLATED);
 }
 
-static uint64_t
-rank (const struct upstream *upstream)
-{
-  return XXH3_64bits (upstream->instance, strlen (upstream->instance));
-}
-
-static gint
-compare_rank (gconstpointer left, gconstpointer right)
-{
-  uint64_t a = rank (*(const struct upstream *const *)left);
-  uint64_t b = rank (*(const struct upstream *const *)right);
-
-  return a < b ? -1 : a > b;
-}
-
-/* A sidecar keeps its session while its upstream is down. Without one the whole instance may be
- * gone for good. */
-static GPtrArray *
-list_upstreams (const struct az_gateway *gateway, const char *service)
-{
-  GPtrArray *list = g_ptr_array_new ();
-
-  for (guint i = 0; i < gateway->upstreams->len; i++)
-    {
-      struct upstream *upstream = gateway->upstreams->pdata[i];
-
-      if (upstream->session && !strcmp (upstream->service, service)
-          && !az_gateway_is_withdrawn (gateway, upstream->domain))
-        g_ptr_array_add (list, upstream);
-    }
-  return list;
-}
-
 static double
 isolated_share (const struct az_gateway *gateway, const char *service)
 {
@@ -110,17 +77,15 @@
   return suspected > (1 - ISOLATED_SHARE) * all ? 1 - ISOLATED_SHARE : ISOLATED_SHARE;
 }
 
-/* All gateways choose the same upstreams, by a hash of their names. Closed ones count too:
- * otherwise the choice would move through all upstreams as the isolated ones crash. */
+/* All gateways choose the same upstreams. */
 static void
 isolate_upstreams (struct az_gateway *gateway, const char *service)
 {
-  g_autoptr (GPtrArray) list = list_upstreams (gateway, service);
+  g_autoptr (GPtrArray) list = az_gateway_order_upstreams (gateway, service);
   guint n_isolated = MAX ((guint)round (list->len * isolated_share (gateway, service)), 1);
 
   if (list->len < 2)
     return;
-  g_ptr_array_sort (list, compare_rank);
   for (guint i = 0; i < n_isolated; i++)
     ((struct upstream *)list->pdata[i])->is_isolated = true;
 }
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -1,6 +1,7 @@
 #include "azurerock/log.h"
 #include "dispatch/speed.h"
 #include "gateway/capacity.h"
+#include "gateway/separation.h"
 #include "gateway/state.h"
 #include <string.h>
 
@@ -87,8 +88,8 @@
          && gateway->now_us - upstream->last_probed_us >= wait_ms * AZ_US_PER_MS;
 }
 
-/* The cost consists of the run time, the distance and a small term that grows with the load, so
- * that tasks spread over the upstreams. */
+/* The cost consists of the run time, what interfering queues add to it, the distance and a small
+ * term that grows with the load, so that tasks spread over the upstreams. */
 static int64_t
 placement_cost_us (const struct az_gateway *gateway,
                    const struct job *job,
@@ -103,6 +104,7 @@
    * than speed. */
   if (slack_us > run_us / 4)
     result = 0;
+  result += az_gateway_separation_cost_us (job->queue, upstream, run_us);
   if (strcmp (upstream->domain, gateway->settings.domain) != 0)
     result += gateway->settings.cross_domain_cost_ms * AZ_US_PER_MS;
   if (!upstream->in_working_set)
@@ -232,6 +234,7 @@
   upstream->n_tasks++;
   upstream->used_cpu_milli += need->cpu_milli;
   az_resources_subtract (&upstream->free, need);
+  az_gateway_count_separated (gateway, job->queue, upstream);
 }
 
 /* Sends the newly assigned tasks of the step on one upstream in one message. */
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -2,6 +2,7 @@
 #include "dispatch/session_times.h"
 #include "gateway/capacity.h"
 #include "gateway/crashes.h"
+#include "gateway/interference.h"
 #include "gateway/moves.h"
 #include "gateway/state.h"
 #include <string.h>
@@ -101,6 +102,7 @@
     {
       upstream->life = 0;
       upstream->is_described = false;
+      az_gateway_forget_interference (upstream);
     }
   upstream->sidecar = hello->incarnation;
   upstream->in_working_set = true;
@@ -186,6 +188,11 @@
       if (upstream)
         handle_report (gateway, session, upstream, &message->az_message_u.node_report);
       break;
+    case AZ_NODE_INTERFERENCE:
+      if (upstream)
+        az_gateway_handle_interference (gateway, upstream,
+                                        &message->az_message_u.node_interference);
+      break;
     default:
       break;
     }
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -8,6 +8,7 @@
 #include "azurerock/table.h"
 #include "dispatch/crash_record.h"
 #include "dispatch/crash_suspicion.h"
+#include "dispatch/division.h"
 #include "dispatch/move_decision.h"
 #include "dispatch/retry_after.h"
 #include "dispatch/run_estimate.h"
@@ -76,6 +77,8 @@
  * @n_done: tasks of all gateways that were done in this incarnation, as last reported
  * @n_failed: tasks of all gateways that failed in this incarnation, as last reported
  * @n_probes: probes since the upstream was last in regular use
+ * @evidence: what its sidecar has reported of interference in this incarnation; NULL if nothing
+ * @part: part of the interfering queues that it belongs to, 0 if none
  */
 struct upstream
 {
@@ -107,6 +110,8 @@
   uint32_t n_failed;
   uint32_t n_probes;
   int64_t last_probed_us;
+  struct az_upstream_evidence *evidence;
+  unsigned part;
 };
 
 enum task_state
@@ -200,6 +205,10 @@
  * struct queue - statistics of the jobs of one route
  * @run_estimate: what the estimates of its callers have meant
  * @run_ratio: run times relative to the expected ones; recorded only with tail_aware_moves
+ * @part: part of the upstreams on which its tasks run apart from those of the queues that interfere
+ *   with it, 0 if none
+ * @part_losses: by how much longer its tasks take on upstreams of each part, as a part of their run
+ *   time
  */
 struct queue
 {
@@ -211,6 +220,8 @@
   struct az_traffic traffic;
   struct az_traffic starts; /* counts run messages as jobs */
   struct az_retry_after retry_after;
+  unsigned part;
+  double part_losses[AZ_PARTS_MAX + 1];
 };
 
 /** struct withdrawals - withdrawn failure domains; @confirmed_us is when the list was last known to
@@ -263,6 +274,8 @@
   struct az_crash_record *crash_record;
   GHashTable *suspicions; /* service -> struct az_crash_suspicion *, added with its first crash */
   int64_t down_us;
+  struct az_gateway_interference *interference;
+  struct az_gateway_separation *separation;
   struct az_catalog *catalog;
   uint64_t catalog_revision;
   GBytes *catalog_text;
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "gateway/crashes.h"
+#include "gateway/interference.h"
 #include "gateway/state.h"
 #include <string.h>
 
@@ -48,6 +49,7 @@
   upstream->speed = 1;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
+  az_gateway_forget_interference (upstream);
   az_ejector_remove (gateway->ejector, upstream->handle);
   az_ejector_add (gateway->ejector, upstream->handle);
 }
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -141,6 +141,7 @@
     .share_demand = features->share_demand,
     .fair_queue_shares = features->fair_queue_shares,
     .tail_aware_moves = features->tail_aware_moves,
+    .separate_queues = features->separate_queues,
   };
   struct gateway_rig *rig = g_new0 (struct gateway_rig, 1);
   const struct az_gateway_io io = { on_send, on_close, on_connect, on_answer, on_cancelled, rig };
@@ -195,6 +196,12 @@
   return create_rig (n_upstreams, &(struct az_gateway_settings){ .fair_queue_shares = true });
 }
 
+struct gateway_rig *
+gateway_rig_create_separating (unsigned n_upstreams)
+{
+  return create_rig (n_upstreams, &(struct az_gateway_settings){ .separate_queues = true });
+}
+
 void
 gateway_rig_destroy (struct gateway_rig *rig)
 {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -77,6 +77,10 @@
 /** gateway_rig_create_dividing_by_queue - creates the same with the setting fair_queue_shares */
 struct gateway_rig *
 gateway_rig_create_dividing_by_queue (unsigned n_upstreams);
+
+/** gateway_rig_create_separating - creates the same with the setting separate_queues */
+struct gateway_rig *
+gateway_rig_create_separating (unsigned n_upstreams);
 void
 gateway_rig_destroy (struct gateway_rig *rig);
 
--- /dev/null
+++ b/tests/test_gateway_interference.c
@@ -0,0 +1,387 @@
+#include "gateway_rig.h"
+#include "testing.h"
+#include <math.h>
+#include <string.h>
+
+#define UPSTREAMS 10
+#define TASKS_PER_UPSTREAM 8
+
+#define PAIRS "azurerock_gateway_interfering_pairs"
+#define APART "azurerock_gateway_placed_apart_total"
+#define TOGETHER "azurerock_gateway_placed_together_total"
+#define MALFORMED "azurerock_gateway_interference_malformed_total"
+
+static void
+send_rows (struct gateway_rig *rig,
+           uint32_t session,
+           uint64_t life,
+           const struct az_interference_row *rows,
+           u_int n_rows)
+{
+  struct az_message message = { .proc = AZ_NODE_INTERFERENCE };
+  az_name kinds[] = { (char *)"fast", (char *)"big" };
+
+  message.az_message_u.node_interference = (struct az_node_interference){
+    .life = life,
+    .kinds = { G_N_ELEMENTS (kinds), kinds },
+    .rows = { n_rows, (struct az_interference_row *)rows },
+  };
+  az_gateway_received (rig->core, session, &message);
+}
+
+/* "fast" takes @factor times as long beside "big". */
+static void
+send_evidence (struct gateway_rig *rig, uint32_t session, double factor, uint32_t weight_milli)
+{
+  const struct az_interference_row row = { .slowed = 0,
+                                           .beside = 1,
+                                           .weight_milli = weight_milli,
+                                           .effect_milli = (int)lround (1000 * log (factor)) };
+
+  send_rows (rig, session, 1, &row, 1);
+}
+
+static void
+send_evidence_of_all (struct gateway_rig *rig, double factor)
+{
+  for (uint32_t session = 1; session <= UPSTREAMS; session++)
+    send_evidence (rig, session, factor, 20000);
+}
+
+/* Sessions on which tasks of the route run, as bits. */
+static uint32_t
+run_tasks (struct gateway_rig *rig, const char *route, uint32_t n_tasks)
+{
+  guint first = rig->runs->len;
+  uint32_t sessions = 0;
+
+  gateway_rig_submit (rig, 1000 + first, route, n_tasks);
+  for (guint i = first; i < rig->runs->len; i++)
+    sessions |= 1u << gateway_rig_get_run (rig, i)->session;
+  return sessions;
+}
+
+static void
+end_runs (struct gateway_rig *rig, guint first)
+{
+  for (guint i = first; i < rig->runs->len; i++)
+    gateway_rig_end_run (rig, i, AZ_TASK_DONE, 100);
+}
+
+static void
+make_demand (struct gateway_rig *rig, unsigned fast, unsigned big)
+{
+  for (unsigned i = 0; i < 10; i++)
+    {
+      guint first = rig->runs->len;
+
+      run_tasks (rig, "fast", fast);
+      run_tasks (rig, "big", big);
+      end_runs (rig, first);
+      gateway_rig_advance (rig, 200, 0);
+    }
+}
+
+static unsigned
+count_bits (uint32_t bits)
+{
+  return (unsigned)__builtin_popcount (bits);
+}
+
+/* Guards against queues that run together although there is room to separate them, and against a
+ * division that isn't in proportion to the demand. */
+static void
+test_interfering_queues_are_separated (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+  uint32_t fast;
+  uint32_t big;
+
+  (void)state;
+  make_demand (rig, 3, 7);
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  fast = run_tasks (rig, "fast", 3 * TASKS_PER_UPSTREAM);
+  big = run_tasks (rig, "big", 7 * TASKS_PER_UPSTREAM);
+  assert_int_equal (fast & big, 0);
+  assert_int_equal (count_bits (fast), 3);
+  assert_int_equal (count_bits (big), 7);
+  assert_int_equal (gateway_rig_read_counter (rig, APART), 10 * TASKS_PER_UPSTREAM);
+  assert_int_equal (gateway_rig_read_counter (rig, TOGETHER), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a queue that starves or waits because its part is full. */
+static void
+test_full_part_is_no_limit (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  make_demand (rig, 5, 5);
+  send_evidence_of_all (rig, 2.5);
+  gateway_rig_advance (rig, 1100, 0);
+  run_tasks (rig, "fast", 9 * TASKS_PER_UPSTREAM);
+  assert_int_equal (gateway_rig_read_counter (rig, APART), 5 * TASKS_PER_UPSTREAM);
+  assert_int_equal (gateway_rig_read_counter (rig, TOGETHER), 4 * TASKS_PER_UPSTREAM);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a change of placement by a gateway without the setting. */
+static void
+test_nothing_is_separated_without_the_setting (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (UPSTREAMS);
+  struct gateway_rig *other = gateway_rig_create (UPSTREAMS);
+
+  (void)state;
+  make_demand (rig, 3, 7);
+  make_demand (other, 3, 7);
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  gateway_rig_advance (other, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  assert_int_equal (run_tasks (rig, "fast", 13), run_tasks (other, "fast", 13));
+  assert_int_equal (run_tasks (rig, "big", 13), run_tasks (other, "big", 13));
+  assert_int_equal (gateway_rig_read_counter (rig, APART), 0);
+  gateway_rig_destroy (rig);
+  gateway_rig_destroy (other);
+}
+
+/* Guards against a decision by the evidence of one upstream that the others don't confirm, and
+ * against one that needs all upstreams. */
+static void
+test_evidence_adds_up (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  send_evidence (rig, 1, 1.5, 8000);
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  send_evidence (rig, 2, 1.5, 8000);
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against evidence that is counted twice because a message comes again. */
+static void
+test_message_replaces_the_former_one (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  for (unsigned i = 0; i < 10; i++)
+    send_evidence (rig, 1, 1.5, 8000);
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against evidence of a lost session that counts for ever, or not at all. */
+static void
+test_lost_evidence_counts_for_a_while (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  for (uint32_t session = 1; session <= UPSTREAMS; session++)
+    az_gateway_session_closed (rig->core, session, "test");
+  gateway_rig_advance (rig, 25000, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  gateway_rig_advance (rig, 8000, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against evidence of an earlier incarnation, whenever it arrives. */
+static void
+test_earlier_incarnation_does_not_count (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  for (uint32_t session = 1; session <= UPSTREAMS; session++)
+    {
+      send_evidence (rig, session, 1.5, 20000);
+      gateway_rig_begin_life (rig, session, 2);
+      send_evidence (rig, session, 1.5, 20000);
+    }
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  assert_int_equal (gateway_rig_read_counter (rig, MALFORMED), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a process that ends or decides by a message that makes no sense. */
+static void
+test_malformed_messages_are_counted (void **state)
+{
+  static const struct az_interference_row malformed[][2] = {
+    { { 2, 0, 1000, 100 }, { 0, 1, 1000, 100 } },
+    { { 0, 2, 1000, 100 }, { 0, 1, 1000, 100 } },
+    { { 1, 1, 1000, 100 }, { 0, 1, 1000, 100 } },
+    { { 0, 1, 1000, 100 }, { 0, 1, 1000, 100 } },
+    { { 0, 1, 1000, INT32_MAX }, { 1, 0, 1000, 100 } },
+    { { 0, 1, 1000, INT32_MIN }, { 1, 0, 1, 1 } },
+    { { UINT32_MAX, 0, 1, 1 }, { 1, 0, 1, 1 } },
+  };
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    send_rows (rig, 1, 1, malformed[i], 2);
+  assert_int_equal (gateway_rig_read_counter (rig, MALFORMED), G_N_ELEMENTS (malformed));
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Upstreams of the parts, by the names of their instances: bit i for "s<i>". */
+static uint32_t
+find_part_of_fast (struct gateway_rig *rig, const uint32_t *names)
+{
+  uint32_t sessions = run_tasks (rig, "fast", 4 * TASKS_PER_UPSTREAM);
+  uint32_t part = 0;
+
+  for (uint32_t session = 1; session <= UPSTREAMS; session++)
+    if (sessions & (1u << session))
+      part |= 1u << names[session];
+  return part;
+}
+
+/* Opens the upstreams "s1" to "s10", that of session i with the name names[i]. */
+static struct gateway_rig *
+create_separated (uint32_t *names, uint32_t offset, uint32_t n_upstreams)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (0);
+
+  for (uint32_t session = 1; session <= n_upstreams; session++)
+    {
+      g_autofree char *instance = NULL;
+
+      names[session] = (session + offset) % UPSTREAMS + 1;
+      instance = g_strdup_printf ("s%u", names[session]);
+      gateway_rig_open_upstream (rig, session, instance, "d1", true);
+    }
+  make_demand (rig, 4, 6);
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  return rig;
+}
+
+/* Guards against gateways that separate the same queues in different ways, so that each undoes the
+ * work of the other. */
+static void
+test_gateways_agree (void **state)
+{
+  uint32_t names[2][UPSTREAMS + 1];
+  struct gateway_rig *first = create_separated (names[0], 0, UPSTREAMS);
+  struct gateway_rig *second = create_separated (names[1], 7, UPSTREAMS);
+  uint32_t part = find_part_of_fast (first, names[0]);
+
+  (void)state;
+  assert_int_equal (count_bits (part), 4);
+  assert_int_equal (find_part_of_fast (second, names[1]), part);
+  gateway_rig_destroy (first);
+  gateway_rig_destroy (second);
+}
+
+/* Guards against a division that is made anew when an upstream leaves. */
+static void
+test_few_upstreams_change_when_one_leaves (void **state)
+{
+  (void)state;
+  for (uint32_t leaving = 1; leaving <= UPSTREAMS; leaving++)
+    {
+      uint32_t names[UPSTREAMS + 1];
+      struct gateway_rig *rig = create_separated (names, 0, UPSTREAMS);
+      guint first = rig->runs->len;
+      uint32_t before = find_part_of_fast (rig, names);
+      uint32_t after;
+
+      end_runs (rig, first);
+      az_gateway_session_closed (rig->core, leaving, "test");
+      gateway_rig_advance (rig, 5100, 1u << leaving);
+      after = find_part_of_fast (rig, names);
+      assert_true (count_bits ((before ^ after) & ~(1u << names[leaving])) <= 1);
+      gateway_rig_destroy (rig);
+    }
+}
+
+/* Guards against a division that outlives the interference. */
+static void
+test_separation_ends (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+  guint first;
+
+  (void)state;
+  make_demand (rig, 5, 5);
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  send_evidence_of_all (rig, 1.0);
+  gateway_rig_advance (rig, 5000, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  gateway_rig_advance (rig, 12000, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  first = rig->runs->len;
+  run_tasks (rig, "fast", 4);
+  end_runs (rig, first);
+  assert_int_equal (gateway_rig_read_counter (rig, APART), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a separation that mixes isolated queues with others. */
+static void
+test_isolated_part_stays (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+  uint32_t before;
+
+  (void)state;
+  make_demand (rig, 2, 8);
+  for (uint32_t session = 1; session <= 6; session++)
+    {
+      struct az_message message = { .proc = AZ_NODE_CRASH };
+
+      message.az_message_u.node_crash
+          = (struct az_node_crash){ .queue = (char *)"fast", .job_id = (char *)"" };
+      az_gateway_received (rig->core, session, &message);
+      gateway_rig_advance (rig, 300, 0);
+    }
+  assert_int_equal (gateway_rig_read_counter (rig, "azurerock_gateway_suspected_queues_total"), 1);
+  before = run_tasks (rig, "big", 5 * TASKS_PER_UPSTREAM);
+  end_runs (rig, rig->runs->len - 5 * TASKS_PER_UPSTREAM);
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  assert_int_equal (run_tasks (rig, "fast", 8) & before, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, TOGETHER), 0);
+  gateway_rig_destroy (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_interfering_queues_are_separated),
+    cmocka_unit_test (test_full_part_is_no_limit),
+    cmocka_unit_test (test_nothing_is_separated_without_the_setting),
+    cmocka_unit_test (test_evidence_adds_up),
+    cmocka_unit_test (test_message_replaces_the_former_one),
+    cmocka_unit_test (test_lost_evidence_counts_for_a_while),
+    cmocka_unit_test (test_earlier_incarnation_does_not_count),
+    cmocka_unit_test (test_malformed_messages_are_counted),
+    cmocka_unit_test (test_gateways_agree),
+    cmocka_unit_test (test_few_upstreams_change_when_one_leaves),
+    cmocka_unit_test (test_separation_ends),
+    cmocka_unit_test (test_isolated_part_stays),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
