Spread the interference reports of sidecars over time

Sidecars that started together reported at the same time, and the first report, with hardly any evidence, delayed the next one by 5 s. Each sidecar now has its own phase.

test_sidecar_interference and test_interference pass.

--- a/src/dispatch/interference.c
+++ b/src/dispatch/interference.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* A job is recorded when none of its tasks has ended for this time. */
-#define JOB_WAIT_US 2000000
+#define JOB_WAIT_US 1000000
 
 /* Tens of jobs end on an upstream within JOB_WAIT_US. */
 #define JOBS_MAX 128
--- a/src/sidecar/interference.c
+++ b/src/sidecar/interference.c
@@ -5,9 +5,6 @@
 
 #define SEND_INTERVAL_MS 5000
 
-/* While there is no evidence yet, whether there is some is checked this often. */
-#define CHECK_INTERVAL_MS 500
-
 /* A message costs a session at most 200 bytes a second. */
 #define MESSAGE_BYTES_MAX (SEND_INTERVAL_MS / 1000 * 200)
 
@@ -24,6 +21,14 @@
   int64_t next_send_us;
 };
 
+/* Sidecars that start together send at different times, so that gateways get evidence continually.
+ */
+static int64_t
+first_send_ms (uint64_t incarnation)
+{
+  return (int64_t)((incarnation * 0x9e3779b97f4a7c15u >> 32) % SEND_INTERVAL_MS);
+}
+
 void
 az_sidecar_open_interference (struct az_sidecar *sidecar)
 {
@@ -31,6 +36,8 @@
     return;
   sidecar->interference = g_new0 (struct az_sidecar_interference, 1);
   sidecar->interference->estimate = az_interference_create ();
+  sidecar->interference->next_send_us
+      = sidecar->now_us + first_send_ms (sidecar->incarnation) * AZ_US_PER_MS;
 }
 
 void
@@ -143,8 +150,7 @@
   };
 }
 
-/* Returns whether there is evidence. */
-static bool
+static void
 send_evidence (struct az_sidecar *sidecar)
 {
   struct az_sidecar_interference *interference = sidecar->interference;
@@ -168,17 +174,15 @@
     rows[i] = make_row (&effects[i]);
   if (body->rows.rows_len > 0)
     send_to_sessions (sidecar, &message, az_interference_revision (interference->estimate));
-  return body->rows.rows_len > 0;
 }
 
 void
 az_sidecar_send_interference (struct az_sidecar *sidecar)
 {
   struct az_sidecar_interference *interference = sidecar->interference;
-  int64_t interval_ms;
 
   if (!interference || sidecar->now_us < interference->next_send_us)
     return;
-  interval_ms = send_evidence (sidecar) ? SEND_INTERVAL_MS : CHECK_INTERVAL_MS;
-  interference->next_send_us = sidecar->now_us + interval_ms * AZ_US_PER_MS;
+  interference->next_send_us = sidecar->now_us + SEND_INTERVAL_MS * AZ_US_PER_MS;
+  send_evidence (sidecar);
 }
--- a/tests/test_sidecar_interference.c
+++ b/tests/test_sidecar_interference.c
@@ -19,6 +19,7 @@
 
   sidecar_rig_send_pulse (rig, 1);
   sidecar_rig_send_pulse (rig, 2);
+  sidecar_rig_send_pulse (rig, 3);
   if (is_beside)
     start (rig, "other", 2 * round, 1);
   start (rig, "fast", 2 * round + 1, 0);
