Compare run times with the last tasks of the same queue only

The speed that a sidecar reports is the mean of all queues, so where tasks that aren't affected ran, those that were slowed down seemed slower still, and a queue that was merely present counted as interfering. An observation is now compared with the dozen before it of the same queue and load, which follows the speed of the upstream as well.

--- a/src/dispatch/effect_moments.c
+++ b/src/dispatch/effect_moments.c
@@ -5,7 +5,10 @@
 
 #define HALF_LIFE_S 60.0
 
-/* The level that observations are compared with follows drifts of the upstream within this time. */
+/* The level that an observation is compared with is the mean of about this many before it, so that
+ * it follows the speed of the upstream. The speed in reports isn't used for this: it is the mean of
+ * all kinds, so that where unaffected tasks run, those that are slowed down seem slower still. */
+#define LEVEL_OBSERVATIONS 12.0
 #define LEVEL_HALF_LIFE_S 10.0
 
 /* Largest factor for which a single ratio counts, so that long tasks don't decide. */
@@ -89,7 +92,7 @@
   for (unsigned i = 0; i < AZ_EFFECTS_MAX; i++)
     dx[i] = x[i] - level->x[i];
   add_products (moments, dx, dy, level->weight / (level->weight + 1));
-  level->weight++;
+  level->weight = MIN (level->weight + 1, LEVEL_OBSERVATIONS);
   level->y += dy / level->weight;
   for (unsigned i = 0; i < AZ_EFFECTS_MAX; i++)
     level->x[i] += dx[i] / level->weight;
--- a/src/dispatch/effect_moments.h
+++ b/src/dispatch/effect_moments.h
@@ -21,8 +21,9 @@
 /**
  * struct az_effect_moments - decayed sums of a linear regression of y on several x
  *
- * Only observations of the same stratum are compared, and only with those of the last seconds, so
- * that what changes slowly has no influence. A zeroed structure knows nothing.
+ * Only observations of the same stratum are compared, and only with the dozen before them, so that
+ * what changes slowly, as the speed of an upstream, has no influence. A zeroed structure knows
+ * nothing.
  *
  * @n: number of comparisons that the sums contain
  */
--- a/src/dispatch/interference.h
+++ b/src/dispatch/interference.h
@@ -35,7 +35,8 @@
  * az_interference_record - adds a task that was done
  * @job: the tasks of one job share the error of their estimate, so those that end within a
  * second of each other count as one observation, which is their mean
- * @log_ratio: logarithm of the run time divided by the one expected at the upstream's speed
+ * @log_ratio: logarithm of the run time divided by the expected one; it is compared with the
+ *   last tasks of the kind on this upstream, that is, at the speed that it has
  */
 void
 az_interference_record (struct az_interference *interference,
--- a/src/sidecar/interference.c
+++ b/src/sidecar/interference.c
@@ -93,7 +93,6 @@
 {
   struct az_sidecar_interference *interference = sidecar->interference;
   struct az_overlap overlap;
-  double expected_us;
 
   if (!interference || !task->overlap_mark)
     return;
@@ -101,11 +100,9 @@
                sidecar->used.cpu_milli - MIN (task->need.cpu_milli, sidecar->used.cpu_milli));
   if (az_kind_overlap_end (&interference->overlap, task->overlap_mark, sidecar->now_us, &overlap)
       && is_comparable (sidecar, task, how))
-    {
-      expected_us = (double)task->expected_us / sidecar->life.speed.value;
-      az_interference_record (interference->estimate, az_sidecar_job_key (task), &overlap,
-                              log ((double)overlap.run_us / expected_us), sidecar->now_us);
-    }
+    az_interference_record (interference->estimate, az_sidecar_job_key (task), &overlap,
+                            log ((double)overlap.run_us / (double)task->expected_us),
+                            sidecar->now_us);
   g_clear_pointer (&task->overlap_mark, g_free);
 }
 
--- a/src/sidecar/interference.h
+++ b/src/sidecar/interference.h
@@ -22,8 +22,7 @@
 void
 az_sidecar_observe_start (struct az_sidecar *sidecar, struct task *task);
 
-/** az_sidecar_observe_end - call before a task is taken off those that use the upstream, and before
- * the speed is updated from it */
+/** az_sidecar_observe_end - call before a task is taken off those that use the upstream */
 void
 az_sidecar_observe_end (struct az_sidecar *sidecar, struct task *task, enum az_task_end how);
 
