Divide the separation of queues into a plan and the division

src/gateway/separation.c had two tasks; which queues need different parts is now in separation_plan.c. Tasks without a queue name aren't observed, since a gateway takes an empty name for a malformed message.

test_gateway_interference, test_sidecar_interference and test_gateway pass.

--- a/src/gateway/separation.c
+++ b/src/gateway/separation.c
@@ -1,8 +1,7 @@
 #include "gateway/separation.h"
 #include "azurerock/log.h"
-#include "gateway/capacity.h"
-#include "gateway/crashes.h"
 #include "gateway/interference.h"
+#include "gateway/separation_plan.h"
 #include "gateway/upstream_order.h"
 #include <string.h>
 
@@ -16,20 +15,6 @@
  * change, so that it differs little between gateways. */
 #define APPROACH 0.25
 
-/* Interfering queues of a service that are considered. */
-#define KINDS_MAX 32
-
-/* Queues of one service that interfere, in the order of their names. */
-struct plan
-{
-  const char *service;
-  unsigned n;
-  const char *kinds[KINDS_MAX];
-  bool interferes[KINDS_MAX * KINDS_MAX];
-  double factors[KINDS_MAX * KINDS_MAX];
-  unsigned parts[KINDS_MAX];
-};
-
 /**
  * struct division - parts of the upstreams of one pool of a service
  * @round: when it was last needed
@@ -83,12 +68,6 @@
   g_free (gateway->separation);
 }
 
-static gint
-compare_names (gconstpointer left, gconstpointer right)
-{
-  return strcmp (*(const char *const *)left, *(const char *const *)right);
-}
-
 static void
 add_name (GPtrArray *names, char *name)
 {
@@ -96,88 +75,6 @@
     g_ptr_array_add (names, name);
 }
 
-/* Returns KINDS_MAX if the queue interferes with none. */
-static unsigned
-find_kind (const struct plan *plan, const char *name)
-{
-  for (unsigned i = 0; i < plan->n; i++)
-    if (!strcmp (plan->kinds[i], name))
-      return i;
-  return KINDS_MAX;
-}
-
-/* Whichever of two kinds slows the other one, both have to run apart. */
-static void
-add_pair (struct plan *plan, const struct az_interfering_pair *pair)
-{
-  unsigned a = find_kind (plan, pair->slowed);
-  unsigned b = find_kind (plan, pair->beside);
-  double factor;
-
-  if (a == KINDS_MAX || b == KINDS_MAX)
-    return;
-  factor = MAX (plan->factors[a * plan->n + b], pair->decision.factor);
-  plan->factors[a * plan->n + b] = plan->factors[b * plan->n + a] = factor;
-  plan->interferes[a * plan->n + b] = plan->interferes[b * plan->n + a] = true;
-}
-
-static void
-make_plan (struct plan *plan, const char *service, const GPtrArray *pairs)
-{
-  g_autoptr (GPtrArray) names = g_ptr_array_new ();
-
-  *plan = (struct plan){ .service = service };
-  for (guint i = 0; i < pairs->len; i++)
-    {
-      const struct az_interfering_pair *pair = pairs->pdata[i];
-
-      if (strcmp (pair->service, service) != 0)
-        continue;
-      add_name (names, pair->slowed);
-      add_name (names, pair->beside);
-    }
-  g_ptr_array_sort (names, compare_names);
-  plan->n = MIN (names->len, KINDS_MAX);
-  for (unsigned i = 0; i < plan->n; i++)
-    plan->kinds[i] = names->pdata[i];
-  for (guint i = 0; i < pairs->len; i++)
-    if (!strcmp (((const struct az_interfering_pair *)pairs->pdata[i])->service, service))
-      add_pair (plan, pairs->pdata[i]);
-  az_division_assign_parts (plan->interferes, plan->n, plan->parts);
-}
-
-static bool
-runs_in_pool (const struct az_gateway *gateway, const char *name, enum az_pool pool)
-{
-  const struct queue *queue = g_hash_table_lookup (gateway->queues, name);
-
-  return queue ? az_gateway_is_queue_in_pool (gateway, queue, pool) : pool != AZ_POOL_ISOLATED;
-}
-
-/* Numbers the parts that have a kind in the pool. Kinds outside the pool get part 0.
- *
- * Return: number of parts. */
-static unsigned
-number_parts (const struct az_gateway *gateway,
-              const struct plan *plan,
-              enum az_pool pool,
-              unsigned numbers[KINDS_MAX])
-{
-  unsigned new_numbers[AZ_PARTS_MAX + 1] = { 0 };
-  bool is_used[AZ_PARTS_MAX + 1] = { false };
-  unsigned n_parts = 0;
-
-  for (unsigned i = 0; i < plan->n; i++)
-    if (runs_in_pool (gateway, plan->kinds[i], pool))
-      is_used[plan->parts[i]] = true;
-  for (unsigned part = 1; part <= AZ_PARTS_MAX; part++)
-    if (is_used[part])
-      new_numbers[part] = ++n_parts;
-  for (unsigned i = 0; i < plan->n; i++)
-    numbers[i] = runs_in_pool (gateway, plan->kinds[i], pool) ? new_numbers[plan->parts[i]] : 0;
-  return n_parts;
-}
-
 static GPtrArray *
 list_pool (const struct az_gateway *gateway, const char *service, enum az_pool pool)
 {
@@ -192,8 +89,8 @@
 /* Each part gets at least one of @n_upstreams. Without any demand, the parts are equal. */
 static void
 measure_targets (const struct az_gateway *gateway,
-                 const struct plan *plan,
-                 const unsigned numbers[KINDS_MAX],
+                 const struct az_separation_plan *plan,
+                 const unsigned numbers[AZ_PLAN_QUEUES_MAX],
                  unsigned n_parts,
                  guint n_upstreams,
                  double targets[AZ_PARTS_MAX])
@@ -203,7 +100,7 @@
 
   for (unsigned i = 0; i < plan->n; i++)
     {
-      const struct queue *queue = g_hash_table_lookup (gateway->queues, plan->kinds[i]);
+      const struct queue *queue = g_hash_table_lookup (gateway->queues, plan->queues[i]);
 
       if (queue && numbers[i] > 0)
         targets[numbers[i] - 1] += az_gateway_queue_rates (gateway, queue).offered_cores;
@@ -259,12 +156,12 @@
 
 static void
 set_queue_parts (const struct az_gateway *gateway,
-                 const struct plan *plan,
-                 const unsigned numbers[KINDS_MAX])
+                 const struct az_separation_plan *plan,
+                 const unsigned numbers[AZ_PLAN_QUEUES_MAX])
 {
   for (unsigned i = 0; i < plan->n; i++)
     {
-      struct queue *queue = g_hash_table_lookup (gateway->queues, plan->kinds[i]);
+      struct queue *queue = g_hash_table_lookup (gateway->queues, plan->queues[i]);
 
       if (!queue || numbers[i] == 0)
         continue;
@@ -280,8 +177,8 @@
 }
 
 static char *
-describe_division (const struct plan *plan,
-                   const unsigned numbers[KINDS_MAX],
+describe_division (const struct az_separation_plan *plan,
+                   const unsigned numbers[AZ_PLAN_QUEUES_MAX],
                    unsigned n_parts,
                    const GPtrArray *upstreams)
 {
@@ -295,7 +192,7 @@
   g_string_append (text, " queues=");
   for (unsigned i = 0; i < plan->n; i++)
     if (numbers[i] > 0)
-      g_string_append_printf (text, "%s:%u,", plan->kinds[i], numbers[i]);
+      g_string_append_printf (text, "%s:%u,", plan->queues[i], numbers[i]);
   g_string_truncate (text, text->len - 1);
   return g_string_free (text, FALSE);
 }
@@ -331,13 +228,13 @@
 }
 
 static void
-divide_pool (struct az_gateway *gateway, const struct plan *plan, enum az_pool pool)
+divide_pool (struct az_gateway *gateway, const struct az_separation_plan *plan, enum az_pool pool)
 {
   g_autoptr (GPtrArray) upstreams = list_pool (gateway, plan->service, pool);
   g_autofree char *description = NULL;
   double targets[AZ_PARTS_MAX] = { 0 };
-  unsigned numbers[KINDS_MAX];
-  unsigned n_parts = number_parts (gateway, plan, pool, numbers);
+  unsigned numbers[AZ_PLAN_QUEUES_MAX];
+  unsigned n_parts = az_separation_plan_number_parts (gateway, plan, pool, numbers);
   struct division *division;
 
   if (n_parts < 2 || upstreams->len < n_parts)
@@ -368,9 +265,9 @@
 static void
 divide_service (struct az_gateway *gateway, const char *service, const GPtrArray *pairs)
 {
-  struct plan plan;
+  struct az_separation_plan plan;
 
-  make_plan (&plan, service, pairs);
+  az_separation_plan_make (&plan, service, pairs);
   if (!has_isolated (gateway, service))
     {
       divide_pool (gateway, &plan, AZ_POOL_ANY);
--- a/src/sidecar/interference.c
+++ b/src/sidecar/interference.c
@@ -73,7 +73,7 @@
 {
   struct az_sidecar_interference *interference = sidecar->interference;
 
-  if (!interference)
+  if (!interference || !task->queue[0])
     return;
   task->overlap_mark = g_new (struct az_overlap_mark, 1);
   update_load (sidecar, sidecar->used.cpu_milli);
