Drop the evidence of a replaced queue before it is sent

The message takes the names from the overlap table, but the estimate learned of a new queue only when the next task ended. From the start of a task of a ninth queue until then, the evidence of the replaced queue was sent under the name of the new one. The estimate now gets the present kinds before it is listed.

test_new_queue_has_no_evidence_of_the_former_one failed before and passes.

--- a/src/dispatch/interference.c
+++ b/src/dispatch/interference.c
@@ -106,9 +106,8 @@
     }
 }
 
-/* A place that another kind has taken keeps nothing of the former one. */
-static void
-update_kinds (struct az_interference *interference, const uint32_t ids[AZ_MAX_KINDS])
+void
+az_interference_set_kinds (struct az_interference *interference, const uint32_t ids[AZ_MAX_KINDS])
 {
   for (unsigned i = 0; i < AZ_MAX_KINDS; i++)
     {
@@ -149,7 +148,7 @@
 {
   struct job *job;
 
-  update_kinds (interference, overlap->ids);
+  az_interference_set_kinds (interference, overlap->ids);
   finish_due_jobs (interference, now_us);
   job = get_or_add_job (interference, job_key, overlap->kind, now_us);
   job->n_tasks++;
--- a/src/dispatch/interference.h
+++ b/src/dispatch/interference.h
@@ -45,6 +45,13 @@
                         double log_ratio,
                         int64_t now_us);
 
+/**
+ * az_interference_set_kinds - drops the evidence of places that another kind has taken
+ * @ids: the kind in each place; 0 if the place is free
+ */
+void
+az_interference_set_kinds (struct az_interference *interference, const uint32_t ids[AZ_MAX_KINDS]);
+
 /** az_interference_revision - changes when evidence is added */
 uint64_t
 az_interference_revision (const struct az_interference *interference);
--- a/src/sidecar/interference.c
+++ b/src/sidecar/interference.c
@@ -156,9 +156,15 @@
   struct az_interference_effect effects[ROWS_MAX];
   struct az_interference_row rows[ROWS_MAX];
   az_name kinds[AZ_MAX_KINDS];
+  uint32_t ids[AZ_MAX_KINDS];
 
   for (unsigned i = 0; i < AZ_MAX_KINDS; i++)
-    kinds[i] = interference->overlap.kinds[i].name;
+    {
+      kinds[i] = interference->overlap.kinds[i].name;
+      ids[i] = interference->overlap.kinds[i].id;
+    }
+  /* A queue that has taken the place of another one may have no task that has ended. */
+  az_interference_set_kinds (interference->estimate, ids);
   body->life = sidecar->life.number;
   body->kinds.kinds_val = kinds;
   body->kinds.kinds_len = AZ_MAX_KINDS;
--- a/tests/test_sidecar_interference.c
+++ b/tests/test_sidecar_interference.c
@@ -156,6 +156,41 @@
   sidecar_rig_destroy (rig);
 }
 
+/* Guards against evidence of a queue that is sent under the name of the one that has taken its place,
+ * before a task of that has ended. */
+static void
+test_new_queue_has_no_evidence_of_the_former_one (void **state)
+{
+  struct sidecar_rig *rig = sidecar_rig_create_reporting_interference ();
+
+  (void)state;
+  run_rounds (rig, 100, 100, 150);
+  rig->need.cpu_milli = 1000;
+  sidecar_rig_send_pulse (rig, 1);
+  for (uint32_t i = 0; i < AZ_MAX_KINDS - 1; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("new%u", i);
+
+      start (rig, name, 1000 + i, i);
+    }
+  sidecar_rig_open_session (rig, 3, "g3");
+  for (unsigned second = 0; second < 6; second++)
+    {
+      sidecar_rig_send_pulse (rig, 1);
+      sidecar_rig_send_pulse (rig, 3);
+      sidecar_rig_advance_answering_holds (rig, 1000, "");
+    }
+  assert_true (rig->n_interference[1] > 0);
+  for (unsigned i = 0; i < rig->n_interference_rows; i++)
+    {
+      const struct az_interference_row *row = &rig->interference_rows[i];
+
+      assert_false (g_str_has_prefix (rig->interference_kinds[row->slowed], "new"));
+      assert_false (g_str_has_prefix (rig->interference_kinds[row->beside], "new"));
+    }
+  sidecar_rig_destroy (rig);
+}
+
 /* Guards against a session that costs more than 200 bytes a second with many long names. */
 static void
 test_message_is_bounded (void **state)
@@ -197,6 +232,7 @@
     cmocka_unit_test (test_messages_are_sent_every_five_seconds),
     cmocka_unit_test (test_unchanged_evidence_is_not_sent),
     cmocka_unit_test (test_next_incarnation_has_no_evidence),
+    cmocka_unit_test (test_new_queue_has_no_evidence_of_the_former_one),
     cmocka_unit_test (test_message_is_bounded),
   };
 
