Test guards of the evidence at the gateway that no test covered

test_isolated_part_stays passed without the filter of pools: with one interfering queue outside the isolated ones, nothing was divided. It now has two, and checks the parts of all upstreams. New tests guard the check of names, the decay of evidence, and its end at a new incarnation of the sidecar. Each of them was seen to fail with its guard removed.

--- a/tests/test_gateway_interference.c
+++ b/tests/test_gateway_interference.c
@@ -1,3 +1,4 @@
+#include "gateway/interference.h"
 #include "gateway_rig.h"
 #include "testing.h"
 #include <math.h>
@@ -12,23 +13,63 @@
 #define MALFORMED "azurerock_gateway_interference_malformed_total"
 
 static void
-send_rows (struct gateway_rig *rig,
-           uint32_t session,
-           uint64_t life,
-           const struct az_interference_row *rows,
-           u_int n_rows)
+send_rows_of_kinds (struct gateway_rig *rig,
+                    uint32_t session,
+                    uint64_t life,
+                    const char *const kinds[3],
+                    const struct az_interference_row *rows,
+                    u_int n_rows)
 {
   struct az_message message = { .proc = AZ_NODE_INTERFERENCE };
-  az_name kinds[] = { (char *)"fast", (char *)"big" };
 
   message.az_message_u.node_interference = (struct az_node_interference){
     .life = life,
-    .kinds = { G_N_ELEMENTS (kinds), kinds },
+    .kinds = { kinds[2] ? 3 : 2, (az_name *)kinds },
     .rows = { n_rows, (struct az_interference_row *)rows },
   };
   az_gateway_received (rig->core, session, &message);
 }
 
+static void
+send_rows (struct gateway_rig *rig,
+           uint32_t session,
+           uint64_t life,
+           const struct az_interference_row *rows,
+           u_int n_rows)
+{
+  static const char *const kinds[3] = { "fast", "big" };
+
+  send_rows_of_kinds (rig, session, life, kinds, rows, n_rows);
+}
+
+/* Each of "fast", "big" and "third" interferes with the others. */
+static void
+send_evidence_of_three (struct gateway_rig *rig, uint32_t n_sessions)
+{
+  static const char *const kinds[3] = { "fast", "big", "third" };
+  static const struct az_interference_row rows[]
+      = { { 0, 1, 20000, 405 }, { 1, 2, 20000, 405 }, { 2, 0, 20000, 405 } };
+
+  for (uint32_t session = 1; session <= n_sessions; session++)
+    send_rows_of_kinds (rig, session, 1, kinds, rows, G_N_ELEMENTS (rows));
+}
+
+/* Number of isolated or other upstreams in the part. */
+static unsigned
+count_in_part (const struct gateway_rig *rig, unsigned part, bool is_isolated)
+{
+  const GPtrArray *upstreams = rig->core->upstreams;
+  unsigned n = 0;
+
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      const struct upstream *upstream = upstreams->pdata[i];
+
+      n += upstream->part == part && upstream->is_isolated == is_isolated;
+    }
+  return n;
+}
+
 /* "fast" takes @factor times as long beside "big". */
 static void
 send_evidence (struct gateway_rig *rig, uint32_t session, double factor, uint32_t weight_milli)
@@ -222,10 +263,8 @@
 test_malformed_messages_are_counted (void **state)
 {
   static const struct az_interference_row malformed[][2] = {
-    { { 2, 0, 1000, 100 }, { 0, 1, 1000, 100 } },
-    { { 0, 2, 1000, 100 }, { 0, 1, 1000, 100 } },
-    { { 1, 1, 1000, 100 }, { 0, 1, 1000, 100 } },
-    { { 0, 1, 1000, 100 }, { 0, 1, 1000, 100 } },
+    { { 2, 0, 1000, 100 }, { 0, 1, 1000, 100 } }, { { 0, 2, 1000, 100 }, { 0, 1, 1000, 100 } },
+    { { 1, 1, 1000, 100 }, { 0, 1, 1000, 100 } }, { { 0, 1, 1000, 100 }, { 0, 1, 1000, 100 } },
     { { 0, 1, 1000, INT32_MAX }, { 1, 0, 1000, 100 } },
     { { 0, 1, 1000, INT32_MIN }, { 1, 0, 1, 1 } },
     { { UINT32_MAX, 0, 1, 1 }, { 1, 0, 1, 1 } },
@@ -241,6 +280,65 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against names that can't be told apart, or that no queue has. */
+static void
+test_malformed_names_are_counted (void **state)
+{
+  static const char *const malformed[][3]
+      = { { "fast", "fast" }, { "fast", "" }, { "", "big" }, { "fast", "big", "fast" } };
+  const struct az_interference_row row = { 0, 1, 100000, 405 };
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    send_rows_of_kinds (rig, 1, 1, malformed[i], &row, 1);
+  assert_int_equal (gateway_rig_read_counter (rig, MALFORMED), G_N_ELEMENTS (malformed));
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a sidecar that sent evidence once and nothing since, as its upstream is idle. */
+static void
+test_evidence_decays (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (1);
+  g_autoptr (GPtrArray) pairs = NULL;
+  const struct az_interfering_pair *pair;
+
+  (void)state;
+  send_evidence (rig, 1, 1.5, 14000);
+  gateway_rig_advance (rig, 60000, 0);
+  pairs = az_gateway_list_interfering (rig->core);
+  assert_int_equal (pairs->len, 1);
+  pair = pairs->pdata[0];
+  assert_true (fabs (pair->sum.weight - 7) < 0.1);
+  gateway_rig_advance (rig, 180000, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against evidence of a former sidecar that counts until the new one describes its upstream.
+ */
+static void
+test_new_sidecar_has_no_evidence (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (1);
+  struct az_message message = { .proc = AZ_NODE_HELLO };
+
+  (void)state;
+  send_evidence (rig, 1, 1.5, 20000);
+  message.az_message_u.node_hello = (struct az_node_hello){ .incarnation = rig->incarnation[1] + 1,
+                                                            .instance = (char *)"s1",
+                                                            .domain = (char *)"d1",
+                                                            .address = (char *)"" };
+  az_gateway_session_opened (rig->core, 2, NULL);
+  az_gateway_received (rig->core, 2, &message);
+  gateway_rig_advance (rig, 1100, 1u << 1);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
 /* Upstreams of the parts, by the names of their instances: bit i for "s<i>". */
 static uint32_t
 find_part_of_fast (struct gateway_rig *rig, const uint32_t *names)
@@ -336,11 +434,13 @@
   gateway_rig_destroy (rig);
 }
 
-/* Guards against a separation that mixes isolated queues with others. */
+/* Guards against a separation that mixes isolated queues with others, or that gives regular queues
+ * a part of the isolated upstreams. */
 static void
 test_isolated_part_stays (void **state)
 {
   struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+  unsigned n_isolated;
   uint32_t before;
 
   (void)state;
@@ -357,9 +457,14 @@
   assert_int_equal (gateway_rig_read_counter (rig, "azurerock_gateway_suspected_queues_total"), 1);
   before = run_tasks (rig, "big", 5 * TASKS_PER_UPSTREAM);
   end_runs (rig, rig->runs->len - 5 * TASKS_PER_UPSTREAM);
-  send_evidence_of_all (rig, 1.5);
+  send_evidence_of_three (rig, UPSTREAMS);
   gateway_rig_advance (rig, 1100, 0);
-  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 3);
+  n_isolated = count_in_part (rig, 0, true);
+  assert_in_range (n_isolated, 1, UPSTREAMS / 2);
+  assert_int_equal (count_in_part (rig, 0, false), 0);
+  assert_int_equal (count_in_part (rig, 1, false) + count_in_part (rig, 2, false),
+                    UPSTREAMS - n_isolated);
   assert_int_equal (run_tasks (rig, "fast", 8) & before, 0);
   assert_int_equal (gateway_rig_read_counter (rig, TOGETHER), 0);
   gateway_rig_destroy (rig);
@@ -377,6 +482,9 @@
     cmocka_unit_test (test_lost_evidence_counts_for_a_while),
     cmocka_unit_test (test_earlier_incarnation_does_not_count),
     cmocka_unit_test (test_malformed_messages_are_counted),
+    cmocka_unit_test (test_malformed_names_are_counted),
+    cmocka_unit_test (test_evidence_decays),
+    cmocka_unit_test (test_new_sidecar_has_no_evidence),
     cmocka_unit_test (test_gateways_agree),
     cmocka_unit_test (test_few_upstreams_change_when_one_leaves),
     cmocka_unit_test (test_separation_ends),
