Clamp large effects instead of dropping the message

An effect is a slope per unit of overlap, so that with brief overlaps it can exceed what a single ratio can; the comment in the gateway said that it can't. A message with an effect beyond 10 was dropped as malformed with all its rows. Sidecars now send at most the effect of a factor of 4, which can't be told from a larger one, and gateways clamp to it as well.

test_malformed_messages_are_counted had two messages whose only fault was such an effect. They moved to test_large_effects_are_bounded, which checks the factor that the gateway takes.

--- a/src/dispatch/effect_moments.c
+++ b/src/dispatch/effect_moments.c
@@ -11,9 +11,6 @@
 #define LEVEL_OBSERVATIONS 12.0
 #define LEVEL_HALF_LIFE_S 10.0
 
-/* Largest factor for which a single ratio counts, so that long tasks don't decide. */
-#define RATIO_MAX 4.0
-
 /* Added to each sum of squares. Where two kinds are always present together, their effects can't be
  * told apart; this keeps the equations solvable and such effects small and of little weight. */
 #define RIDGE 0.02
@@ -49,7 +46,7 @@
 static double
 clamp_ratio (double logarithm)
 {
-  return CLAMP (logarithm, -log (RATIO_MAX), log (RATIO_MAX));
+  return CLAMP (logarithm, -log (AZ_EFFECT_RATIO_MAX), log (AZ_EFFECT_RATIO_MAX));
 }
 
 /* An observation adds the square of its distance from the level, less the part that comes from the
--- a/src/dispatch/effect_moments.h
+++ b/src/dispatch/effect_moments.h
@@ -10,6 +10,9 @@
  * has the standard error AZ_EFFECT_SPREAD / sqrt (w), whatever the spread of the observations. */
 #define AZ_EFFECT_SPREAD 0.5
 
+/** Largest factor for which a single ratio counts, so that long tasks don't decide. */
+#define AZ_EFFECT_RATIO_MAX 4.0
+
 /** struct az_effect_level - decayed mean of the recent observations of a stratum */
 struct az_effect_level
 {
--- a/src/gateway/interference.c
+++ b/src/gateway/interference.c
@@ -1,5 +1,6 @@
 #include "gateway/interference.h"
 #include "azurerock/log.h"
+#include "dispatch/effect_moments.h"
 #include <math.h>
 #include <string.h>
 
@@ -15,9 +16,6 @@
 /* Bounds the memory if sidecars report ever new names. */
 #define PAIRS_MAX 4096
 
-/* A single ratio counts at most as a factor of 4 either way, so no mean can be beyond this. */
-#define EFFECT_MAX_MILLI 10000
-
 struct row
 {
   struct az_interfering_pair *pair;
@@ -100,8 +98,7 @@
       uint64_t bit;
 
       if (row->slowed >= message->kinds.kinds_len || row->beside >= message->kinds.kinds_len
-          || row->slowed == row->beside || row->effect_milli > EFFECT_MAX_MILLI
-          || row->effect_milli < -EFFECT_MAX_MILLI)
+          || row->slowed == row->beside)
         return false;
       bit = (uint64_t)1 << (row->slowed * AZ_MAX_KINDS + row->beside);
       if (seen & bit)
@@ -111,6 +108,14 @@
   return true;
 }
 
+/* An effect is a slope per unit of overlap, so that an estimate can be beyond the factor at which
+ * single ratios are limited. */
+static double
+bounded_effect (int effect_milli)
+{
+  return CLAMP (effect_milli / 1000.0, -log (AZ_EFFECT_RATIO_MAX), log (AZ_EFFECT_RATIO_MAX));
+}
+
 /* Returns NULL if there are too many pairs. */
 static struct az_interfering_pair *
 get_or_add_pair (struct az_gateway_interference *state,
@@ -147,7 +152,7 @@
   pair->n_rows++;
   evidence->rows[evidence->n_rows++] = (struct row){ .pair = pair,
                                                      .weight = row->weight_milli / 1000.0,
-                                                     .effect = row->effect_milli / 1000.0 };
+                                                     .effect = bounded_effect (row->effect_milli) };
 }
 
 void
--- a/src/sidecar/interference.c
+++ b/src/sidecar/interference.c
@@ -136,14 +136,18 @@
     }
 }
 
+/* An effect is a slope, which is beyond the factor at which single ratios are limited if tasks
+ * overlap only briefly. A larger factor can't be told from that one. */
 static struct az_interference_row
 make_row (const struct az_interference_effect *effect)
 {
+  double bounded = CLAMP (effect->effect, -log (AZ_EFFECT_RATIO_MAX), log (AZ_EFFECT_RATIO_MAX));
+
   return (struct az_interference_row){
     .slowed = effect->slowed,
     .beside = effect->beside,
     .weight_milli = (u_int)MIN (effect->weight * 1000, UINT32_MAX),
-    .effect_milli = (int)lround (effect->effect * 1000),
+    .effect_milli = (int)lround (bounded * 1000),
   };
 }
 
