Set aside an upstream for each part of a division

Targets were raised to one upstream and then normalised, so that they fell below it: nearly all work of one of three queues on three upstreams gave parts of 2, 0 and 1 upstreams. One upstream for each part is now set aside first, and the rest divided by the demand. The comment states the limit with upstreams of unequal size.

test_each_part_has_an_upstream failed before and passes.

--- a/src/gateway/separation.c
+++ b/src/gateway/separation.c
@@ -86,7 +86,9 @@
   return list;
 }
 
-/* Each part gets at least one of @n_upstreams. Without any demand, the parts are equal. */
+/* One of @n_upstreams is set aside for each part, and the others are divided by the demand, or
+ * equally if there is none. If the upstreams differ in size, the target of a part can be smaller
+ * than each of them, so that it gets none. */
 static void
 measure_targets (const struct az_gateway *gateway,
                  const struct az_separation_plan *plan,
@@ -95,12 +97,12 @@
                  guint n_upstreams,
                  double targets[AZ_PARTS_MAX])
 {
+  double rest = 1 - (double)n_parts / n_upstreams;
   double sum = 0;
-  double raised_sum = 0;
 
   for (unsigned i = 0; i < plan->n; i++)
     {
-      const struct queue *queue = g_hash_table_lookup (gateway->queues, plan->queues[i]);
+      const struct queue *queue = az_separation_plan_find_queue (gateway, plan, i);
 
       if (queue && numbers[i] > 0)
         targets[numbers[i] - 1] += az_gateway_queue_rates (gateway, queue).offered_cores;
@@ -108,12 +110,7 @@
   for (unsigned i = 0; i < n_parts; i++)
     sum += targets[i];
   for (unsigned i = 0; i < n_parts; i++)
-    {
-      targets[i] = sum > 0 ? MAX (targets[i] / sum, 1.0 / n_upstreams) : 1.0 / n_parts;
-      raised_sum += targets[i];
-    }
-  for (unsigned i = 0; i < n_parts; i++)
-    targets[i] /= raised_sum;
+    targets[i] = 1.0 / n_upstreams + rest * (sum > 0 ? targets[i] / sum : 1.0 / n_parts);
 }
 
 static void
--- a/tests/test_gateway_interference.c
+++ b/tests/test_gateway_interference.c
@@ -319,6 +319,21 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against a part without upstreams: nearly all work is that of one of three queues. */
+static void
+test_each_part_has_an_upstream (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (3);
+
+  (void)state;
+  make_demand (rig, 1, 20);
+  send_evidence_of_three (rig, 3);
+  gateway_rig_advance (rig, 1100, 0);
+  for (unsigned part = 1; part <= 3; part++)
+    assert_int_equal (count_in_part (rig, part, false), 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a sidecar that sent evidence once and nothing since, as its upstream is idle. */
 static void
 test_evidence_decays (void **state)
@@ -505,6 +520,7 @@
     cmocka_unit_test (test_malformed_messages_are_counted),
     cmocka_unit_test (test_malformed_names_are_counted),
     cmocka_unit_test (test_large_effects_are_bounded),
+    cmocka_unit_test (test_each_part_has_an_upstream),
     cmocka_unit_test (test_evidence_decays),
     cmocka_unit_test (test_new_sidecar_has_no_evidence),
     cmocka_unit_test (test_gateways_agree),
