Separate queues of a service by its own evidence only

Queues were found by name, so that a queue whose route had moved to another service got a part of the former one for as long as its evidence lasted. Queues of other services are now left out, and a queue that moves loses its part at once. An upstream whose service changed within an incarnation left its evidence with the former service; it is forgotten.

test_moved_queue_has_no_part and test_new_service_has_no_evidence failed before and pass.

--- a/src/gateway/queue.c
+++ b/src/gateway/queue.c
@@ -17,6 +17,7 @@
     {
       g_free (queue->service);
       queue->service = g_strdup (route->service);
+      queue->part = 0;
     }
   return queue;
 }
--- a/src/gateway/separation.c
+++ b/src/gateway/separation.c
@@ -158,7 +158,7 @@
 {
   for (unsigned i = 0; i < plan->n; i++)
     {
-      struct queue *queue = g_hash_table_lookup (gateway->queues, plan->queues[i]);
+      struct queue *queue = az_separation_plan_find_queue (gateway, plan, i);
 
       if (!queue || numbers[i] == 0)
         continue;
--- a/src/gateway/separation_plan.c
+++ b/src/gateway/separation_plan.c
@@ -68,10 +68,23 @@
   az_division_assign_parts (plan->interferes, plan->n, plan->parts);
 }
 
+struct queue *
+az_separation_plan_find_queue (const struct az_gateway *gateway,
+                               const struct az_separation_plan *plan,
+                               unsigned index)
+{
+  struct queue *queue = g_hash_table_lookup (gateway->queues, plan->queues[index]);
+
+  return queue && !strcmp (queue->service, plan->service) ? queue : NULL;
+}
+
 static bool
-runs_in_pool (const struct az_gateway *gateway, const char *name, enum az_pool pool)
+runs_in_pool (const struct az_gateway *gateway,
+              const struct az_separation_plan *plan,
+              unsigned index,
+              enum az_pool pool)
 {
-  const struct queue *queue = g_hash_table_lookup (gateway->queues, name);
+  const struct queue *queue = az_separation_plan_find_queue (gateway, plan, index);
 
   return queue ? az_gateway_is_queue_in_pool (gateway, queue, pool) : pool != AZ_POOL_ISOLATED;
 }
@@ -87,12 +100,12 @@
   unsigned n_parts = 0;
 
   for (unsigned i = 0; i < plan->n; i++)
-    if (runs_in_pool (gateway, plan->queues[i], pool))
+    if (runs_in_pool (gateway, plan, i, pool))
       is_used[plan->parts[i]] = true;
   for (unsigned part = 1; part <= AZ_PARTS_MAX; part++)
     if (is_used[part])
       new_numbers[part] = ++n_parts;
   for (unsigned i = 0; i < plan->n; i++)
-    numbers[i] = runs_in_pool (gateway, plan->queues[i], pool) ? new_numbers[plan->parts[i]] : 0;
+    numbers[i] = runs_in_pool (gateway, plan, i, pool) ? new_numbers[plan->parts[i]] : 0;
   return n_parts;
 }
--- a/src/gateway/separation_plan.h
+++ b/src/gateway/separation_plan.h
@@ -30,6 +30,13 @@
                          const char *service,
                          const GPtrArray *pairs);
 
+/** az_separation_plan_find_queue - returns the queue of the plan with this index, or NULL if the
+ * gateway knows none of that name at the service, for example because its route has moved */
+struct queue *
+az_separation_plan_find_queue (const struct az_gateway *gateway,
+                               const struct az_separation_plan *plan,
+                               unsigned index);
+
 /**
  * az_separation_plan_number_parts - numbers the parts that have a queue in the pool
  * @numbers: receives the number of each queue, from 1 on; 0 outside the pool
--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -62,8 +62,12 @@
   g_ptr_array_set_size (upstream->labels, 0);
   if (!upstream->is_described)
     return;
-  g_free (upstream->service);
-  upstream->service = g_strdup (update->service);
+  if (strcmp (upstream->service, update->service) != 0)
+    {
+      az_gateway_forget_interference (upstream);
+      g_free (upstream->service);
+      upstream->service = g_strdup (update->service);
+    }
   for (u_int i = 0; i < update->labels.labels_len; i++)
     g_ptr_array_add (upstream->labels, g_strdup (update->labels.labels_val[i]));
 }
--- a/tests/test_gateway_interference.c
+++ b/tests/test_gateway_interference.c
@@ -375,6 +375,65 @@
   gateway_rig_destroy (rig);
 }
 
+static void
+announce_service (struct gateway_rig *rig, uint32_t session, const char *service)
+{
+  struct az_message message = { .proc = AZ_NODE_UPSTREAM };
+
+  message.az_message_u.node_upstream = (struct az_node_upstream){
+    .life = 1,
+    .open = true,
+    .service = (char *)service,
+    .capacity = { .cpu_milli = rig->capacity_milli[session], .memory_mb = 65536 },
+  };
+  az_gateway_received (rig->core, session, &message);
+}
+
+/* Guards against evidence that counts for the service that an upstream had before. */
+static void
+test_new_service_has_no_evidence (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+
+  (void)state;
+  send_evidence_of_all (rig, 1.5);
+  for (uint32_t session = 1; session <= UPSTREAMS; session++)
+    announce_service (rig, session, "other");
+  gateway_rig_advance (rig, 1100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 0);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a queue that has moved to another service and still has a part of the former one.
+ */
+static void
+test_moved_queue_has_no_part (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_separating (UPSTREAMS);
+  struct az_catalog *catalog = gateway_rig_create_catalog (2);
+  const struct queue *fast;
+  const struct queue *big;
+
+  (void)state;
+  make_demand (rig, 3, 7);
+  send_evidence_of_all (rig, 1.5);
+  gateway_rig_advance (rig, 1100, 0);
+  fast = g_hash_table_lookup (rig->core->queues, "fast");
+  big = g_hash_table_lookup (rig->core->queues, "big");
+  assert_int_equal (big->part, 1);
+  assert_int_equal (fast->part, 2);
+  g_free (catalog->routes[0].service);
+  catalog->routes[0].service = g_strdup ("other");
+  az_gateway_set_catalog (rig->core, catalog, 2, "{}", 2);
+  run_tasks (rig, "fast", 1);
+  assert_int_equal (fast->part, 0);
+  gateway_rig_advance (rig, 5100, 0);
+  assert_int_equal (gateway_rig_read_counter (rig, PAIRS), 1);
+  assert_int_equal (fast->part, 0);
+  assert_int_equal (big->part, 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Upstreams of the parts, by the names of their instances: bit i for "s<i>". */
 static uint32_t
 find_part_of_fast (struct gateway_rig *rig, const uint32_t *names)
@@ -523,6 +582,8 @@
     cmocka_unit_test (test_each_part_has_an_upstream),
     cmocka_unit_test (test_evidence_decays),
     cmocka_unit_test (test_new_sidecar_has_no_evidence),
+    cmocka_unit_test (test_new_service_has_no_evidence),
+    cmocka_unit_test (test_moved_queue_has_no_part),
     cmocka_unit_test (test_gateways_agree),
     cmocka_unit_test (test_few_upstreams_change_when_one_leaves),
     cmocka_unit_test (test_separation_ends),
