Give no weight to effects that can't be told apart

Two kinds that always run together had a small weight each. Where run times are well estimated it was above the limit for messages, and added up over many upstreams both kinds counted as interfering. An effect whose variance is inflated more than tenfold by the other kinds has no weight now.

test_inseparable_kinds_add_up_to_nothing (60 upstreams) failed before and passes.

--- a/src/dispatch/effect_moments.c
+++ b/src/dispatch/effect_moments.c
@@ -1,6 +1,7 @@
 #include "dispatch/effect_moments.h"
 #include <glib.h>
 #include <math.h>
+#include <stdbool.h>
 #include <string.h>
 
 #define HALF_LIFE_S 60.0
@@ -12,9 +13,14 @@
 #define LEVEL_HALF_LIFE_S 10.0
 
 /* Added to each sum of squares. Where two kinds are always present together, their effects can't be
- * told apart; this keeps the equations solvable and such effects small and of little weight. */
+ * told apart; this keeps the equations solvable. */
 #define RIDGE 0.02
 
+/* An effect whose variance is this many times that without the other kinds can't be told from
+ * theirs and has no weight. Small weights would add up: over 60 upstreams, both of two kinds that
+ * always run together counted as interfering. */
+#define VARIANCE_INFLATION_MAX 10.0
+
 /* The spread of few observations isn't known, so that many of AZ_EFFECT_SPREAD are assumed. */
 #define ASSUMED_OBSERVATIONS 5.0
 
@@ -147,6 +153,12 @@
          / (MAX (n, 0) + ASSUMED_OBSERVATIONS);
 }
 
+static bool
+is_separable (double moment, double inverse)
+{
+  return moment > 0 && moment * inverse <= VARIANCE_INFLATION_MAX;
+}
+
 void
 az_effect_moments_solve (const struct az_effect_moments *moments,
                          int64_t now_us,
@@ -168,7 +180,7 @@
     }
   variance = residual_variance (moments, kept, effects);
   for (unsigned i = 0; i < AZ_EFFECTS_MAX; i++)
-    effects[i].weight = moments->xx[i][i] > 0
+    effects[i].weight = is_separable (kept * moments->xx[i][i], inverse[i][i])
                             ? AZ_EFFECT_SPREAD * AZ_EFFECT_SPREAD / (variance * inverse[i][i])
                             : 0;
 }
--- a/src/dispatch/effect_moments.h
+++ b/src/dispatch/effect_moments.h
@@ -41,7 +41,7 @@
 };
 
 /** struct az_effect - change of y per unit of one x
- * @weight: 0 if nothing is known
+ * @weight: 0 if nothing is known, or the effect can't be told from that of another x
  */
 struct az_effect
 {
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -1,4 +1,5 @@
 #include "dispatch/interference.h"
+#include "dispatch/interference_decision.h"
 #include "testing.h"
 #include <glib.h>
 #include <math.h>
@@ -285,22 +286,56 @@
   end_trial (&trial);
 }
 
-/* Guards against effects that are given to the wrong one of two kinds that always run together. */
 static void
-test_inseparable_kinds_have_little_weight (void **state)
+record_inseparable_kinds (struct trial *trial, double factor, double error_scale)
 {
-  struct trial trial = begin_trial (5);
-
-  (void)state;
   for (unsigned i = 0; i < 60 * TASKS_PER_S; i++)
     {
       struct az_overlap overlap = make_overlap (0, 0.6);
 
-      trial.now_us += 100000;
+      trial->now_us += 100000;
       overlap.beside[1] = overlap.beside[2] = i % 2;
-      az_interference_record (trial.estimate, ++trial.job, &overlap,
-                              overlap.beside[1] * log (2) + draw_error (&trial), trial.now_us);
+      az_interference_record (trial->estimate, ++trial->job, &overlap,
+                              overlap.beside[1] * log (factor) + error_scale * draw_error (trial),
+                              trial->now_us);
+    }
+}
+
+/* Guards against two kinds that always run together and count as interfering both, because their
+ * small weights add up over many upstreams where run times are well estimated. */
+static void
+test_inseparable_kinds_add_up_to_nothing (void **state)
+{
+  struct az_interference_decision decisions[2] = { 0 };
+  struct az_effect_sum sums[2] = { 0 };
+
+  (void)state;
+  for (uint32_t seed = 1; seed <= 60; seed++)
+    {
+      struct trial trial = begin_trial (seed);
+
+      record_inseparable_kinds (&trial, 3, 0.5);
+      for (unsigned i = 0; i < 2; i++)
+        {
+          struct az_interference_effect effect = find_effect (&trial, 0, 1 + i);
+
+          if (effect.weight > 0)
+            az_effect_sum_add (&sums[i], effect.effect, effect.weight);
+        }
+      end_trial (&trial);
     }
+  for (unsigned i = 0; i < 2; i++)
+    assert_false (az_interference_decide (&decisions[i], &sums[i], 1));
+}
+
+/* Guards against effects that are given to the wrong one of two kinds that always run together. */
+static void
+test_inseparable_kinds_have_little_weight (void **state)
+{
+  struct trial trial = begin_trial (5);
+
+  (void)state;
+  record_inseparable_kinds (&trial, 2, 1);
   assert_true (find_effect (&trial, 0, 1).weight < 1);
   assert_true (find_effect (&trial, 0, 2).weight < 1);
   end_trial (&trial);
@@ -408,6 +443,7 @@
     cmocka_unit_test (test_job_counts_once),
     cmocka_unit_test (test_evidence_decays),
     cmocka_unit_test (test_inseparable_kinds_have_little_weight),
+    cmocka_unit_test (test_inseparable_kinds_add_up_to_nothing),
     cmocka_unit_test (test_replaced_kind_is_forgotten),
     cmocka_unit_test (test_list_prefers_weight),
     cmocka_unit_test (test_overlap_is_measured),
