--- a/src/gateway/upstreams.c
+++ b/src/gateway/upstreams.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "gateway/crashes.h"
+#include "gateway/interference.h"
 #include "gateway/state.h"
 #include <string.h>
 
@@ -50,6 +51,7 @@
   upstream->slow_hardware_since_us = 0;
   upstream->has_baseline_counts = false;
   upstream->n_probes = 0;
+  az_gateway_forget_interference (upstream);
   az_ejector_remove (gateway->ejector, upstream->handle);
   az_ejector_add (gateway->ejector, upstream->handle);
 }
@@ -62,8 +64,12 @@
   g_ptr_array_set_size (upstream->labels, 0);
   if (!upstream->is_described)
     return;
-  g_free (upstream->service);
-  upstream->service = g_strdup (update->service);
+  if (strcmp (upstream->service, update->service) != 0)
+    {
+      az_gateway_forget_interference (upstream);
+      g_free (upstream->service);
+      upstream->service = g_strdup (update->service);
+    }
   for (u_int i = 0; i < update->labels.labels_len; i++)
     g_ptr_array_add (upstream->labels, g_strdup (update->labels.labels_val[i]));
 }
