--- a/Makefile
+++ b/Makefile
@@ -134,7 +134,8 @@
 fuzz_runs_platform = 100000
 fuzz_runs_sessions = 15000
 fuzz_runs_http = 25000
-# A limit that fails to hold shows as memory.
+# Less memory than for the others, so that a limit that does not hold ends the run. The last
+# value of a flag counts.
 fuzz_flags_http = -rss_limit_mb=512 -max_len=256 -len_control=0
 
 RIG_OBJECTS = $(BUILD)/tests/gateway_rig.o $(BUILD)/tests/sidecar_rig.o
--- a/src/dispatch/move_decision.c
+++ b/src/dispatch/move_decision.c
@@ -3,15 +3,6 @@
 #include <glib.h>
 #include <math.h>
 
-/* A task is moved only if its projected run time is at least this multiple of the expected one.
- * Moving every task that would end sooner elsewhere costs more than it gains. */
-#define SLOW_FACTOR 2.2
-
-/* At this speed, a task that takes 1.4 times its expected time looks slow compared with normal
- * speed, which one in five does if estimates are off by a spread of 0.4. The reported speed of
- * normal hardware, which varies by a tenth, seldom falls so low. */
-#define SLOW_HARDWARE_SPEED 0.65
-
 /* A task is moved only if its remaining time exceeds MOVE_GAIN_FACTOR times its run time on another
  * upstream plus MOVE_COST_MS for stopping and starting it. */
 #define MOVE_GAIN_FACTOR 1.5
@@ -35,13 +26,7 @@
 bool
 az_move_looks_slow (double projected, double expected)
 {
-  return projected >= expected * SLOW_FACTOR;
-}
-
-bool
-az_move_is_slow_hardware (double speed)
-{
-  return speed < SLOW_HARDWARE_SPEED && !az_speed_is_slow (speed);
+  return projected >= expected * AZ_SLOW_TASK_FACTOR;
 }
 
 /* Whether a task ends sooner if it is run again, by a margin that pays for the move. */
@@ -85,7 +70,8 @@
 probability_slow (const struct az_move_question *question)
 {
   double prior = question->is_reported_slow ? REPORTED_SLOW_PRIOR : UNREPORTED_SLOW_PRIOR;
-  double seen_if_normal = CLAMP (az_run_ratio_tail (question->ratio, SLOW_FACTOR), TAIL_MIN, 0.5);
+  double seen_if_normal
+      = CLAMP (az_run_ratio_tail (question->ratio, AZ_SLOW_TASK_FACTOR), TAIL_MIN, 0.5);
   double odds = prior / (1 - prior) * pow (SLOW_SEEN_SHARE / seen_if_normal, question->n_slow_jobs)
                 * pow ((1 - SLOW_SEEN_SHARE) / (1 - seen_if_normal), question->n_normal_jobs);
 
@@ -98,7 +84,7 @@
 {
   double slow = probability_slow (question);
   double by_task = (1 - slow) * MAX (az_run_ratio_tail (question->ratio, own_ratio), TAIL_MIN);
-  double by_upstream = slow * MIN (SLOW_FACTOR / own_ratio, 1);
+  double by_upstream = slow * MIN (AZ_SLOW_TASK_FACTOR / own_ratio, 1);
 
   return by_task / (by_task + by_upstream);
 }
--- a/src/dispatch/move_decision.h
+++ b/src/dispatch/move_decision.h
@@ -10,11 +10,6 @@
 bool
 az_move_looks_slow (double projected, double expected);
 
-/** az_move_is_slow_hardware - whether an upstream of this reported speed isn't slow, but usually
- * runs tasks so slowly that a comparison with normal speed would take them for slow */
-bool
-az_move_is_slow_hardware (double speed);
-
 /**
  * struct az_move_question - a task that looks slow, and the two upstreams
  * @projected_ms: whole run time as projected from @elapsed_ms and a progress in whole percent
--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -13,6 +13,10 @@
  * tasks are often long, more jobs may be needed. */
 #define SLOW_JOBS_MIN 3
 
+/* Below this speed, ordinary errors of estimates make tasks look slow compared with normal speed.
+ * Normal hardware is seldom reported so low. */
+#define REDUCED_THRESHOLD 0.65
+
 void
 az_speed_init (struct az_speed *speed, bool is_relative)
 {
@@ -26,6 +30,12 @@
   return value < SLOW_THRESHOLD;
 }
 
+bool
+az_speed_is_reduced (double value)
+{
+  return value < REDUCED_THRESHOLD && !az_speed_is_slow (value);
+}
+
 uint32_t
 az_speed_percent (const struct az_speed *speed)
 {
--- a/src/dispatch/speed.h
+++ b/src/dispatch/speed.h
@@ -6,6 +6,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* A task whose run time is at least this multiple of the expected one looks slow. Moving every task
+ * that would end sooner elsewhere costs more than it gains. */
+#define AZ_SLOW_TASK_FACTOR 2.2
+
 /**
  * struct az_speed - smoothed speed of an upstream
  * @value: expected run time of its tasks divided by the actual one; 1 is normal
@@ -49,4 +53,9 @@
 bool
 az_speed_is_slow (double value);
 
+/** az_speed_is_reduced - whether an upstream of this speed isn't slow, but so far below normal that
+ * ordinary tasks look slow there compared with normal speed */
+bool
+az_speed_is_reduced (double value);
+
 #endif
--- a/src/dispatch/usual_speed.c
+++ b/src/dispatch/usual_speed.c
@@ -4,15 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Estimates that are off by a spread of 0.4 make the median of this many jobs wrong by a spread of
- * 0.18. Hardware of half the normal speed needs about a second for them. */
+/* The median of fewer jobs would mostly be the error of their estimates. */
 #define KNOWN_JOBS_MIN 8
 
-/* Hardware of 0.3 counts as slow, and hardware of 0.55 doesn't, although it appears as 0.44 where
- * tasks take longer than estimated on all upstreams. With estimates that are off by a spread of
- * 0.4, the median of 64 jobs is off by 6%; the difference between the limits is twice that. */
-#define USABLE_FROM 0.4
-#define USABLE_UNTIL 0.35
+/* Slower hardware counts as slow whatever is usual there, since most jobs would be late on it. The
+ * gap between the limits exceeds the error of the median, so that the state doesn't flap. */
+#define KNOWN_FROM 0.4
+#define KNOWN_UNTIL 0.35
 
 static bool
 has_job (const struct az_usual_speed *usual, uint64_t job)
@@ -53,7 +51,7 @@
   usual->n_jobs = MIN (usual->n_jobs + 1, AZ_USUAL_SPEED_JOBS);
   usual->median = median_of (usual->speeds, usual->n_jobs);
   usual->is_known = usual->n_jobs >= KNOWN_JOBS_MIN
-                    && usual->median >= (usual->is_known ? USABLE_UNTIL : USABLE_FROM);
+                    && usual->median >= (usual->is_known ? KNOWN_UNTIL : KNOWN_FROM);
 }
 
 double
--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -1,4 +1,3 @@
-#include "dispatch/move_decision.h"
 #include "dispatch/speed.h"
 #include "gateway/capacity.h"
 #include "gateway/state.h"
@@ -30,7 +29,7 @@
 add_regular (struct az_candidates *candidates, struct upstream *upstream)
 {
   g_ptr_array_add (candidates->regular, upstream);
-  if (!az_move_is_slow_hardware (upstream->speed))
+  if (!az_speed_is_reduced (upstream->speed))
     candidates->has_normal_hardware = true;
 }
 
--- a/src/gateway/capacity.h
+++ b/src/gateway/capacity.h
@@ -14,7 +14,7 @@
  * @probe_only: slow and ejected upstreams, which get single tasks as probes
  * @max_free: maximum of each resource that is free at one candidate; a task that needs more of a
  *   resource fits no candidate
- * @has_normal_hardware: az_move_is_slow_hardware() is false for one of @regular
+ * @has_normal_hardware: az_speed_is_reduced() is false for one of @regular
  */
 struct az_candidates
 {
@@ -86,8 +86,8 @@
  * service and pool of which @offered_cores arrive here
  *
  * Gateways state one number for all services, so each is taken to have the same mix of them. The
- * estimate is relative to the weight of this gateway's own demand, so that a gateway that refuses
- * more jobs than the others gets a larger share.
+ * sum of their weighted statements is divided by this gateway's own weight, since its own demand
+ * isn't weighted.
  *
  * Return: core-seconds per second; 0 if too few gateways have stated their demand.
  */
@@ -127,7 +127,8 @@
  *
  * Free cores on upstreams where none of its tasks fits don't count.
  *
- * @unprotected_cores: free cores that aren't kept for other jobs; the result is no larger
+ * @unprotected_cores: free cores less those that are kept for other jobs, an upper bound of the
+ *   result
  */
 double
 az_gateway_startable_cores (const struct az_candidates *candidates,
--- a/src/gateway/demand.c
+++ b/src/gateway/demand.c
@@ -22,7 +22,8 @@
 #define STARTABLE_SHARE_MIN 0.05
 
 /* Part of the cores that gateways see in use which do work. Others are reserved for tasks on their
- * way that the sidecar then refuses, or their release isn't reported yet. */
+ * way that the sidecar then refuses, or their release isn't reported yet. With a larger part,
+ * refusals come later; with a smaller one, jobs are refused that could be served. */
 #define WORKING_SHARE 0.85
 
 /* From this part of the working cores on, cores are short for some of the time, since arrivals vary
@@ -33,9 +34,9 @@
  * is free beyond that is about to be used. */
 #define UNUSABLE_SHARE_MAX 0.2
 
-/* Weight of the refused share in the demand that is stated: a gateway that refuses a tenth more of
- * its jobs than the others states about half as much again, which makes up for lost races within
- * the half-life of the refused share. */
+/* Weight of the refused share in the demand that is stated. With a small one, gateways far from the
+ * upstreams still refuse more jobs than the others; with a larger one, few refusals would move much
+ * of the shares. See docs/design/shares-of-cores.md. */
 #define REFUSED_WEIGHT 6
 
 /* A larger refused share counts as this one, so that a gateway that refuses all jobs for a reason
@@ -66,8 +67,8 @@
   return cores;
 }
 
-/* Shares of the plain demand leave the gateways that are farther from the upstreams with more
- * refusals, since they lose more races for free cores. */
+/* Gateways far from the upstreams lose races for free cores. They state more demand the more jobs
+ * they refuse, until all refuse alike. */
 static double
 demand_weight (const struct az_gateway *gateway)
 {
@@ -179,7 +180,7 @@
 
 /* Whether all gateways together ask for about as much as there is; false if that isn't known. */
 static bool
-is_short (const struct az_capacity *capacity)
+are_cores_short (const struct az_capacity *capacity)
 {
   double demand = capacity->offered_cores + capacity->peers_offered_cores;
 
@@ -190,22 +191,22 @@
 double
 az_gateway_usable_share (const struct az_capacity *capacity)
 {
-  double unusable_cores;
+  double unplaceable_cores;
 
-  if (!is_short (capacity) || capacity->total_cores <= 0)
+  if (!are_cores_short (capacity) || capacity->total_cores <= 0)
     return 1;
-  unusable_cores = MIN (capacity->free_cores, UNUSABLE_SHARE_MAX * capacity->total_cores);
-  return WORKING_SHARE * (1 - unusable_cores / capacity->total_cores);
+  unplaceable_cores = MIN (capacity->free_cores, UNUSABLE_SHARE_MAX * capacity->total_cores);
+  return WORKING_SHARE * (1 - unplaceable_cores / capacity->total_cores);
 }
 
 static bool
 is_share_used (const struct az_capacity *capacity, double startable_cores)
 {
-  double usable_cores = capacity->total_cores - capacity->free_cores + startable_cores;
+  double placeable_cores = capacity->total_cores - capacity->free_cores + startable_cores;
 
-  if (!is_short (capacity) || startable_cores >= STARTABLE_SHARE_MIN * capacity->total_cores)
+  if (!are_cores_short (capacity) || startable_cores >= STARTABLE_SHARE_MIN * capacity->total_cores)
     return false;
-  return capacity->own_cores >= capacity->own_share * usable_cores * SHARE_TOLERANCE;
+  return capacity->own_cores >= capacity->own_share * placeable_cores * SHARE_TOLERANCE;
 }
 
 static void
--- a/src/gateway/health.c
+++ b/src/gateway/health.c
@@ -1,5 +1,4 @@
 #include "azurerock/log.h"
-#include "dispatch/move_decision.h"
 #include "dispatch/speed.h"
 #include "gateway/state.h"
 
@@ -22,7 +21,7 @@
   bool is_slow = az_speed_is_slow (speed);
 
   upstream->speed = speed;
-  if (!az_move_is_slow_hardware (speed))
+  if (!az_speed_is_reduced (speed))
     upstream->slow_hardware_since_us = 0;
   else if (upstream->slow_hardware_since_us == 0)
     upstream->slow_hardware_since_us = gateway->now_us;
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -36,14 +36,14 @@
   return count;
 }
 
-/* Slow hardware is left to tasks that end in time there, if there is other hardware for the rest. A
- * job that is too late anyway may use it. */
+/* Waiting for other hardware pays only for a task that misses its objective on this slow hardware
+ * and meets it at normal speed. */
 static bool
-is_too_slow (const struct az_gateway *gateway,
-             const struct az_candidates *candidates,
-             const struct job *job,
-             size_t step_index,
-             const struct upstream *upstream)
+would_be_late_there (const struct az_gateway *gateway,
+                     const struct az_candidates *candidates,
+                     const struct job *job,
+                     size_t step_index,
+                     const struct upstream *upstream)
 {
   int64_t left_us = job->objective_us - gateway->now_us;
 
@@ -69,7 +69,7 @@
       && !g_ptr_array_find_with_equal_func (upstream->labels, step->required_label, g_str_equal,
                                             NULL))
     return false;
-  if (is_too_slow (gateway, candidates, job, step_index, upstream))
+  if (would_be_late_there (gateway, candidates, job, step_index, upstream))
     return false;
   return step->spread_max == 0 || count_tasks_on (job, step_index, upstream) < step->spread_max;
 }
--- a/src/gateway/progress.c
+++ b/src/gateway/progress.c
@@ -58,14 +58,14 @@
   return az_move_decide (&question);
 }
 
-/* A task without progress is moved whatever the distribution of its queue. Where tasks are seldom
- * long, the distribution counts only on hardware that is usually slow, and decisions on other
- * upstreams are as without the setting. */
+/* Whether the run times of the queue's former tasks decide on a move, rather than the speed alone.
+ * They don't for a task without progress, nor where tasks are seldom long, except on hardware that
+ * is usually slow. */
 static bool
-is_tail_aware (const struct az_gateway *gateway,
-               const struct job *job,
-               const struct upstream *here,
-               const struct az_task_progress *progress)
+uses_distribution (const struct az_gateway *gateway,
+                   const struct job *job,
+                   const struct upstream *here,
+                   const struct az_task_progress *progress)
 {
   const struct az_run_ratio *ratio = &job->queue->run_ratio;
 
@@ -84,7 +84,7 @@
 {
   int64_t expected_us = az_gateway_expected_run_us (gateway, job, progress->step, NULL);
 
-  if (!gateway->settings.relative_slowness || !is_tail_aware (gateway, job, here, progress)
+  if (!gateway->settings.relative_slowness || !uses_distribution (gateway, job, here, progress)
       || az_speed_is_slow (here->speed))
     return expected_us;
   return az_gateway_expected_run_us (gateway, job, progress->step, here);
@@ -144,7 +144,7 @@
   run_ms = az_gateway_expected_run_us (gateway, job, progress->step, other) / AZ_US_PER_MS;
   if (gateway->now_us + run_ms * AZ_US_PER_MS > job->deadline_us)
     return false;
-  if (!is_tail_aware (gateway, job, here, progress))
+  if (!uses_distribution (gateway, job, here, progress))
     {
       *decision = az_move_decide_by_speed ((double)left_ms (progress), (double)run_ms);
       return decision->verdict == AZ_MOVE_YES;
--- a/src/gateway/run_time.c
+++ b/src/gateway/run_time.c
@@ -25,8 +25,8 @@
   return (int64_t)run_us;
 }
 
-/* With the speed after the task, which contains its run time, an error of the expected time would
- * be confirmed by the speed that follows from it. */
+/* Uses the speed from before the task: the present one contains this run time, and an error of
+ * either would then enter the other. */
 void
 az_gateway_record_run_time (struct job *job,
                             const struct az_job_step *step,
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -73,7 +73,7 @@
  * @in_working_set: whether the sidecar is to report the free resources continually
  * @used_cpu_milli: CPU of this gateway's tasks at the upstream
  * @speed: expected run time of its tasks divided by the actual one; 1 is normal
- * @slow_hardware_since_us: since when az_move_is_slow_hardware() is true for @speed, 0 if it isn't
+ * @slow_hardware_since_us: since when az_speed_is_reduced() is true for @speed, 0 if it isn't
  * @has_baseline_counts: @n_done and @n_failed are set; the first report of an incarnation only sets
  *   them, since it includes tasks that ended earlier
  * @n_done: tasks of all gateways that were done in this incarnation, as last reported
--- a/src/net/rpc_admission.c
+++ b/src/net/rpc_admission.c
@@ -11,8 +11,9 @@
 /* A peer sends its hello as soon as it is connected. */
 #define HELLO_TIMEOUT_MS 5000
 
-/* A connection is closed for another one only after this time. It leaves several turns within the
- * 1.8 s after which a peer gives up a session in which it hears nothing. */
+/* A connection is closed for another one only after this time. It is well below the time after
+ * which a peer gives up an idle session, so that a peer that waits behind silent connections still
+ * gets its turn. */
 #define HELLO_GRACE_MS 500
 
 /* How often time limits are checked, and how long a listener without descriptors pauses. */
@@ -29,11 +30,11 @@
 }
 
 static bool
-is_last_descriptor (struct az_rpc_connection *connection)
+leaves_too_few_descriptors (struct az_rpc_connection *connection)
 {
   uv_os_fd_t fd;
 
-  /* A new descriptor has the lowest free number. */
+  /* A new descriptor has the lowest free number, so the number tells how many are in use. */
   return uv_fileno ((uv_handle_t *)&connection->tcp, &fd) < 0
          || fd >= connection->rpc->descriptors_max;
 }
@@ -47,7 +48,7 @@
 
   uv_tcp_getpeername (&connection->tcp, (struct sockaddr *)&peer, &length);
   connection->address = az_address_format (&peer);
-  if (is_last_descriptor (connection))
+  if (leaves_too_few_descriptors (connection))
     {
       rpc->is_short = true;
       close_limited (connection, AZ_RPC_CAUSE_DESCRIPTORS);
--- a/src/net/rpc_budget.c
+++ b/src/net/rpc_budget.c
@@ -9,9 +9,9 @@
  * stalled. No link on which sessions work is that slow. */
 #define STALLED_BYTES 65536
 
-/* What a process sends to each new peer, with the addresses of all gateways, is less. It would be
- * closed at once otherwise while known peers exceed the budget. */
-#define UNKNOWN_FREE_BYTES 65536
+/* A new peer may hold this much, enough for the hello and the list of gateways that are queued for
+ * it. Otherwise no peer could connect while known ones exceed the budget. */
+#define UNKNOWN_ALLOWANCE_BYTES 65536
 
 /* While the budget is exceeded, incomplete records that hold less than their share of this part of
  * it are read, so that large ones don't hold up short ones. */
@@ -94,7 +94,7 @@
 {
   size_t bytes = holder->in.held + holder->out.held;
 
-  return !holder->is_known && bytes > UNKNOWN_FREE_BYTES ? bytes : 0;
+  return !holder->is_known && bytes > UNKNOWN_ALLOWANCE_BYTES ? bytes : 0;
 }
 
 static bool
--- a/src/net/rpc_limits.h
+++ b/src/net/rpc_limits.h
@@ -13,7 +13,7 @@
   AZ_RPC_CAUSE_HELLO_LENGTH,  /* a record that is too long before the peer identified itself */
   AZ_RPC_CAUSE_MEMORY,        /* the connections held too many bytes */
   AZ_RPC_CAUSE_UNREAD,        /* the peer doesn't read what is sent to it */
-  AZ_RPC_CAUSE_DESCRIPTORS,   /* listener paused: the system gave no descriptor or memory */
+  AZ_RPC_CAUSE_DESCRIPTORS,   /* connection closed, or listener paused: too few descriptors */
   AZ_RPC_N_CAUSES,
 };
 
--- a/src/sidecar/hold.c
+++ b/src/sidecar/hold.c
@@ -147,10 +147,6 @@
 /* A task whose percentage hasn't changed for this time is reported as stalled. */
 #define STALL_MS 250
 
-/* A task that is projected to run for this many times its expected time at the usual speed of the
- * upstream counts as slow. */
-#define SLOW_FACTOR 2.2
-
 /* Longest run time that is recorded for a slow task. A stalled task has no projected run time and
  * is recorded with this one. */
 #define RECORDED_RUN_MAX_MS 10000
@@ -162,7 +158,7 @@
   double usual_us = (double)task->expected_us / az_speed_usual (&sidecar->life.speed);
 
   if (task->is_recorded_as_slow || task->expected_us == 0
-      || (double)run_us < usual_us * SLOW_FACTOR)
+      || (double)run_us < usual_us * AZ_SLOW_TASK_FACTOR)
     return;
   task->is_recorded_as_slow = true;
   az_speed_update (&sidecar->life.speed, az_sidecar_job_key (task), task->expected_us, run_us);
--- a/tests/test_gateway_moves.c
+++ b/tests/test_gateway_moves.c
@@ -116,7 +116,7 @@
     { "underestimated", true, LEARNED_JOBS, 6000, 330, false },
     { "without the setting", false, LEARNED_JOBS, 6000, 330, true },
     { "after a restart", true, 0, 6000, 330, true },
-    { "slow since a moment", true, LEARNED_JOBS, 300, 330, true },
+    { "slow for 300 ms only", true, LEARNED_JOBS, 300, 330, true },
     { "slow even for that hardware", true, LEARNED_JOBS, 6000, 1800, true },
   };
 
--- a/tests/test_policy_queue.c
+++ b/tests/test_policy_queue.c
@@ -213,6 +213,7 @@
   int64_t many_us = measure_shortest_pops_us (200000);
 
   (void)state;
+  /* 100 us stand for the resolution of the clock. */
   assert_true (many_us + 100 < 10 * (few_us + 100));
 }
 
--- a/tests/test_usual_speed.c
+++ b/tests/test_usual_speed.c
@@ -152,7 +152,8 @@
     }
 }
 
-/* A stalled task is recorded with a run time of 10 s. */
+/* Guards against upstreams whose tasks stand still and that stay in use because their usual speed
+ * is low. A stalled task is recorded with a run time of 10 s. */
 static void
 test_tasks_without_progress_are_slow (void **state)
 {
