--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -19,7 +19,7 @@
   uint32_t attempt;
   int64_t clock_ms; /* the sidecar's clock, as stated in the run message */
   uint32_t expected_ms;
-  char name[64];    /* of the step */
+  char name[64]; /* of the step */
 };
 
 struct gateway_answer
