--- a/tests/test_dispatch_interference.c
+++ b/tests/test_dispatch_interference.c
@@ -330,13 +330,10 @@
     }
 }
 
-/* Runs only if SEEDS is set, to save time: the larger factors guard against the same failures. */
 static void
 test_separation_with_small_factor (void **state)
 {
   (void)state;
-  if (!getenv ("SEEDS"))
-    skip ();
   assert_loss_is_avoided (1.2);
 }
 
