Log which configuration decides a request and how old the evidence for it is

Cause: after an incident with configurations that weren't in force in time, logs couldn't tell an old version from a missing route, a late change from one that came from a peer, nor say since when a gateway hadn't heard from the store.

Change: gateways keep the time at which their configuration was last known to be the newest. Placement and answers don't change.

Measured: test_gateway_updates, test_gateway and test_message pass.

--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -247,7 +247,8 @@
   world->gateway_contexts[index] = (struct node_context){ world, index };
   world->gateways[index]
       = az_gateway_create (&settings, 1000 + index, &world->clock, &io, world->counters);
-  az_gateway_set_catalog (world->gateways[index], create_catalog (world->scenario), 1, "{}", 2);
+  az_gateway_set_catalog (world->gateways[index], create_catalog (world->scenario),
+                          &(struct az_catalog_origin){ .revision = 1, .text = "{}", .length = 2 });
   emu_schedule (world->events, emu_now_us (world->events) + index * 1700, tick_gateway,
                 &world->gateway_contexts[index], NULL);
 }
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -23,6 +23,7 @@
  * @session_timeout_ms: a session with tasks is closed after this time without a message
  * @orphan_timeout_ms: after this time the tasks of a lost session are taken to have ended
  * @cross_domain_cost_ms: placement cost of an upstream in another failure domain
+ * @apply_ms: a configuration has to be in force within this time from its publication
  * @remote_factor: factor by which a task takes longer on an upstream without its preferred label
  * @share_demand: gateways tell each other their demand, and when cores are short each of them uses
  *   no more than its share
@@ -45,6 +46,7 @@
   int64_t session_timeout_ms;
   int64_t orphan_timeout_ms;
   int64_t cross_domain_cost_ms;
+  int64_t apply_ms;
   double remote_factor;
   bool share_demand;
   bool fair_queue_shares;
@@ -98,19 +100,40 @@
 void
 az_gateway_destroy (struct az_gateway *gateway);
 
+/**
+ * struct az_catalog_origin - where a configuration comes from
+ * @session: the session over which it was relayed; 0 if it was read from the store
+ * @revision: revision in the store
+ * @text: as stored, @length bytes; it is relayed to peers
+ */
+struct az_catalog_origin
+{
+  uint32_t session;
+  uint64_t revision;
+  const char *text;
+  size_t length;
+};
+
 /**
  * az_gateway_set_catalog - installs a configuration if it is newer than the present one
  * @catalog: the gateway takes ownership, also if it doesn't install it
- * @text: the configuration as stored; it is relayed to peers
  *
  * Return: whether it was installed
  */
 bool
 az_gateway_set_catalog (struct az_gateway *gateway,
                         struct az_catalog *catalog,
-                        uint64_t revision,
-                        const char *text,
-                        size_t length);
+                        const struct az_catalog_origin *origin);
+
+/** az_gateway_confirm_catalog - configuration @version was the newest one @age_ms ago; ignored if
+ * the gateway has an older one */
+void
+az_gateway_confirm_catalog (struct az_gateway *gateway, uint64_t version, int64_t age_ms);
+
+/** az_gateway_catalog_age_ms - returns how long ago the present configuration was last known to be
+ * the newest, or -1 if it never was */
+int64_t
+az_gateway_catalog_age_ms (const struct az_gateway *gateway);
 
 /** az_gateway_catalog - returns the present configuration, or NULL */
 const struct az_catalog *
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -174,6 +174,7 @@
   az_gateway_update_interference (gateway);
   az_gateway_update_separation (gateway);
   az_gateway_relay_withdrawn (gateway);
+  az_gateway_record_evidence (gateway);
   az_gateway_request_updates (gateway);
   az_gateway_send_heartbeats (gateway);
   gateway->needs_placing = gateway->needs_placing || gateway->queued_cpu_milli > 0;
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -153,11 +153,13 @@
   az_counters_add (gateway->counters, gateway->c_jobs, 1);
   az_log (LOG_INFO,
           "event=submit job=%s queue=%s tasks=%u cpu=%u estimate_ms=%u wait_ms=%" G_GINT64_FORMAT
-          " unread_ms=%" G_GINT64_FORMAT " objective_ms=%" G_GINT64_FORMAT,
+          " unread_ms=%" G_GINT64_FORMAT " objective_ms=%" G_GINT64_FORMAT
+          " version=%" G_GUINT64_FORMAT " evidence_age_ms=%" G_GINT64_FORMAT,
           id, job->queue->name, job->n_tasks, job->request.steps[0].need.cpu_milli,
           job->request.steps[0].estimate_ms, wait_ms,
           (gateway->now_us - az_gateway_earliest_arrival_us (gateway)) / AZ_US_PER_MS,
-          (job->objective_us - gateway->now_us) / AZ_US_PER_MS);
+          (job->objective_us - gateway->now_us) / AZ_US_PER_MS,
+          gateway->catalog ? gateway->catalog->version : 0, az_gateway_catalog_age_ms (gateway));
   if (az_gateway_recall_crashes (gateway, job))
     {
       az_gateway_give_up_crashed_job (gateway, job);
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -25,6 +25,8 @@
     "port of the peer address of gateways" },
   { "grace_s", AZ_SETTING_NUMBER, FIELD (grace_s), false, 0, 3600,
     "time from SIGTERM until the process is killed" },
+  { "configuration_apply_ms", AZ_SETTING_INTEGER, FIELD (configuration_apply_ms), false, 100,
+    3600000, "time within which a published configuration has to be in force" },
   { "remote_factor", AZ_SETTING_NUMBER, FIELD (remote_factor), false, 1, 100,
     "run time of a task away from the label that it prefers, as a multiple" },
   { "tail_aware_moves", AZ_SETTING_BOOLEAN, FIELD (tail_aware_moves), false, 0, 0,
@@ -50,7 +52,8 @@
 int
 main (int argc, char **argv)
 {
-  struct az_gateway_options options = { .grace_s = 5, .remote_factor = 1.5, .body_max = 1048576 };
+  struct az_gateway_options options
+      = { .grace_s = 5, .configuration_apply_ms = 2000, .remote_factor = 1.5, .body_max = 1048576 };
   const struct az_program program = {
     .name = "azurerock-gateway",
     .summary = "Takes jobs from callers and places their tasks on upstreams",
--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -25,6 +25,7 @@
   GPtrArray *seeds;
   int64_t seed_port;
   double grace_s;
+  int64_t configuration_apply_ms;
   double remote_factor;
   bool tail_aware_moves;
   bool relative_slowness;
@@ -40,6 +41,7 @@
  * struct az_store_view - what the program has read from the store
  * @reads: reads in progress
  * @revision: 0 until a read is complete
+ * @is_catalog_readable: whether the last configuration that was read is valid
  * @requested_us: when the present watch or the last read was started
  * @lease: lease of this gateway's member key, 0 if it has none
  */
@@ -48,6 +50,7 @@
   GHashTable *withdrawn; /* set of domains */
   GPtrArray *reads;      /* struct store_read * */
   uint64_t revision;
+  bool is_catalog_readable;
   int64_t requested_us;
   uint64_t lease;
   bool is_reachable;
@@ -111,11 +114,14 @@
 /** az_gateway_program_free_store - call after the loop has ended, when no call is pending */
 void
 az_gateway_program_free_store (struct az_gateway_program *program);
-void
+
+/** az_gateway_program_handle_catalog - installs a configuration if it is newer than the present one
+ *
+ * Return: whether it can be read
+ */
+bool
 az_gateway_program_handle_catalog (struct az_gateway_program *program,
-                                   uint64_t revision,
-                                   const char *text,
-                                   size_t length);
+                                   const struct az_catalog_origin *origin);
 
 extern const struct az_setting az_gateway_schema[];
 extern const size_t az_gateway_n_schema;
--- a/src/gateway/program_jobs.c
+++ b/src/gateway/program_jobs.c
@@ -90,6 +90,21 @@
     }
 }
 
+static void
+log_refusal (const struct az_gateway_program *program,
+             const struct az_http_request *request,
+             int status,
+             const char *reason)
+{
+  const struct az_catalog *catalog = az_gateway_catalog (program->gateway);
+
+  az_log (LOG_INFO,
+          "event=refuse method=%.8s host=%.64s path=%.96s outcome=%d reason=%s"
+          " version=%" G_GUINT64_FORMAT " evidence_age_ms=%" G_GINT64_FORMAT,
+          request->method, request->host, request->path, status, reason,
+          catalog ? catalog->version : 0, az_gateway_catalog_age_ms (program->gateway));
+}
+
 static void
 on_request (void *context, const struct az_http_request *request)
 {
@@ -100,12 +115,14 @@
 
   if (!catalog)
     {
+      log_refusal (program, request, 503, "no-configuration");
       respond_retry_later (program, request->handle, 1000);
       return;
     }
   route = az_catalog_find_route (catalog, request->host, request->path);
   if (!route)
     {
+      log_refusal (program, request, 404, "no-route");
       respond (program, request->handle, 404, NULL);
       return;
     }
--- a/src/gateway/program_rpc.c
+++ b/src/gateway/program_rpc.c
@@ -41,8 +41,11 @@
 
   az_gateway_received (program->gateway, connection, message);
   if (message->proc == AZ_NODE_CATALOG)
-    az_gateway_program_handle_catalog (program, catalog->revision, catalog->text.text_val,
-                                       catalog->text.text_len);
+    az_gateway_program_handle_catalog (
+        program, &(struct az_catalog_origin){ .session = connection,
+                                              .revision = catalog->revision,
+                                              .text = catalog->text.text_val,
+                                              .length = catalog->text.text_len });
 }
 
 static void
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -86,6 +86,7 @@
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
+    .apply_ms = options->configuration_apply_ms,
     .remote_factor = options->remote_factor,
     .share_demand = options->share_demand,
     .fair_queue_shares = options->fair_queue_shares,
--- a/src/gateway/program_store.c
+++ b/src/gateway/program_store.c
@@ -84,27 +84,27 @@
     az_gateway_set_store_reachable (program->gateway, false);
 }
 
-void
+bool
 az_gateway_program_handle_catalog (struct az_gateway_program *program,
-                                   uint64_t revision,
-                                   const char *text,
-                                   size_t length)
+                                   const struct az_catalog_origin *origin)
 {
   size_t n_unreadable;
-  struct az_catalog *catalog = platform_decode_catalog (text, length, &n_unreadable);
+  struct az_catalog *catalog
+      = platform_decode_catalog (origin->text, origin->length, &n_unreadable);
 
   if (!catalog)
     {
       az_log (LOG_WARNING,
               "event=configuration-ignored revision=%" G_GUINT64_FORMAT " reason=unreadable",
-              revision);
-      return;
+              origin->revision);
+      return false;
     }
   if (n_unreadable > 0)
     az_log (LOG_WARNING,
             "event=routes-ignored count=%zu revision=%" G_GUINT64_FORMAT " reason=unreadable",
-            n_unreadable, revision);
-  az_gateway_set_catalog (program->gateway, catalog, revision, text, length);
+            n_unreadable, origin->revision);
+  az_gateway_set_catalog (program->gateway, catalog, origin);
+  return true;
 }
 
 static void
@@ -119,18 +119,24 @@
   else if (domain)
     g_hash_table_remove (withdrawn, domain);
   else if (item->value && !strcmp (item->key, PLATFORM_CONFIGURATION_KEY))
-    az_gateway_program_handle_catalog (program, item->revision, item->value, item->length);
+    program->view.is_catalog_readable = az_gateway_program_handle_catalog (
+        program, &(struct az_catalog_origin){
+                     .revision = item->revision, .text = item->value, .length = item->length });
 }
 
+/* The view was that of the store @age_us ago. */
 static void
-update_withdrawn (struct az_gateway_program *program, int64_t age_us)
+confirm_view (struct az_gateway_program *program, int64_t age_us)
 {
+  const struct az_catalog *catalog = az_gateway_catalog (program->gateway);
   guint n_domains;
   g_autofree gpointer *domains
       = g_hash_table_get_keys_as_array (program->view.withdrawn, &n_domains);
 
   az_gateway_set_withdrawn (program->gateway, program->view.revision, age_us / 1000,
                             (const char *const *)domains, n_domains);
+  if (catalog && program->view.is_catalog_readable)
+    az_gateway_confirm_catalog (program->gateway, catalog->version, age_us / 1000);
 }
 
 static void
@@ -157,7 +163,7 @@
   for (size_t i = 0; i < answer->n_items; i++)
     handle_item (program, view->withdrawn, &answer->items[i]);
   view->revision = MAX (view->revision, answer->revision);
-  update_withdrawn (program, MIN (now_us () - view->requested_us, ANSWER_AGE_MAX_US));
+  confirm_view (program, MIN (now_us () - view->requested_us, ANSWER_AGE_MAX_US));
   start_watch (program);
 }
 
@@ -193,7 +199,7 @@
   g_hash_table_unref (view->withdrawn);
   view->withdrawn = g_hash_table_ref (read->withdrawn);
   view->revision = read->revision;
-  update_withdrawn (program, now_us () - read->requested_us);
+  confirm_view (program, now_us () - read->requested_us);
   g_ptr_array_remove_fast (view->reads, read);
   start_watch (program);
 }
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -134,6 +134,12 @@
                             withdrawn->domains.domains_len);
 }
 
+static void
+handle_evidence (struct az_gateway *gateway, const struct az_node_evidence *evidence)
+{
+  az_gateway_confirm_catalog (gateway, evidence->catalog_version, evidence->age_ms);
+}
+
 static void
 handle_members (struct az_gateway *gateway, const struct az_node_gateways *members)
 {
@@ -163,6 +169,9 @@
     case AZ_NODE_WITHDRAWN:
       handle_withdrawn (gateway, &message->az_message_u.node_withdrawn);
       break;
+    case AZ_NODE_EVIDENCE:
+      handle_evidence (gateway, &message->az_message_u.node_evidence);
+      break;
     case AZ_NODE_PULSE:
       if (session->peer_address)
         az_gateway_record_peer_demand (gateway, session, &message->az_message_u.node_pulse);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -243,6 +243,8 @@
  * @members: addresses of the other gateways
  * @down_us: for how long the last restarted upstream was closed, 0 if unknown
  * @queued_cpu_milli: CPU that the waiting tasks need
+ * @catalog_confirmed_us: when @catalog was last known to be the newest configuration, 0 if never
+ * @is_catalog_outdated: whether that was longer ago than settings.apply_ms at the last tick
  * @updates_requested_us: when updates were last requested from peers
  * @next_peer: index of the peer to ask next
  * @first_arrival_us: when the first job was submitted, 0 before
@@ -284,6 +286,8 @@
   struct az_catalog *catalog;
   uint64_t catalog_revision;
   GBytes *catalog_text;
+  int64_t catalog_confirmed_us;
+  bool is_catalog_outdated;
   struct withdrawals withdrawals;
   int64_t stop_us; /* when the process stops serving; 0 unless it is stopping */
   uint64_t last_job_number;
@@ -362,6 +366,13 @@
 void
 az_gateway_expire_cancels (struct az_gateway *gateway);
 
+/* evidence.c */
+
+/** az_gateway_record_evidence - logs when the evidence that the configuration is the newest gets
+ * too old, and when it is recent again */
+void
+az_gateway_record_evidence (struct az_gateway *gateway);
+
 /* peer_clock.c */
 
 /** az_gateway_observe_peer_clock - call when the sidecar's report states its clock */
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -26,6 +26,21 @@
   gateway->io.send (gateway->io.context, session->handle, &message);
 }
 
+static void
+send_evidence (struct az_gateway *gateway, const struct session *session)
+{
+  struct az_message message = { .proc = AZ_NODE_EVIDENCE };
+  int64_t age_ms = az_gateway_catalog_age_ms (gateway);
+
+  if (age_ms < 0)
+    return;
+  message.az_message_u.node_evidence = (struct az_node_evidence){
+    .catalog_version = gateway->catalog->version,
+    .age_ms = (u_int)MIN (age_ms, UINT32_MAX),
+  };
+  gateway->io.send (gateway->io.context, session->handle, &message);
+}
+
 void
 az_gateway_send_withdrawn (struct az_gateway *gateway, struct session *session)
 {
@@ -50,6 +65,7 @@
 {
   if (gateway->catalog && gateway->catalog->version > pulse->catalog_version)
     send_catalog (gateway, session);
+  send_evidence (gateway, session);
   az_gateway_send_withdrawn (gateway, session);
 }
 
@@ -100,6 +116,10 @@
 void
 az_gateway_set_store_reachable (struct az_gateway *gateway, bool is_reachable)
 {
+  if (is_reachable != gateway->is_store_reachable)
+    az_log (LOG_NOTICE, "event=updates outcome=%s evidence_age_ms=%" G_GINT64_FORMAT " sessions=%u",
+            is_reachable ? "ended" : "requested", az_gateway_catalog_age_ms (gateway),
+            g_hash_table_size (gateway->sessions));
   gateway->is_store_reachable = is_reachable;
 }
 
@@ -118,11 +138,10 @@
 bool
 az_gateway_set_catalog (struct az_gateway *gateway,
                         struct az_catalog *catalog,
-                        uint64_t revision,
-                        const char *text,
-                        size_t length)
+                        const struct az_catalog_origin *origin)
 {
   const struct az_catalog *present = gateway->catalog;
+  const struct session *session = az_gateway_get_session (gateway, origin->session);
 
   if (present && catalog->version <= present->version)
     {
@@ -132,14 +151,16 @@
   gateway->now_us = az_now_us (gateway->clock);
   az_log (LOG_NOTICE,
           "event=configuration version=%" G_GUINT64_FORMAT " former=%" G_GUINT64_FORMAT
-          " revision=%" G_GUINT64_FORMAT " routes=%zu",
-          catalog->version, present ? present->version : 0, revision, catalog->n_routes);
+          " revision=%" G_GUINT64_FORMAT " routes=%zu source=%s evidence_age_ms=%" G_GINT64_FORMAT,
+          catalog->version, present ? present->version : 0, origin->revision, catalog->n_routes,
+          session && session->instance ? session->instance : "store",
+          az_gateway_catalog_age_ms (gateway));
   az_catalog_destroy (gateway->catalog);
   if (gateway->catalog_text)
     g_bytes_unref (gateway->catalog_text);
   gateway->catalog = catalog;
-  gateway->catalog_revision = revision;
-  gateway->catalog_text = g_bytes_new (text, length);
+  gateway->catalog_revision = origin->revision;
+  gateway->catalog_text = g_bytes_new (origin->text, origin->length);
   return true;
 }
 
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -529,7 +529,7 @@
  * late the message arrives. waiting_cpu_milli is the demand of its queued tasks.
  * Without wants_reports, a sidecar that runs no task of the gateway reports only every few
  * seconds. A gateway that can't reach the store sets wants_updates to get from another gateway a
- * configuration newer than catalog_version and the withdrawn domains.
+ * configuration newer than catalog_version, the withdrawn domains and the age of both.
  */
 struct az_node_pulse {
 	unsigned hyper clock_ms;
@@ -567,6 +567,12 @@
 	bool was_held;
 };
 
+/* Answer to wants_updates: catalog_version was the newest configuration age_ms ago. */
+struct az_node_evidence {
+	unsigned hyper catalog_version;
+	unsigned int age_ms;
+};
+
 const AZ_MAX_KINDS = 8;
 
 /*
@@ -631,7 +637,8 @@
 	AZ_NODE_CRASH = 35,
 	AZ_NODE_CANCEL = 36,
 	AZ_NODE_CANCELLED = 37,
-	AZ_NODE_INTERFERENCE = 38
+	AZ_NODE_INTERFERENCE = 38,
+	AZ_NODE_EVIDENCE = 39
 };
 
 union az_message switch (az_proc proc) {
@@ -713,4 +720,6 @@
 	az_node_cancelled node_cancelled;
 case AZ_NODE_INTERFERENCE:
 	az_node_interference node_interference;
+case AZ_NODE_EVIDENCE:
+	az_node_evidence node_evidence;
 };
--- a/src/proto/gen/azurerock.h
+++ b/src/proto/gen/azurerock.h
@@ -543,6 +543,12 @@
 	bool_t was_held;
 };
 typedef struct az_node_cancelled az_node_cancelled;
+
+struct az_node_evidence {
+	u_quad_t catalog_version;
+	u_int age_ms;
+};
+typedef struct az_node_evidence az_node_evidence;
 #define AZ_MAX_KINDS 8
 
 struct az_interference_row {
@@ -606,6 +612,7 @@
 	AZ_NODE_CANCEL = 36,
 	AZ_NODE_CANCELLED = 37,
 	AZ_NODE_INTERFERENCE = 38,
+	AZ_NODE_EVIDENCE = 39,
 };
 typedef enum az_proc az_proc;
 
@@ -650,6 +657,7 @@
 		az_node_cancel node_cancel;
 		az_node_cancelled node_cancelled;
 		az_node_interference node_interference;
+		az_node_evidence node_evidence;
 	} az_message_u;
 };
 typedef struct az_message az_message;
@@ -719,6 +727,7 @@
 extern  bool_t xdr_az_node_crash (XDR *, az_node_crash*);
 extern  bool_t xdr_az_node_cancel (XDR *, az_node_cancel*);
 extern  bool_t xdr_az_node_cancelled (XDR *, az_node_cancelled*);
+extern  bool_t xdr_az_node_evidence (XDR *, az_node_evidence*);
 extern  bool_t xdr_az_interference_row (XDR *, az_interference_row*);
 extern  bool_t xdr_az_node_interference (XDR *, az_node_interference*);
 extern  bool_t xdr_az_proc (XDR *, az_proc*);
@@ -787,6 +796,7 @@
 extern bool_t xdr_az_node_crash ();
 extern bool_t xdr_az_node_cancel ();
 extern bool_t xdr_az_node_cancelled ();
+extern bool_t xdr_az_node_evidence ();
 extern bool_t xdr_az_interference_row ();
 extern bool_t xdr_az_node_interference ();
 extern bool_t xdr_az_proc ();
--- a/src/proto/gen/azurerock_xdr.c
+++ b/src/proto/gen/azurerock_xdr.c
@@ -1133,6 +1133,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_az_node_evidence (XDR *xdrs, az_node_evidence *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->catalog_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_az_interference_row (XDR *xdrs, az_interference_row *objp)
 {
@@ -1376,6 +1388,10 @@
 		 if (!xdr_az_node_interference (xdrs, &objp->az_message_u.node_interference))
 			 return FALSE;
 		break;
+	case AZ_NODE_EVIDENCE:
+		 if (!xdr_az_node_evidence (xdrs, &objp->az_message_u.node_evidence))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/proto/message.c
+++ b/src/proto/message.c
@@ -74,6 +74,7 @@
   [AZ_NODE_CANCEL] = { "NODE_CANCEL", (xdrproc_t)xdr_az_node_cancel },
   [AZ_NODE_CANCELLED] = { "NODE_CANCELLED", (xdrproc_t)xdr_az_node_cancelled },
   [AZ_NODE_INTERFERENCE] = { "NODE_INTERFERENCE", (xdrproc_t)xdr_az_node_interference },
+  [AZ_NODE_EVIDENCE] = { "NODE_EVIDENCE", (xdrproc_t)xdr_az_node_evidence },
 };
 
 static const struct procedure *
--- a/tests/fuzz_sessions.c
+++ b/tests/fuzz_sessions.c
@@ -62,7 +62,7 @@
 
   az_message_encode (&empty, 1, record, NULL);
   record->data[PROCEDURE_OFFSET + 3]
-      = (uint8_t)(AZ_NODE_HELLO + take_byte (input) % (AZ_NODE_INTERFERENCE - AZ_NODE_HELLO + 1));
+      = (uint8_t)(AZ_NODE_HELLO + take_byte (input) % (AZ_NODE_EVIDENCE - AZ_NODE_HELLO + 1));
   n = (size_t)take_byte (input) * 4;
   body = take_bytes (input, &n);
   g_byte_array_append (record, body, (guint)n);
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -52,6 +52,11 @@
       rig->heartbeat_cpu_milli[session] = message->az_message_u.node_pulse.waiting_cpu_milli;
     }
   rig->n_catalogs_sent += message->proc == AZ_NODE_CATALOG;
+  if (message->proc == AZ_NODE_EVIDENCE)
+    {
+      rig->n_evidence_sent++;
+      rig->evidence = message->az_message_u.node_evidence;
+    }
   if (message->proc == AZ_NODE_RUN)
     record_run (rig, session, &message->az_message_u.node_run);
   if (message->proc == AZ_NODE_STOP)
@@ -138,6 +143,7 @@
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
+    .apply_ms = 2000,
     .remote_factor = 1.5,
     .share_demand = features->share_demand,
     .fair_queue_shares = features->fair_queue_shares,
@@ -164,7 +170,8 @@
   rig->connects = g_ptr_array_new_with_free_func (g_free);
   rig->core = az_gateway_create (&settings, 5, &rig->clock, &io, rig->counters);
   az_gateway_set_store_reachable (rig->core, true);
-  az_gateway_set_catalog (rig->core, gateway_rig_create_catalog (1), 1, "{}", 2);
+  az_gateway_set_catalog (rig->core, gateway_rig_create_catalog (1),
+                          &(struct az_catalog_origin){ .revision = 1, .text = "{}", .length = 2 });
   for (unsigned i = 1; i <= n_upstreams; i++)
     {
       g_autofree char *instance = g_strdup_printf ("s%u", i);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -51,6 +51,8 @@
   uint32_t heartbeat_cpu_milli[16];      /* as the last heartbeat to each session states it */
   unsigned n_update_requests;            /* NODE_PULSE messages that request updates */
   unsigned n_catalogs_sent;              /* configurations sent to peers */
+  unsigned n_evidence_sent;              /* NODE_EVIDENCE messages */
+  struct az_node_evidence evidence;      /* of the last of them */
   uint32_t received[16];                 /* run messages per session */
   uint32_t used_cpu_milli[16];           /* in use on the upstream of each session */
   uint32_t capacity_milli[16];           /* of the upstream of each session */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -174,8 +174,12 @@
   struct gateway_rig *rig = gateway_rig_create (0);
 
   (void)state;
-  assert_true (az_gateway_set_catalog (rig->core, gateway_rig_create_catalog (7), 3, "{}", 2));
-  assert_false (az_gateway_set_catalog (rig->core, gateway_rig_create_catalog (6), 9, "{}", 2));
+  assert_true (az_gateway_set_catalog (
+      rig->core, gateway_rig_create_catalog (7),
+      &(struct az_catalog_origin){ .revision = 3, .text = "{}", .length = 2 }));
+  assert_false (az_gateway_set_catalog (
+      rig->core, gateway_rig_create_catalog (6),
+      &(struct az_catalog_origin){ .revision = 9, .text = "{}", .length = 2 }));
   assert_int_equal (az_gateway_catalog (rig->core)->version, 7);
   gateway_rig_destroy (rig);
 }
--- a/tests/test_gateway_interference.c
+++ b/tests/test_gateway_interference.c
@@ -424,7 +424,8 @@
   assert_int_equal (fast->part, 2);
   g_free (catalog->routes[0].service);
   catalog->routes[0].service = g_strdup ("other");
-  az_gateway_set_catalog (rig->core, catalog, 2, "{}", 2);
+  az_gateway_set_catalog (rig->core, catalog,
+                          &(struct az_catalog_origin){ .revision = 2, .text = "{}", .length = 2 });
   run_tasks (rig, "fast", 1);
   assert_int_equal (fast->part, 0);
   gateway_rig_advance (rig, 5100, 0);
--- /dev/null
+++ b/tests/test_gateway_updates.c
@@ -0,0 +1,70 @@
+#include "gateway_rig.h"
+#include "testing.h"
+
+#define PEER 9
+
+static void
+request_updates (struct gateway_rig *rig)
+{
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  pulse.az_message_u.node_pulse.wants_updates = true;
+  pulse.az_message_u.node_pulse.catalog_version = 1;
+  az_gateway_received (rig->core, PEER, &pulse);
+}
+
+static void
+receive_evidence (struct gateway_rig *rig, uint64_t version, uint32_t age_ms)
+{
+  struct az_message message = { .proc = AZ_NODE_EVIDENCE };
+
+  message.az_message_u.node_evidence = (struct az_node_evidence){ version, age_ms };
+  az_gateway_received (rig->core, PEER, &message);
+}
+
+/* Guards against a gateway that passes on what it heard from another one as if it were new. */
+static void
+test_relayed_evidence_keeps_its_age (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  gateway_rig_open_peer (rig, PEER, "127.0.0.2:9");
+  request_updates (rig);
+  assert_int_equal (rig->n_evidence_sent, 0);
+  receive_evidence (rig, 1, 700);
+  gateway_rig_advance (rig, 200, 0);
+  request_updates (rig);
+  assert_int_equal (rig->n_evidence_sent, 1);
+  assert_int_equal (rig->evidence.catalog_version, 1);
+  assert_int_equal (rig->evidence.age_ms, 900);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a configuration that counts as the newest although a newer one is known to exist,
+ * and against older evidence that replaces recent one. */
+static void
+test_evidence_for_a_newer_configuration_is_no_evidence_for_the_present_one (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  gateway_rig_open_peer (rig, PEER, "127.0.0.2:9");
+  receive_evidence (rig, 2, 0);
+  assert_int_equal (az_gateway_catalog_age_ms (rig->core), -1);
+  receive_evidence (rig, 1, 100);
+  receive_evidence (rig, 1, 600);
+  assert_int_equal (az_gateway_catalog_age_ms (rig->core), 100);
+  gateway_rig_destroy (rig);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_relayed_evidence_keeps_its_age),
+    cmocka_unit_test (test_evidence_for_a_newer_configuration_is_no_evidence_for_the_present_one),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -101,6 +101,7 @@
   { AZ_NODE_CANCEL, BODY (node_cancel, 3, (char *)"5c0e7a21d94b36f8") },
   { AZ_NODE_CANCELLED, BODY (node_cancelled, 3, TRUE) },
   { AZ_NODE_INTERFERENCE, BODY (node_interference, 2, { 2, kinds }, { 1, interference_rows }) },
+  { AZ_NODE_EVIDENCE, BODY (node_evidence, 9, 40) },
 };
 
 static GByteArray *
@@ -142,7 +143,7 @@
 static void
 test_every_procedure_round_trip (void **state)
 {
-  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_INTERFERENCE + 1);
+  assert_int_equal (G_N_ELEMENTS (samples), AZ_NODE_EVIDENCE + 1);
   for (size_t i = 0; i < G_N_ELEMENTS (samples); i++)
     {
       GByteArray *record = encode (&samples[i]);
@@ -224,7 +225,7 @@
   put_word (record, VERSION_OFFSET, 2);
   assert_rejected (record, AZ_MESSAGE_ERROR_VERSION);
   put_word (record, VERSION_OFFSET, 1);
-  put_word (record, PROCEDURE_OFFSET, AZ_NODE_INTERFERENCE + 1);
+  put_word (record, PROCEDURE_OFFSET, AZ_NODE_EVIDENCE + 1);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
   put_word (record, PROCEDURE_OFFSET, 0xffffffff);
   assert_rejected (record, AZ_MESSAGE_ERROR_PROCEDURE);
