Show that a change stays unknown while the store serves no gateway

What callers see: a route that was published and acknowledged is answered 404, for as long as the store refuses or ignores all gateways. The test has a store stand-in with two ports, of which one refuses its callers.

--- /dev/null
+++ b/tests/test_gateway_store_refuses.py
@@ -0,0 +1,145 @@
+#!/usr/bin/env python3
+"""Tests gateways that the store doesn't serve while it serves other processes."""
+import asyncio
+import json
+import os
+import signal
+import tempfile
+import time
+import unittest
+
+import standin_http
+from process_testing import free_port, program_path
+from standin_platform import Store
+
+HOST = "127.0.0.1"
+# A configuration has to be in force within 2 s from its acknowledgement.
+APPLY_LIMIT_S = 2.0
+OUTAGE_S = 4.0
+START_LIMIT_S = 5.0
+
+
+class RefusableStore:
+    """Access of some processes to a store, which can be refused; @mode: "ok", "silent" (no answer)
+    or "busy" (503). A change of the mode applies to calls in progress too."""
+
+    def __init__(self, store):
+        self.store, self.mode = store, "ok"
+
+    async def handle(self, method, target, headers, body):
+        answer = await self.store.handle(method, target, headers, body)
+        if self.mode == "silent":
+            raise standin_http.NoAnswer
+        return (503, None) if self.mode == "busy" else answer
+
+
+class Cluster:
+    """Two gateways and one sidecar; the gateways have their own access to the store."""
+
+    def __init__(self, folder):
+        self.folder, self.store, self.processes, self.servers = folder, Store(), [], []
+        self.access = RefusableStore(self.store)
+        self.store_ports = {"gateways": free_port(), "sidecars": free_port()}
+        self.jobs_ports = [free_port(), free_port()]
+        self.peer_ports = [free_port(), free_port()]
+
+    def publish(self, version):
+        route = {"hostname": "h.example", "service": "service", "priority": 0, "max-attempts": 3,
+                 "slack-factor": 1.6, "target-completion-ms": 60, "timeout-ms": 1500}
+        routes = [dict(route, name="r%d" % i, prefix="/r%d/" % i) for i in range(1, version + 1)]
+        self.store.write("op/config", json.dumps(
+            {"version": version, "routes": routes, "services": []}).encode())
+
+    async def start_process(self, program, name, settings):
+        path = os.path.join(self.folder, name + ".json")
+        with open(path, "w") as file:
+            json.dump(dict(settings, instance=name, domain="d0", seeds=[], grace_s=1), file)
+        with open(os.path.join(self.folder, name + ".log"), "w") as log:
+            self.processes.append(await asyncio.create_subprocess_exec(
+                program_path(program), "--config", path, stdout=log, stderr=log))
+
+    async def start(self):
+        self.servers = [
+            await standin_http.serve(HOST, self.store_ports["gateways"], self.access.handle),
+            await standin_http.serve(HOST, self.store_ports["sidecars"], self.store.handle)]
+        for i in range(2):
+            peer = "%s:%d" % (HOST, self.peer_ports[i])
+            await self.start_process("azurerock-gateway", "g%d" % i, {
+                "store_address": "%s:%d" % (HOST, self.store_ports["gateways"]),
+                "jobs_address": "%s:%d" % (HOST, self.jobs_ports[i]),
+                "ready_address": "%s:%d" % (HOST, free_port()),
+                "peer_address": peer, "advertised_address": peer, "seed_port": free_port()})
+        await self.start_process("azurerock-sidecar", "s0", {
+            "store_address": "%s:%d" % (HOST, self.store_ports["sidecars"]),
+            "registry_address": "%s:%d" % (HOST, free_port()), "seed_port": free_port()})
+
+    async def stop(self):
+        for process in self.processes:
+            process.send_signal(signal.SIGTERM)
+        for process in self.processes:
+            await process.wait()
+        for server in self.servers:
+            server.close()
+
+    async def ask(self, gateway, route):
+        """Returns the status of a request to a route, None if there was no answer."""
+        client = standin_http.HttpClient(HOST, self.jobs_ports[gateway])
+        try:
+            return (await client.call("GET", "/r%d/" % route, {"host": "h.example"}, None, 0.5))[0]
+        except (OSError, TimeoutError):
+            return None
+        finally:
+            client.close()
+
+    async def time_until_known(self, route, limit_s):
+        """Returns the seconds until both gateways know a route, at most @limit_s."""
+        begin_s = time.monotonic()
+        while time.monotonic() - begin_s < limit_s:
+            if [await self.ask(i, route) for i in range(2)] == [200, 200]:
+                break
+            await asyncio.sleep(0.02)
+        return time.monotonic() - begin_s
+
+    async def wait_for_sessions(self):
+        """Waits until the sidecar has a session with each gateway."""
+        until = time.monotonic() + START_LIMIT_S
+        path = os.path.join(self.folder, "s0.log")
+        while time.monotonic() < until:
+            with open(path) as log:
+                if log.read().count("event=session-opened") >= 2:
+                    return
+            await asyncio.sleep(0.05)
+        raise TimeoutError("the sidecar has no session with each gateway")
+
+
+async def time_until_in_force(folder, mode):
+    """Returns the seconds until a change is in force that is made while the store serves no
+    gateway."""
+    cluster = Cluster(folder)
+    cluster.publish(1)
+    await cluster.start()
+    try:
+        await cluster.time_until_known(1, START_LIMIT_S)
+        await cluster.wait_for_sessions()
+        cluster.access.mode = mode
+        await asyncio.sleep(0.5)
+        cluster.publish(2)
+        return await cluster.time_until_known(2, OUTAGE_S)
+    finally:
+        await cluster.stop()
+
+
+class GatewayStoreRefuses(unittest.TestCase):
+    def check(self, mode):
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertLess(asyncio.run(time_until_in_force(folder, mode)), APPLY_LIMIT_S)
+
+    def test_change_comes_into_force_while_the_store_ignores_all_gateways(self):
+        self.check("silent")
+
+    def test_change_comes_into_force_while_the_store_refuses_all_gateways(self):
+        self.check("busy")
+
+
+if __name__ == "__main__":
+    unittest.main()
