State the demand in a request for updates

What callers see: while a gateway doesn't reach the store, the others count its demand as zero most of the time, so they use its share of short cores and its callers are refused more often.

Cause: a request for updates is a heartbeat, four times a second, whose demand was left at 0, and each one replaces the demand stated before.

Change: one function sends all heartbeats, in a file of its own, and a request for updates is one with a flag.

Measured: test_update_request_states_the_demand fails with the demand set to 0 in requests as before and passes now; test_gateway, test_gateway_demand and test_gateway_updates pass.

--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -7,12 +7,6 @@
 #include "gateway/state.h"
 #include <string.h>
 
-#define HEARTBEAT_BUSY_MS 100
-#define HEARTBEAT_IDLE_MS 400
-
-/* Heartbeat interval for sidecars outside the working set. */
-#define HEARTBEAT_DORMANT_MS 2000
-
 void
 az_gateway_session_opened (struct az_gateway *gateway, uint32_t handle, const char *outgoing)
 {
@@ -207,22 +201,6 @@
     }
 }
 
-static bool
-has_tasks (const struct az_gateway *gateway, const struct session *session)
-{
-  const struct upstream *upstream = az_gateway_get_upstream (gateway, session->upstream);
-
-  return upstream && upstream->n_tasks > 0;
-}
-
-static bool
-in_working_set (const struct az_gateway *gateway, const struct session *session)
-{
-  const struct upstream *upstream = az_gateway_get_upstream (gateway, session->upstream);
-
-  return upstream && upstream->in_working_set;
-}
-
 /* The stricter timeout of a session with tasks starts when its first task is sent: until then the
  * sidecar may send messages less often. */
 static bool
@@ -230,11 +208,11 @@
 {
   int64_t limit_ms = gateway->settings.session_timeout_ms;
 
-  if (has_tasks (gateway, session))
+  if (az_gateway_has_tasks (gateway, session))
     return gateway->now_us - MAX (session->last_received_us, session->busy_since_us)
            > limit_ms * AZ_US_PER_MS;
-  limit_ms *= in_working_set (gateway, session) ? AZ_IDLE_SESSION_TIMEOUT_FACTOR
-                                                : AZ_DORMANT_SESSION_TIMEOUT_FACTOR;
+  limit_ms *= az_gateway_wants_reports (gateway, session) ? AZ_IDLE_SESSION_TIMEOUT_FACTOR
+                                                          : AZ_DORMANT_SESSION_TIMEOUT_FACTOR;
   return gateway->now_us - session->last_received_us > limit_ms * AZ_US_PER_MS;
 }
 
@@ -254,37 +232,3 @@
       gateway->io.close (gateway->io.context, handle, "silent");
     }
 }
-
-static int64_t
-heartbeat_interval_ms (const struct az_gateway *gateway, const struct session *session)
-{
-  if (session->peer_address)
-    return az_gateway_demand_interval_ms (gateway);
-  if (has_tasks (gateway, session))
-    return HEARTBEAT_BUSY_MS;
-  return in_working_set (gateway, session) ? HEARTBEAT_IDLE_MS : HEARTBEAT_DORMANT_MS;
-}
-
-void
-az_gateway_send_heartbeats (struct az_gateway *gateway)
-{
-  struct az_message pulse = { .proc = AZ_NODE_PULSE };
-  GHashTableIter iterator;
-  gpointer value;
-
-  g_hash_table_iter_init (&iterator, gateway->sessions);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct session *session = value;
-      int64_t every_ms = heartbeat_interval_ms (gateway, session);
-
-      if (gateway->now_us - session->last_heartbeat_us < every_ms * AZ_US_PER_MS)
-        continue;
-      session->last_heartbeat_us = gateway->now_us;
-      pulse.az_message_u.node_pulse.waiting_cpu_milli
-          = az_gateway_stated_cpu_milli (gateway, session);
-      pulse.az_message_u.node_pulse.clock_ms = az_gateway_peer_clock_ms (gateway, session);
-      pulse.az_message_u.node_pulse.wants_reports = in_working_set (gateway, session);
-      gateway->io.send (gateway->io.context, session->handle, &pulse);
-    }
-}
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -401,6 +401,23 @@
 /* sessions.c */
 void
 az_gateway_expire_sessions (struct az_gateway *gateway);
+
+/* heartbeats.c */
+
+/** az_gateway_has_tasks - whether tasks of this gateway run on the session's upstream */
+bool
+az_gateway_has_tasks (const struct az_gateway *gateway, const struct session *session);
+
+/** az_gateway_wants_reports - whether the session's upstream belongs to the working set */
+bool
+az_gateway_wants_reports (const struct az_gateway *gateway, const struct session *session);
+
+/** az_gateway_send_heartbeat - sends a heartbeat now; with @wants_updates, it also requests the
+ * configuration and the withdrawn domains */
+void
+az_gateway_send_heartbeat (struct az_gateway *gateway, struct session *session, bool wants_updates);
+
+/** az_gateway_send_heartbeats - sends the heartbeats that are due */
 void
 az_gateway_send_heartbeats (struct az_gateway *gateway);
 
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -83,34 +83,26 @@
   return peers;
 }
 
-/* Sends the message to a few peers at a time, in turn. */
+/* Requests updates from a few peers at a time, in turn. */
 static void
-send_to_next_peers (struct az_gateway *gateway, const struct az_message *pulse)
+request_from_next_peers (struct az_gateway *gateway)
 {
   g_autoptr (GPtrArray) peers = list_peers (gateway);
   guint n_requested = MIN (peers->len, PEERS_PER_REQUEST);
 
   for (guint i = 0; i < n_requested; i++)
-    {
-      const struct session *peer = peers->pdata[(gateway->next_peer + i) % peers->len];
-
-      gateway->io.send (gateway->io.context, peer->handle, pulse);
-    }
+    az_gateway_send_heartbeat (gateway, peers->pdata[(gateway->next_peer + i) % peers->len], true);
   gateway->next_peer += n_requested;
 }
 
 void
 az_gateway_request_updates (struct az_gateway *gateway)
 {
-  struct az_message pulse = { .proc = AZ_NODE_PULSE };
-
   if (gateway->is_store_reachable
       || gateway->now_us - gateway->updates_requested_us < REQUEST_INTERVAL_MS * AZ_US_PER_MS)
     return;
   gateway->updates_requested_us = gateway->now_us;
-  pulse.az_message_u.node_pulse.wants_updates = true;
-  pulse.az_message_u.node_pulse.catalog_version = gateway->catalog ? gateway->catalog->version : 0;
-  send_to_next_peers (gateway, &pulse);
+  request_from_next_peers (gateway);
 }
 
 void
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -58,11 +58,33 @@
   gateway_rig_destroy (rig);
 }
 
+/* Guards against peers that take a gateway without the store for one without demand. */
+static void
+test_update_request_states_the_demand (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create_sharing_demand (0);
+
+  (void)state;
+  gateway_rig_open_peer (rig, PEER, "127.0.0.2:9");
+  az_gateway_set_store_reachable (rig->core, false);
+  rig->wait_ms = 10000;
+  for (uint32_t i = 1; i <= 100; i++)
+    {
+      gateway_rig_submit (rig, i, "fast", 2);
+      gateway_rig_advance (rig, 20, 0);
+      if (rig->n_update_requests > 0 && i > 50)
+        assert_true (rig->heartbeat_cpu_milli[PEER] > 0);
+    }
+  assert_true (rig->n_update_requests >= 5);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_relayed_evidence_keeps_its_age),
+    cmocka_unit_test (test_update_request_states_the_demand),
     cmocka_unit_test (test_evidence_for_a_newer_configuration_is_no_evidence_for_the_present_one),
   };
 
