Separate paged reads and membership from the gateway's view of the store

Paged reads are now dispatch/metadata_read.c, for other readers too, and membership is program_members.c. Behaviour is the same but for one thing: a configuration from the first page of a read still counts if another read ends first.

--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -43,7 +43,6 @@
  * @revision: 0 until a read is complete
  * @is_catalog_readable: whether the last configuration that was read is valid
  * @requested_us: when the present watch or the last read was started
- * @lease: lease of this gateway's member key, 0 if it has none
  */
 struct az_store_view
 {
@@ -52,10 +51,16 @@
   uint64_t revision;
   bool is_catalog_readable;
   int64_t requested_us;
-  uint64_t lease;
   bool is_reachable;
   uv_timer_t retry;
-  uv_timer_t membership_timer;
+};
+
+/** struct az_membership - @lease is that of this gateway's member key in the store, 0 if it has
+ * none */
+struct az_membership
+{
+  uint64_t lease;
+  uv_timer_t timer;
 };
 
 struct az_gateway_program
@@ -71,6 +76,7 @@
   struct az_counters *counters;
   struct az_metadata_client *store;
   struct az_store_view view;
+  struct az_membership membership;
   struct az_gateway *gateway;
   bool is_stopping;
   bool is_closed;
@@ -101,7 +107,13 @@
 void
 az_gateway_program_add_seeds (void *context, const GPtrArray *seeds);
 
-/* program_store.c: configuration, withdrawn domains and members in the store */
+/* program_members.c: addresses of the gateways in the store */
+void
+az_gateway_program_open_membership (struct az_gateway_program *program);
+void
+az_gateway_program_close_membership (struct az_gateway_program *program);
+
+/* program_store.c: configuration and withdrawn domains in the store */
 
 /** az_gateway_program_check_store - treats the store as unreachable while an answer is overdue */
 void
--- a/src/gateway/program_run.c
+++ b/src/gateway/program_run.c
@@ -31,6 +31,7 @@
   az_http_server_destroy (program->jobs);
   az_http_server_destroy (program->ready);
   az_http_server_destroy (program->metrics);
+  az_gateway_program_close_membership (program);
   az_gateway_program_close_store (program);
   az_rpc_destroy (program->rpc);
   az_event_loop_close (&program->event_loop);
@@ -122,6 +123,7 @@
   az_settings_watch_open (&program->settings);
   az_gateway_program_add_seeds (program, program->options->seeds);
   az_gateway_program_open_store (program);
+  az_gateway_program_open_membership (program);
   program->event_loop = (struct az_event_loop){
     .loop = program->loop,
     .flush = on_flush,
--- a/src/gateway/program_store.c
+++ b/src/gateway/program_store.c
@@ -1,5 +1,5 @@
 #include "azurerock/log.h"
-#include "dispatch/gateway_addresses.h"
+#include "dispatch/metadata_read.h"
 #include "gateway/program.h"
 #include "platform/operator.h"
 #include <string.h>
@@ -14,10 +14,6 @@
 #define PARALLEL_READ_DELAY_MS 200
 #define PARALLEL_READS_MAX 4
 
-#define MEMBER_LEASE_MS 15000
-#define MEMBER_RENEW_MS 4000
-#define MEMBER_RETRY_MS 1500
-
 /* Maximum age that is assumed for the contents of a watch's answer on arrival. */
 #define ANSWER_AGE_MAX_US 300000
 
@@ -25,12 +21,11 @@
  * never come. */
 #define WATCH_OVERDUE_US 150000
 
-/** struct store_read - one read, page by page, of all that operators have published */
+/** struct store_read - a read in progress of all that operators have published */
 struct store_read
 {
   struct az_gateway_program *program;
   GHashTable *withdrawn; /* set of domains */
-  uint64_t revision;
   int64_t requested_us;
 };
 
@@ -186,60 +181,43 @@
 }
 
 static void
-read_page (struct store_read *read, const char *after);
+on_item_read (void *context, const struct az_metadata_item *item)
+{
+  struct store_read *read = context;
+
+  if (!read->program->is_closed)
+    handle_item (read->program, read->withdrawn, item);
+}
 
-/* The pages of a read are no snapshot of the store, so the watch starts at the revision of the
- * first page. */
 static void
-finish_read (struct store_read *read)
+finish_read (struct az_gateway_program *program, const struct store_read *read, uint64_t revision)
 {
-  struct az_gateway_program *program = read->program;
   struct az_store_view *view = &program->view;
 
   g_hash_table_unref (view->withdrawn);
   view->withdrawn = g_hash_table_ref (read->withdrawn);
-  view->revision = read->revision;
+  view->revision = revision;
   confirm_view (program, now_us () - read->requested_us);
-  g_ptr_array_remove_fast (view->reads, read);
   start_watch (program);
 }
 
 static void
-on_page_read (void *context, struct az_metadata_answer *answer)
+on_read (void *context, enum az_metadata_result result, uint64_t revision)
 {
   struct store_read *read = context;
   struct az_gateway_program *program = read->program;
   struct az_store_view *view = &program->view;
 
-  if (program->is_closed)
-    return;
-  /* Another read has completed first. */
-  if (view->revision > 0)
+  /* Otherwise another read has completed first. */
+  if (!program->is_closed && view->revision == 0)
     {
-      g_ptr_array_remove_fast (view->reads, read);
-      return;
-    }
-  set_reachable (program, answer->result == AZ_METADATA_OK);
-  if (answer->result != AZ_METADATA_OK)
-    {
-      g_ptr_array_remove_fast (view->reads, read);
-      retry (program, RETRY_MS);
-      return;
+      set_reachable (program, result == AZ_METADATA_OK);
+      if (result == AZ_METADATA_OK)
+        finish_read (program, read, revision);
+      else
+        retry (program, RETRY_MS);
     }
-  for (size_t i = 0; i < answer->n_items; i++)
-    handle_item (program, read->withdrawn, &answer->items[i]);
-  if (read->revision == 0)
-    read->revision = answer->revision;
-  if (answer->has_more && answer->n_items > 0)
-    read_page (read, answer->items[answer->n_items - 1].key);
-  else
-    finish_read (read);
-}
-
-static void
-read_page (struct store_read *read, const char *after)
-{
-  az_metadata_range (read->program->store, PLATFORM_OPERATOR_PREFIX, after, on_page_read, read);
+  g_ptr_array_remove_fast (view->reads, read);
 }
 
 static void
@@ -256,78 +234,8 @@
   read->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   read->requested_us = view->requested_us = now_us ();
   g_ptr_array_add (view->reads, read);
-  read_page (read, NULL);
-}
-
-static void
-on_membership_timer (uv_timer_t *timer);
-
-static void
-schedule_membership (struct az_gateway_program *program, uint64_t ms)
-{
-  if (!program->is_closed)
-    uv_timer_start (&program->view.membership_timer, on_membership_timer, ms, 0);
-}
-
-static void
-on_lease_renewed (void *context, struct az_metadata_answer *answer)
-{
-  struct az_gateway_program *program = context;
-
-  if (answer->result == AZ_METADATA_NOT_FOUND)
-    program->view.lease = 0;
-  schedule_membership (program,
-                       answer->result == AZ_METADATA_OK ? MEMBER_RENEW_MS : MEMBER_RETRY_MS);
-}
-
-static void
-on_member_written (void *context, struct az_metadata_answer *answer)
-{
-  struct az_gateway_program *program = context;
-
-  if (answer->result != AZ_METADATA_OK)
-    program->view.lease = 0;
-  schedule_membership (program,
-                       answer->result == AZ_METADATA_OK ? MEMBER_RENEW_MS : MEMBER_RETRY_MS);
-}
-
-static void
-on_lease_created (void *context, struct az_metadata_answer *answer)
-{
-  struct az_gateway_program *program = context;
-  g_autofree char *key = g_strconcat (AZ_GATEWAYS_PREFIX, program->options->instance, NULL);
-
-  if (program->is_closed || answer->result != AZ_METADATA_OK || answer->lease == 0)
-    {
-      schedule_membership (program, MEMBER_RETRY_MS);
-      return;
-    }
-  program->view.lease = answer->lease;
-  az_metadata_write (program->store, key, program->options->advertised_address, answer->lease,
-                     on_member_written, program);
-}
-
-static void
-on_members_read (void *context, struct az_metadata_answer *answer)
-{
-  struct az_gateway_program *program = context;
-
-  if (program->is_closed)
-    return;
-  for (size_t i = 0; i < answer->n_items; i++)
-    if (answer->items[i].value)
-      az_gateway_add_member (program->gateway, answer->items[i].value);
-}
-
-static void
-on_membership_timer (uv_timer_t *timer)
-{
-  struct az_gateway_program *program = timer->data;
-
-  if (program->view.lease)
-    az_metadata_renew_lease (program->store, program->view.lease, on_lease_renewed, program);
-  else
-    az_metadata_create_lease (program->store, MEMBER_LEASE_MS, on_lease_created, program);
+  az_metadata_read_all (program->store, PLATFORM_OPERATOR_PREFIX,
+                        &(struct az_metadata_read){ on_item_read, on_read, read });
 }
 
 void
@@ -338,12 +246,9 @@
   view->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   view->reads = g_ptr_array_new_with_free_func (free_read);
   uv_timer_init (program->loop, &view->retry);
-  uv_timer_init (program->loop, &view->membership_timer);
-  view->retry.data = view->membership_timer.data = program;
+  view->retry.data = program;
   program->store = az_metadata_client_create (program->loop, program->options->store_address);
   start_read (program);
-  az_metadata_range (program->store, AZ_GATEWAYS_PREFIX, NULL, on_members_read, program);
-  on_membership_timer (&view->membership_timer);
 }
 
 void
@@ -353,7 +258,6 @@
 
   az_metadata_client_destroy (program->store);
   uv_close ((uv_handle_t *)&view->retry, NULL);
-  uv_close ((uv_handle_t *)&view->membership_timer, NULL);
   g_hash_table_unref (view->withdrawn);
 }
 
