Read the list of gateways until it is known

What callers see: a gateway that starts while the store doesn't answer, and whose seeds are gone, stays without sessions after the store's return: it isn't ready, and callers that reach it directly get 503.

Cause: the members were read once, at the start, without a retry. Two gateways that start at once could also both read before either had written its key.

--- a/src/gateway/program.h
+++ b/src/gateway/program.h
@@ -55,11 +55,15 @@
   uv_timer_t retry;
 };
 
-/** struct az_membership - @lease is that of this gateway's member key in the store, 0 if it has
- * none */
+/**
+ * struct az_membership - the gateways in the store
+ * @lease: lease of this gateway's member key, 0 if it has none
+ * @is_list_read: whether the last read of the members succeeded
+ */
 struct az_membership
 {
   uint64_t lease;
+  bool is_list_read;
   uv_timer_t timer;
 };
 
