Let sidecars read the configuration for gateways that the store doesn't serve

What callers saw: while the store refuses or ignores all gateways, a change that it has acknowledged isn't in force anywhere: an added route is answered 404, a dropped one still runs. Withdrawn domains were less at risk, as sidecars read those themselves.

Cause: only gateways read what operators publish. A gateway without the store asked other gateways, which have nothing newer if the store serves none of them, although sidecars with open sessions to them reach the store.

Change: a gateway that doesn't reach the store and whose knowledge is older than 0.5 s also requests updates from two sidecars at a time, in turn. A sidecar then reads the store once for all that ask, and answers as a gateway does, with the age counted from the start of its read. Nothing is read by sidecars while the gateways reach the store. If no sidecar answers for configuration_apply_ms, the requests slow down to one round a second, since the store is then probably out of service for all.

Why it works: the time until a change is known is now that until any connected sidecar is served, not until a gateway is.

--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -247,6 +247,8 @@
  * @is_catalog_outdated: whether that was longer ago than settings.apply_ms at the last tick
  * @updates_requested_us: when updates were last requested from peers
  * @next_peer: index of the peer to ask next
+ * @sidecars_requested_us: when updates were last requested from sidecars
+ * @next_sidecar: index of the sidecar to ask next
  * @first_arrival_us: when the first job was submitted, 0 before
  * @last_open_us: when an upstream last accepted tasks; initially the start of the process
  * @is_resuming: the process was paused; messages that arrived meanwhile are read before tasks are
@@ -295,6 +297,8 @@
   bool is_store_reachable;
   int64_t updates_requested_us;
   guint next_peer;
+  int64_t sidecars_requested_us;
+  guint next_sidecar;
   int64_t working_set_chosen_us;
   int64_t first_arrival_us;
   int64_t started_us;
@@ -431,8 +435,8 @@
 
 /* updates.c */
 
-/** az_gateway_request_updates - requests the configuration and the withdrawn domains from peers
- * while the store isn't reachable */
+/** az_gateway_request_updates - while the store isn't reachable, requests the configuration and the
+ * withdrawn domains from peers, and from sidecars if what is known is old */
 void
 az_gateway_request_updates (struct az_gateway *gateway);
 
--- a/src/proto/azurerock.x
+++ b/src/proto/azurerock.x
@@ -528,8 +528,9 @@
  * in NODE_RUN, or 0 before the first report: the session is kept open from that time on, however
  * late the message arrives. waiting_cpu_milli is the demand of its queued tasks.
  * Without wants_reports, a sidecar that runs no task of the gateway reports only every few
- * seconds. A gateway that can't reach the store sets wants_updates to get from another gateway a
- * configuration newer than catalog_version, the withdrawn domains and the age of both.
+ * seconds. A gateway that can't reach the store sets wants_updates to get a configuration newer than
+ * catalog_version, the withdrawn domains and the age of both: from another gateway what that knows,
+ * from a sidecar what it then reads from the store.
  */
 struct az_node_pulse {
 	unsigned hyper clock_ms;
--- a/src/sidecar/program.h
+++ b/src/sidecar/program.h
@@ -11,6 +11,7 @@
 #include "dispatch/metadata_client.h"
 #include "dispatch/settings_watch.h"
 #include "sidecar/links.h"
+#include "sidecar/relay.h"
 #include <glib.h>
 
 /** struct az_sidecar_options - contents of the settings file, in the units used there */
@@ -53,6 +54,7 @@
   struct az_metadata_client *store;
   struct az_sidecar *sidecar;
   struct az_links *links;
+  struct az_relay *relay;
   int64_t withdrawals_requested_us;
   char *record; /* announcement record as last written to the store */
   bool is_reading_withdrawals;
@@ -103,6 +105,8 @@
 
 /* program_store.c */
 void
+az_sidecar_program_open_relay (struct az_sidecar_program *program);
+void
 az_sidecar_program_poll_store (struct az_sidecar_program *program);
 
 extern const struct az_setting az_sidecar_schema[];
--- a/src/sidecar/program_rpc.c
+++ b/src/sidecar/program_rpc.c
@@ -34,11 +34,14 @@
 {
   struct az_sidecar_program *program = context;
   const struct az_node_gateways *gateways = &message->az_message_u.node_gateways;
+  const struct az_node_pulse *pulse = &message->az_message_u.node_pulse;
 
   if (message->proc == AZ_NODE_GATEWAYS)
     for (u_int i = 0; i < gateways->addresses.addresses_len; i++)
       az_sidecar_program_add_gateway (program, gateways->addresses.addresses_val[i]);
   az_sidecar_received (program->sidecar, connection, message);
+  if (message->proc == AZ_NODE_PULSE && pulse->wants_updates)
+    az_relay_request (program->relay, connection, pulse->catalog_version);
 }
 
 static void
@@ -48,6 +51,7 @@
 
   az_sidecar_session_closed (program->sidecar, connection, reason);
   az_links_closed (program->links, connection);
+  az_relay_session_closed (program->relay, connection);
 }
 
 static void
--- a/src/sidecar/program_run.c
+++ b/src/sidecar/program_run.c
@@ -124,6 +124,7 @@
   az_settings_watch_open (&program->settings);
   az_sidecar_program_add_seeds (program, program->options->seeds);
   program->store = az_metadata_client_create (program->loop, program->options->store_address);
+  az_sidecar_program_open_relay (program);
   az_sidecar_program_read_record (program);
   program->event_loop = (struct az_event_loop){
     .loop = program->loop,
@@ -164,6 +165,7 @@
   az_counters_destroy (program.counters);
   az_settings_watch_close (&program.settings);
   az_links_destroy (program.links);
+  az_relay_destroy (program.relay);
   g_free (program.record);
   az_log_flush ();
   return exit_code;
--- a/src/sidecar/program_store.c
+++ b/src/sidecar/program_store.c
@@ -63,6 +63,22 @@
   az_metadata_range (program->store, PLATFORM_WITHDRAWN_PREFIX, NULL, on_withdrawals_read, program);
 }
 
+static void
+read_published (void *context, const struct az_metadata_read *read)
+{
+  const struct az_sidecar_program *program = context;
+
+  az_metadata_read_all (program->store, PLATFORM_OPERATOR_PREFIX, read);
+}
+
+void
+az_sidecar_program_open_relay (struct az_sidecar_program *program)
+{
+  const struct az_relay_io io = { read_published, az_sidecar_program_send_message, program };
+
+  program->relay = az_relay_create (az_clock_system (), &io);
+}
+
 void
 az_sidecar_program_poll_store (struct az_sidecar_program *program)
 {
--- a/tests/gateway_rig.c
+++ b/tests/gateway_rig.c
@@ -40,8 +40,11 @@
   struct gateway_rig *rig = context;
   const struct az_node_stop *stop = &message->az_message_u.node_stop;
 
-  rig->n_update_requests
-      += message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_updates;
+  if (message->proc == AZ_NODE_PULSE && message->az_message_u.node_pulse.wants_updates)
+    {
+      rig->n_update_requests++;
+      rig->n_update_requests_to[session]++;
+    }
   if (message->proc == AZ_NODE_CANCEL)
     rig->cancel_number = message->az_message_u.node_cancel.number;
   if (message->proc == AZ_NODE_CANCELLED)
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -50,6 +50,7 @@
   uint64_t heartbeat_clock_ms;           /* as the last heartbeat states it */
   uint32_t heartbeat_cpu_milli[16];      /* as the last heartbeat to each session states it */
   unsigned n_update_requests;            /* NODE_PULSE messages that request updates */
+  unsigned n_update_requests_to[16];     /* the same to each session */
   unsigned n_catalogs_sent;              /* configurations sent to peers */
   unsigned n_evidence_sent;              /* NODE_EVIDENCE messages */
   struct az_node_evidence evidence;      /* of the last of them */
--- a/tests/test_gateway_store_refuses.py
+++ b/tests/test_gateway_store_refuses.py
@@ -53,7 +53,7 @@
     async def start_process(self, program, name, settings):
         path = os.path.join(self.folder, name + ".json")
         with open(path, "w") as file:
-            json.dump(dict(settings, instance=name, domain="d0", seeds=[], grace_s=1), file)
+            json.dump(dict(settings, instance=name, domain="d0", grace_s=1), file)
         with open(os.path.join(self.folder, name + ".log"), "w") as log:
             self.processes.append(await asyncio.create_subprocess_exec(
                 program_path(program), "--config", path, stdout=log, stderr=log))
@@ -68,10 +68,12 @@
                 "store_address": "%s:%d" % (HOST, self.store_ports["gateways"]),
                 "jobs_address": "%s:%d" % (HOST, self.jobs_ports[i]),
                 "ready_address": "%s:%d" % (HOST, free_port()),
-                "peer_address": peer, "advertised_address": peer, "seed_port": free_port()})
+                "peer_address": peer, "advertised_address": peer, "seeds": [],
+                "seed_port": free_port()})
         await self.start_process("azurerock-sidecar", "s0", {
             "store_address": "%s:%d" % (HOST, self.store_ports["sidecars"]),
-            "registry_address": "%s:%d" % (HOST, free_port()), "seed_port": free_port()})
+            "registry_address": "%s:%d" % (HOST, free_port()), "seeds": [HOST + ":1"],
+            "seed_port": self.peer_ports[0]})
 
     async def stop(self):
         for process in self.processes:
@@ -91,11 +93,11 @@
         finally:
             client.close()
 
-    async def time_until_known(self, route, limit_s):
-        """Returns the seconds until both gateways know a route, at most @limit_s."""
+    async def time_until_known(self, route, limit_s, gateways=(0, 1)):
+        """Returns the seconds until @gateways know a route, at most @limit_s."""
         begin_s = time.monotonic()
         while time.monotonic() - begin_s < limit_s:
-            if [await self.ask(i, route) for i in range(2)] == [200, 200]:
+            if all([await self.ask(i, route) == 200 for i in gateways]):
                 break
             await asyncio.sleep(0.02)
         return time.monotonic() - begin_s
@@ -129,6 +131,19 @@
         await cluster.stop()
 
 
+async def time_until_known_after_start(folder):
+    """Returns the seconds until a gateway has a configuration that starts while the store refuses
+    it."""
+    cluster = Cluster(folder)
+    cluster.publish(1)
+    cluster.access.mode = "busy"
+    await cluster.start()
+    try:
+        return await cluster.time_until_known(1, START_LIMIT_S, (0,))
+    finally:
+        await cluster.stop()
+
+
 class GatewayStoreRefuses(unittest.TestCase):
     def check(self, mode):
         with tempfile.TemporaryDirectory() as folder:
@@ -140,6 +155,10 @@
     def test_change_comes_into_force_while_the_store_refuses_all_gateways(self):
         self.check("busy")
 
+    def test_gateway_that_starts_while_the_store_refuses_it_gets_the_configuration(self):
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertLess(asyncio.run(time_until_known_after_start(folder)), START_LIMIT_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -79,12 +79,75 @@
   gateway_rig_destroy (rig);
 }
 
+static void
+receive_withdrawn (struct gateway_rig *rig, uint32_t age_ms)
+{
+  struct az_message message = { .proc = AZ_NODE_WITHDRAWN };
+
+  message.az_message_u.node_withdrawn.revision = 4;
+  message.az_message_u.node_withdrawn.age_ms = age_ms;
+  az_gateway_received (rig->core, PEER, &message);
+}
+
+/* Guards against a change that stays unknown while the store serves sidecars but no gateway. */
+static void
+test_sidecars_are_asked_if_no_peer_knows_more (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (4);
+
+  (void)state;
+  gateway_rig_open_peer (rig, PEER, "127.0.0.2:9");
+  az_gateway_set_store_reachable (rig->core, false);
+  gateway_rig_advance (rig, 1000, 0);
+  for (uint32_t session = 1; session <= 4; session++)
+    assert_true (rig->n_update_requests_to[session] > 0);
+  gateway_rig_destroy (rig);
+}
+
+static void
+test_sidecars_are_not_asked_while_a_peer_knows_what_is_current (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (4);
+
+  (void)state;
+  gateway_rig_open_peer (rig, PEER, "127.0.0.2:9");
+  az_gateway_set_store_reachable (rig->core, false);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      receive_evidence (rig, 1, 100);
+      receive_withdrawn (rig, 100);
+      gateway_rig_advance (rig, 100, 0);
+    }
+  assert_true (rig->n_update_requests_to[PEER] > 0);
+  assert_int_equal (rig->n_update_requests, rig->n_update_requests_to[PEER]);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against load on a store that is out of service for everybody. */
+static void
+test_sidecars_are_asked_less_often_if_none_answers (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (4);
+  unsigned n_before;
+
+  (void)state;
+  az_gateway_set_store_reachable (rig->core, false);
+  gateway_rig_advance (rig, 3000, 0);
+  n_before = rig->n_update_requests;
+  gateway_rig_advance (rig, 10000, 0);
+  assert_in_range (rig->n_update_requests - n_before, 18, 22);
+  gateway_rig_destroy (rig);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_relayed_evidence_keeps_its_age),
     cmocka_unit_test (test_update_request_states_the_demand),
+    cmocka_unit_test (test_sidecars_are_asked_if_no_peer_knows_more),
+    cmocka_unit_test (test_sidecars_are_not_asked_while_a_peer_knows_what_is_current),
+    cmocka_unit_test (test_sidecars_are_asked_less_often_if_none_answers),
     cmocka_unit_test (test_evidence_for_a_newer_configuration_is_no_evidence_for_the_present_one),
   };
 
