Answer 404 for a missing route only on recent evidence

What callers see: while a gateway hasn't heard of the store for long, a route that was added meanwhile is answered 404, which tells the caller that it doesn't exist. Nobody knows that: the store may have acknowledged the route, and the time in which it has to be in force has passed.

Cause: the lookup took the present configuration for the newest, whatever the age of the evidence for it.

Change: after configuration_apply_ms without evidence, a missing route is answered 503 with Retry-After. Known routes are served on, since running a job needs no store.

--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -139,6 +139,11 @@
 const struct az_catalog *
 az_gateway_catalog (const struct az_gateway *gateway);
 
+/** az_gateway_is_catalog_outdated - whether a newer configuration may have been published whose
+ * time to come into force has passed, so that a missing route proves nothing */
+bool
+az_gateway_is_catalog_outdated (const struct az_gateway *gateway);
+
 /** az_gateway_can_place - whether the configuration is known and an upstream accepts tasks */
 bool
 az_gateway_can_place (const struct az_gateway *gateway);
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -23,6 +23,14 @@
   return (az_now_us (gateway->clock) - gateway->catalog_confirmed_us) / AZ_US_PER_MS;
 }
 
+bool
+az_gateway_is_catalog_outdated (const struct az_gateway *gateway)
+{
+  int64_t age_ms = az_gateway_catalog_age_ms (gateway);
+
+  return age_ms < 0 || age_ms > gateway->settings.apply_ms;
+}
+
 static const char *
 catalog_version_text (const struct az_gateway *gateway, char *text, size_t size)
 {
--- a/src/gateway/program_jobs.c
+++ b/src/gateway/program_jobs.c
@@ -105,6 +105,19 @@
           catalog ? catalog->version : 0, az_gateway_catalog_age_ms (program->gateway));
 }
 
+static void
+refuse_without_route (struct az_gateway_program *program, const struct az_http_request *request)
+{
+  if (az_gateway_is_catalog_outdated (program->gateway))
+    {
+      log_refusal (program, request, 503, "route-unknown");
+      respond_retry_later (program, request->handle, 1000);
+      return;
+    }
+  log_refusal (program, request, 404, "no-route");
+  respond (program, request->handle, 404, NULL);
+}
+
 static void
 on_request (void *context, const struct az_http_request *request)
 {
@@ -122,8 +135,7 @@
   route = az_catalog_find_route (catalog, request->host, request->path);
   if (!route)
     {
-      log_refusal (program, request, 404, "no-route");
-      respond (program, request->handle, 404, NULL);
+      refuse_without_route (program, request);
       return;
     }
   id = request->path + strlen (route->prefix);
--- a/tests/test_gateway_store_refuses.py
+++ b/tests/test_gateway_store_refuses.py
@@ -39,6 +39,7 @@
     def __init__(self, folder):
         self.folder, self.store, self.processes, self.servers = folder, Store(), [], []
         self.access = RefusableStore(self.store)
+        self.sidecar_access = RefusableStore(self.store)
         self.store_ports = {"gateways": free_port(), "sidecars": free_port()}
         self.jobs_ports = [free_port(), free_port()]
         self.peer_ports = [free_port(), free_port()]
@@ -61,7 +62,8 @@
     async def start(self):
         self.servers = [
             await standin_http.serve(HOST, self.store_ports["gateways"], self.access.handle),
-            await standin_http.serve(HOST, self.store_ports["sidecars"], self.store.handle)]
+            await standin_http.serve(HOST, self.store_ports["sidecars"],
+                                        self.sidecar_access.handle)]
         for i in range(2):
             peer = "%s:%d" % (HOST, self.peer_ports[i])
             await self.start_process("azurerock-gateway", "g%d" % i, {
@@ -144,6 +146,24 @@
         await cluster.stop()
 
 
+async def ask_during_and_after_outage(folder):
+    """Returns the answers to requests to a route and to a missing one, each first while nobody has
+    reached the store for longer than APPLY_LIMIT_S and then after its return."""
+    cluster = Cluster(folder)
+    cluster.publish(1)
+    await cluster.start()
+    try:
+        await cluster.time_until_known(1, START_LIMIT_S)
+        cluster.access.mode = cluster.sidecar_access.mode = "busy"
+        await asyncio.sleep(APPLY_LIMIT_S + 0.5)
+        during = [await cluster.ask(0, 1), await cluster.ask(0, 2)]
+        cluster.access.mode = cluster.sidecar_access.mode = "ok"
+        await asyncio.sleep(0.5)
+        return during, [await cluster.ask(0, 1), await cluster.ask(0, 2)]
+    finally:
+        await cluster.stop()
+
+
 class GatewayStoreRefuses(unittest.TestCase):
     def check(self, mode):
         with tempfile.TemporaryDirectory() as folder:
@@ -159,6 +179,12 @@
         with tempfile.TemporaryDirectory() as folder:
             self.assertLess(asyncio.run(time_until_known_after_start(folder)), START_LIMIT_S)
 
+    def test_route_counts_as_missing_only_on_recent_evidence(self):
+        with tempfile.TemporaryDirectory() as folder:
+            during, after = asyncio.run(ask_during_and_after_outage(folder))
+            self.assertEqual(during, [200, 503])
+            self.assertEqual(after, [200, 404])
+
 
 if __name__ == "__main__":
     unittest.main()
