Let the soak's store refuse some processes

Cause: the soak's store was well or ill for all processes at once, and CONFIG was checked only after its disturbance. A store that refuses gateways while it serves operators and sidecars was never played.

Change: each process has an access of its own to the store. The fault store_refuses lets the store refuse or ignore all or half of the gateways and some sidecars while changes are made; CONFIG is then checked without a break, as long as one sidecar is served and nothing else disturbs the sessions. A gateway that answers 503 counts as late like one that answers 404, so the check stays as strict as it was now that gateways answer 503 on old evidence.

--- a/Makefile
+++ b/Makefile
@@ -108,9 +108,11 @@
 SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))), \
   4 $(shell sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak_seeds.txt) $(shell date +1%H%M)))
 
+STORE_FAULTS = store_refuses,configuration,withdraw,kill_gateway
 .PHONY: soak
 soak: all
 	BUILD=$(BUILD) tests/run_soak.sh $(SOAK_SEEDS)
+	$(if $(SEED)$(SEEDS),,BUILD=$(BUILD) FAULTS=$(STORE_FAULTS) tests/run_soak.sh 371)
 
 .PHONY: model
 model:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,10 +13,10 @@
 import time
 
 import standin_http
-from soak_faults import LINK_FAULTS, ONLY_BY_NAME, PLANNED, PORTS, Faults
+from soak_faults import LINK_FAULTS, ONLY_BY_NAME, PLANNED, PORTS, REFUSALS, Faults
 from soak_history import History
 from soak_proxy import Proxy
-from standin_platform import Executor, Store
+from standin_platform import Executor, Store, StoreAccess
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 NETWORKS = 254
@@ -38,6 +38,7 @@
         self.log = open(os.path.join(soak.folder, host + ".log"), "ab")
         self.process, self.is_exit_expected, self.active_fault = None, False, False
         self.last_disturbed_s = 0.0  # time of the last start or signal
+        self.store_access = settings.pop("store_access")
         with open(self.path, "w") as file:
             json.dump(settings, file)
 
@@ -87,6 +88,8 @@
         self.job_outcomes, self.jobs, self.stopping, self.version = [], 0, False, 0
         self.n_unplanned, self.due_crashes_ms, self.leaving_share = 0, [], 0.0
         self.network, self.store_server, self.longest_stall = None, None, (0.0, "")
+        self.store_servers, self.n_accesses = [], 0
+        self.n_other_faults, self.other_faults_until_s = 0, 0.0
 
     def host(self, index):
         return "127.%d.%d.%d" % (self.network, 1 + index // 250, 1 + index % 250)
@@ -140,10 +143,17 @@
             {"version": self.version, "routes": routes, "services": []}).encode())
         self.probe, self.published_s = probe, time.monotonic()
 
+    async def open_store(self):
+        """Opens the access of one process to the store and returns settings of the process."""
+        access = StoreAccess(self.store)
+        self.n_accesses += 1
+        port = PORTS["store"] + self.n_accesses
+        self.store_servers.append(await standin_http.serve(self.host(1), port, access.handle))
+        return {"store_address": "%s:%d" % (self.host(1), port), "store_access": access}
+
     async def build_cluster(self):
         await self.claim_network()
         self.publish(1)
-        store = "%s:%d" % (self.host(1), PORTS["store"])
         n = self.options.gateways
         advertised_hosts = [self.gateway_host(i) if self.options.direct else self.host(10 + i)
                             for i in range(n)]
@@ -156,7 +166,7 @@
                 "ready_address": "%s:%d" % (real, PORTS["ready"]),
                 "peer_address": "%s:%d" % (real, PORTS["peers"]),
                 "advertised_address": "%s:%d" % (advertised, PORTS["peers"]),
-                "seed_port": PORTS["peers"], "store_address": store, "grace_s": GRACE_S}))
+                "seed_port": PORTS["peers"], "grace_s": GRACE_S, **await self.open_store()}))
             if self.options.direct:
                 continue
             proxy = Proxy(advertised, PORTS["peers"], (real, PORTS["peers"]))
@@ -168,7 +178,7 @@
             self.sidecars.append(Node(self, "azurerock-sidecar", host, {
                 "instance": "s%d" % i, "domain": "d%d" % (i % 3), "seeds": seeds,
                 "registry_address": registry, "seed_port": PORTS["peers"],
-                "store_address": store, "grace_s": GRACE_S}))
+                "grace_s": GRACE_S, **await self.open_store()}))
             executor = Executor("m%d" % i, host, PORTS["app"], registry, "d%d" % (i % 3),
                                 self.history, self.options.seed * 1000 + i)
             executor.sidecar, executor.guards_capacity = self.sidecars[-1], i % 3 == 0
@@ -274,9 +284,9 @@
                 is_undisturbed = sent_s - max(gateway.last_disturbed_s,
                                               self.store.last_disturbed_s) > UNDISTURBED_S
                 is_due = sent_s - self.published_s > CONFIG_LIMIT_S and is_undisturbed \
-                    and not gateway.active_fault
+                    and not gateway.active_fault and self.can_learn(gateway, sent_s)
                 status = await self.ask_probe(gateway, probe)
-                if status == 404 and is_due and probe == self.probe:
+                if status in (404, 503) and is_due and probe == self.probe:
                     self.history.report_violation("CONFIG", "%s has not adopted version %d"
                                                   % (gateway.host, self.version))
                 if status == 404 and seen_probes.get(gateway.process) == probe \
@@ -286,6 +296,15 @@
                 if status == 200:
                     seen_probes[gateway.process] = probe
 
+    def can_learn(self, gateway, now_s):
+        """Whether the store has served the gateway for a while, or some sidecars and nothing but the
+        store disturbs the sessions with these."""
+        access = gateway.store_access
+        if access.mode == "ok" and now_s - access.changed_s > UNDISTURBED_S:
+            return True
+        return any(node.store_access.mode == "ok" for node in self.sidecars) \
+            and now_s - self.other_faults_until_s > UNDISTURBED_S
+
     async def ask_probe(self, gateway, probe):
         client = standin_http.HttpClient(gateway.host, PORTS["jobs"])
         try:
@@ -315,12 +334,19 @@
         if name not in PLANNED:
             self.history.unplanned_until_s = float("inf")
             self.n_unplanned += 1
+        if name not in REFUSALS | {"configuration", "withdraw"}:
+            self.other_faults_until_s = float("inf")
+            self.n_other_faults += 1
         for _ in range(self.random.choice(SERIES)):
             await getattr(self, "fault_" + name)()
         if name not in PLANNED:
             self.n_unplanned -= 1
             if self.n_unplanned == 0:
                 self.history.unplanned_until_s = time.monotonic()
+        if name not in REFUSALS | {"configuration", "withdraw"}:
+            self.n_other_faults -= 1
+            if self.n_other_faults == 0:
+                self.other_faults_until_s = time.monotonic()
 
     async def inject_faults(self):
         running = set()
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -9,7 +9,7 @@
 from foreign_heartbeats import send_foreign_heartbeats
 from standin_platform import CAPACITY_CPU
 
-PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7806}
+PORTS = {"jobs": 7801, "ready": 7802, "peers": 7803, "registry": 7804, "app": 7805, "store": 7900}
 # Planned operations of operators and the platform, which callers must not notice.
 PLANNED = {"stop_gateway", "stop_sidecar", "hangup", "configuration", "withdraw", "drain",
            "capacity", "malformed"}
@@ -17,7 +17,8 @@
 # Not injected unless they are named: KNOWN-RED.txt lists runs with the first one, and the others
 # would change the plans of the seeds that are recorded.
 ONLY_BY_NAME = {"deadly_unanswered", "slow_stops", "callers_leave", "kill_sidecars",
-                "kill_gateways", "pause_gateway", "busy"}
+                "kill_gateways", "pause_gateway", "busy", "store_refuses"}
+REFUSALS = {"store_refuses"}  # the store serves some processes only
 LINK_FAULTS = {"link", "reset"}
 BUSY_PROCESSES_PER_PROCESSOR = 6
 CRASH_MS = [5, 10, 50, 200]
@@ -108,6 +109,22 @@
         self.store.last_disturbed_s = time.monotonic()
         await asyncio.sleep(1)
 
+    async def fault_store_refuses(self):
+        """The store serves none or some of the gateways, and some sidecars, while changes are made.
+        """
+        mode = self.random.choice(["busy", "silent", "reset"])
+        gateways = self.gateways if self.random.random() < 0.6 else \
+            self.random.sample(self.gateways, len(self.gateways) // 2)
+        sidecars = self.random.sample(self.sidecars, self.random.randint(0, len(self.sidecars) // 2))
+        for node in [*gateways, *sidecars]:
+            node.store_access.set_mode(mode)
+        for _ in range(self.random.randint(1, 4)):
+            await asyncio.sleep(self.random.uniform(0.1, 2))
+            self.publish(self.probe + 1)
+        await asyncio.sleep(self.random.uniform(0, 4))
+        for node in [*gateways, *sidecars]:
+            node.store_access.set_mode("ok")
+
     async def fault_store_loses(self):
         self.store.lost_share, self.store.last_disturbed_s = 0.4, float("inf")
         await asyncio.sleep(3)
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -98,6 +98,26 @@
         return 200, {"revision": self.revision}
 
 
+class StoreAccess:
+    """Access of one or more processes to a store; @mode: "ok", or how the store treats just these:
+    "busy" (503), "silent" (no response) or "reset". A change applies to calls in progress too.
+    @changed_s: time of the last change."""
+
+    def __init__(self, store):
+        self.store, self.mode, self.changed_s = store, "ok", 0.0
+
+    def set_mode(self, mode):
+        self.mode, self.changed_s = mode, time.monotonic()
+
+    async def handle(self, method, target, headers, body):
+        answer = await self.store.handle(method, target, headers, body)
+        if self.mode == "silent":
+            raise standin_http.NoAnswer
+        if self.mode == "reset":
+            raise standin_http.ResetConnection
+        return (503, None) if self.mode == "busy" else answer
+
+
 class Executor:
     """An executor. @is_unresponsive: runs and answers no orders and sends no heartbeats;
     @drops_answers: runs orders and answers none; @unanswered_share: share of the calls that are
--- a/tests/test_gateway_store_refuses.py
+++ b/tests/test_gateway_store_refuses.py
@@ -10,7 +10,7 @@
 
 import standin_http
 from process_testing import free_port, program_path
-from standin_platform import Store
+from standin_platform import Store, StoreAccess
 
 HOST = "127.0.0.1"
 # A configuration has to be in force within 2 s from its acknowledgement.
@@ -19,27 +19,13 @@
 START_LIMIT_S = 5.0
 
 
-class RefusableStore:
-    """Access of some processes to a store, which can be refused; @mode: "ok", "silent" (no answer)
-    or "busy" (503). A change of the mode applies to calls in progress too."""
-
-    def __init__(self, store):
-        self.store, self.mode = store, "ok"
-
-    async def handle(self, method, target, headers, body):
-        answer = await self.store.handle(method, target, headers, body)
-        if self.mode == "silent":
-            raise standin_http.NoAnswer
-        return (503, None) if self.mode == "busy" else answer
-
-
 class Cluster:
     """Two gateways and one sidecar; the gateways have their own access to the store."""
 
     def __init__(self, folder):
         self.folder, self.store, self.processes, self.servers = folder, Store(), [], []
-        self.access = RefusableStore(self.store)
-        self.sidecar_access = RefusableStore(self.store)
+        self.access = StoreAccess(self.store)
+        self.sidecar_access = StoreAccess(self.store)
         self.store_ports = {"gateways": free_port(), "sidecars": free_port()}
         self.jobs_ports = [free_port(), free_port()]
         self.peer_ports = [free_port(), free_port()]
