--- a/src/gateway/candidates.c
+++ b/src/gateway/candidates.c
@@ -1,5 +1,6 @@
 #include "dispatch/speed.h"
 #include "gateway/capacity.h"
+#include "gateway/published.h"
 #include "gateway/state.h"
 #include <string.h>
 
--- a/src/gateway/core.c
+++ b/src/gateway/core.c
@@ -1,6 +1,8 @@
 #include "gateway/crashes.h"
 #include "gateway/interference.h"
+#include "gateway/published.h"
 #include "gateway/separation.h"
+#include "gateway/sessions.h"
 #include "gateway/state.h"
 
 static const struct az_ejection_policy ejection_policy
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "gateway/published.h"
 #include "gateway/state.h"
 
 /* How old the evidence is that the present configuration is the newest one. */
--- a/src/gateway/heartbeats.c
+++ b/src/gateway/heartbeats.c
@@ -1,4 +1,5 @@
 #include "gateway/capacity.h"
+#include "gateway/sessions.h"
 #include "gateway/state.h"
 
 #define HEARTBEAT_BUSY_MS 100
--- a/src/gateway/isolation.c
+++ b/src/gateway/isolation.c
@@ -1,5 +1,6 @@
 #include "azurerock/log.h"
 #include "gateway/crashes.h"
+#include "gateway/published.h"
 #include "gateway/state.h"
 #include "gateway/upstream_order.h"
 #include <math.h>
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -1,4 +1,5 @@
 #include "azurerock/log.h"
+#include "gateway/sessions.h"
 #include "gateway/state.h"
 #include "net/address.h"
 #include <string.h>
--- a/src/gateway/peer_clock.c
+++ b/src/gateway/peer_clock.c
@@ -1,4 +1,5 @@
 #include "dispatch/session_times.h"
+#include "gateway/sessions.h"
 #include "gateway/state.h"
 
 /* A higher clock, of a thousand years, is implausible. The bound keeps calculations in range. */
--- a/src/gateway/place.c
+++ b/src/gateway/place.c
@@ -2,6 +2,7 @@
 #include "dispatch/speed.h"
 #include "gateway/capacity.h"
 #include "gateway/separation.h"
+#include "gateway/sessions.h"
 #include "gateway/state.h"
 #include <string.h>
 
--- a/src/gateway/sessions.c
+++ b/src/gateway/sessions.c
@@ -1,9 +1,11 @@
+#include "gateway/sessions.h"
 #include "azurerock/log.h"
 #include "dispatch/session_times.h"
 #include "gateway/capacity.h"
 #include "gateway/crashes.h"
 #include "gateway/interference.h"
 #include "gateway/moves.h"
+#include "gateway/published.h"
 #include "gateway/state.h"
 #include <string.h>
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -370,27 +370,6 @@
 void
 az_gateway_expire_cancels (struct az_gateway *gateway);
 
-/* evidence.c */
-
-/** az_gateway_record_evidence - logs when the evidence that the configuration is the newest gets
- * too old, and when it is recent again */
-void
-az_gateway_record_evidence (struct az_gateway *gateway);
-
-/* peer_clock.c */
-
-/** az_gateway_observe_peer_clock - call when the sidecar's report states its clock */
-void
-az_gateway_observe_peer_clock (const struct az_gateway *gateway,
-                               struct session *session,
-                               uint64_t clock_ms);
-
-/** az_gateway_peer_clock_ms - returns a lower bound of the present time on the sidecar's clock, so
- * that the sidecar may take a message for older than it is but never for younger; 0 if it hasn't
- * reported yet */
-uint64_t
-az_gateway_peer_clock_ms (const struct az_gateway *gateway, const struct session *session);
-
 /* pause.c */
 bool
 az_gateway_was_paused (const struct az_gateway *gateway);
@@ -402,60 +381,6 @@
 int64_t
 az_gateway_earliest_arrival_us (const struct az_gateway *gateway);
 
-/* sessions.c */
-void
-az_gateway_expire_sessions (struct az_gateway *gateway);
-
-/* heartbeats.c */
-
-/** az_gateway_has_tasks - whether tasks of this gateway run on the session's upstream */
-bool
-az_gateway_has_tasks (const struct az_gateway *gateway, const struct session *session);
-
-/** az_gateway_wants_reports - whether the session's upstream belongs to the working set */
-bool
-az_gateway_wants_reports (const struct az_gateway *gateway, const struct session *session);
-
-/** az_gateway_send_heartbeat - sends a heartbeat now; with @wants_updates, it also requests the
- * configuration and the withdrawn domains */
-void
-az_gateway_send_heartbeat (struct az_gateway *gateway, struct session *session, bool wants_updates);
-
-/** az_gateway_send_heartbeats - sends the heartbeats that are due */
-void
-az_gateway_send_heartbeats (struct az_gateway *gateway);
-
-/* members.c */
-void
-az_gateway_connect_members (struct az_gateway *gateway);
-void
-az_gateway_send_members (struct az_gateway *gateway, uint32_t session);
-void
-az_gateway_send_member (struct az_gateway *gateway, uint32_t session, const char *address);
-
-/* updates.c */
-
-/** az_gateway_request_updates - while the store isn't reachable, requests the configuration and the
- * withdrawn domains from peers, and from sidecars if what is known is old */
-void
-az_gateway_request_updates (struct az_gateway *gateway);
-
-/** az_gateway_send_updates - answers a peer that requested updates */
-void
-az_gateway_send_updates (struct az_gateway *gateway,
-                         struct session *session,
-                         const struct az_node_pulse *pulse);
-
-/** az_gateway_relay_withdrawn - sends the withdrawn domains to the sidecars whose list is due */
-void
-az_gateway_relay_withdrawn (struct az_gateway *gateway);
-
-/** az_gateway_send_withdrawn - sends the withdrawn domains if they are known */
-void
-az_gateway_send_withdrawn (struct az_gateway *gateway, struct session *session);
-bool
-az_gateway_is_withdrawn (const struct az_gateway *gateway, const char *domain);
-
 /* upstreams.c */
 struct upstream *
 az_gateway_get_or_add_upstream (struct az_gateway *gateway,
--- a/src/gateway/upstream_order.c
+++ b/src/gateway/upstream_order.c
@@ -1,4 +1,5 @@
 #include "gateway/upstream_order.h"
+#include "gateway/published.h"
 #include <string.h>
 #include <xxhash.h>
 
