--- a/tests/soak.py
+++ b/tests/soak.py
@@ -151,6 +151,10 @@
         self.store_servers.append(await standin_http.serve(self.host(1), port, access.handle))
         return {"store_address": "%s:%d" % (self.host(1), port), "store_access": access}
 
+    def close_store(self):
+        for server in [self.store_server, *self.store_servers]:
+            server.close()
+
     async def build_cluster(self):
         await self.claim_network()
         self.publish(1)
--- a/tests/test_slow_stop.py
+++ b/tests/test_slow_stop.py
@@ -57,7 +57,7 @@
         for executor in self.executors:
             executor.stop_delay_s = 0.0
         await asyncio.gather(*[node.stop(signal.SIGTERM) for node in self.gateways + self.sidecars])
-        self.store_server.close()
+        self.close_store()
         for executor in self.executors:
             executor.server.close()
         for proxy in self.proxies:
