Don't start a second registration beside one in progress

A failed read of the members brought the next membership step forward, which could create a second lease while the write under the first one was pending; the key could then lapse with the lease that nobody renews. The members are now read again with the next regular step, 1.5 to 4 s later.

Measured: test_gateway_members.py passes in the whole suite.

--- a/src/gateway/program_members.c
+++ b/src/gateway/program_members.c
@@ -32,8 +32,6 @@
 
   (void)revision;
   program->membership.is_list_read = result == AZ_METADATA_OK;
-  if (!program->membership.is_list_read)
-    schedule_membership (program, MEMBER_RETRY_MS);
 }
 
 static void
