--- a/bench/emulator/play.c
+++ b/bench/emulator/play.c
@@ -6,6 +6,7 @@
 
 /* A caller that lost its connection sends its job again after this time. */
 #define RESUBMIT_US 1300000
+#define CONFIGURATION_APPLY_MS 2000
 
 static void
 read_clock (void *context, struct timespec *now)
@@ -236,6 +237,7 @@
     .session_timeout_ms = AZ_SESSION_TIMEOUT_MS,
     .orphan_timeout_ms = AZ_ORPHAN_TIMEOUT_MS,
     .cross_domain_cost_ms = 4,
+    .apply_ms = CONFIGURATION_APPLY_MS,
     .remote_factor = 1.5,
     .share_demand = world->scenario->share_demand,
     .fair_queue_shares = world->scenario->fair_queue_shares,
@@ -247,6 +249,7 @@
   world->gateway_contexts[index] = (struct node_context){ world, index };
   world->gateways[index]
       = az_gateway_create (&settings, 1000 + index, &world->clock, &io, world->counters);
+  az_gateway_set_store_reachable (world->gateways[index], true);
   az_gateway_set_catalog (world->gateways[index], create_catalog (world->scenario),
                           &(struct az_catalog_origin){ .revision = 1, .text = "{}", .length = 2 });
   emu_schedule (world->events, emu_now_us (world->events) + index * 1700, tick_gateway,
