Escape what clients send in the line of a refusal

Host and path of a request without a route come from the client; quotes, spaces and control characters could imitate other fields of the line. Both are escaped and quoted. One function gives the version of the configuration.

--- a/Makefile
+++ b/Makefile
@@ -108,7 +108,9 @@
 SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))), \
   4 $(shell sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak_seeds.txt) $(shell date +1%H%M)))
 
+# Kinds of faults of one more run, in which the store refuses some of the processes.
 STORE_FAULTS = store_refuses,configuration,withdraw,kill_gateway
+
 .PHONY: soak
 soak: all
 	BUILD=$(BUILD) tests/run_soak.sh $(SOAK_SEEDS)
--- a/include/azurerock/gateway.h
+++ b/include/azurerock/gateway.h
@@ -139,6 +139,10 @@
 const struct az_catalog *
 az_gateway_catalog (const struct az_gateway *gateway);
 
+/** az_gateway_catalog_version - returns the version of the present configuration, 0 without one */
+uint64_t
+az_gateway_catalog_version (const struct az_gateway *gateway);
+
 /** az_gateway_is_catalog_outdated - whether a newer configuration may have been published whose
  * time to come into force has passed, so that a missing route proves nothing */
 bool
--- a/src/gateway/evidence.c
+++ b/src/gateway/evidence.c
@@ -4,6 +4,12 @@
 
 /* How old the evidence is that the present configuration is the newest one. */
 
+uint64_t
+az_gateway_catalog_version (const struct az_gateway *gateway)
+{
+  return gateway->catalog ? gateway->catalog->version : 0;
+}
+
 void
 az_gateway_confirm_catalog (struct az_gateway *gateway, uint64_t version, int64_t age_ms)
 {
@@ -32,31 +38,20 @@
   return age_ms < 0 || age_ms > gateway->settings.apply_ms;
 }
 
-static const char *
-catalog_version_text (const struct az_gateway *gateway, char *text, size_t size)
-{
-  if (!gateway->catalog)
-    return "-";
-  g_snprintf (text, size, "%" G_GUINT64_FORMAT, gateway->catalog->version);
-  return text;
-}
-
 void
 az_gateway_record_evidence (struct az_gateway *gateway)
 {
   int64_t known_us = MAX (gateway->catalog_confirmed_us, gateway->started_us);
   int64_t age_ms = (gateway->now_us - known_us) / AZ_US_PER_MS;
   bool is_outdated = age_ms > gateway->settings.apply_ms;
-  char version[24];
 
   if (is_outdated == gateway->is_catalog_outdated)
     return;
   gateway->is_catalog_outdated = is_outdated;
   az_log (LOG_NOTICE,
-          "event=configuration-evidence outcome=%s version=%s age_ms=%" G_GINT64_FORMAT
-          " store=%s sessions=%u",
-          is_outdated ? "outdated" : "recent",
-          catalog_version_text (gateway, version, sizeof version), age_ms,
+          "event=configuration-evidence outcome=%s version=%" G_GUINT64_FORMAT
+          " age_ms=%" G_GINT64_FORMAT " store=%s sessions=%u",
+          is_outdated ? "outdated" : "recent", az_gateway_catalog_version (gateway), age_ms,
           gateway->is_store_reachable ? "reachable" : "lost",
           g_hash_table_size (gateway->sessions));
 }
--- a/src/gateway/heartbeats.c
+++ b/src/gateway/heartbeats.c
@@ -45,7 +45,7 @@
     .waiting_cpu_milli = az_gateway_stated_cpu_milli (gateway, session),
     .wants_reports = az_gateway_wants_reports (gateway, session),
     .wants_updates = wants_updates,
-    .catalog_version = wants_updates && gateway->catalog ? gateway->catalog->version : 0,
+    .catalog_version = wants_updates ? az_gateway_catalog_version (gateway) : 0,
   };
   gateway->io.send (gateway->io.context, session->handle, &message);
 }
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -159,7 +159,7 @@
           job->request.steps[0].estimate_ms, wait_ms,
           (gateway->now_us - az_gateway_earliest_arrival_us (gateway)) / AZ_US_PER_MS,
           (job->objective_us - gateway->now_us) / AZ_US_PER_MS,
-          gateway->catalog ? gateway->catalog->version : 0, az_gateway_catalog_age_ms (gateway));
+          az_gateway_catalog_version (gateway), az_gateway_catalog_age_ms (gateway));
   if (az_gateway_recall_crashes (gateway, job))
     {
       az_gateway_give_up_crashed_job (gateway, job);
--- a/src/gateway/program_jobs.c
+++ b/src/gateway/program_jobs.c
@@ -96,13 +96,15 @@
              int status,
              const char *reason)
 {
-  const struct az_catalog *catalog = az_gateway_catalog (program->gateway);
+  g_autofree char *host = g_strescape (request->host, NULL);
+  g_autofree char *path = g_strescape (request->path, NULL);
 
   az_log (LOG_INFO,
-          "event=refuse method=%.8s host=%.64s path=%.96s outcome=%d reason=%s"
+          "event=refuse method=%.8s host=\"%.64s\" path=\"%.96s\" outcome=%d reason=%s"
           " version=%" G_GUINT64_FORMAT " evidence_age_ms=%" G_GINT64_FORMAT,
-          request->method, request->host, request->path, status, reason,
-          catalog ? catalog->version : 0, az_gateway_catalog_age_ms (program->gateway));
+          request->method, host, path, status, reason,
+          az_gateway_catalog_version (program->gateway),
+          az_gateway_catalog_age_ms (program->gateway));
 }
 
 static void
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -29,10 +29,10 @@
   struct az_message message = { .proc = AZ_NODE_EVIDENCE };
   int64_t age_ms = az_gateway_catalog_age_ms (gateway);
 
-  if (!gateway->catalog || age_ms < 0)
+  if (age_ms < 0)
     return;
   message.az_message_u.node_evidence = (struct az_node_evidence){
-    .catalog_version = gateway->catalog->version,
+    .catalog_version = az_gateway_catalog_version (gateway),
     .age_ms = (u_int)MIN (age_ms, UINT32_MAX),
   };
   gateway->io.send (gateway->io.context, session->handle, &message);
