Close idle connections to the store when a call gets no response

What callers see: after the open connections to the store have gone silent without a reset, which the platform's description announces, a gateway lacks a version for up to 1.9 s times the number of its connections: an added route is answered 404 although new connections to the store work.

Cause: a call that timed out closed its own connection only, and the next one was sent on another idle connection, as silent as the first.

Change: a call to the store that gets no response closes the idle connections too, so the next one is sent on a new connection.

Why it works: at most one watch times out before a new connection is tried, 1.9 s after it was sent at the latest.

--- a/include/azurerock/http_client.h
+++ b/include/azurerock/http_client.h
@@ -73,4 +73,13 @@
 void
 az_http_client_cancel (struct az_http_client *client, uint32_t request);
 
+/**
+ * az_http_client_drop_idle - closes the connections that carry no request
+ *
+ * Call it when a request got no response: the path of all connections may have failed without a
+ * reset, and the next requests would time out on the others one after the other.
+ */
+void
+az_http_client_drop_idle (struct az_http_client *client);
+
 #endif
--- a/src/dispatch/metadata_client.c
+++ b/src/dispatch/metadata_client.c
@@ -18,6 +18,7 @@
 
 struct call
 {
+  struct az_metadata_client *client;
   void (*done) (void *context, struct az_metadata_answer *answer);
   void *context;
 };
@@ -46,6 +47,8 @@
   g_autofree struct call *call = context;
   struct az_metadata_answer answer;
 
+  if (response->result == AZ_HTTP_LOST)
+    az_http_client_drop_idle (call->client->http);
   platform_decode_store (response, &answer);
   call->done (call->context, &answer);
   az_metadata_answer_clear (&answer);
@@ -64,6 +67,7 @@
   static const struct az_http_header json = { "content-type", "application/json" };
   struct call *call = g_new0 (struct call, 1);
 
+  call->client = client;
   call->done = done;
   call->context = context;
   az_http_client_request (client->http, method, path, &json, body ? 1 : 0, body,
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -432,3 +432,16 @@
     return;
   end_exchange (client, exchange, "cancelled");
 }
+
+void
+az_http_client_drop_idle (struct az_http_client *client)
+{
+  while (!client->destroyed && client->idle->len > 0)
+    {
+      struct az_http_connection *connection
+          = g_ptr_array_index (client->idle, client->idle->len - 1);
+
+      remove_connection (client, connection);
+      az_http_connection_drop (connection);
+    }
+}
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -268,6 +268,27 @@
   close (server);
 }
 
+/* Guards against requests that time out one after the other on idle connections that have gone
+ * silent. */
+static void
+test_dropped_idle_connection_is_not_reused (void **state)
+{
+  struct fixture *fixture = *state;
+  int servers[2];
+
+  request (fixture, "one", TIMEOUT_MS);
+  accept_request (fixture, "one", &servers[0]);
+  net_write (servers[0], "HTTP/1.1 204 No Content\r\n\r\n");
+  expect_result (fixture, 1, AZ_HTTP_ANSWERED);
+  az_http_client_drop_idle (fixture->client);
+  request (fixture, "two", TIMEOUT_MS);
+  accept_request (fixture, "two", &servers[1]);
+  net_write (servers[1], "HTTP/1.1 204 No Content\r\n\r\n");
+  expect_result (fixture, 2, AZ_HTTP_ANSWERED);
+  close (servers[0]);
+  close (servers[1]);
+}
+
 /* Guards against misparsing a chunked response, with an informational response before it, that
  * arrives one byte at a time. */
 static void
@@ -413,6 +434,7 @@
     TEST (test_concurrent_requests_are_refused_at_once),
     TEST (test_timeouts),
     TEST (test_request_that_waited_too_long_is_not_sent),
+    TEST (test_dropped_idle_connection_is_not_reused),
     TEST (test_chunked_response_in_single_bytes),
     TEST (test_ambiguous_responses),
     TEST (test_responses_over_the_memory),
