--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -18,6 +18,7 @@
 
 struct call
 {
+  struct az_http_client *http;
   enum az_store_call_kind kind;
   void (*done) (void *context, const struct az_store_answer *answer);
   void *context;
@@ -47,6 +48,8 @@
   struct call *call = context;
   struct az_store_answer answer;
 
+  if (response->result == AZ_HTTP_LOST)
+    az_http_client_drop_idle (call->http);
   az_store_answer_read (call->kind, response, &answer);
   call->done (call->context, &answer);
   az_store_answer_clear (&answer);
@@ -63,6 +66,7 @@
 {
   struct call *copy = g_memdup2 (call, sizeof *call);
 
+  copy->http = client->http;
   az_http_client_request (client->http, method, path, NULL, 0, body, body ? strlen (body) : 0,
                           timeout_ms, on_response, copy);
 }
@@ -80,7 +84,7 @@
                      void (*done) (void *context, const struct az_store_answer *answer),
                      void *context)
 {
-  const struct call call = { AZ_STORE_CALL_READ, done, context };
+  const struct call call = { .kind = AZ_STORE_CALL_READ, .done = done, .context = context };
   g_autofree char *escaped = escape (key);
   g_autofree char *path
       = g_strdup_printf ("/v1/kv/%s?consistent%s", escaped, recurse ? "&recurse" : "");
@@ -96,7 +100,7 @@
                        void (*done) (void *context, const struct az_store_answer *answer),
                        void *context)
 {
-  const struct call call = { AZ_STORE_CALL_WATCH, done, context };
+  const struct call call = { .kind = AZ_STORE_CALL_WATCH, .done = done, .context = context };
   g_autofree char *escaped = escape (prefix);
   g_autofree char *path = g_strdup_printf ("/v1/kv/%s?keys&consistent&index=%" G_GUINT64_FORMAT
                                            "&wait=%" G_GINT64_FORMAT "ms",
@@ -130,7 +134,7 @@
                        void (*done) (void *context, const struct az_store_answer *answer),
                        void *context)
 {
-  const struct call call = { AZ_STORE_CALL_WRITE, done, context };
+  const struct call call = { .kind = AZ_STORE_CALL_WRITE, .done = done, .context = context };
   json_t *operations = json_array ();
   char *body;
 
@@ -149,7 +153,8 @@
                                 void (*done) (void *context, const struct az_store_answer *answer),
                                 void *context)
 {
-  const struct call call = { AZ_STORE_CALL_CREATE_SESSION, done, context };
+  const struct call call
+      = { .kind = AZ_STORE_CALL_CREATE_SESSION, .done = done, .context = context };
   g_autofree char *body = g_strdup_printf (
       "{\"TTL\":\"%" G_GINT64_FORMAT "ms\",\"Behavior\":\"delete\",\"LockDelay\":\"0s\"}", ttl_ms);
 
@@ -162,7 +167,8 @@
                                void (*done) (void *context, const struct az_store_answer *answer),
                                void *context)
 {
-  const struct call call = { AZ_STORE_CALL_RENEW_SESSION, done, context };
+  const struct call call
+      = { .kind = AZ_STORE_CALL_RENEW_SESSION, .done = done, .context = context };
   g_autofree char *path = g_strconcat ("/v1/session/renew/", session, NULL);
 
   send_call (client, &call, "PUT", path, NULL, CALL_TIMEOUT_MS);
@@ -174,7 +180,8 @@
                                  void (*done) (void *context, const struct az_store_answer *answer),
                                  void *context)
 {
-  const struct call call = { AZ_STORE_CALL_DESTROY_SESSION, done, context };
+  const struct call call
+      = { .kind = AZ_STORE_CALL_DESTROY_SESSION, .done = done, .context = context };
   g_autofree char *path = g_strconcat ("/v1/session/destroy/", session, NULL);
 
   send_call (client, &call, "PUT", path, NULL, CALL_TIMEOUT_MS);
@@ -188,7 +195,7 @@
                          void (*done) (void *context, const struct az_store_answer *answer),
                          void *context)
 {
-  const struct call call = { AZ_STORE_CALL_ACQUIRE, done, context };
+  const struct call call = { .kind = AZ_STORE_CALL_ACQUIRE, .done = done, .context = context };
   g_autofree char *escaped = escape (key);
   g_autofree char *path = g_strdup_printf ("/v1/kv/%s?acquire=%s", escaped, session);
 
