Let the soak silence open connections to the store

The proxies of the soak silence a path or reset it; connections that stay open and say nothing were never played.

--- a/Makefile
+++ b/Makefile
@@ -108,8 +108,9 @@
 SOAK_SEEDS = $(or $(SEED),$(if $(SEEDS),$(shell seq $(subst .., ,$(SEEDS))), \
   4 $(shell sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak_seeds.txt) $(shell date +1%H%M)))
 
-# Kinds of faults of one more run, in which the store refuses some of the processes.
-STORE_FAULTS = store_refuses,configuration,withdraw,kill_gateway
+# Kinds of faults of one more run, in which the store refuses some of the processes, or their
+# connections to it go silent.
+STORE_FAULTS = store_refuses,store_mutes,configuration,withdraw,kill_gateway
 
 .PHONY: soak
 soak: all
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -148,7 +148,7 @@
         access = StoreAccess(self.store)
         self.n_accesses += 1
         port = PORTS["store"] + self.n_accesses
-        self.store_servers.append(await standin_http.serve(self.host(1), port, access.handle))
+        self.store_servers.append(await access.serve(self.host(1), port))
         return {"store_address": "%s:%d" % (self.host(1), port), "store_access": access}
 
     def close_store(self):
@@ -303,10 +303,10 @@
     def can_learn(self, gateway, now_s):
         """Whether the store has served the gateway for a while, or some sidecars and nothing but the
         store disturbs the sessions with these."""
-        access = gateway.store_access
-        if access.mode == "ok" and now_s - access.changed_s > UNDISTURBED_S:
+        before_s = now_s - UNDISTURBED_S
+        if gateway.store_access.is_ok_since(before_s):
             return True
-        return any(node.store_access.mode == "ok" for node in self.sidecars) \
+        return any(node.store_access.is_ok_since(before_s) for node in self.sidecars) \
             and now_s - self.other_faults_until_s > UNDISTURBED_S
 
     async def ask_probe(self, gateway, probe):
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -17,8 +17,9 @@
 # Not injected unless they are named: KNOWN-RED.txt lists runs with the first one, and the others
 # would change the plans of the seeds that are recorded.
 ONLY_BY_NAME = {"deadly_unanswered", "slow_stops", "callers_leave", "kill_sidecars",
-                "kill_gateways", "pause_gateway", "busy", "store_refuses"}
-REFUSALS = {"store_refuses"}  # the store serves some processes only
+                "kill_gateways", "pause_gateway", "busy", "store_refuses",
+                "store_mutes"}
+REFUSALS = {"store_refuses", "store_mutes"}  # disturb nothing but access to the store
 LINK_FAULTS = {"link", "reset"}
 BUSY_PROCESSES_PER_PROCESSOR = 6
 CRASH_MS = [5, 10, 50, 200]
@@ -125,6 +126,15 @@
         for node in [*gateways, *sidecars]:
             node.store_access.set_mode("ok")
 
+    async def fault_store_mutes(self):
+        """All open connections to the store go silent while changes are made."""
+        for node in [*self.gateways, *self.sidecars]:
+            node.store_access.mute_open()
+        for _ in range(self.random.randint(1, 3)):
+            self.publish(self.probe + 1)
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+        await asyncio.sleep(6)
+
     async def fault_store_loses(self):
         self.store.lost_share, self.store.last_disturbed_s = 0.4, float("inf")
         await asyncio.sleep(3)
--- a/tests/standin_http.py
+++ b/tests/standin_http.py
@@ -30,9 +30,10 @@
     return lines[0], headers, body
 
 
-async def serve(host, port, handler, writers=None):
+async def serve(host, port, handler, writers=None, muted=()):
     """@handler(method, target, headers, body) returns (status, object or None); @writers: a set to
-    which the writers of open connections belong."""
+    which the writers of open connections belong; @muted: those of connections on which no response
+    is sent."""
     writers = set() if writers is None else writers
 
     async def connection(reader, writer):
@@ -42,6 +43,8 @@
                 method, target, _ = message[0].split(" ", 2)
                 try:
                     status, answer = await handler(method, target, message[1], message[2])
+                    if writer in muted:
+                        raise NoAnswer
                 except NoAnswer:
                     await asyncio.sleep(60)
                     break
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -101,10 +101,22 @@
 class StoreAccess:
     """Access of one or more processes to a store; @mode: "ok", or how the store treats just these:
     "busy" (503), "silent" (no response) or "reset". A change applies to calls in progress too.
-    @changed_s: time of the last change."""
+    @changed_s: time of the last change; @writers, @muted: see standin_http.serve()."""
 
     def __init__(self, store):
         self.store, self.mode, self.changed_s = store, "ok", 0.0
+        self.writers, self.muted = set(), set()
+
+    async def serve(self, host, port):
+        return await standin_http.serve(host, port, self.handle, self.writers, self.muted)
+
+    def is_ok_since(self, time_s):
+        return self.mode == "ok" and self.changed_s <= time_s
+
+    def mute_open(self):
+        """The connections that are open get no more responses and stay open; new ones work."""
+        self.muted |= self.writers
+        self.changed_s = time.monotonic()
 
     def set_mode(self, mode):
         self.mode, self.changed_s = mode, time.monotonic()
