--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -22,6 +22,50 @@
   az_gateway_received (rig->core, PEER, &message);
 }
 
+/* Guards against a return to an older configuration that comes from an outdated peer or store. */
+static void
+test_older_configuration_is_ignored (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+
+  (void)state;
+  assert_true (az_gateway_set_catalog (
+      rig->core, gateway_rig_create_catalog (7),
+      &(struct az_catalog_origin){ .revision = 3, .text = "{}", .length = 2 }));
+  assert_false (az_gateway_set_catalog (
+      rig->core, gateway_rig_create_catalog (6),
+      &(struct az_catalog_origin){ .revision = 9, .text = "{}", .length = 2 }));
+  assert_int_equal (az_gateway_catalog (rig->core)->version, 7);
+  gateway_rig_destroy (rig);
+}
+
+/* Guards against a gateway that keeps an old configuration because the store refuses it or can't be
+ * reached, and against traffic that grows with the square of the number of gateways while all reach
+ * the store. */
+static void
+test_updates_come_from_peers_only_without_the_store (void **state)
+{
+  struct gateway_rig *rig = gateway_rig_create (0);
+  struct az_message pulse = { .proc = AZ_NODE_PULSE };
+
+  (void)state;
+  gateway_rig_open_peer (rig, PEER, "127.0.0.2:9");
+  gateway_rig_advance (rig, 1000, 0);
+  assert_int_equal (rig->n_update_requests, 0);
+  assert_int_equal (rig->n_catalogs_sent, 0);
+  az_gateway_set_store_reachable (rig->core, false);
+  gateway_rig_advance (rig, 500, 0);
+  assert_in_range (rig->n_update_requests, 2, 3);
+  pulse.az_message_u.node_pulse.wants_updates = true;
+  pulse.az_message_u.node_pulse.catalog_version = 1;
+  az_gateway_received (rig->core, PEER, &pulse);
+  assert_int_equal (rig->n_catalogs_sent, 0);
+  pulse.az_message_u.node_pulse.catalog_version = 0;
+  az_gateway_received (rig->core, PEER, &pulse);
+  assert_int_equal (rig->n_catalogs_sent, 1);
+  gateway_rig_destroy (rig);
+}
+
 /* Guards against a gateway that passes on what it heard from another one as if it were new. */
 static void
 test_relayed_evidence_keeps_its_age (void **state)
@@ -143,6 +187,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_older_configuration_is_ignored),
+    cmocka_unit_test (test_updates_come_from_peers_only_without_the_store),
     cmocka_unit_test (test_relayed_evidence_keeps_its_age),
     cmocka_unit_test (test_update_request_states_the_demand),
     cmocka_unit_test (test_sidecars_are_asked_if_no_peer_knows_more),
