Leave a processor to the tests that run beside the models

On a machine of two processors four searches at a time left them none. Change: as many searches at a time as there are processors less one, at most four; on five processors and more as before.

--- a/model/run.sh
+++ b/model/run.sh
@@ -10,6 +10,9 @@
 # Limit of a search, in memory: its verdict doesn't depend on the speed of the machine.
 SEARCH_LIMIT_MB=2000
 
+# Searches at a time. One processor is left to the tests that CI runs beside the models.
+n_searches=$(($(nproc) > 4 ? 4 : $(nproc) > 2 ? $(nproc) - 1 : 1))
+
 # search MODEL [GUARD]: prints "errors states completeness"
 search() {
   mkdir "$work/$1$2" && cd "$work/$1$2" || exit 1
@@ -47,7 +50,7 @@
 for run in $runs; do
   model=${run%%:*} guard=${run#"$model"} guard=${guard#:}
   (search "$model" "$guard" >"$work/$model$guard.result") &
-  while [ "$(jobs -r 2>/dev/null | wc -l)" -ge 4 ]; do sleep 0.2; done
+  while [ "$(jobs -r 2>/dev/null | wc -l)" -ge "$n_searches" ]; do sleep 0.2; done
 done
 wait
 for run in $runs; do
