Keep the confirmations of entries that later don't answer

What operators saw: publish reported "0 of 3 entries have revision 1 in force" although one had confirmed it a moment before.

Cause: each round of polls counted for itself. Near the end of the wait a round has 100 ms, so entries that answer late then counted as not having the revision. For the same reason a publication stayed unaccepted if two entries answered at different times.

Change: an incarnation that has confirmed the revision counts as confirming it while it doesn't answer; an entry never returns to an older revision. An answer always counts for what it says.

--- a/src/ctl/await.c
+++ b/src/ctl/await.c
@@ -7,6 +7,31 @@
 #define STATUS_TIMEOUT_MIN_MS 100
 #define STATUS_TIMEOUT_MAX_MS 1000
 
+/* Records which incarnations have confirmed @revision. A member that doesn't answer now but has
+ * confirmed before counts as one that confirms, since an entry never returns to an older revision.
+ */
+static void
+merge_confirmations (GHashTable *confirmed,
+                     struct az_ctl_member *members,
+                     uint32_t count,
+                     uint64_t revision)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      gint64 incarnation = (gint64)members[i].entry->incarnation;
+
+      if (members[i].answered && members[i].revision >= revision)
+        {
+          g_hash_table_add (confirmed, g_memdup2 (&incarnation, sizeof incarnation));
+        }
+      else if (!members[i].answered && g_hash_table_contains (confirmed, &incarnation))
+        {
+          members[i].answered = true;
+          members[i].revision = revision;
+        }
+    }
+}
+
 /*
  * Asks each member once. The table is read again afterwards: if it has changed, the answers came
  * from the members of an old roster and prove nothing.
@@ -14,6 +39,7 @@
 static bool
 poll_once (struct az_ctl *ctl,
            uint64_t revision,
+           GHashTable *confirmed,
            struct az_ctl_acceptance *acceptance,
            GError **error)
 {
@@ -26,6 +52,7 @@
     return false;
   timeout_ms = CLAMP (az_ctl_remaining_ms (ctl), STATUS_TIMEOUT_MIN_MS, STATUS_TIMEOUT_MAX_MS);
   members = az_ctl_poll_members (ctl, &table, timeout_ms);
+  merge_confirmations (confirmed, members, table.roster.roster_len, revision);
   az_ctl_count_acceptance (&table, members, revision, acceptance);
   g_free (members);
   is_unchanged = az_ctl_read_table (ctl, &table_after, error)
@@ -56,12 +83,14 @@
 static bool
 poll_until_accepted (struct az_ctl *ctl, uint64_t revision, struct az_ctl_acceptance *acceptance)
 {
+  g_autoptr (GHashTable) confirmed
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   g_autoptr (GError) error = NULL;
 
   for (;;)
     {
       g_clear_error (&error);
-      if (poll_once (ctl, revision, acceptance, &error))
+      if (poll_once (ctl, revision, confirmed, acceptance, &error))
         return true;
       if (az_ctl_remaining_ms (ctl) == 0)
         break;
--- a/tests/ctl_testing.py
+++ b/tests/ctl_testing.py
@@ -15,17 +15,23 @@
 
 
 class FakeEntry:
-    """Answers /v1/status with a revision that the test sets."""
+    """Answers /v1/status with a revision that the test sets, up to @n_answers times if it isn't
+    None; later requests get no response."""
 
-    def __init__(self, incarnation, revision):
+    def __init__(self, incarnation, revision, n_answers=None):
         self.incarnation = incarnation
         self.revision = revision
+        self.n_answers = n_answers
+        self.stopped = threading.Event()
         entry = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def do_GET(self):
+                if not entry.take_answer():
+                    entry.stopped.wait()
+                    return
                 body = json.dumps({"incarnation": str(entry.incarnation),
                                    "revision": entry.revision}).encode()
                 self.send_response(200 if self.path == "/v1/status" else 404)
@@ -41,7 +47,15 @@
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
 
+    def take_answer(self):
+        """Returns whether the next request gets a response."""
+        if self.n_answers is None:
+            return True
+        self.n_answers -= 1
+        return self.n_answers >= 0
+
     def stop(self):
+        self.stopped.set()
         self.server.shutdown()
         self.server.server_close()
 
@@ -80,8 +94,8 @@
         answer = self.call("PUT", "/v1/kv/azurerock/owners", json.dumps(table))
         self.assertEqual(answer.json(), True)
 
-    def add_entry(self, incarnation, revision):
-        entry = FakeEntry(incarnation, revision)
+    def add_entry(self, incarnation, revision, n_answers=None):
+        entry = FakeEntry(incarnation, revision, n_answers)
         self.addCleanup(entry.stop)
         return entry
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -64,9 +64,11 @@
 
 
 class AcceptanceTest(CtlTestCase):
-    def publish(self, *arguments):
-        return self.ctl("publish", os.path.join(ROOT, "examples", "theatre"), "--wait", "1",
-                        *arguments)
+    def start_publish(self, wait_s):
+        return self.start_ctl("publish", os.path.join(ROOT, "examples", "theatre"), "--wait", wait_s)
+
+    def publish(self):
+        return self.finish(self.start_publish("1"))
 
     def test_half_of_the_members(self):
         """Guards against acceptance while a majority without the revision is possible."""
@@ -83,6 +85,21 @@
                       "accepted\n", out)
         self.assertIn(": accepted", self.ctl("status")[1])
 
+    def test_confirmation_is_kept_when_later_polls_get_no_answer(self):
+        """Guards against acceptance that is missed because two entries answer at different times."""
+        entries = [self.add_entry(11, 1, n_answers=1), self.add_entry(12, 0), self.add_entry(13, 0)]
+        self.set_roster(4, [(entries[i], 11 + i, i + 1) for i in range(3)])
+        code, out, _ = self.publish()
+        self.assertEqual(code, 5)
+        self.assertIn("1 of 3 entries have revision 1 in force\npublished, not yet accepted\n", out)
+        entries[0].n_answers, entries[0].revision = 1, 1
+        process = self.start_publish("5")
+        self.wait_until(lambda: entries[0].n_answers < 0)
+        entries[1].revision = 1
+        code, out, _ = self.finish(process)
+        self.assertEqual(code, 0)
+        self.assertIn("2 of 3 entries have revision 1 in force\naccepted\n", out)
+
     def test_new_members_are_not_established(self):
         """Guards against acceptance by members that joined with the current table version."""
         old, new = self.add_entry(11, 0), self.add_entry(12, 1)
