Tests: never miss the cancellation of a task that calls over HTTP

Cause: asyncio.wait_for() of Python 3.11 returns the result instead of raising CancelledError if it is cancelled when the awaitable has just ended. The loop that sends heartbeats then goes on, and asyncio.run() waits for it for ever.

Change: HttpClient uses a wait that doesn't look at the awaitable when it is cancelled.

--- a/tests/standin_http.py
+++ b/tests/standin_http.py
@@ -61,6 +61,20 @@
     return await asyncio.start_server(connection, host, port, limit=MAX_HEAD_BYTES)
 
 
+async def wait_for(awaitable, timeout_s):
+    """Returns the result of @awaitable; raises TimeoutError after @timeout_s. Unlike
+    asyncio.wait_for(), which before Python 3.12 may return if it is cancelled just after
+    @awaitable has ended, it never misses a cancellation."""
+    task = asyncio.ensure_future(awaitable)
+    try:
+        done, _ = await asyncio.wait({task}, timeout=timeout_s)
+    finally:
+        task.cancel()
+    if not done:
+        raise TimeoutError
+    return task.result()
+
+
 class HttpClient:
     """A client with one persistent connection."""
 
@@ -72,17 +86,17 @@
         """Returns (status, headers, body); raises OSError if the connection breaks, TimeoutError
         after @timeout seconds."""
         if not self.writer:
-            self.reader, self.writer = await asyncio.wait_for(
+            self.reader, self.writer = await wait_for(
                 asyncio.open_connection(self.host, self.port), timeout)
         text = b"" if body is None else json.dumps(body).encode()
         lines = ["%s %s HTTP/1.1" % (method, target), "content-length: %d" % len(text)]
         lines += ["%s: %s" % pair for pair in headers.items()]
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + text)
         try:
-            message = await asyncio.wait_for(read_message(self.reader), timeout)
-        except (TimeoutError, asyncio.TimeoutError):
+            message = await wait_for(read_message(self.reader), timeout)
+        except TimeoutError:
             self.close()
-            raise TimeoutError from None
+            raise
         except asyncio.IncompleteReadError:
             message = None
         if message is None:
