--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -2,10 +2,11 @@
 # Runs each test program given and prints totals. A failed test that KNOWN-RED.txt lists
 # ("test: NAME") is printed and counted as skipped.
 set -u
+test_timeout_s=900
 passed=0 failed=0 known=0
 for program in "$@"; do
   name=$(basename "$program")
-  if "$program"; then
+  if timeout "$test_timeout_s" "$program"; then
     passed=$((passed + 1))
   elif grep -q "^test: $name\$" KNOWN-RED.txt 2>/dev/null; then
     echo "known red: $name (see KNOWN-RED.txt)"
