--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -182,7 +182,8 @@
              "services": [{"name": SERVICE, "admission-control": guards_capacity,
                            "standby": False}]}).encode())
 
-    async def open(self):
+    async def open(self, set_up=None):
+        """@set_up(executors) is called before these start."""
         await self.claim_network()
         self.publish_routes(3, [{}])
         for i, zone in enumerate(self.gateway_zones):
@@ -196,6 +197,8 @@
             self.sidecars.append(self.add_node("sidecar", "side-%d" % i, zone, host, {}))
             self.executors.append(Executor("m%d" % i, host, PORTS["app"], "%s:%d" % (
                 host, PORTS["control-plane"]), zone, SERVICE, self.record))
+        if set_up:
+            set_up(self.executors)
         for node in self.gateways + self.sidecars:
             await node.start()
         for executor in self.executors:
