--- a/review/lib-3/platform_stand_in.py
+++ b/review/lib-3/platform_stand_in.py
@@ -13,6 +13,10 @@
 WAIT_MAX_MS = 2000
 
 
+def descriptor(writer):
+    return writer.get_extra_info("socket").fileno()
+
+
 class Store:
     """The metadata store: items, history, leases that end, and transactions with conditions."""
 
@@ -135,12 +139,13 @@
                       asyncio.ensure_future(self.send_heartbeats())]
 
     def crash(self):
-        """Ends the incarnation as the end of its process does: connections are reset."""
+        """Ends the incarnation as the end of its process does: its sockets are closed in the order
+        of their descriptors, so that of the connections."""
         self.is_up = False
         for loop in self.loops:
             loop.cancel()
         self.server.close()
-        for writer in list(self.writers):
+        for writer in sorted(self.writers, key=descriptor):
             writer.transport.abort()
         for name in list(self.tasks):
             self.record("end", task=name, attempt=self.tasks[name]["attempt"], how="crash",
