--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -127,8 +127,9 @@
     """@gateway_zones, @sidecar_zones: zone of each gateway and sidecar."""
     node_names = []
 
-    def __init__(self, gateway_zones, sidecar_zones, record):
+    def __init__(self, gateway_zones, sidecar_zones, record, executor_class=Executor):
         self.gateway_zones, self.sidecar_zones, self.record = gateway_zones, sidecar_zones, record
+        self.executor_class = executor_class
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.gateways, self.sidecars, self.executors, self.links = [], [], [], []
         self.store, self.store_server, self.network = Store(), None, 0
@@ -195,7 +196,7 @@
         for i, zone in enumerate(self.sidecar_zones):
             host = self.host(4, i)
             self.sidecars.append(self.add_node("sidecar", "side-%d" % i, zone, host, {}))
-            self.executors.append(Executor("m%d" % i, host, PORTS["app"], "%s:%d" % (
+            self.executors.append(self.executor_class("m%d" % i, host, PORTS["app"], "%s:%d" % (
                 host, PORTS["control-plane"]), zone, SERVICE, self.record))
         if set_up:
             set_up(self.executors)
