--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -31,23 +31,24 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 10, 2  # run.sh turns 10 into 1
 
 
-def choose_ports():
-    """Moves all ports so that no process listens on one of them, on whatever address."""
-    for offset in range(0, 2000, 50):
-        probes = [socket.socket() for _ in PORTS]
+def is_free(host, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            for probe, port in zip(probes, PORTS.values()):
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                probe.bind(("0.0.0.0", port + offset))
+            probe.bind((host, port))
         except OSError as error:
             if error.errno != errno.EADDRINUSE:
                 raise
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
-        PORTS.update({name: port + offset for name, port in PORTS.items()})
-        return
+            return False
+    return True
+
+
+def choose_ports(host):
+    """Moves all ports so that no process listens on one of them, on @host or on all addresses."""
+    for offset in range(0, 2000, 50):
+        if all(is_free(host, port + offset) for port in PORTS.values()):
+            PORTS.update({name: port + offset for name, port in PORTS.items()})
+            return
     raise CannotRun("no free ports")
 
 
@@ -162,7 +163,8 @@
         return "127.%d.%d.%d" % (self.network, group, 10 + index)
 
     async def claim_network(self):
-        choose_ports()
+        self.network = 20 + os.getpid() % 200
+        choose_ports(self.host(9, 0))  # no node has this address
         for i in range(200):
             self.network = 20 + (os.getpid() + i) % 200
             try:
